--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,3 @@
+//! What goes over the wire, and the settings: decoding, checking, encoding.
+
+pub mod peer;
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,284 @@
+//! Messages between instances.
+//!
+//! Control and traffic use separate connections, so that large answers never delay renewals.
+
+use std::net::SocketAddr;
+
+use auburnlug_coordination::{Position, raft};
+use auburnlug_state::{Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server};
+use serde::{Deserialize, Serialize};
+
+/// A message on a control link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Control {
+    /// Agreement between control members.
+    Raft(raft::Message),
+    /// An instance renews its lease.
+    Renew(Renew),
+    /// The leader grants a lease.
+    Grant(Grant),
+    /// The receiver does not lead; this member may.
+    Redirect {
+        /// Leader and the address of its peer listener.
+        leader: Option<(Name, SocketAddr)>,
+    },
+    /// Committed commands that follow `after`.
+    Update {
+        /// Index that the receiver must have applied.
+        after: Index,
+        /// Last index covered; entries that are not commands are left out of the list.
+        until: Index,
+        /// Commands with their indexes.
+        commands: Vec<(Index, Command)>,
+    },
+    /// The whole replicated state.
+    Snapshot(Box<Machine>),
+    /// Asks the leader to commit a command.
+    Propose {
+        /// Number chosen by the sender.
+        id: u64,
+        /// Command.
+        command: Command,
+    },
+    /// Answer to [`Control::Propose`].
+    Proposed {
+        /// Number of the request.
+        id: u64,
+        /// Effect; `None` if it is unknown or the receiver does not lead.
+        applied: Option<Applied>,
+    },
+    /// A server's announcement, passed on to the leader.
+    Announce(Server),
+    /// The sender stops: its lease ends now and its shards may move.
+    Leave {
+        /// Incarnation that stops.
+        incarnation: u64,
+    },
+}
+
+/// Request for a lease.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Renew {
+    /// Record of the sender.
+    pub instance: Instance,
+    /// Time of sending on the sender's clock.
+    pub sent: Millis,
+    /// Index that the sender has applied.
+    pub index: Index,
+}
+
+/// A lease; valid for `span` from `sent`, once `index` is applied.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Copied from the request.
+    pub sent: Millis,
+    /// Length of the lease in milliseconds.
+    pub span: Millis,
+    /// Committed index that the holder must have applied.
+    pub index: Index,
+}
+
+/// A message on a traffic link. `stream` numbers a caller's connection, chosen by the entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Traffic {
+    /// Runs a request.
+    Run {
+        /// Caller's connection.
+        stream: u64,
+        /// Request.
+        request: Box<Request>,
+    },
+    /// Answer to the request that is open on the stream.
+    Answer {
+        /// Caller's connection.
+        stream: u64,
+        /// Answer.
+        answer: Answer,
+    },
+    /// Cancels the running statement of a stream.
+    Cancel {
+        /// Caller's connection.
+        stream: u64,
+    },
+    /// The caller is gone: rolls back what is open.
+    Close {
+        /// Caller's connection.
+        stream: u64,
+    },
+    /// A group owner asks for tokens of a client account.
+    Take {
+        /// Number chosen by the sender.
+        id: u64,
+        /// Client account.
+        account: Name,
+        /// Tokens needed now.
+        count: u32,
+        /// Tokens that the holder would use in the next 50 ms.
+        demand: u32,
+        /// Unused tokens that come back.
+        returned: u32,
+    },
+    /// Answer to [`Traffic::Take`].
+    Tokens {
+        /// Number of the request.
+        id: u64,
+        /// Tokens granted; 0 with `retry` set when the bucket is empty.
+        count: u32,
+        /// When to come again, in milliseconds.
+        retry: Millis,
+        /// False if the receiver does not own the client account.
+        owner: bool,
+    },
+    /// Copies a request id to the standby.
+    Intent {
+        /// Number chosen by the sender.
+        id: u64,
+        /// Database group.
+        group: Name,
+        /// Client account.
+        account: Name,
+        /// Request id.
+        request: String,
+    },
+    /// Answer to [`Traffic::Intent`].
+    Stored {
+        /// Number of the request.
+        id: u64,
+    },
+}
+
+/// A request of a caller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Request {
+    /// Database group.
+    pub group: Name,
+    /// Client account.
+    pub account: Name,
+    /// SHA-256 of the key that came with it; `None` on an open route.
+    pub key: Option<String>,
+    /// Configuration that the entry used, as an index of the log.
+    pub index: Index,
+    /// Session; `None` stands for the whole client account.
+    pub session: Option<String>,
+    /// Request id given by the caller.
+    pub id: Option<String>,
+    /// Whether a replica may serve it.
+    pub read: bool,
+    /// Whether it may run twice without harm.
+    pub idempotent: bool,
+    /// Scheduling class.
+    pub class: Class,
+    /// Accepted age of the data, in milliseconds.
+    pub age: Millis,
+    /// Time left, in milliseconds.
+    pub wait: Millis,
+    /// Effect on the transaction state.
+    pub block: Block,
+    /// Frontend messages, up to and with `Query` or `Sync`.
+    #[serde(with = "bytes_field")]
+    pub messages: Vec<u8>,
+}
+
+/// What a request does to the caller's transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Block {
+    /// Runs on its own.
+    Single,
+    /// Opens a transaction.
+    Begin,
+    /// Runs in the open transaction.
+    Inside,
+    /// Ends the open transaction by commit.
+    Commit,
+    /// Ends the open transaction by rollback.
+    Rollback,
+}
+
+/// Answer to a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// Backend messages up to `ReadyForQuery`; empty unless done or failed.
+    #[serde(with = "bytes_field")]
+    pub messages: Vec<u8>,
+    /// Whether a replica served it.
+    pub replica: bool,
+    /// Position of the write, if it was one.
+    pub position: Option<Position>,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It ran and is acknowledged.
+    Done,
+    /// It ran and the server reported an error.
+    Failed,
+    /// It did not run.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// When to come again, in milliseconds; 0 if coming again does not help.
+        retry: Millis,
+    },
+    /// It may have run.
+    Unknown,
+}
+
+/// Why a request was refused without being run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Reason {
+    /// The client account is above its rate and burst.
+    Rate,
+    /// The queue is full or the deadline passed in it.
+    Overload,
+    /// No primary within the deadline.
+    Primary,
+    /// The receiver does not own the group.
+    Owner,
+    /// The lease has ended: configuration cannot be confirmed.
+    Lease,
+    /// The key is not valid.
+    Key,
+    /// The instance is stopping.
+    Stopping,
+    /// The statement would leave state on the connection.
+    State,
+    /// No server connection within the deadline.
+    Connection,
+    /// The request or its answer is too large.
+    Size,
+}
+
+mod bytes_field {
+    //! Byte strings as CBOR byte strings rather than lists of numbers.
+
+    use serde::{Deserializer, Serializer, de};
+
+    pub(super) fn serialize<S: Serializer>(bytes: &[u8], out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_bytes(bytes)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
+        input.deserialize_byte_buf(Bytes)
+    }
+
+    struct Bytes;
+
+    impl de::Visitor<'_> for Bytes {
+        type Value = Vec<u8>;
+
+        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.write_str("a byte string")
+        }
+
+        fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+            Ok(bytes.to_vec())
+        }
+
+        fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+            Ok(bytes)
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,3 @@
+//! Sockets, disk, threads, metrics and logs.
+
+pub mod view;
--- /dev/null
+++ b/crates/transport/src/view.rs
@@ -0,0 +1,35 @@
+//! What traffic threads see of the control state.
+
+use std::{future::Future, pin::Pin, sync::Arc};
+
+use auburnlug_state::{Applied, Command, Machine, Millis, Name};
+use tokio::sync::watch;
+
+/// The replicated state as this instance has applied it.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// Name of this instance.
+    pub me: Name,
+    /// Replicated state.
+    pub machine: Arc<Machine>,
+    /// Whether the instance is stopping.
+    pub stopping: bool,
+}
+
+/// Future answer to a proposal; `None` if the effect is unknown.
+pub type Proposal = Pin<Box<dyn Future<Output = Option<Applied>> + Send>>;
+
+/// Access to the control thread from traffic threads.
+pub trait Control: Send + Sync {
+    /// Current view and its changes.
+    fn view(&self) -> watch::Receiver<Arc<View>>;
+
+    /// End of the instance's lease on [`Control::now`]'s clock; 0 without one.
+    fn lease(&self) -> Millis;
+
+    /// Milliseconds since the process started, monotonic.
+    fn now(&self) -> Millis;
+
+    /// Proposes a command to the control leader.
+    fn propose(&self, command: Command) -> Proposal;
+}
