--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,3 +1,4 @@
 //! Sockets, disk, threads, metrics and logs.
 
+pub mod link;
 pub mod view;
