--- /dev/null
+++ b/crates/bench/tests/server.rs
@@ -0,0 +1,209 @@
+//! The stand-in server against a real client library.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests fail the test")]
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use auburnlug_bench::{
+    Result,
+    server::{Options, Server, start},
+};
+use tokio::task::JoinSet;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+struct Running {
+    server: Arc<Server>,
+    tasks: JoinSet<Result<()>>,
+}
+
+impl Running {
+    fn address(&self) -> SocketAddr {
+        self.server.options.listen
+    }
+}
+
+fn options(name: &str) -> Options {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Options {
+        name: name.into(),
+        group: "g".into(),
+        domain: "d1".into(),
+        listen: any,
+        panel: any,
+        announce: Vec::new(),
+        secret: None,
+        password: None,
+        keys: None,
+        record: None,
+        data: None,
+        primary: false,
+        follow: None,
+        slots: 3,
+        connections: 20,
+        size: 3,
+        connect: 0,
+        service: 0,
+        lag: 0,
+    }
+}
+
+async fn run(options: Options) -> Running {
+    let (server, tasks) = start(options).await.unwrap();
+    Running { server, tasks }
+}
+
+async fn connect(address: SocketAddr) -> std::result::Result<Client, tokio_postgres::Error> {
+    let text = format!("host={} port={} user=proxy dbname=g", address.ip(), address.port());
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+async fn client(running: &Running) -> Client {
+    connect(running.address()).await.unwrap()
+}
+
+async fn simple(client: &Client, sql: &str) -> std::result::Result<Vec<String>, String> {
+    let messages = client.simple_query(sql).await.map_err(|e| code(&e))?;
+    let row = messages.into_iter().find_map(|m| match m {
+        SimpleQueryMessage::Row(row) => Some(row),
+        _ => None,
+    });
+    let text = |r: tokio_postgres::SimpleQueryRow| {
+        (0..r.len()).map(|i| r.get(i).unwrap_or("").to_owned()).collect()
+    };
+    Ok(row.map_or_else(Vec::new, text))
+}
+
+fn code(error: &tokio_postgres::Error) -> String {
+    error.code().map_or_else(|| error.to_string(), |c| c.code().to_owned())
+}
+
+/// Waits for a condition; the bound only ends a test that would never end.
+async fn until(mut condition: impl FnMut() -> bool) {
+    for _ in 0..2000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("condition not reached");
+}
+
+/// Guards against a stand-in that drops rollbacks, errors or parameters, which would make the
+/// checker blind to a mixed transaction.
+#[tokio::test]
+async fn statements_transactions_and_parameters() {
+    let running = run(Options { primary: true, ..options("s1") }).await;
+    let client = client(&running).await;
+    simple(&client, "INSERT INTO t VALUES ('a:1', 'r1|x')").await.unwrap();
+    simple(&client, "BEGIN; UPDATE t SET value = 'r2|y' WHERE key = 'a:1'").await.unwrap();
+    let inside = simple(&client, "SELECT value FROM t WHERE key = 'a:1'").await.unwrap();
+    assert_eq!(inside, ["r2|y"]);
+    assert_eq!(simple(&client, "TRUNCATE t").await.unwrap_err(), "0A000");
+    assert_eq!(simple(&client, "SELECT value FROM t WHERE key = 'a:1'").await, Err("25P02".into()));
+    simple(&client, "ROLLBACK").await.unwrap();
+    let sql = "SELECT value FROM t WHERE key = $1 AND request = $2";
+    let rows = client.query(sql, &[&"a:1", &"r3"]).await.unwrap();
+    assert_eq!(rows[0].get::<_, String>(0), "r1|x");
+    let sql = "INSERT INTO t VALUES ($1, $2)";
+    assert_eq!(client.execute(sql, &[&"a:2", &"it's"]).await.unwrap(), 1);
+    let sql = "/* auburnlug id=r4 */ SELECT value FROM t WHERE key = 'a:2'";
+    assert_eq!(simple(&client, sql).await.unwrap(), ["it's"]);
+    assert!(client.query("SELECT 1", &[]).await.is_err());
+    assert!(simple(&client, "SHOW auburnlug.status").await.is_ok());
+}
+
+/// Guards against a stand-in without limits, in front of which an overload would not show.
+#[tokio::test]
+async fn connections_and_slots_are_limited() {
+    let options = Options { connections: 2, slots: 1, service: 20, ..options("s1") };
+    let running = run(Options { primary: true, ..options }).await;
+    let (one, two) = (client(&running).await, client(&running).await);
+    let refused = connect(running.address()).await.err().map(|e| code(&e));
+    assert_eq!(refused.as_deref(), Some("53300"));
+    let (a, b) = tokio::join!(
+        simple(&one, "SELECT value FROM t WHERE key = 'a:1'"),
+        simple(&two, "SELECT value FROM t WHERE key = 'a:1'")
+    );
+    assert!(a.is_ok() && b.is_ok());
+    assert_eq!(running.server.excess.load(std::sync::atomic::Ordering::Relaxed), 1);
+    drop(one);
+    until(|| running.server.open.load(std::sync::atomic::Ordering::SeqCst) == 1).await;
+    assert!(connect(running.address()).await.is_ok());
+}
+
+/// Guards against two primaries of one term and against writes under a replaced one.
+#[tokio::test]
+async fn fenced_primary_refuses_writes_and_lower_terms() {
+    let running = run(Options { primary: true, ..options("s1") }).await;
+    let client = client(&running).await;
+    simple(&client, "INSERT INTO t VALUES ('a:1', 'r1|x')").await.unwrap();
+    assert_eq!(simple(&client, "SELECT auburnlug.fence(2)").await.unwrap(), ["2"]);
+    let write = simple(&client, "INSERT INTO t VALUES ('a:1', 'r2|x')").await;
+    assert_eq!(write, Err("25006".into()));
+    assert_eq!(simple(&client, "SELECT auburnlug.fence(1)").await, Err("55000".into()));
+    assert_eq!(simple(&client, "SELECT auburnlug.promote(1)").await, Err("55000".into()));
+    let status = simple(&client, "SHOW auburnlug.status").await.unwrap();
+    assert_eq!(status[..5], ["2", "replica", "2", "2", "1"]);
+    simple(&client, "SELECT auburnlug.promote(2)").await.unwrap();
+    simple(&client, "INSERT INTO t VALUES ('a:1', 'r3|x')").await.unwrap();
+    let follow = simple(&client, "SELECT auburnlug.follow(2, '127.0.0.1:1')").await;
+    assert_eq!(follow, Err("55000".into()));
+}
+
+/// Guards against a promotion that loses entries which a majority holds, and against a replaced
+/// primary that keeps entries which the new one does not have.
+#[tokio::test]
+async fn promotion_keeps_entries_of_the_majority_and_truncates_the_rest() {
+    let one = run(Options { primary: true, ..options("s1") }).await;
+    let follow = Some(one.address().to_string());
+    let two = run(Options { follow: follow.clone(), ..options("s2") }).await;
+    let three = run(Options { follow, ..options("s3") }).await;
+    let clients = [client(&one).await, client(&two).await, client(&three).await];
+    simple(&clients[0], "INSERT INTO t VALUES ('a:1', 'r1|x')").await.unwrap();
+    until(|| two.server.node().received() == 2 && three.server.node().received() == 2).await;
+    for other in [&clients[1], &clients[2]] {
+        simple(other, "SELECT auburnlug.fence(2)").await.unwrap();
+    }
+    // The isolated primary still answers; nobody else gets this entry.
+    simple(&clients[0], "INSERT INTO t VALUES ('a:1', 'r2|lost')").await.unwrap();
+    simple(&clients[1], "SELECT auburnlug.promote(2)").await.unwrap();
+    let sql = format!("SELECT auburnlug.follow(2, '{}')", two.address());
+    simple(&clients[2], &sql).await.unwrap();
+    simple(&clients[0], &sql).await.unwrap();
+    simple(&clients[1], "INSERT INTO t VALUES ('a:2', 'r3|x')").await.unwrap();
+    for other in [&one, &three] {
+        until(|| other.server.node().log() == two.server.node().log()).await;
+    }
+    let value = simple(&clients[0], "SELECT value FROM t WHERE key = 'a:1'").await.unwrap();
+    assert_eq!(value, ["r1|x"]);
+}
+
+/// Guards against a restarted server that reports entries it does not have, or never catches up.
+#[tokio::test]
+async fn restarted_replica_keeps_its_data_and_catches_up() {
+    let folder = std::env::temp_dir().join(format!("auburnlug-bench-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let one = run(Options { primary: true, ..options("s1") }).await;
+    let second = Options {
+        follow: Some(one.address().to_string()),
+        data: Some(folder.join("s2.data")),
+        ..options("s2")
+    };
+    let mut two = run(second.clone()).await;
+    let writer = client(&one).await;
+    simple(&writer, "INSERT INTO t VALUES ('a:1', 'r1|x')").await.unwrap();
+    until(|| two.server.node().received() == 2).await;
+    two.tasks.shutdown().await;
+    drop(two);
+    simple(&writer, "INSERT INTO t VALUES ('a:2', 'r2|x')").await.unwrap();
+    let two = run(second).await;
+    assert_eq!(two.server.node().terms(), [(1, 2)]);
+    let reader = client(&two).await;
+    let sql = format!("SELECT auburnlug.follow(1, '{}')", one.address());
+    simple(&reader, &sql).await.unwrap();
+    until(|| two.server.node().applied() == 3).await;
+    let value = simple(&reader, "SELECT value FROM t WHERE key = 'a:2'").await.unwrap();
+    assert_eq!(value, ["r2|x"]);
+    std::fs::remove_dir_all(folder).unwrap();
+}
