Add relay, load, checker and the two templates

A run needs load that does not wait for slow answers, links that can be cut, and a verdict that does not come from the proxy.

tests/figures.rs has one record to flag and one to pass for each figure that must be 0, and expected values for shares and times.

--- a/crates/bench/src/execute.rs
+++ b/crates/bench/src/execute.rs
@@ -149,6 +149,7 @@
         let mut ran = self.ran(Ran {
             request: request.unwrap_or_default(),
             account: record::account(key).into(),
+            table: table.into(),
             key: key.into(),
             ..Ran::default()
         });
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,12 +1,19 @@
 //! Test tooling of auburnlug: stand-in database servers, relay, load, checker and plots.
 
 pub mod announce;
+pub mod check;
 pub mod cut;
+pub mod deployment;
 mod error;
+pub mod evidence;
 pub mod execute;
+pub mod figures;
+pub mod load;
 pub mod node;
+pub mod oracle;
 pub mod panel;
 pub mod record;
+pub mod relay;
 pub mod replicate;
 pub mod server;
 pub mod session;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,15 +2,28 @@
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
-use auburnlug_bench::{Result, server};
+use auburnlug_bench::{
+    Error, Result, Sink, check,
+    deployment::{Deployment, Flood, Schedule},
+    evidence::{self, Files},
+    load,
+    record::{self, Mark},
+    relay, server,
+};
 use bpaf::{Parser, construct, long};
 
 enum Command {
     Server(server::Options),
+    Relay(relay::Options),
+    Load(load::Options),
+    Check(check::Options),
+    Mark { file: PathBuf, name: String },
+    Get { url: String },
 }
 
 fn main() -> ExitCode {
-    let command = construct!([server()]).to_options().run();
+    let command =
+        construct!([server(), relay(), load(), check(), mark(), get()]).to_options().run();
     match run(command) {
         Ok(code) => code,
         Err(error) => {
@@ -25,6 +38,19 @@
     let runtime = builder.worker_threads(2).enable_all().build()?;
     match command {
         Command::Server(options) => runtime.block_on(server::run(options))?,
+        Command::Relay(options) => runtime.block_on(relay::run(options))?,
+        Command::Load(options) => runtime.block_on(load::run(options))?,
+        Command::Check(options) => {
+            return Ok(ExitCode::from(u8::from(!check::run(&options)?)));
+        }
+        Command::Mark { file, name } => {
+            Sink::open(&file)?.put(&[Mark { time: record::now(), name }])?;
+        }
+        Command::Get { url } => {
+            let error = |e: ureq::Error| Error::Input(format!("{url}: {e}"));
+            let text = ureq::get(&url).call().map_err(error)?.into_body().read_to_string();
+            print!("{}", text.map_err(error)?);
+        }
     }
     // Requests to instances that do not answer must not delay the end of the process.
     runtime.shutdown_background();
@@ -74,3 +100,60 @@
     });
     options.map(Command::Server).to_options().descr("Stand-in database server").command("server")
 }
+
+fn relay() -> impl Parser<Command> {
+    let panel = long("panel").argument::<SocketAddr>("IP:PORT");
+    let forward = long("forward").argument::<relay::Forward>("LISTEN=TARGET").some("no forward");
+    let latency = long("latency").argument::<u64>("US").fallback(0);
+    let options = construct!(relay::Options { panel, forward, latency });
+    options
+        .map(Command::Relay)
+        .to_options()
+        .descr("TCP relay with latency and cuts")
+        .command("relay")
+}
+
+fn load() -> impl Parser<Command> {
+    let template = long("template").argument::<PathBuf>("FILE");
+    let keys = long("keys").argument::<PathBuf>("FILE");
+    let entries = long("entry").argument::<SocketAddr>("IP:PORT").some("no entry");
+    let record = long("record").argument::<PathBuf>("FILE");
+    let schedule = schedule();
+    let options = construct!(load::Options { template, keys, entries, record, schedule });
+    options.map(Command::Load).to_options().descr("Open-loop load").command("load")
+}
+
+fn schedule() -> impl Parser<Schedule> {
+    let deployment = long("deployment").argument::<Deployment>("NAME").fallback(Deployment::Sahil);
+    let seed = long("seed").argument::<u64>("N").fallback(1);
+    let seconds = long("seconds").argument::<f64>("S").fallback(10.0);
+    let share = long("share").help("Load as a share of the rates").argument::<f64>("SHARE");
+    let share = share.fallback(0.6);
+    let flood = long("flood").argument::<Flood>("ACCOUNT,FACTOR,FROM").optional();
+    construct!(Schedule { deployment, seed, seconds, share, flood })
+}
+
+fn check() -> impl Parser<Command> {
+    let template = long("template").argument::<PathBuf>("FILE");
+    let load = long("load").argument::<PathBuf>("FILE");
+    let servers = long("server").argument::<Files>("GROUP,RECORD,DATA").some("no server");
+    let marks = long("marks").argument::<PathBuf>("FILE").optional();
+    let sources = construct!(evidence::Options { template, load, servers, marks });
+    let out = long("out").argument::<PathBuf>("FILE").optional();
+    let zero = long("zero").argument::<String>("FIGURE").many();
+    let options = construct!(check::Options { sources, out, zero });
+    options.map(Command::Check).to_options().descr("Figures of a run").command("check")
+}
+
+fn mark() -> impl Parser<Command> {
+    let file = long("file").argument::<PathBuf>("FILE");
+    let name = bpaf::positional::<String>("NAME");
+    let options = construct!(Command::Mark { file, name });
+    options.to_options().descr("Notes the time of a change").command("mark")
+}
+
+fn get() -> impl Parser<Command> {
+    let url = bpaf::positional::<String>("URL");
+    let options = construct!(Command::Get { url });
+    options.to_options().descr("Prints what a URL answers").command("get")
+}
--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -128,6 +128,12 @@
         self.applied
     }
 
+    /// Term and position of the last visible entry.
+    pub fn visible(&self) -> (u64, u64) {
+        let last = self.applied.checked_sub(1).and_then(|at| self.log.get(at as usize));
+        last.map_or((0, 0), |e| (e.term, e.position))
+    }
+
     /// Term of the last entry.
     pub fn last_term(&self) -> u64 {
         self.log.last().map_or(0, |e| e.term)
--- a/crates/bench/src/panel.rs
+++ b/crates/bench/src/panel.rs
@@ -87,8 +87,8 @@
     Json(json!("draining"))
 }
 
-/// Parameters of a query; the values in use need no escapes.
-fn parameters(query: Option<&str>) -> BTreeMap<String, String> {
+/// Parameters of a query. The values in use need no escapes.
+pub fn parameters(query: Option<&str>) -> BTreeMap<String, String> {
     let pairs = query.unwrap_or("").split('&').filter_map(|p| p.split_once('='));
     pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
 }
@@ -103,8 +103,10 @@
     number.ok_or_else(|| bad("ms must be a number of milliseconds"))
 }
 
-type Refused = (StatusCode, String);
+/// Answer to a request that cannot be obeyed.
+pub type Refused = (StatusCode, String);
 
-fn bad(text: &str) -> Refused {
+/// An answer of 400.
+pub fn bad(text: &str) -> Refused {
     (StatusCode::BAD_REQUEST, text.to_owned())
 }
--- a/crates/bench/src/record.rs
+++ b/crates/bench/src/record.rs
@@ -27,6 +27,17 @@
         /// Term.
         term: u64,
     },
+    /// A replica made entries visible.
+    Applied {
+        /// Time, in microseconds since 1970.
+        time: u64,
+        /// Server.
+        server: String,
+        /// Term of the last visible entry.
+        term: u64,
+        /// Position of the last visible entry.
+        position: u64,
+    },
     /// A password or start-up parameter contained a caller's key.
     Key {
         /// Time, in microseconds since 1970.
@@ -59,6 +70,8 @@
     pub account: String,
     /// Whether it is a write.
     pub write: bool,
+    /// Table.
+    pub table: String,
     /// Key.
     pub key: String,
     /// Value written or read.
@@ -141,6 +154,8 @@
     pub session: String,
     /// Kind.
     pub kind: Kind,
+    /// Table.
+    pub table: String,
     /// Key that it reads or writes.
     pub key: String,
     /// Entry that it was sent to.
@@ -161,7 +176,7 @@
     pub tries: u32,
 }
 
-/// Marks in the run: faults, and the figures of the load at its end.
+/// A mark that a script sets when it changes something, such as `failover GROUP`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Mark {
     /// Time, in microseconds since 1970.
@@ -242,6 +257,7 @@
             request: request(&write.value).into(),
             account: account(&write.key).into(),
             write: true,
+            table: write.table.clone(),
             key: write.key.clone(),
             value: write.value.clone(),
             ..Ran::default()
--- a/crates/bench/src/server.rs
+++ b/crates/bench/src/server.rs
@@ -44,7 +44,7 @@
     pub secret: Option<PathBuf>,
     /// File with the password that connections must give.
     pub password: Option<PathBuf>,
-    /// File with callers' keys, one a line, which must never be seen here.
+    /// File with callers' keys (client account and key on a line), which must never be seen here.
     pub keys: Option<PathBuf>,
     /// File for the record of statements.
     pub record: Option<PathBuf>,
@@ -123,7 +123,11 @@
             incarnation: rand::random::<u64>() >> 1,
             password: secret(options.password.as_ref())?,
             secret: secret(options.secret.as_ref())?.unwrap_or_default(),
-            keys: keys.split_whitespace().map(str::to_owned).collect(),
+            keys: keys
+                .lines()
+                .filter_map(|l| l.split(' ').next_back())
+                .map(str::to_owned)
+                .collect(),
             cuts: Cuts::default(),
             slots: Semaphore::new(options.slots as usize),
             open: AtomicUsize::new(0),
@@ -294,12 +298,19 @@
 
 async fn apply(server: Arc<Server>) -> Result<()> {
     let mut changes = server.changes();
+    let mut seen = (0, 0);
     loop {
-        let lagging = {
+        let (lagging, visible, primary) = {
             let mut node = server.node();
             node.apply_due(Instant::now());
-            node.applied() < node.received()
+            (node.applied() < node.received(), node.visible(), node.primary)
         };
+        if visible != seen && !primary {
+            let (time, (term, position)) = (record::now(), visible);
+            let server_name = server.options.name.clone();
+            server.note(&[record::Event::Applied { time, server: server_name, term, position }])?;
+        }
+        seen = visible;
         if lagging {
             tokio::time::sleep(APPLY_PERIOD).await;
         } else {
--- /dev/null
+++ b/crates/bench/tests/figures.rs
@@ -0,0 +1,296 @@
+//! Each figure on hand-made records: one row that must be flagged and one that must not.
+#![allow(clippy::unwrap_used, clippy::panic, reason = "helpers of tests fail the test")]
+
+use auburnlug_bench::{
+    Entry, Write,
+    deployment::Account,
+    evidence::{Evidence, Group},
+    figures, oracle,
+    record::{Kind, Mark, Outcome, Ran, Request},
+};
+
+/// Times of the records, in microseconds.
+const SECOND: u64 = 1_000_000;
+
+fn request(id: &str, kind: Kind, time: u64, outcome: Outcome) -> Request {
+    let table = if matches!(kind, Kind::Read | Kind::Write) { "t" } else { "once" };
+    Request {
+        id: id.into(),
+        account: "a".into(),
+        group: "g".into(),
+        session: "s".into(),
+        kind,
+        table: table.into(),
+        key: "a:1".into(),
+        intended: time,
+        sent: time,
+        answered: time + 10,
+        outcome,
+        tries: 1,
+        ..Request::default()
+    }
+}
+
+fn done(id: &str, kind: Kind, time: u64) -> Request {
+    request(id, kind, time, Outcome::Done)
+}
+
+fn read(id: &str, time: u64, value: &str) -> Request {
+    Request { value: value.into(), ..done(id, Kind::Read, time) }
+}
+
+fn ran(id: &str, write: bool, time: u64, position: u64) -> Ran {
+    Ran {
+        time,
+        request: id.into(),
+        account: "a".into(),
+        write,
+        key: "a:1".into(),
+        term: 1,
+        position,
+        primary: write,
+        committed: true,
+        ..Ran::default()
+    }
+}
+
+fn log(ids: &[&str]) -> Vec<Entry> {
+    let entry = |(at, id): (usize, &&str)| Entry {
+        term: 1,
+        position: at as u64 + 1,
+        writes: vec![Write { table: "t".into(), key: "a:1".into(), value: format!("{id}|a:1") }],
+    };
+    ids.iter().enumerate().map(entry).collect()
+}
+
+/// One client account with rate 10/s, burst 2 and age 1 s.
+fn evidence(requests: Vec<Request>, ran: Vec<Ran>, ids: &[&str]) -> Evidence {
+    let mut evidence = Evidence { requests, ..Evidence::default() };
+    let account = Account { rate: 10.0, burst: 2.0, age: 1000 };
+    evidence.template.accounts.insert("a".into(), account);
+    evidence.groups.insert("g".into(), Group { ran, log: log(ids), ..Group::default() });
+    evidence
+}
+
+struct Row {
+    name: &'static str,
+    figure: fn(&Evidence) -> usize,
+    flagged: Evidence,
+    clean: Evidence,
+}
+
+fn check(rows: Vec<Row>) {
+    for row in rows {
+        assert_eq!((row.figure)(&row.flagged), 1, "{} must be flagged", row.name);
+        assert_eq!((row.figure)(&row.clean), 0, "{} must not be flagged", row.name);
+    }
+}
+
+/// Guards against a checker that misses a lost or repeated write, or flags an unknown one.
+#[test]
+fn writes() {
+    let w = |outcome| vec![request("w", Kind::Write, 0, outcome)];
+    let once = || vec![done("w", Kind::Once, 0)];
+    check(vec![
+        Row {
+            name: "lost_writes: acknowledged, not in the log",
+            figure: figures::lost_writes,
+            flagged: evidence(w(Outcome::Done), vec![ran("w", true, 0, 1)], &["x"]),
+            clean: evidence(w(Outcome::Unknown), vec![ran("w", true, 0, 1)], &["x"]),
+        },
+        Row {
+            name: "doubled: twice in the log",
+            figure: figures::doubled,
+            flagged: evidence(once(), vec![], &["w", "w"]),
+            clean: evidence(w(Outcome::Done), vec![], &["w", "w"]),
+        },
+        Row {
+            name: "doubled: committed by two servers, once in the log",
+            figure: figures::doubled,
+            flagged: evidence(once(), vec![ran("w", true, 0, 1), ran("w", true, 9, 1)], &["w"]),
+            clean: evidence(
+                once(),
+                vec![Ran { committed: false, ..ran("w", true, 0, 1) }, ran("w", true, 9, 1)],
+                &["w"],
+            ),
+        },
+    ]);
+}
+
+/// Guards against a checker that misses a stale read, or holds a read to writes it need not see.
+#[test]
+fn stale_reads() {
+    let writes = || vec![done("w1", Kind::Write, 0), done("w2", Kind::Write, 100)];
+    let with = |r: Request| {
+        let mut requests = writes();
+        requests.push(r);
+        evidence(requests, vec![], &["w1", "w2"])
+    };
+    let other = |time| Request { session: "other".into(), ..read("r", time, "w1|a:1") };
+    let bare = |account: &str| Request {
+        session: String::new(),
+        account: account.into(),
+        ..read("r", 500, "w1|a:1")
+    };
+    check(vec![
+        Row {
+            name: "own session: older value",
+            figure: figures::stale_reads,
+            flagged: with(read("r", 500, "w1|a:1")),
+            clean: with(read("r", 500, "w2|a:1")),
+        },
+        Row {
+            name: "own session: nothing read; acknowledged after the read was sent",
+            figure: figures::stale_reads,
+            flagged: with(read("r", 500, "")),
+            clean: with(read("r", 105, "w1|a:1")),
+        },
+        Row {
+            name: "other session: older than the accepted age",
+            figure: figures::stale_reads,
+            flagged: with(other(SECOND + 200)),
+            clean: with(other(SECOND - 200)),
+        },
+        Row {
+            name: "no session: a write of the account; of another account",
+            figure: figures::stale_reads,
+            flagged: with(bare("a")),
+            clean: {
+                let mut clean = with(bare("b"));
+                let account = clean.template.accounts["a"];
+                clean.template.accounts.insert("b".into(), account);
+                clean
+            },
+        },
+    ]);
+}
+
+/// Guards against a checker that misses crossed accounts or answers, or a false "not run".
+#[test]
+fn isolation_and_refusals() {
+    let r = || vec![done("r", Kind::Read, 0)];
+    let refused = |tries| Request { tries, ..request("w", Kind::Once, 0, Outcome::Unavailable) };
+    let in_transaction = Ran { transaction: Some(1), ..ran("w", true, 0, 1) };
+    let rolled_back = Ran { committed: false, ..in_transaction.clone() };
+    check(vec![
+        Row {
+            name: "wrong_account: ran for another account",
+            figure: figures::wrong_account,
+            flagged: evidence(r(), vec![Ran { account: "b".into(), ..ran("r", false, 0, 0) }], &[]),
+            clean: evidence(r(), vec![ran("r", false, 0, 0)], &[]),
+        },
+        Row {
+            name: "wrong_account: another key's value",
+            figure: figures::wrong_account,
+            flagged: evidence(vec![read("r", 0, "w|b:1")], vec![], &[]),
+            clean: evidence(vec![read("r", 0, "w|a:1")], vec![], &[]),
+        },
+        Row {
+            name: "not_run_but_ran: even if it did not commit",
+            figure: figures::not_run_but_ran,
+            flagged: evidence(
+                vec![refused(1)],
+                vec![Ran { committed: false, ..ran("w", true, 0, 1) }],
+                &[],
+            ),
+            clean: evidence(vec![refused(1)], vec![], &[]),
+        },
+        Row {
+            name: "not_run_but_ran: transaction; sent twice",
+            figure: figures::not_run_but_ran,
+            flagged: evidence(vec![refused(1)], vec![in_transaction], &[]),
+            clean: evidence(vec![refused(1)], vec![rolled_back], &[]),
+        },
+        Row {
+            name: "cut_requests: sent without an answer; never sent",
+            figure: figures::cut_requests,
+            flagged: evidence(vec![request("r", Kind::Read, 5, Outcome::None)], vec![], &[]),
+            clean: evidence(vec![request("r", Kind::Read, 0, Outcome::None)], vec![], &[]),
+        },
+    ]);
+    let sent_twice = evidence(vec![refused(2)], vec![ran("w", true, 0, 1)], &["w"]);
+    assert_eq!(figures::not_run_but_ran(&sent_twice), 0);
+}
+
+/// Guards against rate figures that are off by one request, in either direction.
+#[test]
+fn rates() {
+    let at = |times: &[u64]| -> Vec<Ran> {
+        let run = |(n, t): (usize, &u64)| ran(&format!("r{n}"), false, *t, 0);
+        times.iter().enumerate().map(run).collect()
+    };
+    let retried = vec![ran("r", false, 0, 0), ran("r", false, 1, 0), ran("r", false, 2, 0)];
+    let arrivals = |third: u64| {
+        let mut requests = vec![done("1", Kind::Read, 0), done("2", Kind::Read, 0)];
+        requests.push(request("3", Kind::Read, third, Outcome::Limit));
+        evidence(requests, vec![], &[])
+    };
+    check(vec![
+        Row {
+            name: "over_rate: third of burst 2 within 0.1 s; exactly after 0.1 s",
+            figure: figures::over_rate,
+            flagged: evidence(vec![], at(&[0, 0, SECOND / 10 - 1000]), &[]),
+            clean: evidence(vec![], at(&[0, 0, SECOND / 10]), &[]),
+        },
+        Row {
+            name: "over_rate: window that starts late; a retried read counts once",
+            figure: figures::over_rate,
+            flagged: evidence(vec![], at(&[0, SECOND, SECOND, SECOND]), &[]),
+            clean: evidence(vec![], retried, &[]),
+        },
+        Row {
+            name: "wrongful_refusals: a token was there; none was there",
+            figure: figures::wrongful_refusals,
+            flagged: arrivals(SECOND / 10),
+            clean: arrivals(SECOND / 20),
+        },
+    ]);
+}
+
+/// Guards against shares that count the wrong requests.
+#[test]
+fn shares() {
+    let mut served = vec![done("1", Kind::Read, 0), done("2", Kind::Read, 0)];
+    assert!(
+        (figures::worst_account_share(&evidence(served.clone(), vec![], &[])) - 1.0).abs() < 1e-9
+    );
+    served[1].outcome = Outcome::Unavailable;
+    // The third is beyond the rate, so it is not due.
+    served.push(request("3", Kind::Read, 0, Outcome::Limit));
+    assert!((figures::worst_account_share(&evidence(served, vec![], &[])) - 0.5).abs() < 1e-9);
+
+    let reads = vec![ran("1", false, 0, 0), Ran { primary: true, ..ran("2", false, 0, 0) }];
+    assert!((figures::replica_share(&evidence(vec![], reads, &[])) - 0.5).abs() < 1e-9);
+
+    // A replica that has applied position 1 at time 50 can serve the read unless the session's
+    // write at position 2 comes first.
+    let requests = |session: &str| {
+        let write = Request { session: session.into(), ..done("w2", Kind::Write, 0) };
+        vec![write, read("r", 100, "w1|a:1")]
+    };
+    for (session, share) in [("s", 0.0), ("other", 1.0)] {
+        let ran = vec![ran("w2", true, 5, 2), ran("r", false, 100, 1)];
+        let mut evidence = evidence(requests(session), ran, &["w1", "w2"]);
+        evidence.groups.get_mut("g").unwrap().applied.push(("s2".into(), 50, (1, 1)));
+        assert!((oracle::replica_share(&evidence) - share).abs() < 1e-9, "session {session}");
+        // Beyond the accepted age, everybody's writes count.
+        evidence.template.accounts.get_mut("a").unwrap().age = 0;
+        assert!(oracle::replica_share(&evidence).abs() < 1e-9);
+    }
+}
+
+/// Guards against a gap or a key's survival that is measured from the wrong end.
+#[test]
+fn times_from_marks() {
+    let writes = [1, 2, 5, 6].map(|s| done(&format!("w{s}"), Kind::Write, s * SECOND)).to_vec();
+    let runs = vec![ran("w1", true, SECOND, 1), ran("w2", true, 3 * SECOND, 2)];
+    let mut evidence = evidence(writes, runs, &[]);
+    assert_eq!(figures::failover_gap(&evidence), None);
+    assert_eq!(figures::key_withdrawal(&evidence), None);
+    let mark = |name: &str, time| Mark { name: name.into(), time };
+    evidence.marks = vec![mark("failover g", 3 * SECOND), mark("withdrawn a", 2 * SECOND)];
+    assert_eq!(figures::failover_gap(&evidence), Some(3000.0));
+    assert_eq!(figures::key_withdrawal(&evidence), Some(1000.0));
+    evidence.marks = vec![mark("failover g", 5 * SECOND + SECOND / 2)];
+    assert_eq!(figures::failover_gap(&evidence), Some(1000.0));
+}
--- a/crates/bench/tests/server.rs
+++ b/crates/bench/tests/server.rs
@@ -5,6 +5,7 @@
 
 use auburnlug_bench::{
     Result,
+    record::Event,
     server::{Options, Server, start},
 };
 use tokio::task::JoinSet;
@@ -207,3 +208,29 @@
     assert_eq!(value, ["r2|x"]);
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// Guards against a caller's key that reaches a database server unnoticed (P5).
+#[tokio::test]
+async fn callers_keys_are_recorded() {
+    let folder = std::env::temp_dir().join(format!("auburnlug-bench-keys-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (keys, record) = (folder.join("keys"), folder.join("s1.record"));
+    std::fs::write(&keys, "a demo-key-a\n").unwrap();
+    let (keys, sink) = (Some(keys), Some(record.clone()));
+    let running = run(Options { primary: true, keys, record: sink, ..options("s1") }).await;
+    let seen = || {
+        let events: Vec<Event> = auburnlug_bench::record::read(&record).unwrap();
+        events.iter().filter(|e| matches!(e, Event::Key { .. })).count()
+    };
+    drop(client(&running).await);
+    assert_eq!(seen(), 0);
+    let address = running.address();
+    let text = format!(
+        "host={} port={} user=proxy dbname=g options='-c auburnlug.session=demo-key-a'",
+        address.ip(),
+        address.port()
+    );
+    drop(tokio_postgres::connect(&text, NoTls).await.unwrap());
+    assert_eq!(seen(), 1);
+    std::fs::remove_dir_all(folder).unwrap();
+}
