--- a/crates/bench/src/server.rs
+++ b/crates/bench/src/server.rs
@@ -126,6 +126,7 @@
             keys: keys
                 .lines()
                 .filter_map(|l| l.split(' ').next_back())
+                .filter(|k| !k.is_empty())
                 .map(str::to_owned)
                 .collect(),
             cuts: Cuts::default(),
