--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,3 +1,12 @@
 //! What goes over the wire, and the settings: decoding, checking, encoding.
 
+pub mod announce;
+pub mod auth;
+mod codec;
+mod error;
 pub mod peer;
+pub mod settings;
+
+pub use codec::{decode, encode};
+pub use error::{Category, Error, Result};
+pub use settings::Settings;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -12,7 +12,31 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Control {
     /// Agreement between control members.
-    Raft(raft::Message),
+    Raft {
+        /// Identity of the sender.
+        from: Name,
+        /// Identity that is meant; a member that lost its disk has another one.
+        to: Name,
+        /// Message.
+        message: raft::Message,
+    },
+    /// A member without state asks whether the control group exists.
+    Probe {
+        /// Identity of the sender.
+        identity: Name,
+    },
+    /// Answer to [`Control::Probe`].
+    Probed {
+        /// Identity of the sender.
+        identity: Name,
+        /// Control membership; `None` if the sender has no state either.
+        members: Option<raft::Members>,
+    },
+    /// A member without state asks the leader to be added under a new identity.
+    Join {
+        /// Identity of the sender.
+        identity: Name,
+    },
     /// An instance renews its lease.
     Renew(Renew),
     /// The leader grants a lease.
--- /dev/null
+++ b/crates/transport/src/error.rs
@@ -0,0 +1,100 @@
+//! Errors of the transport layer.
+
+use std::{fmt, io};
+
+use quick_error::quick_error;
+use tokio_tungstenite::tungstenite;
+
+/// Result of the transport layer.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// An error of the transport layer; [`Error::category`] tells its kind.
+pub struct Error {
+    kind: Kind,
+}
+
+/// Kind of a transport error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Category {
+    /// A socket or file operation failed.
+    Io,
+    /// The other end broke the protocol.
+    Protocol,
+    /// The other end is not authentic.
+    Authentication,
+    /// The other end closed the connection.
+    Closed,
+}
+
+quick_error! {
+    #[derive(Debug)]
+    enum Kind {
+        Io(cause: io::Error) {
+            display("{cause}")
+        }
+        Socket(cause: Box<tungstenite::Error>) {
+            display("{cause}")
+        }
+        Protocol(cause: auburnlug_protocol::Error) {
+            display("{cause}")
+        }
+        Authentication {
+            display("the other end does not hold the cluster secret")
+        }
+        Closed {
+            display("the connection was closed")
+        }
+    }
+}
+
+impl Error {
+    /// Kind of this error.
+    pub fn category(&self) -> Category {
+        match self.kind {
+            Kind::Io(..) => Category::Io,
+            Kind::Socket(..) | Kind::Protocol(..) => Category::Protocol,
+            Kind::Authentication => Category::Authentication,
+            Kind::Closed => Category::Closed,
+        }
+    }
+
+    pub(crate) fn authentication() -> Error {
+        Error { kind: Kind::Authentication }
+    }
+
+    pub(crate) fn closed() -> Error {
+        Error { kind: Kind::Closed }
+    }
+}
+
+impl From<io::Error> for Error {
+    fn from(cause: io::Error) -> Error {
+        Error { kind: Kind::Io(cause) }
+    }
+}
+
+impl From<tungstenite::Error> for Error {
+    fn from(cause: tungstenite::Error) -> Error {
+        Error { kind: Kind::Socket(Box::new(cause)) }
+    }
+}
+
+impl From<auburnlug_protocol::Error> for Error {
+    fn from(cause: auburnlug_protocol::Error) -> Error {
+        Error { kind: Kind::Protocol(cause) }
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&self.kind, f)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.kind, f)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/transport/src/socket.rs
@@ -0,0 +1,263 @@
+//! WebSocket transport of links: handshake, pumps, liveness.
+
+use std::{
+    marker::PhantomData,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use auburnlug_protocol::{
+    auth::{Challenge, Hello, Nonce, Proof, Purpose, Secret},
+    decode, encode,
+};
+use auburnlug_state::Name;
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use rand::RngCore;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::mpsc,
+    time::{Instant, timeout},
+};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async_with_config, client_async_with_config,
+    tungstenite::{Message, protocol::WebSocketConfig},
+};
+
+use crate::{
+    Error, Result,
+    link::{Dial, Dialing, Link},
+};
+
+/// Longest time for connecting and for the handshake.
+const HANDSHAKE: Duration = Duration::from_secs(2);
+
+/// Time between pings on a link.
+const PING: Duration = Duration::from_millis(500);
+
+/// A link on which nothing arrived for this long is closed.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Largest message on a link, in bytes.
+const MAX_MESSAGE: usize = 300 << 20;
+
+/// Messages written before the socket is flushed.
+const BATCH: usize = 256;
+
+type Socket = WebSocketStream<TcpStream>;
+
+/// Identity and credentials of this end of a link.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of this instance.
+    pub name: Name,
+    /// Secret shared by all instances.
+    pub secret: Secret,
+    /// Source address of outbound connections.
+    pub source: Option<IpAddr>,
+}
+
+/// Opens links for one purpose.
+#[derive(Debug)]
+pub struct Dialer<M> {
+    identity: Arc<Identity>,
+    purpose: Purpose,
+    marker: PhantomData<fn() -> M>,
+}
+
+impl<M> Dialer<M> {
+    /// A dialer that opens links for `purpose`.
+    pub fn new(identity: Arc<Identity>, purpose: Purpose) -> Dialer<M> {
+        Dialer { identity, purpose, marker: PhantomData }
+    }
+}
+
+impl<M: Serialize + DeserializeOwned + Send + 'static> Dial<M> for Dialer<M> {
+    fn dial(&self, name: Name, address: SocketAddr) -> Dialing<M> {
+        let (identity, purpose) = (self.identity.clone(), self.purpose);
+        Box::pin(async move {
+            let dialed = timeout(HANDSHAKE, dial(&identity, purpose, name.clone(), address)).await;
+            let Ok(Ok(socket)) = dialed else { return None };
+            Some(spawn(name, socket))
+        })
+    }
+}
+
+/// A socket that has passed the handshake.
+#[derive(Debug)]
+pub struct Accepted {
+    /// Instance at the other end.
+    pub peer: Name,
+    /// What the link is for.
+    pub purpose: Purpose,
+    socket: Socket,
+}
+
+impl Accepted {
+    /// Starts to move messages.
+    pub fn link<M: Serialize + DeserializeOwned + Send + 'static>(self) -> Link<M> {
+        spawn(self.peer, self.socket)
+    }
+}
+
+/// Accepts links until the receiver is dropped.
+pub async fn listen(listener: TcpListener, identity: Arc<Identity>, out: mpsc::Sender<Accepted>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let (identity, out) = (identity.clone(), out.clone());
+        if out.is_closed() {
+            return;
+        }
+        tokio::spawn(async move {
+            if let Ok(Ok(accepted)) = timeout(HANDSHAKE, accept(stream, &identity)).await {
+                let _ = out.send(accepted).await;
+            }
+        });
+    }
+}
+
+/// Opens a TCP connection from the configured source address.
+///
+/// # Errors
+///
+/// The error of the socket, unchanged, so that a refused connect can be told apart.
+pub async fn connect(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(ip) = source {
+        socket.bind(SocketAddr::new(ip, 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default().max_message_size(Some(MAX_MESSAGE)).max_frame_size(Some(MAX_MESSAGE))
+}
+
+fn nonce() -> Nonce {
+    let mut nonce = Nonce::default();
+    rand::rng().fill_bytes(&mut nonce);
+    nonce
+}
+
+async fn dial(me: &Identity, purpose: Purpose, to: Name, address: SocketAddr) -> Result<Socket> {
+    let stream = connect(me.source, address).await?;
+    let url = format!("ws://{address}/");
+    let (mut socket, _) = client_async_with_config(url, stream, Some(config())).await?;
+    let hello = Hello { from: me.name.clone(), to, purpose, nonce: nonce() };
+    send(&mut socket, &hello).await?;
+    let challenge: Challenge = receive(&mut socket).await?;
+    let proof = me.secret.prove(&hello, &challenge).ok_or_else(Error::authentication)?;
+    send(&mut socket, &proof).await?;
+    Ok(socket)
+}
+
+async fn accept(stream: TcpStream, me: &Identity) -> Result<Accepted> {
+    stream.set_nodelay(true)?;
+    let mut socket = accept_async_with_config(stream, Some(config())).await?;
+    let hello: Hello = receive(&mut socket).await?;
+    if hello.to != me.name {
+        return Err(Error::authentication());
+    }
+    let nonce = nonce();
+    send(&mut socket, &me.secret.challenge(&hello, nonce)).await?;
+    let proof: Proof = receive(&mut socket).await?;
+    if !me.secret.verify(&hello, &nonce, &proof) {
+        return Err(Error::authentication());
+    }
+    Ok(Accepted { peer: hello.from, purpose: hello.purpose, socket })
+}
+
+async fn send<T: Serialize>(socket: &mut Socket, message: &T) -> Result<()> {
+    socket.send(Message::Binary(encode(message)?.into())).await?;
+    Ok(())
+}
+
+async fn receive<T: DeserializeOwned>(socket: &mut Socket) -> Result<T> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => Ok(decode(&bytes)?),
+        Some(Err(e)) => Err(e.into()),
+        _ => Err(Error::closed()),
+    }
+}
+
+fn spawn<M: Serialize + DeserializeOwned + Send + 'static>(peer: Name, socket: Socket) -> Link<M> {
+    let (near, far) = Link::pair(peer.clone(), peer);
+    let (sink, stream) = socket.split();
+    let Link { out, inbox, .. } = far;
+    let writer = tokio::spawn(write(sink, inbox));
+    tokio::spawn(async move {
+        read(stream, out).await;
+        writer.abort();
+    });
+    near
+}
+
+async fn write<M: Serialize>(mut sink: SplitSink<Socket, Message>, mut inbox: mpsc::Receiver<M>) {
+    let mut ping = tokio::time::interval(PING);
+    loop {
+        let sent = tokio::select! {
+            message = inbox.recv() => {
+                let Some(message) = message else { break };
+                write_batch(&mut sink, message, &mut inbox).await
+            }
+            _ = ping.tick() => sink.send(Message::Ping(Default::default())).await.map_err(Error::from),
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+    let _ = sink.close().await;
+}
+
+async fn write_batch<M: Serialize>(
+    sink: &mut SplitSink<Socket, Message>,
+    first: M,
+    inbox: &mut mpsc::Receiver<M>,
+) -> Result<()> {
+    sink.feed(Message::Binary(encode(&first)?.into())).await?;
+    for _ in 0..BATCH {
+        let Ok(next) = inbox.try_recv() else { break };
+        sink.feed(Message::Binary(encode(&next)?.into())).await?;
+    }
+    sink.flush().await?;
+    Ok(())
+}
+
+async fn read<M: DeserializeOwned>(mut stream: SplitStream<Socket>, out: mpsc::Sender<M>) {
+    let mut heard = Instant::now();
+    let mut check = tokio::time::interval(PING);
+    loop {
+        let message = tokio::select! {
+            message = stream.next() => message,
+            _ = out.closed() => return,
+            _ = check.tick() => {
+                if heard.elapsed() > SILENCE {
+                    return;
+                }
+                continue;
+            }
+        };
+        heard = Instant::now();
+        match message {
+            Some(Ok(Message::Binary(bytes))) => {
+                let Ok(message) = decode(&bytes) else { return };
+                if out.send(message).await.is_err() {
+                    return;
+                }
+                // A full channel delays reading; that time is not silence of the peer.
+                heard = Instant::now();
+            }
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            _ => return,
+        }
+    }
+}
