--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -7,7 +7,7 @@
 
 use spdlog::{
     Level, LevelFilter, Logger,
-    formatter::{Formatter, FullFormatter, JsonFormatter},
+    formatter::{FullFormatter, JsonFormatter},
     sink::StdStreamSink,
 };
 
