Add the decision modules of the traffic path

The traffic runtime needs rates, queues, session positions, routing, request ids, retries and failover as code without I/O.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,8 +3,17 @@
 //! Nothing here does I/O. Time, messages and randomness come in as arguments and effects go out as
 //! values, so the same code runs under a test clock.
 
+pub mod acks;
+pub mod allotment;
+pub mod dedup;
+pub mod failover;
+pub mod freshness;
+pub mod limit;
+pub mod queue;
 pub mod raft;
+pub mod retry;
 pub mod route;
+pub mod session;
 
 use serde::{Deserialize, Serialize};
 
