--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,13 +3,22 @@
 //! Nothing here does I/O. Time, messages and randomness come in as arguments and effects go out as
 //! values, so the same code runs under a test clock.
 
+pub mod acks;
+pub mod allotment;
+pub mod dedup;
 mod error;
+pub mod failover;
 pub mod formation;
+pub mod freshness;
+pub mod limit;
+pub mod queue;
 pub mod raft;
 mod raft_lead;
 mod raft_log;
 mod raft_message;
+pub mod retry;
 pub mod route;
+pub mod session;
 
 use serde::{Deserialize, Serialize};
 
