Add templates, the replicated machine, leases, assignment and directory

The shared types had no behaviour yet. Templates now decode whole or not at all with section, key and range in the error; the machine applies every command; leases, shard assignment and announcement checks are pure functions of machine, messages and time.

Shared types: Machine has a History (answers, granted and withdrawn keys, epochs and terms of what left the configuration), Instance::incarnation grows with each run, and the control messages have Release, by which the leader asks a holder for a shard.

Leases, assignment and directory have no tests in this commit.

--- /dev/null
+++ b/crates/coordination/src/assign.rs
@@ -0,0 +1,182 @@
+//! Which instance owns which shard.
+//!
+//! The leader takes a shard only from an instance whose lease is surely over. From a live one it
+//! asks for it, and only to even out the load after an instance has joined.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use auburnlug_state::{Command, Instance, Machine, Millis, Name, Shard};
+
+use crate::lease::Ledger;
+
+/// Interval between requests to release a shard, in milliseconds. Each one interrupts a group.
+pub const RELEASE: Millis = 1000;
+
+/// What the leader has to do.
+#[derive(Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Propose these, in this order.
+    pub commands: Vec<Command>,
+    /// Ask the holder for this shard.
+    pub release: Option<Release>,
+}
+
+/// A request to a live holder; it gives the shard up by [`Command::Assign`] to nobody.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Release {
+    /// Holder.
+    pub instance: Name,
+    /// Shard.
+    pub shard: Shard,
+    /// Epoch of the holder.
+    pub epoch: u64,
+}
+
+/// Plans ownership; a new leader starts with a new one.
+#[derive(Debug, Default)]
+pub struct Assigner {
+    /// Last seen holder of each shard, by name and incarnation.
+    last: BTreeMap<Shard, (Name, u64)>,
+    asked: Option<Millis>,
+}
+
+impl Assigner {
+    /// Plans at time `now`. The same plan comes again until its commands are applied; each
+    /// command is conditional, so that repeating it has no effect.
+    pub fn plan(&mut self, machine: &Machine, ledger: &mut Ledger, now: Millis) -> Plan {
+        self.note(machine);
+        if ledger.in_grace(now) {
+            return Plan::default();
+        }
+        let ended = ledger.ended(machine, now);
+        let takers = ledger.takers(machine, now);
+        let gone: BTreeSet<&Name> = ended.iter().map(|(name, _)| name).collect();
+        let mut load = Load::new(machine, &takers);
+        let mut plan = Plan::default();
+        for (shard, holder) in &machine.shards {
+            let held = holder.instance.as_ref();
+            if held.is_some_and(|name| !gone.contains(name)) {
+                continue;
+            }
+            if let Some(taker) = load.taker(shard, self.last.get(shard)) {
+                let instance = Some(taker.name.clone());
+                let (shard, epoch) = (shard.clone(), holder.epoch);
+                plan.commands.push(Command::Assign { shard, instance, epoch });
+            }
+        }
+        let settled = plan.commands.is_empty();
+        let remove = |(instance, incarnation)| Command::Remove { instance, incarnation };
+        plan.commands.extend(ended.into_iter().map(remove));
+        if settled && self.asked.is_none_or(|asked| now >= asked.saturating_add(RELEASE)) {
+            plan.release = load.release();
+            self.asked = plan.release.as_ref().map(|_| now).or(self.asked);
+        }
+        plan
+    }
+
+    /// Remembers holders, so that a shard that one gave up goes to another.
+    fn note(&mut self, machine: &Machine) {
+        self.last.retain(|shard, _| machine.shards.contains_key(shard));
+        for (shard, holder) in &machine.shards {
+            let holder = holder.instance.as_ref().and_then(|name| machine.instances.get(name));
+            if let Some(holder) = holder {
+                self.last.insert(shard.clone(), (holder.name.clone(), holder.incarnation));
+            }
+        }
+    }
+}
+
+/// Shards of each instance that may take more.
+struct Load<'a> {
+    machine: &'a Machine,
+    takers: BTreeMap<&'a Name, &'a Instance>,
+    groups: BTreeMap<&'a Name, usize>,
+    accounts: BTreeMap<&'a Name, usize>,
+}
+
+impl<'a> Load<'a> {
+    fn new(machine: &'a Machine, takers: &[&'a Instance]) -> Load<'a> {
+        let none: BTreeMap<&Name, usize> = takers.iter().map(|i| (&i.name, 0)).collect();
+        let takers = takers.iter().map(|i| (&i.name, *i)).collect();
+        let mut load = Load { machine, takers, groups: none.clone(), accounts: none };
+        for (shard, holder) in &machine.shards {
+            if let Some(name) = &holder.instance {
+                load.add(shard, name);
+            }
+        }
+        load
+    }
+
+    fn add(&mut self, shard: &Shard, name: &Name) {
+        let counts = match shard {
+            Shard::Group(_) => &mut self.groups,
+            Shard::Account(_) => &mut self.accounts,
+        };
+        if let Some(count) = counts.get_mut(name) {
+            *count += 1;
+        }
+    }
+
+    /// Chooses and counts the next holder of a shard: not the one that gave it up, then the one
+    /// with the fewest shards of this kind, then the nearest, then the one with the fewest of the
+    /// other kind.
+    fn taker(&mut self, shard: &Shard, last: Option<&(Name, u64)>) -> Option<&'a Instance> {
+        let taker = self.takers.values().copied().min_by_key(|i| {
+            let gave = last.is_some_and(|(name, run)| *name == i.name && *run == i.incarnation);
+            let (count, other) = self.counts(shard, &i.name);
+            (gave, count, self.distance(shard, i), other, &i.name)
+        })?;
+        self.add(shard, &taker.name);
+        Some(taker)
+    }
+
+    fn counts(&self, shard: &Shard, name: &Name) -> (usize, usize) {
+        let groups = self.groups.get(name).copied().unwrap_or(0);
+        let accounts = self.accounts.get(name).copied().unwrap_or(0);
+        match shard {
+            Shard::Group(_) => (groups, accounts),
+            Shard::Account(_) => (accounts, groups),
+        }
+    }
+
+    /// 0 in the failure domain of the group's primary, 1 in its region, 2 elsewhere.
+    fn distance(&self, shard: &Shard, instance: &Instance) -> u32 {
+        let Shard::Group(group) = shard else {
+            return 0;
+        };
+        let primary = self.machine.groups.get(group).and_then(|g| g.primary.as_ref());
+        let Some(server) = primary.and_then(|name| self.machine.servers.get(name)) else {
+            return 0;
+        };
+        if instance.domain == server.domain {
+            return 0;
+        }
+        // A server announces only its domain; an instance of the same domain tells the region.
+        let mut near = self.machine.instances.values().filter(|i| i.domain == server.domain);
+        if near.any(|i| i.region == instance.region) { 1 } else { 2 }
+    }
+
+    /// A shard of the instance with the most, if another has at least two less; one that is
+    /// nearer to the other instance first.
+    fn release(&self) -> Option<Release> {
+        [&self.groups, &self.accounts].into_iter().find_map(|counts| {
+            let (least, low) = counts.iter().min_by_key(|(name, count)| (**count, *name))?;
+            let (most, high) = counts.iter().max_by_key(|(name, count)| (**count, *name))?;
+            if *high <= *low + 1 {
+                return None;
+            }
+            let (from, to) = (self.takers.get(most)?, self.takers.get(least)?);
+            let groups = std::ptr::eq(counts, &self.groups);
+            let held = self.machine.shards.iter().filter(|(shard, holder)| {
+                let kind = matches!(shard, Shard::Group(_)) == groups;
+                kind && holder.instance.as_ref() == Some(*most)
+            });
+            let cost = |shard: &Shard| {
+                i64::from(self.distance(shard, to)) - i64::from(self.distance(shard, from))
+            };
+            let (shard, holder) = held.min_by_key(|(shard, _)| (cost(shard), *shard))?;
+            let (instance, epoch) = (from.name.clone(), holder.epoch);
+            Some(Release { instance, shard: shard.clone(), epoch })
+        })
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,9 @@
 //! Nothing here does I/O. Time, messages and randomness come in as arguments and effects go out as
 //! values, so the same code runs under a test clock.
 
+pub mod assign;
+pub mod directory;
+pub mod lease;
 pub mod raft;
 pub mod route;
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 
 use auburnlug_coordination::{Position, raft};
-use auburnlug_state::{Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server};
+use auburnlug_state::{
+    Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard,
+};
 use serde::{Deserialize, Serialize};
 
 /// A message on a control link.
@@ -54,6 +56,14 @@
         /// Incarnation that stops.
         incarnation: u64,
     },
+    /// The leader asks the holder to give a shard up: to finish its work and then to propose its
+    /// assignment to nobody.
+    Release {
+        /// Shard to give up.
+        shard: Shard,
+        /// Epoch of the holder.
+        epoch: u64,
+    },
 }
 
 /// Request for a lease.
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -110,7 +110,7 @@
 pub struct Instance {
     /// Name from its settings.
     pub name: Name,
-    /// Random number of this run of the process.
+    /// Number of this run of the process; greater than that of each earlier run.
     pub incarnation: u64,
     /// Address for links from other instances.
     pub peer: SocketAddr,
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -1,10 +1,29 @@
 //! The configuration in force: groups, routes and client accounts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::RangeInclusive,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::Name;
+use crate::{Error, Name, Result};
+
+/// Allowed rate of a client account, in requests/s.
+pub(crate) const RATES: RangeInclusive<f64> = 0.1..=1_000_000.0;
+
+/// Allowed burst of a client account, in requests. A request takes one token, so a smaller burst
+/// would refuse every request.
+pub(crate) const BURSTS: RangeInclusive<f64> = 1.0..=1_000_000.0;
+
+/// Allowed age of reads, in milliseconds.
+pub(crate) const AGES: RangeInclusive<u64> = 0..=3_600_000;
+
+/// Client account of callers without a key.
+pub(crate) const PUBLIC: &str = "public";
+
+/// Hexadecimal digits of a SHA-256.
+const HASH_DIGITS: usize = 64;
 
 /// Configuration derived from the template and the changes after it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -71,3 +90,44 @@
     /// SHA-256 of its keys, in hexadecimal.
     pub keys: BTreeSet<String>,
 }
+
+impl Config {
+    /// Client account that the key with this SHA-256 (in lower-case hexadecimal) belongs to.
+    pub fn account_of_key(&self, key: &str) -> Option<&Name> {
+        self.accounts.iter().find(|(_, a)| a.keys.contains(key)).map(|(name, _)| name)
+    }
+
+    /// First client account with a key that an earlier one has too.
+    pub(crate) fn shared_key(&self) -> Option<&Name> {
+        let mut seen = BTreeSet::new();
+        let mut shared = |account: &Account| account.keys.iter().any(|k| !seen.insert(k.clone()));
+        self.accounts.iter().find(|(_, a)| shared(a)).map(|(name, _)| name)
+    }
+}
+
+/// Checks rate (requests/s), burst (requests) and age of reads (ms) of a client account.
+///
+/// # Errors
+///
+/// The first value outside its range, with the range.
+pub fn check_limits(account: &Name, rate: f64, burst: f64, age: u64) -> Result<()> {
+    let fault = |key: &str, allowed: String| {
+        Err(Error::template(&format!("account {account}"), key, &allowed))
+    };
+    if !RATES.contains(&rate) {
+        return fault("rate", format!("{} to {} requests/s", RATES.start(), RATES.end()));
+    }
+    if !BURSTS.contains(&burst) {
+        return fault("burst", format!("{} to {} requests", BURSTS.start(), BURSTS.end()));
+    }
+    if !AGES.contains(&age) {
+        return fault("age", format!("{} to {} ms", AGES.start(), AGES.end()));
+    }
+    Ok(())
+}
+
+/// The SHA-256 of a key in lower case; `None` if the text is not 64 hexadecimal digits.
+pub fn key_hash(text: &str) -> Option<String> {
+    let valid = text.len() == HASH_DIGITS && text.bytes().all(|c| c.is_ascii_hexdigit());
+    valid.then(|| text.to_ascii_lowercase())
+}
--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -17,6 +17,10 @@
 pub enum Category {
     /// A name has a wrong length or a wrong character.
     Name,
+    /// A template is not valid INI text.
+    Syntax,
+    /// A section or a parameter of a template is not valid.
+    Template,
 }
 
 quick_error! {
@@ -25,6 +29,12 @@
         Name(text: String) {
             display("{text:?} is not a name: 1 to 63 characters of a-z, 0-9, '-', '_' and '.'")
         }
+        Syntax(text: String) {
+            display("template: {text}")
+        }
+        Template(section: String, key: String, allowed: String) {
+            display("section [{section}]{key}: allowed is {allowed}")
+        }
     }
 }
 
@@ -33,6 +43,8 @@
     pub fn category(&self) -> Category {
         match self.kind {
             Kind::Name(..) => Category::Name,
+            Kind::Syntax(..) => Category::Syntax,
+            Kind::Template(..) => Category::Template,
         }
     }
 
@@ -40,6 +52,17 @@
         let text = text.chars().take(80).collect();
         Error { kind: Kind::Name(text) }
     }
+
+    pub(crate) fn syntax(text: String) -> Error {
+        Error { kind: Kind::Syntax(text) }
+    }
+
+    /// An empty `key` stands for the section itself.
+    pub(crate) fn template(section: &str, key: &str, allowed: &str) -> Error {
+        let cut = |text: &str| text.chars().take(80).collect::<String>();
+        let key = if key.is_empty() { String::new() } else { format!(", key {}", cut(key)) };
+        Error { kind: Kind::Template(cut(section), key, allowed.into()) }
+    }
 }
 
 impl fmt::Debug for Error {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,12 +7,15 @@
 mod config;
 mod error;
 mod machine;
+mod machine_config;
 mod name;
+mod template;
 
 pub use command::{Change, Command, Edit, Holder, Instance, Role, Server, Shard};
-pub use config::{Account, Class, Config, Group, Kind, Route};
+pub use config::{Account, Class, Config, Group, Kind, Route, check_limits, key_hash};
 pub use error::{Category, Error, Result};
 pub use machine::{Applied, GroupState, Machine};
+pub use machine_config::History;
 pub use name::Name;
 
 /// Index of an entry in the agreed log. The first entry has index 1.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Command, Config, Holder, Index, Instance, Name, Server, Shard, Term};
+use crate::{Command, Config, History, Holder, Index, Instance, Name, Role, Server, Shard, Term};
 
 /// State that every instance derives from the agreed log.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -23,6 +23,8 @@
     pub groups: BTreeMap<Name, GroupState>,
     /// Announced servers.
     pub servers: BTreeMap<Name, Server>,
+    /// What outlasts a change of the configuration.
+    pub history: History,
 }
 
 /// Term and primary of a database group.
@@ -57,10 +59,119 @@
 }
 
 impl Machine {
-    /// Applies the committed `command` at `index`.
+    /// Applies the committed `command` at `index`. An index that is not above the last one has no
+    /// effect.
     pub fn apply(&mut self, index: Index, command: &Command) -> Applied {
-        let _ = command;
+        if index <= self.index {
+            return Applied::Stale;
+        }
         self.index = index;
-        Applied::Stale
+        match command {
+            Command::Configure(change) => return self.configure(index, change),
+            Command::Register(instance) => self.register(instance),
+            Command::Remove { instance, incarnation } => self.remove(instance, *incarnation),
+            Command::Assign { shard, instance, epoch } => self.assign(shard, instance, *epoch),
+            Command::Announce(server) => self.announce(server),
+            Command::Forget(server) => self.forget(server),
+            Command::Term { group, term, epoch } => self.start_term(group, *term, *epoch),
+            Command::Primary { group, term, server, epoch } => {
+                self.set_primary(group, *term, server, *epoch)
+            }
+        }
+        .map_or(Applied::Stale, |()| Applied::Done)
+    }
+
+    /// A lower incarnation is refused while the higher one is recorded: the record may be that of
+    /// a live process, and a late message of an earlier run must not take its shards.
+    fn register(&mut self, instance: &Instance) -> Option<()> {
+        if let Some(old) = self.instances.get(&instance.name) {
+            if old.incarnation > instance.incarnation {
+                return None;
+            }
+            if old.incarnation < instance.incarnation {
+                self.release_all(&instance.name);
+            }
+        }
+        self.instances.insert(instance.name.clone(), instance.clone());
+        Some(())
+    }
+
+    fn remove(&mut self, instance: &Name, incarnation: u64) -> Option<()> {
+        if self.instances.get(instance)?.incarnation != incarnation {
+            return None;
+        }
+        self.instances.remove(instance);
+        self.release_all(instance);
+        Some(())
+    }
+
+    /// Raises the epochs, so that commands of the former holder no longer fit.
+    fn release_all(&mut self, instance: &Name) {
+        for holder in self.shards.values_mut() {
+            if holder.instance.as_ref() == Some(instance) {
+                *holder = Holder { instance: None, epoch: holder.epoch + 1 };
+            }
+        }
+    }
+
+    fn assign(&mut self, shard: &Shard, instance: &Option<Name>, epoch: u64) -> Option<()> {
+        let known = instance.as_ref().is_none_or(|name| self.instances.contains_key(name));
+        let holder = self.shards.get_mut(shard).filter(|h| known && h.epoch == epoch)?;
+        *holder = Holder { instance: instance.clone(), epoch: epoch + 1 };
+        Some(())
+    }
+
+    fn announce(&mut self, server: &Server) -> Option<()> {
+        let size = self.config.groups.get(&server.group)?.size;
+        match self.servers.get(&server.name) {
+            Some(old) if old.group != server.group => return None,
+            Some(_) => {}
+            None if self.servers_of(&server.group).count() >= size as usize => return None,
+            None => {}
+        }
+        let group = self.groups.entry(server.group.clone()).or_default();
+        // The first primary's claim starts the terms of a group that has run before under
+        // another system, so that no term is used twice.
+        if group.term == 0 && server.role == Role::Primary {
+            group.term = server.term;
+        }
+        self.servers.insert(server.name.clone(), server.clone());
+        Some(())
+    }
+
+    fn forget(&mut self, server: &Name) -> Option<()> {
+        let group = self.groups.get(&self.servers.get(server)?.group);
+        if group.is_some_and(|g| g.primary.as_ref() == Some(server)) {
+            return None;
+        }
+        self.servers.remove(server).map(|_| ())
+    }
+
+    fn start_term(&mut self, group: &Name, term: Term, epoch: u64) -> Option<()> {
+        self.check_owner(group, epoch)?;
+        let state = self.groups.get_mut(group).filter(|s| s.term.checked_add(1) == Some(term))?;
+        *state = GroupState { term, primary: None };
+        Some(())
+    }
+
+    fn set_primary(&mut self, group: &Name, term: Term, server: &Name, epoch: u64) -> Option<()> {
+        self.check_owner(group, epoch)?;
+        self.servers.get(server).filter(|s| s.group == *group)?;
+        let state = self.groups.get_mut(group).filter(|s| s.term == term)?;
+        if state.primary.as_ref().is_some_and(|old| old != server) {
+            return None;
+        }
+        state.primary = Some(server.clone());
+        Some(())
+    }
+
+    fn check_owner(&self, group: &Name, epoch: u64) -> Option<()> {
+        let holder = self.shards.get(&Shard::Group(group.clone()))?;
+        (holder.epoch == epoch && holder.instance.is_some()).then_some(())
+    }
+
+    /// Recorded servers of a group.
+    pub fn servers_of<'a>(&'a self, group: &'a Name) -> impl Iterator<Item = &'a Server> {
+        self.servers.values().filter(move |s| s.group == *group)
     }
 }
