--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,11 +5,14 @@
 
 pub mod acks;
 pub mod allotment;
+pub mod assign;
 pub mod dedup;
+pub mod directory;
 mod error;
 pub mod failover;
 pub mod formation;
 pub mod freshness;
+pub mod lease;
 pub mod limit;
 pub mod queue;
 pub mod raft;
