Add the control thread, HTTP listener and instance start-up

One thread owns agreement, leases and the replicated state; traffic threads see a watched view, the lease end and proposals. Control and traffic links are told apart by the first bytes of their upgrade request, so each kind runs on its own threads. Compiles without the traffic runtime; not run yet.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod auth;
 mod codec;
 mod error;
+pub mod operator;
 pub mod peer;
 pub mod settings;
 
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -99,6 +99,8 @@
     pub sent: Millis,
     /// Index that the sender has applied.
     pub index: Index,
+    /// Recorded servers that announced themselves to the sender since its last renewal.
+    pub heard: Vec<Name>,
 }
 
 /// A lease; valid for `span` from `sent`, once `index` is applied.
--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -17,6 +17,10 @@
 pub enum Category {
     /// A name has a wrong length or a wrong character.
     Name,
+    /// A value cannot be encoded.
+    Encode,
+    /// Stored bytes are not what was written.
+    Corrupt,
     /// A template is not valid INI text.
     Syntax,
     /// A section or a parameter of a template is not valid.
@@ -29,6 +33,12 @@
         Name(text: String) {
             display("{text:?} is not a name: 1 to 63 characters of a-z, 0-9, '-', '_' and '.'")
         }
+        Encode(text: String) {
+            display("the value cannot be encoded: {text}")
+        }
+        Corrupt(text: &'static str) {
+            display("corrupt record: {text}")
+        }
         Syntax(text: String) {
             display("template: {text}")
         }
@@ -43,6 +53,8 @@
     pub fn category(&self) -> Category {
         match self.kind {
             Kind::Name(..) => Category::Name,
+            Kind::Encode(..) => Category::Encode,
+            Kind::Corrupt(..) => Category::Corrupt,
             Kind::Syntax(..) => Category::Syntax,
             Kind::Template(..) => Category::Template,
         }
@@ -53,6 +65,14 @@
         Error { kind: Kind::Name(text) }
     }
 
+    pub(crate) fn encode(text: String) -> Error {
+        Error { kind: Kind::Encode(text) }
+    }
+
+    pub(crate) fn corrupt(text: &'static str) -> Error {
+        Error { kind: Kind::Corrupt(text) }
+    }
+
     pub(crate) fn syntax(text: String) -> Error {
         Error { kind: Kind::Syntax(text) }
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,6 +9,7 @@
 mod machine;
 mod machine_config;
 mod name;
+pub mod record;
 mod template;
 
 pub use command::{Change, Command, Edit, Holder, Instance, Role, Server, Shard};
--- /dev/null
+++ b/crates/transport/src/control_links.rs
@@ -0,0 +1,97 @@
+//! Links of the control thread, by number and by instance.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use auburnlug_protocol::peer;
+use auburnlug_state::Name;
+use tokio::sync::mpsc;
+
+use crate::{control::Input, link::Link};
+
+/// Open links.
+#[derive(Debug)]
+pub(crate) struct Links {
+    input: mpsc::Sender<Input>,
+    open: BTreeMap<u64, (Name, mpsc::Sender<peer::Control>)>,
+    dialed: BTreeMap<Name, u64>,
+    dialing: BTreeSet<Name>,
+    next: u64,
+}
+
+impl Links {
+    pub(crate) fn new(input: mpsc::Sender<Input>) -> Links {
+        Links {
+            input,
+            open: BTreeMap::new(),
+            dialed: BTreeMap::new(),
+            dialing: BTreeSet::new(),
+            next: 1,
+        }
+    }
+
+    /// Takes a link that another instance opened.
+    pub(crate) fn accept(&mut self, link: Link<peer::Control>) {
+        self.add(link);
+    }
+
+    /// Takes the result of dialing `member`.
+    pub(crate) fn dialed(&mut self, member: Name, link: Option<Link<peer::Control>>) {
+        self.dialing.remove(member.as_str());
+        if let Some(link) = link {
+            let number = self.add(link);
+            self.dialed.insert(member, number);
+        }
+    }
+
+    /// Whether `member` should be dialed now; marks it as being dialed.
+    pub(crate) fn begin_dial(&mut self, member: &Name) -> bool {
+        !self.dialed.contains_key(member.as_str()) && self.dialing.insert(member.clone())
+    }
+
+    pub(crate) fn closed(&mut self, link: u64) {
+        self.open.remove(&link);
+        self.dialed.retain(|_, number| *number != link);
+    }
+
+    /// Instance at the other end of a link.
+    pub(crate) fn peer(&self, link: u64) -> Option<&Name> {
+        self.open.get(&link).map(|(peer, _)| peer)
+    }
+
+    /// Sends on a link; a link that does not drain its queue is closed.
+    pub(crate) fn send(&mut self, link: u64, message: peer::Control) {
+        if let Some((_, out)) = self.open.get(&link)
+            && out.try_send(message).is_err()
+        {
+            self.closed(link);
+        }
+    }
+
+    /// Sends on the link that was dialed to `member`, if there is one.
+    pub(crate) fn send_member(&mut self, member: &Name, message: peer::Control) {
+        if let Some(link) = self.dialed.get(member.as_str()).copied() {
+            self.send(link, message);
+        }
+    }
+
+    /// Members with a dialed link.
+    pub(crate) fn members(&self) -> Vec<Name> {
+        self.dialed.keys().cloned().collect()
+    }
+
+    fn add(&mut self, link: Link<peer::Control>) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        self.open.insert(number, (link.peer, link.out));
+        let (input, mut inbox) = (self.input.clone(), link.inbox);
+        tokio::spawn(async move {
+            while let Some(message) = inbox.recv().await {
+                if input.send(Input::Message { link: number, message }).await.is_err() {
+                    return;
+                }
+            }
+            let _ = input.send(Input::Closed { link: number }).await;
+        });
+        number
+    }
+}
--- /dev/null
+++ b/crates/transport/src/control_member.rs
@@ -0,0 +1,285 @@
+//! A control member: agreement core, its disk, and the search for the group at a first start.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use auburnlug_coordination::{
+    formation::{Decision, Formation, instance_of, join_step},
+    raft::{Entry, Members, Message, Raft, Ready, Saved, Snapshot, Timing},
+};
+use auburnlug_protocol::{decode, encode, peer::Control};
+use auburnlug_state::{Command, Index, Machine, Millis, Name};
+
+use crate::{
+    Result,
+    disk::Disk,
+    event::{Event, log},
+};
+
+/// Entries after which a snapshot replaces them.
+const SNAPSHOT_ENTRIES: u64 = 2_000;
+
+/// Control member of this instance.
+pub(crate) struct Member {
+    instance: Name,
+    identity: Name,
+    configured: BTreeSet<Name>,
+    disk: Box<dyn Disk>,
+    state: State,
+    /// Members that asked to join, with the commit index at that time.
+    joining: BTreeMap<Name, Index>,
+    covered: Index,
+    seed: u64,
+}
+
+enum State {
+    Searching(Formation),
+    /// Knows that the group exists and asks to be added.
+    Member(Box<Raft>, bool),
+}
+
+/// What a step of the member asks its caller to do.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    /// Replaces the machine.
+    pub(crate) machine: Option<Machine>,
+    /// Applies these entries.
+    pub(crate) committed: Vec<Entry>,
+    /// Sends these messages to members, by instance.
+    pub(crate) messages: Vec<(Name, Control)>,
+}
+
+impl Member {
+    /// Opens the member's disk; the machine is that of its snapshot.
+    pub(crate) fn open(
+        instance: Name,
+        configured: BTreeSet<Name>,
+        mut disk: Box<dyn Disk>,
+        seed: u64,
+        now: Millis,
+    ) -> Result<(Member, Machine)> {
+        let loaded = disk.load()?;
+        let identity = Name::try_from(format!("{instance}.{}", loaded.identity).as_str())
+            .map_err(auburnlug_protocol::Error::from)?;
+        let saved = loaded.saved;
+        let count = saved.entries.len();
+        let mut machine = Machine::default();
+        let mut covered = 0;
+        let state = match &saved.snapshot {
+            None => {
+                State::Searching(Formation::new(instance.clone(), identity.clone(), &configured))
+            }
+            Some(snapshot) => {
+                machine = decode(&snapshot.data)?;
+                covered = snapshot.index;
+                let raft = raft(&identity, saved, seed, now)?;
+                let asks = !raft.members().voters.contains(identity.as_str());
+                State::Member(Box::new(raft), asks)
+            }
+        };
+        log(
+            Event::DiskOpened,
+            format_args!("identity {identity}, {count} entries after index {covered}"),
+        );
+        let joining = BTreeMap::new();
+        let mut member =
+            Member { instance, identity, configured, disk, state, joining, covered, seed };
+        if let State::Searching(formation) = &member.state {
+            let decision = formation.start();
+            member.decided(decision, now)?;
+        }
+        Ok((member, machine))
+    }
+
+    /// Whether this member leads and may act for the group at `now`.
+    pub(crate) fn leads(&self, now: Millis) -> bool {
+        self.raft().is_some_and(|raft| raft.lease_valid(now))
+    }
+
+    /// Whether the member takes part in the agreement, so that it applies its own log.
+    pub(crate) fn agrees(&self) -> bool {
+        self.raft().is_some_and(|raft| raft.members().all().any(|id| *id == self.identity))
+    }
+
+    /// Instance that leads, as far as known.
+    pub(crate) fn leader(&self) -> Option<Name> {
+        instance_of(self.raft()?.leader()?)
+    }
+
+    /// Term of the agreement.
+    pub(crate) fn term(&self) -> u64 {
+        self.raft().map_or(0, Raft::term)
+    }
+
+    /// Proposes a command; `None` if this member does not lead.
+    pub(crate) fn propose(&mut self, command: Command, now: Millis) -> Option<(u64, Index)> {
+        let State::Member(raft, _) = &mut self.state else { return None };
+        let index = raft.propose(command, now).ok()?;
+        Some((raft.term(), index))
+    }
+
+    /// Handles a message from the instance `from`; returns an answer to be sent back to it.
+    pub(crate) fn receive(
+        &mut self,
+        from: &Name,
+        message: Control,
+        now: Millis,
+    ) -> Result<Option<Control>> {
+        match message {
+            Control::Raft { from: sender, to, message } => {
+                if to == self.identity && instance_of(&sender).as_ref() == Some(from) {
+                    self.agree(&sender, message, now);
+                }
+            }
+            Control::Probe { .. } => {
+                let members = self.raft().map(|raft| raft.members().clone());
+                return Ok(Some(Control::Probed { identity: self.identity.clone(), members }));
+            }
+            Control::Probed { identity, members } => {
+                if let State::Searching(formation) = &mut self.state {
+                    let decision = formation.probed(from, identity, members);
+                    self.decided(decision, now)?;
+                }
+            }
+            Control::Join { identity } => self.join(from, identity, now),
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    /// Asks the other members, while this one has no place in the group.
+    pub(crate) fn search(&self) -> Vec<(Name, Control)> {
+        let message = match &self.state {
+            State::Searching(_) => Control::Probe { identity: self.identity.clone() },
+            State::Member(_, true) => Control::Join { identity: self.identity.clone() },
+            State::Member(..) => return Vec::new(),
+        };
+        let others = self.configured.iter().filter(|name| **name != self.instance);
+        others.map(|name| (name.clone(), message.clone())).collect()
+    }
+
+    /// Does what is due at `now`: agreement, steps of joining members, durable writes.
+    pub(crate) fn step(&mut self, now: Millis) -> Result<Work> {
+        self.promote(now);
+        let mut work = Work::default();
+        loop {
+            let State::Member(raft, _) = &mut self.state else { return Ok(work) };
+            raft.tick(now);
+            let ready = raft.ready();
+            if ready == Ready::default() {
+                return Ok(work);
+            }
+            self.store(ready, &mut work)?;
+        }
+    }
+
+    /// Replaces old entries by a snapshot of `machine` when enough have gathered.
+    pub(crate) fn compact(&mut self, machine: &Machine) -> Result<()> {
+        let State::Member(raft, _) = &mut self.state else { return Ok(()) };
+        if machine.index < self.covered + SNAPSHOT_ENTRIES {
+            return Ok(());
+        }
+        let Ok(snapshot) = raft.snapshot(machine.index, encode(machine)?) else { return Ok(()) };
+        self.disk.compact(&snapshot)?;
+        self.covered = snapshot.index;
+        let _ = raft.compact(snapshot);
+        Ok(())
+    }
+
+    fn raft(&self) -> Option<&Raft> {
+        match &self.state {
+            State::Member(raft, _) => Some(raft),
+            State::Searching(_) => None,
+        }
+    }
+
+    fn agree(&mut self, sender: &Name, message: Message, now: Millis) {
+        let State::Member(raft, asks) = &mut self.state else { return };
+        raft.receive(sender, message, now);
+        *asks = *asks && !raft.members().voters.contains(self.identity.as_str());
+    }
+
+    fn decided(&mut self, decision: Decision, now: Millis) -> Result<()> {
+        let members = match decision {
+            Decision::Wait => return Ok(()),
+            Decision::Found(members) => {
+                log(Event::Formed, format_args!("{} members", members.voters.len()));
+                members
+            }
+            Decision::Adopt(members) => members,
+            Decision::Join => {
+                log(Event::JoinRequested, format_args!("identity {}", self.identity));
+                Members::default()
+            }
+        };
+        let asks = !members.voters.contains(self.identity.as_str());
+        let data = encode(&Machine::default())?;
+        let snapshot = Snapshot { index: 0, term: 0, members, data };
+        let ready = Ready { snapshot: Some(snapshot.clone()), ..Ready::default() };
+        self.disk.store(&ready)?;
+        self.disk.sync()?;
+        let saved = Saved { snapshot: Some(snapshot), ..Saved::default() };
+        let raft = raft(&self.identity, saved, self.seed, now)?;
+        self.state = State::Member(Box::new(raft), asks);
+        Ok(())
+    }
+
+    fn join(&mut self, from: &Name, identity: Name, now: Millis) {
+        if instance_of(&identity).as_ref() != Some(from) || !self.leads(now) {
+            return;
+        }
+        let commit = self.raft().map_or(0, Raft::commit);
+        self.joining.entry(identity).or_insert(commit);
+    }
+
+    /// Proposes the next membership for a joining member. The agreement core refuses to make a
+    /// learner a voter before it has caught up; the former identity leaves only then too.
+    fn promote(&mut self, now: Millis) {
+        if !self.leads(now) {
+            self.joining.clear();
+            return;
+        }
+        let State::Member(raft, _) = &mut self.state else { return };
+        let Some((identity, target)) = self.joining.first_key_value() else { return };
+        let identity = identity.clone();
+        let filled = raft.matched(&identity).is_some_and(|index| index >= *target);
+        if raft.members().voters.contains(identity.as_str()) {
+            self.joining.remove(identity.as_str());
+            return;
+        }
+        if let Some(next) = join_step(raft.members(), &identity, filled)
+            && raft.propose_members(next.clone(), now).is_ok()
+        {
+            log(
+                Event::MembersChanged,
+                format_args!("voters {:?}, learners {:?}", next.voters, next.learners),
+            );
+        }
+    }
+
+    fn store(&mut self, ready: Ready, work: &mut Work) -> Result<()> {
+        if ready.durable() {
+            self.disk.store(&ready)?;
+            self.disk.sync()?;
+        }
+        let State::Member(raft, _) = &mut self.state else { return Ok(()) };
+        raft.persisted();
+        if let Some(snapshot) = &ready.snapshot {
+            self.covered = snapshot.index;
+            work.machine = Some(decode(&snapshot.data)?);
+            work.committed.clear();
+        }
+        work.committed.extend(ready.committed);
+        for (to, message) in ready.messages {
+            if let Some(instance) = instance_of(&to) {
+                let from = self.identity.clone();
+                work.messages.push((instance, Control::Raft { from, to, message }));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn raft(identity: &Name, saved: Saved, seed: u64, now: Millis) -> Result<Raft> {
+    let members = saved.snapshot.as_ref().map(|s| s.members.clone()).unwrap_or_default();
+    Ok(Raft::new(identity.clone(), members, saved, Timing::default(), seed, now)?)
+}
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -1,10 +1,15 @@
 //! Errors of the transport layer.
 
-use std::{fmt, io};
+use std::{
+    fmt, io,
+    path::{Path, PathBuf},
+};
 
 use quick_error::quick_error;
 use tokio_tungstenite::tungstenite;
 
+use crate::disk;
+
 /// Result of the transport layer.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -24,6 +29,14 @@
     Authentication,
     /// The other end closed the connection.
     Closed,
+    /// A file named by the settings cannot be used.
+    File,
+    /// The instance cannot go on.
+    Stopped,
+    /// The agreement core refused its input.
+    Agreement,
+    /// The data folder failed or is damaged.
+    Disk,
 }
 
 quick_error! {
@@ -44,6 +57,18 @@
         Closed {
             display("the connection was closed")
         }
+        File(file: PathBuf, reason: String) {
+            display("{}: {reason}", file.display())
+        }
+        Stopped(reason: String) {
+            display("{reason}")
+        }
+        Disk(cause: disk::Error) {
+            display("{cause}")
+        }
+        Agreement(cause: auburnlug_coordination::Error) {
+            display("{cause}")
+        }
     }
 }
 
@@ -55,6 +80,10 @@
             Kind::Socket(..) | Kind::Protocol(..) => Category::Protocol,
             Kind::Authentication => Category::Authentication,
             Kind::Closed => Category::Closed,
+            Kind::File(..) => Category::File,
+            Kind::Stopped(..) => Category::Stopped,
+            Kind::Agreement(..) => Category::Agreement,
+            Kind::Disk(..) => Category::Disk,
         }
     }
 
@@ -65,6 +94,14 @@
     pub(crate) fn closed() -> Error {
         Error { kind: Kind::Closed }
     }
+
+    pub(crate) fn file(file: &Path, reason: &dyn fmt::Display) -> Error {
+        Error { kind: Kind::File(file.into(), reason.to_string()) }
+    }
+
+    pub(crate) fn stopped(reason: String) -> Error {
+        Error { kind: Kind::Stopped(reason) }
+    }
 }
 
 impl From<io::Error> for Error {
@@ -79,6 +116,18 @@
     }
 }
 
+impl From<disk::Error> for Error {
+    fn from(cause: disk::Error) -> Error {
+        Error { kind: Kind::Disk(cause) }
+    }
+}
+
+impl From<auburnlug_coordination::Error> for Error {
+    fn from(cause: auburnlug_coordination::Error) -> Error {
+        Error { kind: Kind::Agreement(cause) }
+    }
+}
+
 impl From<auburnlug_protocol::Error> for Error {
     fn from(cause: auburnlug_protocol::Error) -> Error {
         Error { kind: Kind::Protocol(cause) }
--- /dev/null
+++ b/crates/transport/src/instance.rs
@@ -0,0 +1,214 @@
+//! One instance: threads, listeners and their order of start and stop.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use auburnlug_protocol::{
+    Settings,
+    auth::{Purpose, Secret},
+    peer,
+};
+use auburnlug_state::Instance;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, oneshot},
+};
+
+use crate::{
+    Error, Result,
+    clock::SystemClock,
+    control::{self, Handle, Options},
+    disk::{Disk, FileDisk},
+    event::{Event, log},
+    http::{self, Secrets},
+    link::Link,
+    metrics::Metrics,
+    server::Credentials,
+    socket::{self, Dialer, Identity},
+    traffic::{self, TrafficConfig},
+};
+
+/// Links and sockets that may wait to be taken.
+const QUEUE: usize = 1024;
+
+/// Time for the balancer to see that the instance is not ready, before it stops to accept.
+const UNREADY: Duration = Duration::from_millis(200);
+
+/// Runs an instance until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// A file cannot be read, a listener cannot be opened, or the data folder failed.
+pub fn run(settings: &Settings) -> Result<()> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.traffic.threads)
+        .enable_all()
+        .build()?;
+    let result = runtime.block_on(serve(settings));
+    runtime.shutdown_timeout(Duration::from_millis(500));
+    result
+}
+
+async fn serve(settings: &Settings) -> Result<()> {
+    let files = Files::read(settings)?;
+    let identity = Arc::new(Identity {
+        name: settings.name.clone(),
+        secret: files.cluster,
+        source: settings.source,
+    });
+    let http = tokio::net::TcpListener::from_std(bind(settings.http.bind)?)?;
+    let callers = settings.callers.map(bind).transpose()?;
+    let (sockets_out, sockets) = mpsc::channel(QUEUE);
+    let (failed, failure) = oneshot::channel();
+    let options = options(settings, &identity, sockets_out)?;
+    let control = Arc::new(control::start(options, failed)?);
+    let metrics = Arc::new(Metrics::new());
+    let state = http::State::new(control.clone(), metrics.clone(), files.http);
+    tokio::spawn(http::serve(http, state.clone()));
+    let (links_out, links) = mpsc::channel(QUEUE);
+    tokio::spawn(accept_traffic(sockets, identity.clone(), links_out));
+    let traffic = match callers {
+        None => None,
+        Some(listener) => {
+            let config = TrafficConfig {
+                callers: tokio::net::TcpListener::from_std(listener)?,
+                credentials: files.database,
+                source: settings.source,
+                wait: settings.traffic.wait,
+            };
+            let dial = Arc::new(Dialer::new(identity, Purpose::Traffic));
+            Some(traffic::start(config, control.clone(), dial, links, metrics))
+        }
+    };
+    log(Event::Started, format_args!("{} on {}", settings.name, settings.peer.bind));
+    let result = wait(failure).await;
+    log(Event::Stopping, format_args!("{}", settings.name));
+    state.set_stopping();
+    if let Some(mut traffic) = traffic {
+        tokio::time::sleep(UNREADY).await;
+        traffic.stop().await;
+    }
+    stop_control(&control, &result).await;
+    log(Event::Stopped, format_args!("{}", settings.name));
+    result
+}
+
+async fn stop_control(control: &Handle, result: &Result<()>) {
+    if result.is_ok() {
+        control.stop().await;
+    }
+}
+
+/// Waits for a signal or for the failure of the control thread.
+async fn wait(failure: oneshot::Receiver<String>) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+        Ok(reason) = failure => {
+            log(Event::DiskFailed, format_args!("{reason}"));
+            Err(Error::stopped(reason))
+        }
+    }
+}
+
+async fn accept_traffic(
+    mut sockets: mpsc::Receiver<std::net::TcpStream>,
+    identity: Arc<Identity>,
+    out: mpsc::Sender<Link<peer::Traffic>>,
+) {
+    while let Some(socket) = sockets.recv().await {
+        let (identity, out) = (identity.clone(), out.clone());
+        tokio::spawn(async move {
+            if let Ok(accepted) = socket::accept_traffic(socket, &identity).await {
+                let _ = out.send(accepted.link()).await;
+            }
+        });
+    }
+}
+
+fn options(
+    settings: &Settings,
+    identity: &Arc<Identity>,
+    traffic: mpsc::Sender<std::net::TcpStream>,
+) -> Result<Options> {
+    let disk = match &settings.data {
+        Some(folder) => Some(Box::new(FileDisk::open(folder)?) as Box<dyn Disk>),
+        None => None,
+    };
+    Ok(Options {
+        instance: record(settings),
+        members: settings.members.clone(),
+        disk,
+        trust: settings.trust,
+        clock: Arc::new(SystemClock::start()),
+        dial: Arc::new(Dialer::new(identity.clone(), Purpose::Control)),
+        listener: bind(settings.peer.bind)?,
+        traffic,
+        identity: identity.clone(),
+    })
+}
+
+/// Record of this run. The incarnation is the wall clock at the start, so that a later run has a
+/// greater one.
+fn record(settings: &Settings) -> Instance {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Instance {
+        name: settings.name.clone(),
+        incarnation: since.as_millis() as u64,
+        peer: settings.peer.advertised,
+        http: settings.http.advertised,
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        entry: settings.callers.is_some(),
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).map_err(|e| {
+        log(Event::ListenFailed, format_args!("{address}: {e}"));
+        e
+    })?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Content of the files that the settings name.
+struct Files {
+    cluster: Secret,
+    http: Secrets,
+    database: Credentials,
+}
+
+impl Files {
+    fn read(settings: &Settings) -> Result<Files> {
+        let secrets = &settings.secrets;
+        Ok(Files {
+            cluster: Secret::new(text(&secrets.cluster)?),
+            http: Secrets {
+                operator: text(&secrets.operator)?,
+                announce: text(&secrets.announce)?,
+            },
+            database: Credentials {
+                user: secrets.user.clone(),
+                password: Some(text(&secrets.password)?),
+            },
+        })
+    }
+}
+
+fn text(file: &Path) -> Result<String> {
+    let text = fs::read_to_string(file).map_err(|e| Error::file(file, &e))?;
+    let text = text.trim();
+    if text.is_empty() {
+        return Err(Error::file(file, &"is empty"));
+    }
+    Ok(text.into())
+}
--- /dev/null
+++ b/crates/transport/src/operator.rs
@@ -0,0 +1,64 @@
+//! Operator interface: changes, status and the configuration in force.
+
+use auburnlug_protocol::operator::{Answer, CHANGE, CONFIG, InForce, Request, STATUS, Status};
+use auburnlug_state::{Command, Machine, Millis, Name};
+use axum::{
+    Json, Router,
+    body::Bytes,
+    extract::State as Shared,
+    http::{HeaderMap, StatusCode},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+
+use crate::{http::State, view::Control};
+
+/// Routes of the operator interface.
+pub(crate) fn routes() -> Router<State> {
+    Router::new().route(CHANGE, post(change)).route(STATUS, get(status)).route(CONFIG, get(config))
+}
+
+async fn change(Shared(state): Shared<State>, headers: HeaderMap, body: Bytes) -> Response {
+    if !state.operator(&headers) {
+        return respond(&Answer::Denied);
+    }
+    match Request::decode(&body) {
+        Err(fault) => respond(&Answer::from(&fault)),
+        Ok(request) => {
+            let command = Command::Configure(request.into());
+            respond(&Answer::from(state.control.propose(command).await))
+        }
+    }
+}
+
+async fn status(Shared(state): Shared<State>, headers: HeaderMap) -> Response {
+    if !state.operator(&headers) {
+        return respond(&Answer::Denied);
+    }
+    let view = state.control.view().borrow().clone();
+    let leader = leader(&state, &view.machine);
+    Json(Status::new(&view.me, leader, &view.machine, age(&state))).into_response()
+}
+
+async fn config(Shared(state): Shared<State>, headers: HeaderMap) -> Response {
+    if !state.operator(&headers) {
+        return respond(&Answer::Denied);
+    }
+    let view = state.control.view().borrow().clone();
+    Json(InForce::new(&view.machine, age(&state))).into_response()
+}
+
+fn respond(answer: &Answer) -> Response {
+    let status = StatusCode::from_u16(answer.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    (status, Json(answer)).into_response()
+}
+
+/// Time since the version in force was last confirmed, in milliseconds.
+fn age(state: &State) -> Millis {
+    state.control.now().saturating_sub(state.control.status().confirmed)
+}
+
+fn leader(state: &State, machine: &Machine) -> Option<std::net::SocketAddr> {
+    let name: Name = state.control.status().leader?;
+    machine.instances.get(&name).map(|instance| instance.http)
+}
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -45,6 +45,9 @@
 /// Largest message on a link, in bytes.
 const MAX_MESSAGE: usize = 300 << 20;
 
+/// First bytes of a traffic link's upgrade request.
+const TRAFFIC_START: &[u8; 12] = b"GET /traffic";
+
 /// Messages written before the socket is flushed.
 const BATCH: usize = 256;
 
@@ -104,25 +107,56 @@
     }
 }
 
-/// Accepts links until the receiver is dropped.
-pub async fn listen(listener: TcpListener, identity: Arc<Identity>, out: mpsc::Sender<Accepted>) {
+/// Accepts links; control links go to `control`, and the sockets of traffic links to `traffic`
+/// before their handshake, so that each kind runs on its own threads.
+pub async fn listen(
+    listener: TcpListener,
+    identity: Arc<Identity>,
+    control: mpsc::Sender<Accepted>,
+    traffic: mpsc::Sender<std::net::TcpStream>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let (identity, out) = (identity.clone(), out.clone());
-        if out.is_closed() {
-            return;
-        }
+        let (identity, control, traffic) = (identity.clone(), control.clone(), traffic.clone());
         tokio::spawn(async move {
-            if let Ok(Ok(accepted)) = timeout(HANDSHAKE, accept(stream, &identity)).await {
-                let _ = out.send(accepted).await;
-            }
+            let sorted = timeout(HANDSHAKE, sort(stream, &identity, &control, &traffic)).await;
+            drop(sorted);
         });
     }
 }
 
+/// Takes a traffic socket from [`listen`] and completes its handshake.
+///
+/// # Errors
+///
+/// The socket failed or the other end is not authentic.
+pub async fn accept_traffic(socket: std::net::TcpStream, identity: &Identity) -> Result<Accepted> {
+    let accepted = timeout(HANDSHAKE, accept(TcpStream::from_std(socket)?, identity)).await;
+    accepted.map_err(|_| Error::closed())?
+}
+
+async fn sort(
+    stream: TcpStream,
+    identity: &Identity,
+    control: &mpsc::Sender<Accepted>,
+    traffic: &mpsc::Sender<std::net::TcpStream>,
+) -> Result<()> {
+    let mut start = [0; TRAFFIC_START.len()];
+    while stream.peek(&mut start).await? < start.len() {
+        // A peek does not wait for more bytes than the first.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    if start == *TRAFFIC_START {
+        let _ = traffic.send(stream.into_std()?).await;
+    } else {
+        let _ = control.send(accept(stream, identity).await?).await;
+    }
+    Ok(())
+}
+
 /// Opens a TCP connection from the configured source address.
 ///
 /// # Errors
@@ -150,7 +184,11 @@
 
 async fn dial(me: &Identity, purpose: Purpose, to: Name, address: SocketAddr) -> Result<Socket> {
     let stream = connect(me.source, address).await?;
-    let url = format!("ws://{address}/");
+    let path = match purpose {
+        Purpose::Control => "control",
+        Purpose::Traffic => "traffic",
+    };
+    let url = format!("ws://{address}/{path}");
     let (mut socket, _) = client_async_with_config(url, stream, Some(config())).await?;
     let hello = Hello { from: me.name.clone(), to, purpose, nonce: nonce() };
     send(&mut socket, &hello).await?;
--- a/crates/transport/src/view.rs
+++ b/crates/transport/src/view.rs
@@ -1,8 +1,8 @@
 //! What traffic threads see of the control state.
 
-use std::{future::Future, pin::Pin, sync::Arc};
+use std::{collections::BTreeMap, future::Future, pin::Pin, sync::Arc};
 
-use auburnlug_state::{Applied, Command, Machine, Millis, Name};
+use auburnlug_state::{Applied, Command, Machine, Millis, Name, Shard};
 use tokio::sync::watch;
 
 /// The replicated state as this instance has applied it.
@@ -14,6 +14,8 @@
     pub machine: Arc<Machine>,
     /// Whether the instance is stopping.
     pub stopping: bool,
+    /// Shards to drain and give up, with the epoch that is meant.
+    pub release: BTreeMap<Shard, u64>,
 }
 
 /// Future answer to a proposal; `None` if the effect is unknown.
