Add a first traffic runtime

Callers had no way to a database server. This adds the callers' side, forwarding to group owners, server connections, status polls and write acknowledgement by a majority; routing is primary only and first in, first out for now. Two tests run a simple and an extended query with tokio-postgres through it.

--- /dev/null
+++ b/crates/transport/src/forward.rs
@@ -0,0 +1,318 @@
+//! Forwards requests to the owners of their groups.
+//!
+//! One link leads to each owner and is shared by all callers; a stream number tells them apart.
+//! While ownership moves, a request that surely has not run is sent again until its wait is over.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use auburnlug_protocol::peer::{Answer, Block, Outcome, Reason, Request, Traffic};
+use auburnlug_state::{Holder, Millis, Name, Shard};
+use tokio::{
+    sync::{Mutex as AsyncMutex, mpsc, mpsc::error::TrySendError, oneshot},
+    time::{Instant, sleep, timeout, timeout_at},
+};
+
+use crate::{
+    link::{Dial, Link},
+    metrics::Metrics,
+    view::Control,
+};
+
+/// Longest time until a held request looks again for the owner.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// Longest time that opening a link may take.
+const DIAL: Duration = Duration::from_secs(1);
+
+/// Time after the end of the lease in which an answer on its way is still passed on.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// Forwards requests over shared links.
+pub(crate) struct Forwarder {
+    control: Arc<dyn Control>,
+    dial: Arc<dyn Dial<Traffic>>,
+    local: mpsc::Sender<Link<Traffic>>,
+    peers: Mutex<BTreeMap<Name, Arc<Slot>>>,
+    streams: AtomicU64,
+    metrics: Arc<Metrics>,
+}
+
+#[derive(Default)]
+struct Slot {
+    peer: Mutex<Option<Arc<Peer>>>,
+    dialing: AsyncMutex<()>,
+}
+
+/// Link to an owner.
+pub(crate) struct Peer {
+    incarnation: u64,
+    out: mpsc::Sender<Traffic>,
+    pending: Mutex<Option<HashMap<u64, oneshot::Sender<Answer>>>>,
+}
+
+/// Stream number of a caller and the link that its last request went to.
+#[derive(Default)]
+pub(crate) struct Track(Mutex<(u64, Option<Arc<Peer>>)>);
+
+impl Track {
+    /// Asks the owner to cancel the running statement.
+    pub(crate) fn cancel(&self) {
+        if let (stream, Some(peer)) = &*lock(&self.0) {
+            peer.tell(Traffic::Cancel { stream: *stream });
+        }
+    }
+
+    /// Tells the owner that the caller is gone or gives up its transaction.
+    pub(crate) fn close(&self) {
+        if let (stream, Some(peer)) = &*lock(&self.0) {
+            peer.forget(*stream);
+            peer.tell(Traffic::Close { stream: *stream });
+        }
+    }
+
+    fn aim(&self, peer: &Arc<Peer>) -> u64 {
+        let mut state = lock(&self.0);
+        state.1 = Some(peer.clone());
+        state.0
+    }
+}
+
+/// An answer and the link that it came from.
+pub(crate) struct Forwarded {
+    /// Answer.
+    pub answer: Answer,
+    /// Link to the owner that runs the caller's transaction.
+    pub peer: Option<Arc<Peer>>,
+}
+
+impl Forwarder {
+    pub(crate) fn new(
+        control: Arc<dyn Control>,
+        dial: Arc<dyn Dial<Traffic>>,
+        local: mpsc::Sender<Link<Traffic>>,
+        metrics: Arc<Metrics>,
+    ) -> Forwarder {
+        let (peers, streams) = (Mutex::default(), AtomicU64::new(1));
+        Forwarder { control, dial, local, peers, streams, metrics }
+    }
+
+    /// Gives `track` a new stream number.
+    ///
+    /// A number is not used again after an attempt was given up, because its answer may still come.
+    pub(crate) fn renew(&self, track: &Track) {
+        *lock(&track.0) = (self.streams.fetch_add(1, Ordering::Relaxed), None);
+    }
+
+    /// Runs `request` at the owner of its group, or at `pin` inside a transaction.
+    pub(crate) async fn run(
+        &self,
+        track: &Track,
+        mut request: Request,
+        pin: Option<Arc<Peer>>,
+    ) -> Forwarded {
+        let deadline = Instant::now() + Duration::from_millis(request.wait);
+        let again = pin.is_none() && matches!(request.block, Block::Single | Block::Begin);
+        let mut last = refused(Reason::Owner);
+        loop {
+            if self.control.now() >= self.control.lease() {
+                return Forwarded { answer: refused(Reason::Lease), peer: None };
+            }
+            let (holder, peer) = match &pin {
+                Some(peer) => (None, Some(peer.clone())),
+                None => self.owner(&request.group).await,
+            };
+            request.wait = deadline.saturating_duration_since(Instant::now()).as_millis() as Millis;
+            let mut kind = "no_owner";
+            if let Some(peer) = peer {
+                let answer = self.attempt(&peer, track, &request, holder).await;
+                if !again || !retryable(&answer.outcome, &request) {
+                    return Forwarded { answer, peer: Some(peer) };
+                }
+                kind =
+                    if answer.outcome == Outcome::Unknown { "unknown_read" } else { "owner_moved" };
+                last = answer;
+            } else if pin.is_some() {
+                return Forwarded { answer: refused(Reason::Owner), peer: None };
+            }
+            if Instant::now() + RETRY >= deadline {
+                return Forwarded { answer: last, peer: None };
+            }
+            self.metrics.retried(kind);
+            let mut view = self.control.view();
+            view.mark_unchanged();
+            // Either a change of the view or the end of the pause leads to the next attempt.
+            let _ = timeout(RETRY, view.changed()).await;
+        }
+    }
+
+    /// Sends the request and waits for its answer.
+    async fn attempt(
+        &self,
+        peer: &Arc<Peer>,
+        track: &Track,
+        request: &Request,
+        holder: Option<Holder>,
+    ) -> Answer {
+        let stream = track.aim(peer);
+        let Some(answer) = peer.expect(stream) else { return refused(Reason::Owner) };
+        let run = Traffic::Run { stream, request: Box::new(request.clone()) };
+        if peer.out.send(run).await.is_err() {
+            return refused(Reason::Owner);
+        }
+        let unknown = || Answer { outcome: Outcome::Unknown, ..refused(Reason::Owner) };
+        let result = tokio::select! {
+            answer = answer => answer.ok(),
+            () = self.moved(&request.group, holder) => None,
+            () = self.lapsed() => None,
+        };
+        result.unwrap_or_else(|| {
+            peer.forget(stream);
+            peer.tell(Traffic::Close { stream });
+            self.renew(track);
+            unknown()
+        })
+    }
+
+    /// Current owner of the group, and a link to it.
+    async fn owner(&self, group: &Name) -> (Option<Holder>, Option<Arc<Peer>>) {
+        let view = self.control.view().borrow().clone();
+        let holder = view.machine.shards.get(&Shard::Group(group.clone())).cloned();
+        let Some(name) = holder.as_ref().and_then(|holder| holder.instance.clone()) else {
+            return (holder, None);
+        };
+        (holder, self.peer(&name).await)
+    }
+
+    /// Link to the instance `name`.
+    pub(crate) async fn peer(&self, name: &Name) -> Option<Arc<Peer>> {
+        let view = self.control.view().borrow().clone();
+        let record = view.machine.instances.get(name);
+        let incarnation = record.map_or(0, |record| record.incarnation);
+        let slot = lock(&self.peers).entry(name.clone()).or_default().clone();
+        if let Some(peer) = slot.current(incarnation) {
+            return Some(peer);
+        }
+        let _guard = slot.dialing.lock().await;
+        if let Some(peer) = slot.current(incarnation) {
+            return Some(peer);
+        }
+        let link = if *name == view.me {
+            let (ours, theirs) = Link::pair(view.me.clone(), view.me.clone());
+            self.local.send(theirs).await.ok()?;
+            ours
+        } else {
+            timeout(DIAL, self.dial.dial(name.clone(), record?.peer)).await.ok()??
+        };
+        let peer = Peer::start(incarnation, link);
+        *lock(&slot.peer) = Some(peer.clone());
+        Some(peer)
+    }
+
+    /// Ends when the group's owner is no longer `holder`.
+    async fn moved(&self, group: &Name, holder: Option<Holder>) {
+        let Some(holder) = holder else { return std::future::pending().await };
+        let shard = Shard::Group(group.clone());
+        let mut view = self.control.view();
+        let other =
+            |view: &Arc<crate::view::View>| view.machine.shards.get(&shard) != Some(&holder);
+        if view.wait_for(other).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
+    async fn lapsed(&self) {
+        lease_end(self.control.as_ref()).await;
+        sleep(GRACE).await;
+    }
+}
+
+impl Slot {
+    fn current(&self, incarnation: u64) -> Option<Arc<Peer>> {
+        let peer = lock(&self.peer).clone()?;
+        (peer.incarnation == incarnation && peer.is_open()).then_some(peer)
+    }
+}
+
+impl Peer {
+    fn start(incarnation: u64, link: Link<Traffic>) -> Arc<Peer> {
+        let pending = Mutex::new(Some(HashMap::new()));
+        let Link { out, mut inbox, .. } = link;
+        let peer = Arc::new(Peer { incarnation, out, pending });
+        let reader = peer.clone();
+        tokio::spawn(async move {
+            while let Some(message) = inbox.recv().await {
+                if let Traffic::Answer { stream, answer } = message {
+                    let waiting =
+                        lock(&reader.pending).as_mut().and_then(|map| map.remove(&stream));
+                    // A caller that is gone waits for nothing.
+                    let _ = waiting.map(|waiting| waiting.send(answer));
+                }
+            }
+            *lock(&reader.pending) = None;
+        });
+        peer
+    }
+
+    /// Sends a message that needs no answer; a closed link drops it.
+    pub(crate) fn tell(&self, message: Traffic) {
+        if let Err(TrySendError::Full(message)) = self.out.try_send(message) {
+            let out = self.out.clone();
+            tokio::spawn(async move { out.send(message).await });
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        !self.out.is_closed() && lock(&self.pending).is_some()
+    }
+
+    fn expect(&self, stream: u64) -> Option<oneshot::Receiver<Answer>> {
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.pending).as_mut()?.insert(stream, sender);
+        Some(receiver)
+    }
+
+    fn forget(&self, stream: u64) {
+        lock(&self.pending).as_mut().and_then(|map| map.remove(&stream));
+    }
+}
+
+/// Whether an answer allows another attempt.
+fn retryable(outcome: &Outcome, request: &Request) -> bool {
+    match outcome {
+        Outcome::Refused { reason, .. } => {
+            matches!(reason, Reason::Owner | Reason::Lease | Reason::Stopping)
+        }
+        Outcome::Unknown => request.idempotent && request.block == Block::Single,
+        Outcome::Done | Outcome::Failed => false,
+    }
+}
+
+/// A refusal as an answer.
+pub(crate) fn refused(reason: Reason) -> Answer {
+    let outcome = Outcome::Refused { reason, retry: 0 };
+    Answer { outcome, messages: Vec::new(), replica: false, position: None }
+}
+
+/// Ends when the instance holds no valid lease.
+pub(crate) async fn lease_end(control: &dyn Control) {
+    loop {
+        let (now, lease) = (control.now(), control.lease());
+        if now >= lease {
+            return;
+        }
+        let end = Instant::now() + Duration::from_millis(lease - now);
+        let _ = timeout_at(end, std::future::pending::<()>()).await;
+    }
+}
+
+/// Locks a mutex; a panic of another holder does not make the data invalid.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/transport/src/frame.rs
@@ -0,0 +1,133 @@
+//! Frames of the PostgreSQL protocol.
+//!
+//! Answers are passed on as bytes, so the stream is cut at message borders without decoding the
+//! bodies. The bodies that matter are decoded and encoded with `pgwire`.
+
+use std::io::{Error, ErrorKind};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use pgwire::messages::{
+    DecodeContext, Message,
+    response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
+};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use auburnlug_protocol::outcome::Fault;
+
+/// Bytes of the type and the length before each body.
+pub(crate) const HEAD: usize = 5;
+
+/// A whole message with its head.
+#[derive(Debug, Clone)]
+pub(crate) struct Frame {
+    /// Message type.
+    pub tag: u8,
+    /// Type, length and body.
+    pub bytes: Bytes,
+}
+
+impl Frame {
+    /// Decodes the message; `None` if it is not well formed.
+    pub(crate) fn decode<M: Message>(&self) -> Option<M> {
+        M::decode(&mut BytesMut::from(&self.bytes[..]), &DecodeContext::default()).ok().flatten()
+    }
+
+    /// Body without the head.
+    pub(crate) fn body(&self) -> &[u8] {
+        self.bytes.get(HEAD..).unwrap_or_default()
+    }
+}
+
+/// Takes the next whole message from `buf`; `limit` bounds its size.
+///
+/// # Errors
+///
+/// The length is not valid or exceeds the limit.
+pub(crate) fn take(buf: &mut BytesMut, limit: usize) -> Result<Option<Frame>, Error> {
+    if buf.len() < HEAD {
+        return Ok(None);
+    }
+    let length = (&buf[1..HEAD]).get_u32() as usize;
+    if length < HEAD - 1 {
+        return Err(Error::new(ErrorKind::InvalidData, "message length below 4"));
+    }
+    if length >= limit {
+        return Err(Error::new(ErrorKind::FileTooLarge, "message above the size limit"));
+    }
+    if buf.len() <= length {
+        buf.reserve(length + 1 - buf.len());
+        return Ok(None);
+    }
+    let bytes = buf.split_to(length + 1).freeze();
+    Ok(Some(Frame { tag: bytes[0], bytes }))
+}
+
+/// Reads the next message.
+///
+/// # Errors
+///
+/// The stream ended, or the message is not valid.
+pub(crate) async fn read<R>(from: &mut R, buf: &mut BytesMut, limit: usize) -> Result<Frame, Error>
+where
+    R: AsyncRead + Unpin,
+{
+    loop {
+        if let Some(frame) = take(buf, limit)? {
+            return Ok(frame);
+        }
+        if from.read_buf(buf).await? == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+/// Messages of a complete sequence; a trailing incomplete one is left out.
+pub(crate) fn frames(bytes: &[u8]) -> Vec<Frame> {
+    let mut buf = BytesMut::from(bytes);
+    let mut list = Vec::new();
+    while let Ok(Some(frame)) = take(&mut buf, usize::MAX) {
+        list.push(frame);
+    }
+    list
+}
+
+/// Appends `message`; a message that cannot be encoded is left out.
+pub(crate) fn put<M: Message>(out: &mut BytesMut, message: &M) {
+    let before = out.len();
+    if message.encode(out).is_err() {
+        out.truncate(before);
+    }
+}
+
+/// Appends an error of the given severity.
+pub(crate) fn put_fault(out: &mut BytesMut, severity: &str, fault: &Fault) {
+    let mut fields = vec![
+        (b'S', severity.to_string()),
+        (b'V', severity.to_string()),
+        (b'C', fault.code.to_string()),
+        (b'M', fault.message.to_string()),
+    ];
+    fields.extend(fault.hint.clone().map(|hint| (b'H', hint)));
+    put(out, &ErrorResponse::new(fields));
+}
+
+/// Appends `ReadyForQuery` with the transaction status `I`, `T` or `E`.
+pub(crate) fn put_ready(out: &mut BytesMut, status: u8) {
+    let status = match status {
+        b'T' => TransactionStatus::Transaction,
+        b'E' => TransactionStatus::Error,
+        _ => TransactionStatus::Idle,
+    };
+    put(out, &ReadyForQuery::new(status));
+}
+
+/// Appends `CommandComplete` with `tag`.
+pub(crate) fn put_complete(out: &mut BytesMut, tag: &str) {
+    put(out, &CommandComplete::new(tag.to_string()));
+}
+
+/// Appends a message without a body.
+pub(crate) fn put_empty(out: &mut BytesMut, tag: u8) {
+    out.put_u8(tag);
+    out.put_u32(4);
+}
--- /dev/null
+++ b/crates/transport/src/metrics.rs
@@ -0,0 +1,134 @@
+//! Counters and gauges of the traffic runtime.
+
+use auburnlug_protocol::peer::{Outcome, Reason};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Label of a counter that is kept by reason or kind.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Label {
+    /// Reason, outcome or part.
+    pub kind: &'static str,
+}
+
+/// Upper bounds of the failover histogram, in seconds.
+const GAP_BOUNDS: [f64; 8] = [0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 3.0];
+
+/// Metrics of an instance's traffic.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Refusals by reason.
+    pub refusals: Family<Label, Counter>,
+    /// Retries by reason.
+    pub retries: Family<Label, Counter>,
+    /// Definite answers by outcome.
+    pub outcomes: Family<Label, Counter>,
+    /// Reads served by replicas.
+    pub replica_reads: Counter,
+    /// Reads served by primaries.
+    pub primary_reads: Counter,
+    /// Open connections of callers.
+    pub callers: Gauge,
+    /// Open connections to database servers, monitors left out.
+    pub connections: Gauge,
+    /// Parts of failover gaps, in seconds.
+    pub failover: Family<Label, Histogram>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut registry = Registry::with_prefix("auburnlug");
+        let refusals = Family::default();
+        registry.register("refusals", "Refused requests by reason", refusals.clone());
+        let retries = Family::default();
+        registry.register("retries", "Retries by reason", retries.clone());
+        let outcomes = Family::default();
+        registry.register("outcomes", "Answered requests by outcome", outcomes.clone());
+        let replica_reads = Counter::default();
+        registry.register("replica_reads", "Reads served by replicas", replica_reads.clone());
+        let primary_reads = Counter::default();
+        registry.register("primary_reads", "Reads served by primaries", primary_reads.clone());
+        let callers = Gauge::default();
+        registry.register("callers", "Open connections of callers", callers.clone());
+        let connections = Gauge::default();
+        registry.register(
+            "connections",
+            "Open connections to database servers",
+            connections.clone(),
+        );
+        let failover = Family::new_with_constructor(histogram as fn() -> Histogram);
+        registry.register("failover_seconds", "Parts of failover gaps", failover.clone());
+        Metrics {
+            registry,
+            refusals,
+            retries,
+            outcomes,
+            replica_reads,
+            primary_reads,
+            callers,
+            connections,
+            failover,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts the definite answer to a request.
+    pub fn answered(&self, outcome: &Outcome) {
+        if let Outcome::Refused { reason, .. } = outcome {
+            self.refusals.get_or_create(&Label { kind: reason_label(*reason) }).inc();
+        }
+        self.outcomes.get_or_create(&Label { kind: outcome_label(outcome) }).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, kind: &'static str) {
+        self.retries.get_or_create(&Label { kind }).inc();
+    }
+
+    /// Records a part of a failover gap, in milliseconds.
+    pub fn gap(&self, kind: &'static str, millis: u64) {
+        let seconds = millis as f64 / 1000.0;
+        self.failover.get_or_create(&Label { kind }).observe(seconds);
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(GAP_BOUNDS)
+}
+
+fn outcome_label(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::Refused { .. } => "refused",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+fn reason_label(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Rate => "rate",
+        Reason::Overload => "overload",
+        Reason::Primary => "primary",
+        Reason::Owner => "owner",
+        Reason::Lease => "lease",
+        Reason::Key => "key",
+        Reason::Stopping => "stopping",
+        Reason::State => "state",
+        Reason::Connection => "connection",
+        Reason::Size => "size",
+    }
+}
--- /dev/null
+++ b/crates/transport/src/owner.rs
@@ -0,0 +1,168 @@
+//! Runtime of the shards that this instance owns.
+//!
+//! Starts and stops groups as ownership changes, and serves the links over which entries, this
+//! instance's own included, send requests.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex},
+};
+
+use auburnlug_protocol::peer::{Reason, Request, Traffic};
+use auburnlug_state::{Name, Shard};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+};
+
+use crate::{
+    forward::{lease_end, lock, refused},
+    group::Group,
+    link::Link,
+    metrics::Metrics,
+    owner_run::Stream,
+    server::Servers,
+    view::{Control, View},
+};
+
+/// Groups owned by this instance.
+pub(crate) struct Owner {
+    control: Arc<dyn Control>,
+    servers: Arc<dyn Servers>,
+    metrics: Arc<Metrics>,
+    groups: Mutex<BTreeMap<Name, Arc<Group>>>,
+}
+
+impl Owner {
+    pub(crate) fn new(
+        control: Arc<dyn Control>,
+        servers: Arc<dyn Servers>,
+        metrics: Arc<Metrics>,
+    ) -> Owner {
+        Owner { control, servers, metrics, groups: Mutex::default() }
+    }
+
+    /// Takes links until the channel closes.
+    pub(crate) async fn listen(self: Arc<Self>, mut inbound: mpsc::Receiver<Link<Traffic>>) {
+        let mut tasks = JoinSet::new();
+        loop {
+            tokio::select! {
+                link = inbound.recv() => match link {
+                    Some(link) => { tasks.spawn(self.clone().serve(link)); }
+                    None => return,
+                },
+                Some(_) = tasks.join_next() => {}
+            }
+        }
+    }
+
+    /// Follows the view: starts and stops groups.
+    pub(crate) async fn follow(self: Arc<Self>) {
+        let mut view = self.control.view();
+        loop {
+            let current = view.borrow_and_update().clone();
+            self.update(&current);
+            tokio::select! {
+                changed = view.changed() => if changed.is_err() {
+                    break;
+                },
+                () = self.lapse(), if !lock(&self.groups).is_empty() => self.close(),
+            }
+        }
+        self.close();
+    }
+
+    /// Stops all groups.
+    pub(crate) fn close(&self) {
+        for group in std::mem::take(&mut *lock(&self.groups)).into_values() {
+            group.close();
+        }
+    }
+
+    async fn lapse(&self) {
+        lease_end(self.control.as_ref()).await;
+    }
+
+    fn update(&self, view: &Arc<View>) {
+        let mut groups = lock(&self.groups);
+        let valid = self.control.now() < self.control.lease();
+        let epoch = |name: &Name| {
+            let holder = view.machine.shards.get(&Shard::Group(name.clone()))?;
+            (valid && holder.instance.as_ref() == Some(&view.me)).then_some(holder.epoch)
+        };
+        groups.retain(|name, group| {
+            let kept = epoch(name) == Some(group.epoch)
+                && view.machine.config.groups.get(name) == Some(&group.config);
+            if !kept {
+                group.close();
+            }
+            kept
+        });
+        for (name, config) in &view.machine.config.groups {
+            let Some(epoch) = epoch(name) else { continue };
+            groups.entry(name.clone()).or_insert_with(|| {
+                let (control, servers) = (self.control.clone(), self.servers.clone());
+                Group::start(
+                    name.clone(),
+                    config.clone(),
+                    epoch,
+                    control,
+                    servers,
+                    self.metrics.clone(),
+                )
+            });
+        }
+        for group in groups.values() {
+            group.update(view);
+        }
+    }
+
+    /// The group, once this instance's view covers what the request was made from.
+    async fn group(&self, request: &Request) -> Option<Arc<Group>> {
+        let mut view: watch::Receiver<Arc<View>> = self.control.view();
+        let wait = std::time::Duration::from_millis(request.wait);
+        let seen = view.wait_for(|view| view.machine.index >= request.index);
+        let current = tokio::time::timeout(wait, seen).await.ok()?.ok()?.clone();
+        if let Some(group) = lock(&self.groups).get(&request.group) {
+            return Some(group.clone());
+        }
+        // The task that follows the view may not have seen this change yet.
+        self.update(&current);
+        lock(&self.groups).get(&request.group).cloned()
+    }
+
+    async fn serve(self: Arc<Self>, link: Link<Traffic>) {
+        let Link { out, mut inbox, .. } = link;
+        let mut streams: HashMap<u64, Arc<Stream>> = HashMap::new();
+        while let Some(message) = inbox.recv().await {
+            match message {
+                Traffic::Run { stream, request } => {
+                    let state = streams.entry(stream).or_default().clone();
+                    let (this, out) = (self.clone(), out.clone());
+                    tokio::spawn(async move {
+                        let answer = match this.group(&request).await {
+                            Some(group) => group.run(&state, *request).await,
+                            None => refused(Reason::Owner),
+                        };
+                        // Without the link, nobody waits for the answer.
+                        let _ = out.send(Traffic::Answer { stream, answer }).await;
+                    });
+                }
+                Traffic::Cancel { stream } => {
+                    if let Some(state) = streams.get(&stream) {
+                        state.cancel(&self.servers);
+                    }
+                }
+                Traffic::Close { stream } => {
+                    if let Some(state) = streams.remove(&stream) {
+                        state.close(&self.servers);
+                    }
+                }
+                _ => {}
+            }
+        }
+        for state in streams.into_values() {
+            state.close(&self.servers);
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/status.rs
@@ -0,0 +1,102 @@
+//! Status of a database server, as its answer to `SHOW auburnlug.status` gives it.
+
+use auburnlug_coordination::Position;
+use auburnlug_state::{Millis, Role, Term};
+use bytes::Buf;
+use pgwire::messages::data::DataRow;
+
+use crate::{frame, server::Reply};
+
+/// Statement that asks for the status.
+pub(crate) const STATUS: &str = "SHOW auburnlug.status";
+
+/// Changes of the log's term that are remembered for a server.
+const MAX_TERMS: usize = 16;
+
+/// Status of a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Status {
+    /// Highest term that the server knows.
+    pub term: Term,
+    pub role: Role,
+    /// Offset stored.
+    pub received: u64,
+    /// Offset visible to reads.
+    pub applied: u64,
+    /// Term of the last entry of its log.
+    pub last: Term,
+    /// Time since it heard from its primary.
+    pub upstream: Millis,
+}
+
+impl Status {
+    /// Reads the row `term, role, received, applied, last_term, upstream_ms`.
+    pub(crate) fn parse(reply: &Reply) -> Option<Status> {
+        let row = frame::frames(&reply.messages).into_iter().find(|frame| frame.tag == b'D')?;
+        let fields = fields(&row.decode::<DataRow>()?)?;
+        let [term, role, received, applied, last, upstream] =
+            <[String; 6]>::try_from(fields).ok()?;
+        Some(Status {
+            term: term.parse().ok()?,
+            role: match role.as_str() {
+                "primary" => Role::Primary,
+                "replica" => Role::Replica,
+                _ => return None,
+            },
+            received: received.parse().ok()?,
+            applied: applied.parse().ok()?,
+            last: last.parse().ok()?,
+            upstream: upstream.parse().unwrap_or(Millis::MAX),
+        })
+    }
+
+    /// Whether the server holds the write at `position` under the position's own term.
+    ///
+    /// A server whose log ends in another term may hold a different entry at that offset.
+    pub(crate) fn holds(&self, position: Position) -> bool {
+        self.term == position.term && self.last == position.term && self.received >= position.offset
+    }
+}
+
+/// Offsets from which on a server's log is known to be of a term.
+///
+/// The status gives the term of the last entry received, which need not be that of the last entry
+/// applied.
+#[derive(Debug, Default)]
+pub(crate) struct Terms {
+    starts: Vec<(u64, Term)>,
+    received: u64,
+}
+
+impl Terms {
+    /// Notes a status.
+    pub(crate) fn note(&mut self, status: &Status) {
+        if status.received < self.received {
+            self.starts.clear();
+        }
+        self.received = status.received;
+        if self.starts.last().is_none_or(|last| last.1 != status.last) {
+            self.starts.push((status.received, status.last));
+            let excess = self.starts.len().saturating_sub(MAX_TERMS);
+            self.starts.drain(..excess);
+        }
+    }
+
+    /// Term that the entry at `offset` has at least; 0 if it is not known.
+    pub(crate) fn at(&self, offset: u64) -> Term {
+        let known = self.starts.iter().rev().find(|start| start.0 <= offset);
+        known.map_or(0, |start| start.1)
+    }
+}
+
+fn fields(row: &DataRow) -> Option<Vec<String>> {
+    let mut data = &row.data[..];
+    let mut list = Vec::new();
+    while data.len() >= 4 {
+        let length = usize::try_from(data.get_i32()).unwrap_or(0);
+        let (field, rest) = data.split_at_checked(length)?;
+        list.push(std::str::from_utf8(field).ok()?.to_string());
+        data = rest;
+    }
+    Some(list)
+}
--- /dev/null
+++ b/crates/transport/tests/common/mod.rs
@@ -0,0 +1,218 @@
+//! Fakes at the border of the traffic runtime: a control state and a database server.
+#![allow(dead_code, unused_imports, clippy::unwrap_used)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use auburnlug_protocol::peer::Traffic;
+use auburnlug_state::{
+    Account, Applied, Class, Command, Group, GroupState, Holder, Index, Instance, Kind, Machine,
+    Millis, Name, Role, Route, Server, Shard,
+};
+use auburnlug_transport::{
+    link::{Dial, Dialing, Link},
+    metrics::Metrics,
+    server::Credentials,
+    traffic::{self, TrafficConfig, TrafficHandle},
+    view::{Control, Proposal, View},
+};
+use sha2::{Digest, Sha256};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+};
+
+pub mod backend;
+pub use backend::{Backend, Script};
+
+pub const KEY: &str = "sohar-key";
+
+pub fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+pub fn hash(key: &str) -> String {
+    hex::encode(Sha256::digest(key))
+}
+
+/// Control state that tests change at will.
+pub struct FakeControl {
+    pub view: watch::Sender<Arc<View>>,
+    pub lease: AtomicU64,
+    pub commands: Mutex<Vec<Command>>,
+    start: Instant,
+}
+
+impl FakeControl {
+    pub fn new(machine: Machine) -> Arc<FakeControl> {
+        let view = View { me: name("a"), machine: Arc::new(machine), stopping: false };
+        Arc::new(FakeControl {
+            view: watch::Sender::new(Arc::new(view)),
+            lease: AtomicU64::new(1 << 40),
+            commands: Mutex::default(),
+            start: Instant::now(),
+        })
+    }
+
+    pub fn change(&self, edit: impl FnOnce(&mut Machine)) {
+        self.view.send_modify(|view| {
+            let mut machine = Machine::clone(&view.machine);
+            machine.index += 1;
+            edit(&mut machine);
+            *view = Arc::new(View { machine: Arc::new(machine), ..View::clone(view) });
+        });
+    }
+}
+
+impl Control for FakeControl {
+    fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.view.subscribe()
+    }
+
+    fn lease(&self) -> Millis {
+        self.lease.load(Ordering::SeqCst)
+    }
+
+    fn now(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis
+    }
+
+    fn propose(&self, command: Command) -> Proposal {
+        self.commands.lock().unwrap().push(command.clone());
+        self.change(|machine| match command {
+            Command::Term { group, term, .. } => {
+                machine.groups.insert(group, GroupState { term, primary: None });
+            }
+            Command::Primary { group, term, server, .. } => {
+                machine.groups.insert(group, GroupState { term, primary: Some(server) });
+            }
+            _ => {}
+        });
+        Box::pin(async { Some(Applied::Done) })
+    }
+}
+
+struct NoDial;
+
+impl Dial<Traffic> for NoDial {
+    fn dial(&self, _: Name, _: SocketAddr) -> Dialing<Traffic> {
+        Box::pin(async { None })
+    }
+}
+
+/// An instance with the given servers; the first one is the primary.
+pub struct Rig {
+    pub control: Arc<FakeControl>,
+    pub handle: TrafficHandle,
+    pub port: u16,
+    pub metrics: Arc<Metrics>,
+    pub backends: Vec<Backend>,
+    _inbound: mpsc::Sender<Link<Traffic>>,
+}
+
+impl Rig {
+    pub async fn start(servers: usize) -> Rig {
+        let mut backends = Vec::new();
+        for index in 0..servers {
+            backends.push(Backend::start(index == 0).await);
+        }
+        let control = FakeControl::new(machine(&backends));
+        Rig::with(control, backends).await
+    }
+
+    pub async fn with(control: Arc<FakeControl>, backends: Vec<Backend>) -> Rig {
+        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let port = callers.local_addr().unwrap().port();
+        let metrics = Arc::new(Metrics::default());
+        let credentials = Credentials { user: "auburnlug".into(), password: Some("secret".into()) };
+        let config = TrafficConfig { callers, credentials, source: None, wait: 1000 };
+        let (inbound, links) = mpsc::channel(4);
+        let handle =
+            traffic::start(config, control.clone(), Arc::new(NoDial), links, metrics.clone());
+        Rig { control, handle, port, metrics, backends, _inbound: inbound }
+    }
+
+    pub fn url(&self) -> String {
+        format!("host=127.0.0.1 port={} user=sohar password={KEY} dbname=loans", self.port)
+    }
+
+    pub async fn connect(&self) -> tokio_postgres::Client {
+        let (client, connection) =
+            tokio_postgres::connect(&self.url(), tokio_postgres::NoTls).await.unwrap();
+        tokio::spawn(connection);
+        client
+    }
+}
+
+/// Replicated state of one instance that owns one group.
+pub fn machine(backends: &[Backend]) -> Machine {
+    let mut machine = Machine { index: 5, version: 5 as Index, ..Machine::default() };
+    let group = Group { size: backends.len() as u32, database: name("loans") };
+    machine.config.groups.insert(name("loans"), group);
+    let account = |keys: BTreeSet<String>| Account { rate: 1000.0, burst: 1000.0, age: 500, keys };
+    machine.config.accounts.insert(name("sohar"), account([hash(KEY)].into()));
+    machine.config.accounts.insert(name("public"), account(BTreeSet::new()));
+    let route = |statement: &str, kind, open| Route {
+        statement: statement.into(),
+        kind,
+        idempotent: kind == Kind::Read,
+        open,
+        class: Class::Interactive,
+    };
+    machine.config.routes = BTreeMap::from([
+        (name("lookup"), route("select status", Kind::Read, false)),
+        (name("hours"), route("select hours", Kind::Read, true)),
+        (name("post"), route("insert into loans", Kind::Write, false)),
+    ]);
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let record = |text: &str| Instance {
+        name: name(text),
+        incarnation: 1,
+        peer: address,
+        http: address,
+        region: name("muscat"),
+        domain: name("d1"),
+        entry: true,
+    };
+    machine.instances.insert(name("a"), record("a"));
+    let owned = Holder { instance: Some(name("a")), epoch: 1 };
+    for account in ["sohar", "public"] {
+        machine.shards.insert(Shard::Account(name(account)), owned.clone());
+    }
+    machine.shards.insert(Shard::Group(name("loans")), owned);
+    machine.groups.insert(name("loans"), GroupState { term: 1, primary: Some(name("s0")) });
+    for (index, backend) in backends.iter().enumerate() {
+        let id = name(&format!("s{index}"));
+        machine.servers.insert(id.clone(), record_of(id, backend));
+    }
+    machine
+}
+
+fn record_of(id: Name, backend: &Backend) -> Server {
+    Server {
+        name: id,
+        group: name("loans"),
+        incarnation: 1,
+        address: backend.address,
+        domain: name("d1"),
+        slots: 3,
+        connections: 20,
+        draining: false,
+        role: if backend.shared.lock().unwrap().primary { Role::Primary } else { Role::Replica },
+        term: 1,
+    }
+}
+
+/// Waits until `done` holds; a test that waits for ever is stopped by its runner.
+pub async fn until(mut done: impl FnMut() -> bool) {
+    while !done() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
