--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,8 +5,11 @@
 mod codec;
 mod error;
 pub mod operator;
+pub mod outcome;
 pub mod peer;
+mod scan;
 pub mod settings;
+pub mod statement;
 
 pub use codec::{decode, encode};
 pub use error::{Category, Error, Result};
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -68,7 +68,7 @@
     let (failed, failure) = oneshot::channel();
     let options = options(settings, &identity, sockets_out)?;
     let control = Arc::new(control::start(options, failed)?);
-    let metrics = Arc::new(Metrics::new());
+    let metrics = Arc::new(Metrics::default());
     let state = http::State::new(control.clone(), metrics.clone(), files.http);
     tokio::spawn(http::serve(http, state.clone()));
     let (links_out, links) = mpsc::channel(QUEUE);
