--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,12 +3,30 @@
 //! Nothing here does I/O. Time, messages and randomness come in as arguments and effects go out as
 //! values, so the same code runs under a test clock.
 
+pub mod acks;
+pub mod allotment;
+pub mod assign;
+pub mod dedup;
+pub mod directory;
+mod error;
+pub mod failover;
+pub mod formation;
+pub mod freshness;
+pub mod lease;
+pub mod limit;
+pub mod queue;
 pub mod raft;
+mod raft_lead;
+mod raft_log;
+mod raft_message;
+pub mod retry;
 pub mod route;
+pub mod session;
 
 use serde::{Deserialize, Serialize};
 
 pub use auburnlug_state::{Millis, Term};
+pub use error::{Category, Error, Result};
 
 /// Position in the log of a database group; ordered by term first.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,3 +1,16 @@
 //! What goes over the wire, and the settings: decoding, checking, encoding.
 
+pub mod announce;
+pub mod auth;
+mod codec;
+mod error;
+pub mod operator;
+pub mod outcome;
 pub mod peer;
+mod scan;
+pub mod settings;
+pub mod statement;
+
+pub use codec::{decode, encode};
+pub use error::{Category, Error, Result};
+pub use settings::Settings;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -5,14 +5,40 @@
 use std::net::SocketAddr;
 
 use auburnlug_coordination::{Position, raft};
-use auburnlug_state::{Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server};
+use auburnlug_state::{
+    Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard,
+};
 use serde::{Deserialize, Serialize};
 
 /// A message on a control link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Control {
     /// Agreement between control members.
-    Raft(raft::Message),
+    Raft {
+        /// Identity of the sender.
+        from: Name,
+        /// Identity that is meant; a member that lost its disk has another one.
+        to: Name,
+        /// Message.
+        message: raft::Message,
+    },
+    /// A member without state asks whether the control group exists.
+    Probe {
+        /// Identity of the sender.
+        identity: Name,
+    },
+    /// Answer to [`Control::Probe`].
+    Probed {
+        /// Identity of the sender.
+        identity: Name,
+        /// Control membership; `None` if the sender has no state either.
+        members: Option<raft::Members>,
+    },
+    /// A member without state asks the leader to be added under a new identity.
+    Join {
+        /// Identity of the sender.
+        identity: Name,
+    },
     /// An instance renews its lease.
     Renew(Renew),
     /// The leader grants a lease.
@@ -54,6 +80,14 @@
         /// Incarnation that stops.
         incarnation: u64,
     },
+    /// The leader asks the holder to give a shard up: to finish its work and then to propose its
+    /// assignment to nobody.
+    Release {
+        /// Shard to give up.
+        shard: Shard,
+        /// Epoch of the holder.
+        epoch: u64,
+    },
 }
 
 /// Request for a lease.
@@ -65,6 +99,8 @@
     pub sent: Millis,
     /// Index that the sender has applied.
     pub index: Index,
+    /// Recorded servers that announced themselves to the sender since its last renewal.
+    pub heard: Vec<Name>,
 }
 
 /// A lease; valid for `span` from `sent`, once `index` is applied.
