--- a/crates/state/src/error.rs
+++ b/crates/state/src/error.rs
@@ -17,6 +17,10 @@
 pub enum Category {
     /// A name has a wrong length or a wrong character.
     Name,
+    /// A value cannot be encoded.
+    Encode,
+    /// Stored bytes are not what was written.
+    Corrupt,
 }
 
 quick_error! {
@@ -25,6 +29,12 @@
         Name(text: String) {
             display("{text:?} is not a name: 1 to 63 characters of a-z, 0-9, '-', '_' and '.'")
         }
+        Encode(text: String) {
+            display("the value cannot be encoded: {text}")
+        }
+        Corrupt(text: &'static str) {
+            display("corrupt record: {text}")
+        }
     }
 }
 
@@ -33,6 +43,8 @@
     pub fn category(&self) -> Category {
         match self.kind {
             Kind::Name(..) => Category::Name,
+            Kind::Encode(..) => Category::Encode,
+            Kind::Corrupt(..) => Category::Corrupt,
         }
     }
 
@@ -40,6 +52,14 @@
         let text = text.chars().take(80).collect();
         Error { kind: Kind::Name(text) }
     }
+
+    pub(crate) fn encode(text: String) -> Error {
+        Error { kind: Kind::Encode(text) }
+    }
+
+    pub(crate) fn corrupt(text: &'static str) -> Error {
+        Error { kind: Kind::Corrupt(text) }
+    }
 }
 
 impl fmt::Debug for Error {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod machine;
 mod name;
+pub mod record;
 
 pub use command::{Change, Command, Edit, Holder, Instance, Role, Server, Shard};
 pub use config::{Account, Class, Config, Group, Kind, Route};
--- /dev/null
+++ b/crates/state/tests/record.rs
@@ -0,0 +1,119 @@
+//! Records on bytes that are whole, cut short or damaged.
+
+// The setting for tests in clippy.toml does not reach helper functions in test files.
+#![allow(clippy::unwrap_used)]
+
+use auburnlug_state::{
+    Category, Error,
+    record::{self, Read},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestRunner},
+};
+
+fn runner(seed: u64) -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
+fn encode(values: &[String]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    values.iter().for_each(|v| record::encode(v, &mut bytes).unwrap());
+    bytes
+}
+
+/// Whole records up to the end, a torn tail or an error.
+fn read_all(mut bytes: &[u8]) -> (Vec<String>, Result<bool, Error>) {
+    let mut values = Vec::new();
+    loop {
+        match record::decode(bytes) {
+            Ok(Read::Record(value, length)) => {
+                values.push(value);
+                bytes = &bytes[length..];
+            }
+            Ok(Read::End) => return (values, Ok(false)),
+            Ok(Read::Torn) => return (values, Ok(true)),
+            Err(e) => return (values, Err(e)),
+        }
+    }
+}
+
+fn values() -> impl Strategy<Value = Vec<String>> {
+    prop::collection::vec("[a-z\\x00]{0,40}", 1..6)
+}
+
+#[test]
+fn a_cut_leaves_whole_records_and_a_torn_tail() {
+    // Guards against whole records that are lost with the tail, and a part that is read as whole.
+    let result = runner(1).run(&(values(), any::<prop::sample::Index>()), |(values, at)| {
+        let bytes = encode(&values);
+        let cut = at.index(bytes.len() + 1);
+        let ends: Vec<usize> = (0..=values.len()).map(|n| encode(&values[..n]).len()).collect();
+        let whole = ends.iter().filter(|end| **end <= cut).count() - 1;
+        let (read, end) = read_all(&bytes[..cut]);
+        prop_assert_eq!(&read, &values[..whole]);
+        prop_assert_eq!(end.unwrap(), !ends.contains(&cut));
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn a_flipped_bit_is_an_error_and_never_a_cut() {
+    // Guards against a flipped length that passes for a torn tail and drops what follows it.
+    let flip = (values(), any::<prop::sample::Index>(), 0..8u32);
+    let result = runner(2).run(&flip, |(values, at, bit)| {
+        let mut bytes = encode(&values);
+        let at = at.index(bytes.len());
+        bytes[at] ^= 1 << bit;
+        let before = (0..=values.len()).filter(|n| encode(&values[..*n]).len() <= at).count() - 1;
+        let (read, end) = read_all(&bytes);
+        prop_assert_eq!(&read, &values[..before]);
+        prop_assert_eq!(end.unwrap_err().category(), Category::Corrupt);
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn random_bytes_give_no_record() {
+    // Guards against a panic, and against an allocation by a length that was never written.
+    let input = prop::collection::vec(any::<u8>(), 0..200);
+    let result = runner(3).run(&input, |bytes| {
+        let (read, _) = read_all(&bytes);
+        prop_assert!(read.is_empty());
+        prop_assert!(record::decode_whole::<String>(&bytes).is_err());
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn zeros_after_the_last_record_are_a_torn_tail() {
+    // Guards against a member that cannot start after a crash that left unwritten blocks.
+    let values = vec!["a".to_owned()];
+    let mut bytes = encode(&values);
+    bytes.resize(bytes.len() + 4096, 0);
+    let (read, end) = read_all(&bytes);
+    assert_eq!((read, end.unwrap()), (values, true));
+}
+
+#[test]
+fn a_whole_file_is_exactly_one_record() {
+    // Guards against a snapshot that is taken although bytes are missing, surplus or of another type.
+    let bytes = record::encode_whole(&"abc").unwrap();
+    assert_eq!(record::decode_whole::<String>(&bytes).unwrap(), "abc");
+    let surplus = [bytes.as_slice(), &[0]].concat();
+    for damaged in [&bytes[..bytes.len() - 1], &[], &surplus] {
+        let error = record::decode_whole::<String>(damaged).unwrap_err();
+        assert_eq!(error.category(), Category::Corrupt);
+    }
+    assert_eq!(record::decode_whole::<u64>(&bytes).unwrap_err().category(), Category::Corrupt);
+    let large = "a".repeat(record::MAX_PAYLOAD);
+    assert_eq!(record::encode_whole(&large).unwrap_err().category(), Category::Encode);
+}
