--- a/crates/coordination/tests/cluster/mod.rs
+++ b/crates/coordination/tests/cluster/mod.rs
@@ -1,7 +1,8 @@
 //! Members under a test clock, with a network and disks that fail on demand.
 //!
 //! Every millisecond the harness checks the invariants: one leader a term, at most one valid leader
-//! lease, and the same committed entry at the same index everywhere.
+//! lease, whose holder knows all that earlier leaders committed, and the same committed entry at
+//! the same index everywhere.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -298,6 +299,9 @@
             let node = &self.nodes[slot];
             if node.raft.lease_valid(self.clock(slot)) {
                 holders.push(node.id.clone());
+                let earlier = self.agreed.values().rev().find(|a| a.0.term < node.raft.term());
+                let known = earlier.is_none_or(|a| a.0.index <= node.raft.commit());
+                assert!(known, "{} has a lease and does not know what is committed", node.id);
             }
             if node.raft.leads() {
                 let leader = self.leaders.entry(node.raft.term()).or_insert(node.id.clone());
