--- a/crates/coordination/tests/formation.rs
+++ b/crates/coordination/tests/formation.rs
@@ -9,7 +9,7 @@
 use auburnlug_state::Name;
 
 fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap()
+    Name::try_from(text).expect("valid name")
 }
 
 fn names(list: &[&str]) -> BTreeSet<Name> {
