--- /dev/null
+++ b/crates/transport/tests/socket.rs
@@ -0,0 +1,84 @@
+//! Links over loopback sockets.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use auburnlug_protocol::{
+    auth::{Purpose, Secret},
+    peer::{Control, Traffic},
+};
+use auburnlug_state::Name;
+use auburnlug_transport::{
+    link::Dial,
+    socket::{self, Accepted, Dialer, Identity},
+};
+use tokio::{net::TcpListener, sync::mpsc};
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).expect("valid name")
+}
+
+fn identity(text: &str, secret: &str) -> Arc<Identity> {
+    Arc::new(Identity { name: name(text), secret: Secret::new(secret), source: None })
+}
+
+struct Listening {
+    address: SocketAddr,
+    control: mpsc::Receiver<Accepted>,
+    traffic: mpsc::Receiver<std::net::TcpStream>,
+}
+
+async fn listen(me: Arc<Identity>) -> Listening {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("bound");
+    let (control_out, control) = mpsc::channel(4);
+    let (traffic_out, traffic) = mpsc::channel(4);
+    tokio::spawn(socket::listen(listener, me, control_out, traffic_out));
+    Listening { address, control, traffic }
+}
+
+#[tokio::test]
+async fn control_link_carries_messages_both_ways() {
+    let mut listening = listen(identity("c1", "same")).await;
+    let dialer = Dialer::<Control>::new(identity("e4", "same"), Purpose::Control);
+    let mut near = dialer.dial(name("c1"), listening.address).await.expect("link");
+    let accepted = listening.control.recv().await.expect("accepted");
+    assert_eq!(accepted.peer, name("e4"));
+    let mut far = accepted.link::<Control>();
+    let messages = [Control::Leave { incarnation: 1 }, Control::Leave { incarnation: 2 }];
+    for message in &messages {
+        near.out.send(message.clone()).await.expect("open");
+    }
+    for message in &messages {
+        assert_eq!(far.inbox.recv().await.as_ref(), Some(message));
+    }
+    far.out.send(messages[0].clone()).await.expect("open");
+    assert_eq!(near.inbox.recv().await.as_ref(), Some(&messages[0]));
+    drop(near);
+    assert_eq!(far.inbox.recv().await, None);
+}
+
+#[tokio::test]
+async fn traffic_sockets_go_to_the_traffic_threads() {
+    let me = identity("e5", "same");
+    let mut listening = listen(me.clone()).await;
+    let dialer = Dialer::<Traffic>::new(identity("e4", "same"), Purpose::Traffic);
+    let dialing = tokio::spawn(dialer.dial(name("e5"), listening.address));
+    let socket = listening.traffic.recv().await.expect("sorted by its first bytes");
+    let accepted = socket::accept_traffic(socket, &me).await.expect("authentic");
+    let near = dialing.await.expect("not cancelled").expect("link");
+    let mut far = accepted.link::<Traffic>();
+    near.out.send(Traffic::Cancel { stream: 9 }).await.expect("open");
+    assert_eq!(far.inbox.recv().await, Some(Traffic::Cancel { stream: 9 }));
+}
+
+/// Guards against an instance that does not hold the cluster secret, and against one that took
+/// over the address of another.
+#[tokio::test]
+async fn strangers_are_refused() {
+    for (me, secret, meant) in [("c1", "other", "c1"), ("c1", "same", "c2")] {
+        let mut listening = listen(identity(me, secret)).await;
+        let dialer = Dialer::<Control>::new(identity("e4", "same"), Purpose::Control);
+        assert!(dialer.dial(name(meant), listening.address).await.is_none(), "{me} {secret}");
+        assert!(listening.control.try_recv().is_err());
+    }
+}
