--- a/crates/coordination/src/allotment.rs
+++ b/crates/coordination/src/allotment.rs
@@ -4,8 +4,9 @@
 
 use crate::limit::{Ask, Grant, TOKEN_LIFE};
 
-/// Time after which an unanswered ask is repeated.
-const ASK_TIMEOUT: Millis = 100;
+/// Time after which an unanswered ask is repeated. Tokens of a grant that comes later are lost, so
+/// this is far above the time of a message between regions.
+const ASK_TIMEOUT: Millis = 250;
 
 /// Time after which used tokens are reported. Tokens count against the burst until then.
 const REPORT_AFTER: Millis = 10;
@@ -173,8 +174,13 @@
     fn tick(&mut self, now: Millis) -> Option<Ask> {
         self.expire(now);
         if let Some(open) = &self.open {
-            let late = now.saturating_sub(open.sent) >= ASK_TIMEOUT;
-            return (late && self.waiting > 0).then(|| self.ask(self.waiting, now));
+            if now.saturating_sub(open.sent) < ASK_TIMEOUT {
+                return None;
+            }
+            self.open = None;
+            if self.waiting > 0 {
+                return Some(self.ask(self.waiting, now));
+            }
         }
         let idle = now.saturating_sub(self.demand.1) >= RETURN_AFTER;
         let back = self.unused > 0 || (self.tokens > 0 && idle);
--- a/crates/coordination/src/dedup.rs
+++ b/crates/coordination/src/dedup.rs
@@ -133,16 +133,11 @@
         }
     }
 
-    /// All remembered ids, for a new standby.
-    pub fn export(&mut self, now: Millis) -> Vec<Key> {
+    /// All remembered ids, for [`Intents::fill`] at a new standby; `None` while ids that were not
+    /// seen are answered with "unknown", because the table is not complete then.
+    pub fn export(&mut self, now: Millis) -> Option<Vec<Key>> {
         self.expire(now);
-        self.states.keys().cloned().collect()
-    }
-
-    /// Whether ids that were not seen are answered with "unknown", so that no complete table can
-    /// be exported.
-    pub fn blind(&self, now: Millis) -> bool {
-        now < self.blind
+        (now >= self.blind).then(|| self.states.keys().cloned().collect())
     }
 
     /// Number of remembered ids.
@@ -184,24 +179,42 @@
 }
 
 /// Request ids that the owner of a group was about to run, at its standby.
+///
+/// The table is complete once the owner has filled it, or has stored every id in it for
+/// [`INTENT_RETENTION`]. An incomplete table must not be used: ids that are missing in it would
+/// count as new.
 #[derive(Debug)]
 pub struct Intents {
     bound: usize,
+    complete: Millis,
     keys: BTreeMap<Key, Millis>,
     order: VecDeque<(Millis, Key)>,
 }
 
 impl Intents {
-    /// An empty table of at most `bound` ids.
-    pub fn new(bound: usize) -> Intents {
-        Intents { bound, keys: BTreeMap::new(), order: VecDeque::new() }
+    /// An empty table of at most `bound` ids, for an owner that uses this standby from `now` on.
+    pub fn new(bound: usize, now: Millis) -> Intents {
+        let complete = now + INTENT_RETENTION;
+        Intents { bound, complete, keys: BTreeMap::new(), order: VecDeque::new() }
+    }
+
+    /// Adds all ids that the owner remembers; false if they do not fit, and the table then stays
+    /// incomplete.
+    pub fn fill(&mut self, keys: Vec<Key>, now: Millis) -> bool {
+        let all = keys.iter().all(|(account, id)| self.store(account, id, now));
+        if all {
+            self.complete = now;
+        }
+        all
     }
 
     /// Stores an id; false if the table is full and the owner must not run the request.
     pub fn store(&mut self, account: &Name, id: &str, now: Millis) -> bool {
         self.expire(now);
         let key = (account.clone(), id.to_owned());
-        if self.keys.len() >= self.bound && !self.keys.contains_key(&key) {
+        // An id that was refused and came again is twice in `order`.
+        let full = self.keys.len() >= self.bound && !self.keys.contains_key(&key);
+        if full || self.order.len() >= 2 * self.bound {
             return false;
         }
         self.keys.insert(key.clone(), now);
@@ -209,10 +222,10 @@
         true
     }
 
-    /// Ids for the new owner.
-    pub fn export(mut self, now: Millis) -> Vec<Key> {
+    /// Ids for the new owner; `None` if the table is not complete.
+    pub fn export(mut self, now: Millis) -> Option<Vec<Key>> {
         self.expire(now);
-        self.keys.into_keys().collect()
+        (now >= self.complete).then(|| self.keys.into_keys().collect())
     }
 
     fn expire(&mut self, now: Millis) {
--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -26,6 +26,15 @@
     pub deviation: f64,
 }
 
+impl Estimate {
+    /// Takes in a sample with the weights of the retransmission timer of TCP (RFC 6298).
+    fn smooth(self, sample: f64) -> Estimate {
+        let error = sample - self.mean;
+        let deviation = self.deviation + (error.abs() - self.deviation) / 4.0;
+        Estimate { mean: self.mean + error / 8.0, deviation }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Replica {
     applied: Position,
@@ -78,11 +87,9 @@
         };
         replica.fresh = fresh;
         let sample = now.saturating_sub(fresh) as f64;
-        let old = replica.delay.unwrap_or(Estimate { mean: sample, deviation: sample / 2.0 });
-        let error = sample - old.mean;
-        replica.delay = Some(Estimate {
-            mean: old.mean + error / 8.0,
-            deviation: old.deviation + (error.abs() - old.deviation) / 4.0,
+        replica.delay = Some(match replica.delay {
+            Some(old) => old.smooth(sample),
+            None => Estimate { mean: sample, deviation: sample / 2.0 },
         });
     }
 
--- /dev/null
+++ b/crates/coordination/tests/dedup.rs
@@ -0,0 +1,86 @@
+//! Request ids: a duplicate never runs twice.
+
+use std::collections::BTreeMap;
+
+use auburnlug_coordination::dedup::{Begin, Intents, RETENTION, Requests};
+use auburnlug_state::Name;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+fn account() -> Name {
+    Name::try_from("a").expect("valid name")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256, rng_seed: RngSeed::Fixed(14), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a second run (P10) over repeats, lost answers and takeovers with or without
+    /// the standby's table.
+    #[test]
+    fn no_id_runs_twice(ops in proptest::collection::vec((0..8u8, 0..10usize, 0..4000u64), 1..150)) {
+        let mut table = Requests::<u32, ()>::new(6, 1000);
+        let mut standby = Intents::new(100, 0);
+        let mut runs = BTreeMap::<String, u64>::new();
+        let mut now = 0;
+        for (op, id, span) in ops {
+            now += span;
+            let id = id.to_string();
+            match op {
+                0..=3 => match table.begin(&account(), &id, (), now) {
+                    Begin::First(()) => {
+                        let last = runs.insert(id.clone(), now);
+                        prop_assert!(last.is_none_or(|at| now - at >= RETENTION), "{id} ran twice");
+                        prop_assert!(standby.store(&account(), &id, now));
+                    }
+                    Begin::Answer((), answer) => prop_assert_eq!(answer.to_string(), id),
+                    _ => {}
+                },
+                4 | 5 => { table.finish(&account(), &id, id.parse().unwrap(), 10, now); }
+                6 => { table.lose(&account(), &id, now); }
+                _ => {
+                    let with = span % 2 == 0;
+                    let old = std::mem::replace(&mut standby, Intents::new(100, now));
+                    let keys = if with { old.export(now) } else { None };
+                    table = Requests::resume(6, 1000, keys, now);
+                    if let Some(keys) = table.export(now) {
+                        prop_assert!(standby.fill(keys, now));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Guards against forgetting under load: a full table refuses new ids and keeps the old ones.
+#[test]
+fn a_full_table_refuses() {
+    let mut table = Requests::<&str, u32>::new(2, 100);
+    assert_eq!(table.begin(&account(), "1", 10, 0), Begin::First(10));
+    assert_eq!(table.begin(&account(), "2", 20, 0), Begin::First(20));
+    assert_eq!(table.begin(&account(), "3", 30, 0), Begin::Full(30));
+    assert_eq!(table.begin(&account(), "1", 11, 0), Begin::Joined);
+    assert_eq!(table.finish(&account(), "1", "first", 200, 5), [11]);
+    assert_eq!(table.finish(&account(), "1", "second", 200, 5), [0u32; 0]);
+    assert_eq!(table.begin(&account(), "1", 12, 6), Begin::Answer(12, "first"));
+    assert_eq!(table.drop(&account(), "2"), [0u32; 0]);
+    assert_eq!(table.begin(&account(), "2", 21, 6), Begin::Full(21), "too many bytes of answers");
+    let later = 5 + RETENTION;
+    assert_eq!(table.begin(&account(), "2", 22, later), Begin::First(22));
+    assert_eq!(table.begin(&account(), "1", 13, later), Begin::First(13));
+}
+
+/// Guards against an id that counts as new because the new owner has no table.
+#[test]
+fn a_new_owner_without_the_table_knows_nothing() {
+    let mut table = Requests::<(), ()>::resume(9, 9, None, 1000);
+    assert_eq!(table.export(1000), None, "an incomplete table is no table for a standby");
+    assert_eq!(Intents::new(9, 1000).export(1000), None);
+    assert_eq!(table.begin(&account(), "1", (), 999 + RETENTION), Begin::Unknown(()));
+    assert_eq!(table.begin(&account(), "1", (), 1000 + RETENTION), Begin::First(()));
+    let keys = vec![(account(), "1".to_owned())];
+    let mut table = Requests::<(), ()>::resume(9, 9, Some(keys), 1000);
+    assert_eq!(table.begin(&account(), "1", (), 1001), Begin::Unknown(()));
+    assert_eq!(table.begin(&account(), "2", (), 1001), Begin::First(()));
+}
--- /dev/null
+++ b/crates/coordination/tests/failover.rs
@@ -0,0 +1,449 @@
+//! Failover: one primary a term, and no acknowledged write lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use auburnlug_coordination::{
+    Position,
+    acks::{Acks, Wait},
+    failover::{Failover, Status, Step},
+};
+use auburnlug_state::{GroupState, Millis, Name, Role, Term};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn name(i: usize) -> Name {
+    Name::try_from(format!("s{i}")).expect("valid name")
+}
+
+fn index(name: &Name) -> usize {
+    name.as_str()[1..].parse().expect("made by name()")
+}
+
+fn at(term: Term, offset: u64) -> Position {
+    Position { term, offset }
+}
+
+/// A database server; its log is durable.
+#[derive(Debug, Clone)]
+struct Server {
+    up: bool,
+    term: Term,
+    role: Role,
+    log: Vec<(Term, u64)>,
+    follows: Option<usize>,
+    heard: Millis,
+}
+
+impl Server {
+    fn received(&self) -> Position {
+        at(self.log.last().map_or(0, |(term, _)| *term), self.log.len() as u64)
+    }
+
+    fn status(&self, now: Millis) -> Status {
+        let upstream = self.follows.map(|_| now - self.heard);
+        Status { term: self.term, role: self.role, received: self.received(), upstream }
+    }
+}
+
+#[derive(Debug)]
+enum Event {
+    /// Step or write of an owner, at a server.
+    Server(u64, usize, Work),
+    Status(u64, usize, Status),
+    Refused(u64, usize),
+    Written(u64, Position, u64),
+    Followed(u64, usize, usize, Term),
+    Propose(u64, GroupState),
+    Agreed(u64, Term),
+    Recorded(GroupState),
+}
+
+#[derive(Debug)]
+enum Work {
+    Poll,
+    Fence(Term),
+    Promote(Term),
+    Follow(usize, Term),
+    Write(u64),
+}
+
+/// One group with its owner and the replicated record, on one clock.
+struct World {
+    rng: ChaCha8Rng,
+    now: Millis,
+    servers: Vec<Server>,
+    cuts: BTreeMap<(usize, usize), Millis>,
+    queue: BTreeMap<(Millis, u64), Event>,
+    serial: u64,
+    group: GroupState,
+    epoch: u64,
+    owner: Failover,
+    acks: Acks,
+    /// Acknowledged writes, and the server that wrote each of their terms.
+    acknowledged: Vec<u64>,
+    promoted: BTreeMap<Term, usize>,
+    faulty: bool,
+}
+
+impl World {
+    fn new(seed: u64, size: usize) -> World {
+        let server = Server {
+            up: true,
+            term: 0,
+            role: Role::Replica,
+            log: Vec::new(),
+            follows: None,
+            heard: 0,
+        };
+        let mut world = World {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            servers: vec![server; size],
+            cuts: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            serial: 0,
+            group: GroupState::default(),
+            epoch: 0,
+            owner: Failover::new(1, &[], GroupState::default(), 0),
+            acks: Acks::new(1, 0),
+            acknowledged: Vec::new(),
+            promoted: BTreeMap::new(),
+            faulty: false,
+        };
+        world.takeover();
+        world
+    }
+
+    fn takeover(&mut self) {
+        let size = self.servers.len();
+        let names: Vec<_> = (0..size).map(name).collect();
+        self.epoch += 1;
+        self.owner = Failover::new(size as u32, &names, self.group.clone(), self.now);
+        self.acks = Acks::new(size as u32, self.group.term);
+    }
+
+    fn send(&mut self, event: Event) {
+        let far = if self.faulty && self.rng.random_ratio(1, 30) { 700 } else { 4 };
+        self.serial += 1;
+        self.queue.insert((self.now + self.rng.random_range(1..=far), self.serial), event);
+    }
+
+    /// Whether the link between two servers works; the owner is number `usize::MAX`.
+    fn linked(&self, a: usize, b: usize) -> bool {
+        self.cuts.get(&(a.min(b), a.max(b))).is_none_or(|until| *until <= self.now)
+    }
+
+    fn serve(&mut self, owner: u64, i: usize, work: Work) {
+        let now = self.now;
+        if !self.linked(i, usize::MAX) {
+            return;
+        }
+        let server = &mut self.servers[i];
+        if !server.up {
+            return self.send(Event::Refused(owner, i));
+        }
+        match work {
+            Work::Poll => {}
+            Work::Fence(term) if term > server.term => {
+                (server.term, server.role, server.follows) = (term, Role::Replica, None);
+            }
+            Work::Promote(term) if term == server.term => {
+                server.role = Role::Primary;
+                let other = self.promoted.insert(term, i);
+                assert!(other.is_none_or(|j| j == i), "two primaries in term {term}");
+            }
+            Work::Follow(primary, term) if term >= server.term => {
+                (server.term, server.role) = (term, Role::Replica);
+                (server.follows, server.heard) = (Some(primary), now);
+                return self.send(Event::Followed(owner, i, primary, term));
+            }
+            Work::Write(id) if server.role == Role::Primary => {
+                server.log.push((server.term, id));
+                let position = server.received();
+                return self.send(Event::Written(owner, position, id));
+            }
+            _ => {}
+        }
+        let status = self.servers[i].status(now);
+        self.send(Event::Status(owner, i, status));
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (now, epoch) = (self.now, self.epoch);
+        match event {
+            Event::Server(owner, i, work) => self.serve(owner, i, work),
+            Event::Status(owner, i, status) if owner == epoch && self.linked(i, usize::MAX) => {
+                self.owner.status(&name(i), status, now);
+                let done = self.acks.status(&name(i), status.term, status.received);
+                self.done(done);
+            }
+            Event::Refused(owner, i) if owner == epoch => self.owner.refused(&name(i)),
+            Event::Written(owner, position, id) if owner == epoch => {
+                let done = self.acks.wait(position, id) == Wait::Acknowledged;
+                self.done(done.then_some(id).into_iter().collect());
+            }
+            Event::Followed(owner, i, primary, term) if owner == epoch => {
+                self.owner.followed(&name(i), &name(primary), term);
+            }
+            Event::Propose(owner, state) => {
+                let next = state.primary.is_none() && state.term == self.group.term + 1;
+                let primary = state.primary.is_some() && state.term == self.group.term;
+                if owner == epoch && (next || primary) {
+                    self.group = state.clone();
+                    if next && !(self.faulty && self.rng.random_ratio(1, 5)) {
+                        self.send(Event::Agreed(owner, state.term));
+                    }
+                    self.send(Event::Recorded(state));
+                }
+            }
+            Event::Agreed(owner, term) if owner == epoch => self.owner.agreed(term, now),
+            Event::Recorded(state) => self.owner.recorded(&state, now),
+            _ => {}
+        }
+    }
+
+    fn done(&mut self, ids: Vec<u64>) {
+        for id in ids {
+            self.owner.acknowledged(self.now);
+            self.acknowledged.push(id);
+        }
+    }
+
+    fn act(&mut self, step: Step) {
+        let epoch = self.epoch;
+        let to = |name: &Name, work| Event::Server(epoch, index(name), work);
+        let event = match step {
+            Step::Poll(name) => to(&name, Work::Poll),
+            Step::Fence(name, term) => to(&name, Work::Fence(term)),
+            Step::Promote(name, term) => to(&name, Work::Promote(term)),
+            Step::Follow { server, primary, term } => {
+                to(&server, Work::Follow(index(&primary), term))
+            }
+            Step::Term(term) => Event::Propose(epoch, GroupState { term, primary: None }),
+            Step::Primary(name, term) => {
+                Event::Propose(epoch, GroupState { term, primary: Some(name) })
+            }
+            Step::Resign => return self.takeover(),
+        };
+        self.send(event);
+    }
+
+    /// Replicas copy what they lack, in small parts, so that they fall behind.
+    fn replicate(&mut self) {
+        for i in 0..self.servers.len() {
+            let Some(p) = self.servers[i].follows.filter(|p| self.linked(i, *p)) else { continue };
+            let [server, source] = self.servers.get_disjoint_mut([i, p]).expect("two servers");
+            let leads = source.up && source.role == Role::Primary && source.term == server.term;
+            if !server.up || !leads {
+                continue;
+            }
+            server.heard = self.now;
+            // Ids are unique, so logs that hold the same record are equal up to it.
+            while server.log.last().is_some_and(|x| source.log.get(server.log.len() - 1) != Some(x))
+            {
+                server.log.pop();
+            }
+            let from = server.log.len();
+            server.log.extend(source.log.iter().skip(from).take(self.rng.random_range(0..3)));
+        }
+    }
+
+    fn disturb(&mut self) {
+        let size = self.servers.len();
+        let i = self.rng.random_range(0..size);
+        match self.rng.random_range(0..6) {
+            0 => self.servers[i].up = false,
+            1 | 2 => {
+                let server = &mut self.servers[i];
+                if !server.up && self.rng.random_bool(0.5) {
+                    server.role = Role::Replica;
+                }
+                server.up = true;
+            }
+            3 | 4 => {
+                let j = if self.rng.random_bool(0.4) { usize::MAX } else { (i + 1) % size };
+                let until = self.now + self.rng.random_range(50..2500);
+                self.cuts.insert((i.min(j), i.max(j)), until);
+            }
+            _ if self.rng.random_bool(0.3) => self.takeover(),
+            _ => {}
+        }
+    }
+
+    fn run(&mut self, span: Millis, faults: bool) {
+        self.faulty = faults;
+        for _ in 0..span {
+            self.now += 1;
+            while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
+                let event = entry.remove();
+                self.handle(event);
+            }
+            if faults && self.now.is_multiple_of(150) {
+                self.disturb();
+            }
+            self.acks.reset(self.owner.term());
+            if let Some(primary) = self.owner.primary().filter(|_| self.now.is_multiple_of(5)) {
+                let i = index(primary);
+                self.send(Event::Server(self.epoch, i, Work::Write(self.now)));
+            }
+            self.replicate();
+            let busy = self.acks.busy();
+            self.owner.hurry(busy);
+            for step in self.owner.tick(self.now) {
+                self.act(step);
+            }
+        }
+    }
+
+    /// Ends all faults and checks that the group serves and holds every acknowledged write.
+    fn settle(&mut self) {
+        self.cuts.clear();
+        self.servers.iter_mut().for_each(|s| s.up = true);
+        let before = self.acknowledged.len();
+        self.run(8000, false);
+        assert!(self.acknowledged.len() > before + 100, "no service: {:?}", self.owner);
+        let i = index(self.owner.primary().expect("a primary serves"));
+        let log: BTreeSet<_> = self.servers[i].log.iter().map(|(_, id)| *id).collect();
+        for id in &self.acknowledged {
+            assert!(log.contains(id), "write {id} is lost");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64, rng_seed: RngSeed::Fixed(16), failure_persistence: None, max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a lost acknowledged write, two primaries in one term and a group that never
+    /// serves again (P2), over kills, cuts, lag, late messages and changes of owner.
+    #[test]
+    fn acknowledged_writes_survive(seed: u64, size in prop::sample::select(vec![1usize, 3, 5])) {
+        let mut world = World::new(seed, size);
+        world.run(2000, false);
+        prop_assert!(world.acknowledged.len() > 50, "no service at the start");
+        world.run(12_000, true);
+        world.settle();
+    }
+}
+
+/// An owner of three servers in term 1 with primary s0 and fresh statuses of the others.
+fn three(primary: Option<Status>, upstream: [Millis; 2], refused: bool) -> Vec<Step> {
+    let names: Vec<_> = (0..3).map(name).collect();
+    let recorded = GroupState { term: 1, primary: Some(name(0)) };
+    let mut owner = Failover::new(3, &names, recorded, 0);
+    let mut steps = Vec::new();
+    for now in (10..=800).step_by(10) {
+        if let Some(status) = primary {
+            owner.status(&name(0), status, now);
+        }
+        for (i, span) in [(1, upstream[0]), (2, upstream[1])] {
+            let upstream = Some(span);
+            let status = Status { term: 1, role: Role::Replica, received: at(1, 5), upstream };
+            owner.status(&name(i), status, now);
+        }
+        if refused {
+            owner.refused(&name(0));
+        }
+        steps.extend(owner.tick(now).into_iter().filter(|s| !matches!(s, Step::Poll(_))));
+    }
+    steps
+}
+
+/// Guards against a promotion on thin evidence, and against a failure that is not acted on.
+#[test]
+fn evidence() {
+    let up = |role| Some(Status { term: 1, role, received: at(1, 5), upstream: None });
+    let table = [
+        ("all well", up(Role::Primary), [10, 10], false, false),
+        (
+            "answers, replicas hear nothing for a moment",
+            up(Role::Primary),
+            [400, 400],
+            false,
+            false,
+        ),
+        ("answers, but cut from its replicas", up(Role::Primary), [2000, 2000], false, true),
+        ("silent to the owner only", None, [10, 10], false, false),
+        ("silent, one replica still hears it", None, [400, 10], false, false),
+        ("silent to everyone", None, [400, 400], false, true),
+        ("refused, but the replicas still hear it", None, [10, 10], true, false),
+        ("refused, and the replicas hear nothing", None, [300, 300], true, true),
+        ("restarted as a replica", up(Role::Replica), [10, 10], false, true),
+    ];
+    for (case, primary, upstream, refused, starts) in table {
+        let steps = three(primary, upstream, refused);
+        assert_eq!(steps.contains(&Step::Term(2)), starts, "{case}: {steps:?}");
+    }
+}
+
+/// Guards against the loss of data from before the first use, and against a term that another
+/// system has used.
+#[test]
+fn first_use_takes_the_greatest_position_and_prefers_the_claim() {
+    for (positions, chosen) in [([5, 5, 5], 1), ([6, 5, 5], 0), ([4, 6, 6], 1)] {
+        let names: Vec<_> = (0..3).map(name).collect();
+        let mut owner = Failover::new(3, &names, GroupState::default(), 0);
+        let mut term = 0;
+        let mut fenced = [3; 3];
+        let mut promoted = None;
+        for now in 1..400 {
+            for step in owner.tick(now) {
+                match step {
+                    Step::Term(next) if next == term + 1 => {
+                        term = next;
+                        owner.agreed(term, now);
+                    }
+                    Step::Fence(name, at) => {
+                        let i = index(&name);
+                        fenced[i] = at.max(fenced[i]);
+                    }
+                    Step::Promote(name, at) => promoted = promoted.or(Some((name, at))),
+                    _ => {}
+                }
+            }
+            for i in 0..3 {
+                let role = if i == 1 && fenced[i] == 3 { Role::Primary } else { Role::Replica };
+                let received = at(3, positions[i]);
+                let status = Status { term: fenced[i], role, received, upstream: None };
+                owner.status(&name(i), status, now);
+            }
+        }
+        let (server, term) = promoted.expect("a server is promoted");
+        assert_eq!(server, name(chosen), "{positions:?}");
+        assert!(term > 3, "term {term} was in use");
+    }
+}
+
+/// Guards against the use of a term that another owner may have recorded, and against an owner
+/// that keeps a group which it cannot reach.
+#[test]
+fn a_term_without_an_answer_is_skipped() {
+    let names: Vec<_> = (0..3).map(name).collect();
+    let mut owner = Failover::new(3, &names, GroupState { term: 4, primary: None }, 0);
+    assert!(owner.tick(1).contains(&Step::Term(5)));
+    owner.recorded(&GroupState { term: 5, primary: None }, 10);
+    let steps: Vec<_> = (11..600).flat_map(|now| owner.tick(now)).collect();
+    assert!(!steps.iter().any(|s| matches!(s, Step::Fence(..))), "{steps:?}");
+    assert!(steps.contains(&Step::Term(6)));
+    assert!((600..2100).any(|now| owner.tick(now).contains(&Step::Resign)));
+}
+
+/// Guards against an acknowledgement without a majority of the current term.
+#[test]
+fn only_a_majority_of_the_term_acknowledges() {
+    let mut acks = Acks::new(3, 2);
+    assert_eq!(acks.wait(at(1, 9), 1), Wait::Unknown);
+    assert_eq!(acks.wait(at(2, 10), 2), Wait::Pending);
+    assert_eq!(acks.wait(at(2, 12), 3), Wait::Pending);
+    assert!(acks.status(&name(0), 2, at(2, 12)).is_empty(), "one of three");
+    assert!(acks.status(&name(0), 2, at(2, 12)).is_empty(), "the same one twice");
+    assert!(acks.status(&name(1), 3, at(2, 12)).is_empty(), "fenced with a higher term");
+    assert!(acks.status(&name(1), 2, at(1, 99)).is_empty(), "records of an earlier term");
+    assert_eq!(acks.status(&name(2), 2, at(2, 11)), [2]);
+    assert_eq!(acks.wait(at(2, 11), 4), Wait::Acknowledged);
+    assert_eq!(acks.reset(3), [3]);
+    assert!(!acks.busy());
+}
--- /dev/null
+++ b/crates/coordination/tests/limit.rs
@@ -0,0 +1,232 @@
+//! Rates: admissions stay within burst and rate in every window, and nothing is refused while the
+//! rate owner has a token.
+
+use std::collections::BTreeMap;
+
+use auburnlug_coordination::{
+    allotment::{Admit, Allotment, EvenSplit, Granted, Limit},
+    limit::{Ask, Bucket, Grant, TOKEN_LIFE},
+};
+use auburnlug_state::{Millis, Name};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(seed);
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).expect("valid name")
+}
+
+enum Message {
+    Ask(usize, Ask),
+    Grant(usize, u64, Grant),
+}
+
+/// Faults of a run, each as a probability in percent.
+struct Faults {
+    lost: u32,
+    doubled: u32,
+    late: u32,
+    restart: u32,
+    moved: u32,
+}
+
+/// Three group owners and one rate owner, on one clock.
+struct Fleet {
+    rng: ChaCha8Rng,
+    faults: Faults,
+    bucket: Bucket,
+    holders: Vec<Allotment>,
+    network: BTreeMap<(Millis, u64), Message>,
+    sent: u64,
+    admitted: Vec<Millis>,
+    refused: u32,
+    /// Greatest level left in the bucket by an ask that it did not grant in full.
+    left: f64,
+}
+
+impl Fleet {
+    fn new(seed: u64, rate: f64, burst: f64, faults: Faults) -> Fleet {
+        Fleet {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            faults,
+            bucket: Bucket::new(rate, burst, 0),
+            holders: (0..3).map(|_| Allotment::new(0)).collect(),
+            network: BTreeMap::new(),
+            sent: 0,
+            admitted: Vec::new(),
+            refused: 0,
+            left: 0.0,
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..1000) < percent * 10
+    }
+
+    fn send(&mut self, now: Millis, make: impl Fn() -> Message) {
+        let copies = 1 + u32::from(self.chance(self.faults.doubled));
+        for _ in 0..copies {
+            if self.chance(self.faults.lost) {
+                continue;
+            }
+            let span = if self.chance(self.faults.late) { 900 } else { 10 };
+            let at = now + self.rng.random_range(1..=span);
+            self.sent += 1;
+            self.network.insert((at, self.sent), make());
+        }
+    }
+
+    fn request(&mut self, i: usize, now: Millis) {
+        match self.holders[i].admit(now) {
+            Admit::Now => self.admitted.push(now),
+            Admit::Ask(ask) => self.send(now, || Message::Ask(i, ask)),
+            Admit::Wait => {}
+            Admit::Refused { .. } => self.refused += 1,
+        }
+    }
+
+    fn deliver(&mut self, message: Message, now: Millis) {
+        match message {
+            Message::Ask(i, ask) => {
+                let holder = name(&format!("holder-{i}"));
+                let Some(grant) = self.bucket.take(&holder, ask, now) else { return };
+                if grant.count < ask.count {
+                    assert!(grant.retry > 0, "a refusal states when to come again");
+                    self.left = self.left.max(self.bucket.level(now));
+                }
+                self.send(now, || Message::Grant(i, ask.id, grant));
+            }
+            Message::Grant(i, id, grant) => {
+                let Granted { admitted, refused, ask, .. } =
+                    self.holders[i].granted(id, grant, now);
+                self.admitted.extend((0..admitted).map(|_| now));
+                self.refused += refused;
+                if let Some(ask) = ask {
+                    self.send(now, || Message::Ask(i, ask));
+                }
+            }
+        }
+    }
+
+    fn disturb(&mut self, rate: f64, burst: f64, now: Millis) {
+        if now.is_multiple_of(100) && self.chance(self.faults.restart) {
+            let i = self.rng.random_range(0..3);
+            self.holders[i] = Allotment::new(now << 20);
+        }
+        if now.is_multiple_of(100) && self.chance(self.faults.moved) {
+            let graceful = self.rng.random_bool(0.5);
+            let old = std::mem::replace(&mut self.bucket, Bucket::empty(rate, burst, 0, now));
+            if graceful {
+                let (level, held) = old.handover(now);
+                self.bucket = Bucket::restore(rate, burst, level, held, now);
+            }
+        }
+    }
+
+    /// Runs `span` ms with `load` requests a second, most of them at the first holder.
+    fn run(&mut self, span: Millis, load: f64, rate: f64, burst: f64) {
+        for now in 0..span {
+            self.disturb(rate, burst, now);
+            while let Some(entry) = self.network.first_entry().filter(|e| e.key().0 <= now) {
+                let message = entry.remove();
+                self.deliver(message, now);
+            }
+            let mut due = load / 1000.0;
+            while self.rng.random_bool(due.min(1.0)) {
+                let i = [0, 0, 0, 0, 1, 2][self.rng.random_range(0..6)];
+                self.request(i, now);
+                due -= 1.0;
+                if due <= 0.0 {
+                    break;
+                }
+            }
+            for i in 0..3 {
+                if let Some(ask) = self.holders[i].tick(now) {
+                    self.send(now, || Message::Ask(i, ask));
+                }
+            }
+        }
+    }
+}
+
+/// Whether no window of length T holds more than burst + rate * T admissions.
+fn within(admitted: &[Millis], rate: f64, burst: f64) -> bool {
+    let (mut level, mut at) = (burst, 0);
+    admitted.iter().all(|&now| {
+        level = (level + (now - at) as f64 * rate / 1000.0).min(burst) - 1.0;
+        at = now;
+        level > -1e-6
+    })
+}
+
+proptest! {
+    #![proptest_config(config(96, 11))]
+
+    /// Guards against admission above the rate through tokens counted twice or used too late.
+    #[test]
+    fn no_window_exceeds_burst_and_rate(
+        seed: u64, rate in 5.0..400.0f64, burst in 1.0..60.0f64, flood in 0.5..5.0f64,
+        lost in 0..30u32, doubled in 0..30u32, late in 0..30u32,
+        restart in 0..30u32, moved in 0..20u32,
+    ) {
+        let faults = Faults { lost, doubled, late, restart, moved };
+        let mut fleet = Fleet::new(seed, rate, burst, faults);
+        fleet.run(4000, rate * flood, rate, burst);
+        prop_assert!(within(&fleet.admitted, rate, burst), "{} admitted", fleet.admitted.len());
+    }
+
+    /// Guards against refusals while the fleet-wide bucket has a token.
+    #[test]
+    fn nothing_is_refused_while_a_token_is_left(
+        seed: u64, rate in 20.0..400.0f64, burst in 5.0..60.0f64, flood in 0.5..5.0f64,
+    ) {
+        let none = Faults { lost: 0, doubled: 0, late: 0, restart: 0, moved: 0 };
+        let mut fleet = Fleet::new(seed, rate, burst, none);
+        fleet.run(4000, rate * flood, rate, burst);
+        prop_assert!(fleet.left < 1.0, "{} tokens left at a refusal", fleet.left);
+        prop_assert!(fleet.refused > 0 || flood < 2.0);
+    }
+}
+
+/// Guards against wrongful refusals when traffic within the rate is uneven: the fleet-wide bucket
+/// admits all of it, the even split does not.
+#[test]
+fn uneven_traffic_within_the_rate_is_admitted() {
+    let none = Faults { lost: 0, doubled: 0, late: 0, restart: 0, moved: 0 };
+    let mut fleet = Fleet::new(7, 100.0, 30.0, none);
+    fleet.run(10_000, 70.0, 100.0, 30.0);
+    assert_eq!(fleet.refused, 0);
+    let mut split = EvenSplit::new(100.0, 30.0, 3, 0);
+    let refused = (0..10_000).step_by(15).filter(|&t| split.admit(t) != Admit::Now).count();
+    assert!(refused > 100, "{refused}");
+}
+
+/// Guards against a second burst from tokens that the former owner granted.
+#[test]
+fn a_takeover_grants_nothing_while_old_tokens_live() {
+    let mut bucket = Bucket::empty(100.0, 10.0, 0, 1000);
+    let ask = |id| Ask { id, count: 5, demand: 0, returned: 0 };
+    let early = bucket.take(&name("a"), ask(1), 1000 + TOKEN_LIFE).unwrap();
+    assert_eq!(early.count, 0);
+    let later = bucket.take(&name("a"), ask(2), 1000 + TOKEN_LIFE + 50).unwrap();
+    assert_eq!(later, Grant { count: 5, retry: 0 });
+    let mut quiet = Bucket::empty(100.0, 10.0, TOKEN_LIFE, 1000);
+    assert_eq!(quiet.take(&name("a"), ask(1), 1050).unwrap().count, 5);
+}
+
+/// Guards against a new burst through a change of the configuration.
+#[test]
+fn a_changed_rate_applies_at_once() {
+    let mut bucket = Bucket::new(10.0, 10.0, 0);
+    bucket.set(10.0, 3.0, 0);
+    let all = Ask { id: 1, count: 9, demand: 9, returned: 0 };
+    assert_eq!(bucket.take(&name("a"), all, 0).unwrap(), Grant { count: 3, retry: 600 });
+    bucket.set(1000.0, 9.0, 0);
+    let again = Ask { id: 2, count: 9, demand: 9, returned: 0 };
+    assert_eq!(bucket.take(&name("a"), again, 4).unwrap(), Grant { count: 4, retry: 5 });
+}
--- /dev/null
+++ b/crates/coordination/tests/retry.rs
@@ -0,0 +1,55 @@
+//! Retries: which failures lead to another server, and how many.
+
+use auburnlug_coordination::retry::{Attempts, Budget, Failure, Next};
+use auburnlug_state::Name;
+
+/// Guards against a second run of a non-idempotent statement and against false "not run" answers.
+#[test]
+fn outcomes() {
+    use Failure::{Lost, Statement, Stopping, Unsent};
+    use Next::{Elsewhere, Refuse, Report, Unknown};
+    let table = [
+        ("idempotent, unsent", true, Unsent, true, Elsewhere),
+        ("idempotent, lost", true, Lost, true, Elsewhere),
+        ("idempotent, stopping", true, Stopping, true, Elsewhere),
+        ("idempotent, own error", true, Statement, true, Report),
+        ("idempotent, lost, no budget", true, Lost, false, Unknown),
+        ("idempotent, unsent, no budget", true, Unsent, false, Refuse),
+        ("non-idempotent, unsent", false, Unsent, true, Elsewhere),
+        ("non-idempotent, unsent, no budget", false, Unsent, false, Refuse),
+        ("non-idempotent, lost", false, Lost, true, Unknown),
+        ("non-idempotent, stopping", false, Stopping, true, Unknown),
+        ("non-idempotent, own error", false, Statement, true, Report),
+    ];
+    let server = Name::try_from("s1").unwrap();
+    for (case, idempotent, failure, budget, next) in table {
+        let mut left = Budget::new(0);
+        assert!(budget || left.take(0));
+        let mut attempts = Attempts { idempotent, ..Attempts::default() };
+        assert_eq!(attempts.failed(&server, failure, &mut left, 0), next, "{case}");
+        assert!(attempts.servers.contains(&server), "{case}");
+    }
+}
+
+/// Guards against "not run" after an earlier attempt was sent.
+#[test]
+fn an_attempt_that_was_sent_is_not_forgotten() {
+    let mut budget = Budget::new(0);
+    let mut attempts = Attempts { idempotent: true, ..Attempts::default() };
+    let [a, b] = ["a", "b"].map(|n| Name::try_from(n).unwrap());
+    assert_eq!(attempts.failed(&a, Failure::Lost, &mut budget, 0), Next::Elsewhere);
+    assert_eq!(attempts.failed(&b, Failure::Unsent, &mut budget, 0), Next::Unknown);
+}
+
+/// Guards against retries that multiply the load of a failing group.
+#[test]
+fn retries_stay_at_a_tenth_of_reads() {
+    let mut budget = Budget::new(0);
+    let taken = (0..10_000).filter(|_| {
+        budget.read();
+        budget.take(0)
+    });
+    assert!(taken.count() <= 1001);
+    let idle = (0..10u64).filter(|s| budget.take(s * 1000)).count();
+    assert!((9..=10).contains(&idle), "{idle}");
+}
--- /dev/null
+++ b/crates/coordination/tests/route.rs
@@ -0,0 +1,149 @@
+//! Choice of server: position and age are never violated.
+
+use auburnlug_coordination::{
+    Position,
+    freshness::Freshness,
+    route::{Balanced, Candidate, Choice, Need, PAUSE_MAX, PrimaryOnly, Route},
+};
+use auburnlug_state::Name;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).expect("valid name")
+}
+
+fn at(offset: u64) -> Position {
+    Position { term: 1, offset }
+}
+
+fn candidate(text: &str, primary: bool, free: u32) -> Candidate {
+    let (name, domain) = (name(text), name("d"));
+    let (applied, fresh) = (at(100), 1000);
+    Candidate {
+        name,
+        primary,
+        open: true,
+        applied,
+        fresh,
+        free,
+        slots: 3,
+        latency: 500,
+        domain,
+        behind: None,
+    }
+}
+
+fn read() -> Need {
+    Need { floor: at(100), age: 50, primary: false, paused: 0 }
+}
+
+/// Guards against stale reads, work for a draining server and waits without end.
+#[test]
+fn choices() {
+    type Case = (&'static str, fn(&mut Need, &mut [Candidate; 3]), Choice);
+    let server = |text| Choice::Server(name(text));
+    let table: [Case; 12] = [
+        ("replica first, most free slots", |_, c| c[1].free = 1, server("r2")),
+        ("then failure domain", |_, c| c[1].domain = name("other"), server("r2")),
+        ("then latency", |_, c| c[1].latency = 900, server("r2")),
+        ("a write", |n, _| n.primary = true, server("p")),
+        ("draining", |_, c| c[1].open = false, server("r2")),
+        ("behind the floor", |n, _| n.floor = at(101), server("p")),
+        ("too old", |n, _| n.age = 9, server("p")),
+        ("no slot anywhere", |_, c| c.iter_mut().for_each(|c| c.free = 0), Choice::Wait),
+        ("primary draining", |n, c| (n.primary, c[0].open) = (true, false), Choice::Wait),
+        (
+            "busy primary, replica soon",
+            |n, c| {
+                (n.floor, c[0].free, c[1].behind) = (at(101), 1, Some(3));
+            },
+            Choice::Pause(3),
+        ),
+        (
+            "free primary, replica soon",
+            |n, c| {
+                (n.floor, c[1].behind) = (at(101), Some(3));
+            },
+            server("p"),
+        ),
+        (
+            "waited before",
+            |n, c| {
+                (n.floor, n.paused, c[0].free, c[1].behind) = (at(101), 3, 1, Some(3));
+            },
+            server("p"),
+        ),
+    ];
+    for (case, edit, choice) in table {
+        let mut need = read();
+        let mut all =
+            [candidate("p", true, 3), candidate("r1", false, 3), candidate("r2", false, 3)];
+        edit(&mut need, &mut all);
+        assert_eq!(Balanced::new(name("d")).choose(&need, &all, 1010), choice, "{case}");
+    }
+    let all = [candidate("p", true, 1), candidate("r1", false, 3)];
+    assert_eq!(PrimaryOnly.choose(&read(), &all, 1010), server("p"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256, rng_seed: RngSeed::Fixed(15), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a read from a replica that lacks the session's write or is older than the
+    /// accepted age. The model knows the true age: a replica that has applied `n` writes holds all
+    /// data up to the time of write `n + 1`.
+    #[test]
+    fn floor_and_age_hold(
+        steps in proptest::collection::vec((1..20u64, 0..3u8, 0..8u64, 0..2usize), 1..200),
+        age in 0..100u64, back in 0..10u64, term in 1..3u64,
+    ) {
+        let names = [name("r1"), name("r2")];
+        let (mut writes, mut applied) = (Vec::new(), [0u64; 2]);
+        let mut fresh = Freshness::new();
+        let mut now = 0;
+        for (span, op, count, i) in steps {
+            now += span;
+            let at = |offset| Position { term, offset };
+            match op {
+                0 => (0..count).for_each(|_| writes.push(now)),
+                1 => applied[i] = (applied[i] + count).min(writes.len() as u64),
+                // The poll was sent `count` ms ago; the answer has the position of now.
+                _ => fresh.primary(now.saturating_sub(count), at(writes.len() as u64)),
+            }
+            fresh.applied(&names[i], at(applied[i]), now);
+            let floor = at((writes.len() as u64).saturating_sub(back));
+            let need = Need { floor, age, primary: false, paused: 0 };
+            let all = [0, 1].map(|i| Candidate {
+                applied: fresh.position(&names[i]), fresh: fresh.fresh(&names[i]),
+                behind: fresh.behind(&names[i], floor, now), ..candidate(names[i].as_str(), false, 2)
+            });
+            match Balanced::new(name("d")).choose(&need, &all, now) {
+                Choice::Server(server) => {
+                    let i = usize::from(server == names[1]);
+                    prop_assert!(at(applied[i]) >= floor);
+                    let missing = writes.get(applied[i] as usize).copied().unwrap_or(now);
+                    prop_assert!(now - missing <= age, "{} ms old", now - missing);
+                }
+                Choice::Pause(span) => prop_assert!(span <= PAUSE_MAX),
+                Choice::Wait => {}
+            }
+        }
+    }
+}
+
+/// Guards against a bound that trusts data of another branch of the log.
+#[test]
+fn a_replica_that_lost_data_is_not_fresh() {
+    let (r, mut fresh) = (name("r"), Freshness::new());
+    fresh.primary(100, at(10));
+    fresh.applied(&r, at(10), 110);
+    assert_eq!(fresh.fresh(&r), 100);
+    assert_eq!(fresh.delay(&r).unwrap().mean, 10.0);
+    fresh.primary(150, at(20));
+    assert_eq!(fresh.behind(&r, at(20), 155), Some(15), "150 + 10 + 2 * 5 - 155, rounded up");
+    fresh.applied(&r, at(5), 160);
+    assert_eq!(fresh.fresh(&r), 0);
+    assert_eq!(fresh.common([&r]), at(5));
+}
