--- a/crates/protocol/src/outcome.rs
+++ b/crates/protocol/src/outcome.rs
@@ -40,7 +40,9 @@
         Reason::Rate => ("53400", "not run: the client account is above its rate"),
         Reason::Overload => ("53400", "not run: too many requests are waiting"),
         Reason::Primary => ("57P03", "not run: the database group has no primary"),
-        Reason::Owner => ("57P03", "not run: the database group has no owner"),
+        Reason::Owner => {
+            ("57P03", "not run: the database group or the rate has no owner at present")
+        }
         Reason::Lease => ("57P03", "not run: the instance cannot confirm its configuration"),
         Reason::Key => ("28000", "not run: the key is not valid"),
         Reason::Stopping => ("57P03", "not run: the instance is stopping"),
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -122,6 +122,8 @@
     Tokens {
         /// Number of the request.
         id: u64,
+        /// Client account; numbers are unique only within one.
+        account: Name,
         /// Tokens granted; 0 with `retry` set when the bucket is empty.
         count: u32,
         /// When to come again, in milliseconds.
--- a/crates/transport/src/batch.rs
+++ b/crates/transport/src/batch.rs
@@ -409,6 +409,12 @@
     matches!(effect, Effect::Begin | Effect::Commit | Effect::Rollback)
 }
 
+/// Whether all statements of the messages are on open routes.
+pub(crate) fn open(messages: &[u8], config: &Config) -> bool {
+    let plan = Prepared::default().plan(&frame::frames(messages), config, false);
+    matches!(plan, Plan::Forward(forward) if forward.needs.open)
+}
+
 fn malformed() -> Fault {
     Fault::new("08P01", "not run: the message is malformed")
 }
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -51,7 +51,7 @@
 /// What the connections of all callers share.
 pub(crate) struct Shared {
     pub control: Arc<dyn Control>,
-    pub forwarder: Forwarder,
+    pub forwarder: Arc<Forwarder>,
     pub metrics: Arc<Metrics>,
     /// Longest wait of a request before it runs, in milliseconds.
     pub wait: Millis,
@@ -68,7 +68,7 @@
 impl Shared {
     pub(crate) fn new(
         control: Arc<dyn Control>,
-        forwarder: Forwarder,
+        forwarder: Arc<Forwarder>,
         metrics: Arc<Metrics>,
         wait: Millis,
         stopping: watch::Receiver<bool>,
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -31,7 +31,7 @@
 /// Longest time that opening a link may take.
 const DIAL: Duration = Duration::from_secs(1);
 
-/// Time after the end of the lease in which an answer on its way is still passed on.
+/// Time after the end of the lease or of ownership in which an answer on its way is still passed on.
 const GRACE: Duration = Duration::from_millis(200);
 
 /// Forwards requests over shared links.
@@ -41,6 +41,8 @@
     local: mpsc::Sender<Link<Traffic>>,
     peers: Mutex<BTreeMap<Name, Arc<Slot>>>,
     streams: AtomicU64,
+    /// Messages of owners that answer no caller.
+    others: mpsc::Sender<Traffic>,
     metrics: Arc<Metrics>,
 }
 
@@ -97,10 +99,11 @@
         control: Arc<dyn Control>,
         dial: Arc<dyn Dial<Traffic>>,
         local: mpsc::Sender<Link<Traffic>>,
+        others: mpsc::Sender<Traffic>,
         metrics: Arc<Metrics>,
     ) -> Forwarder {
         let (peers, streams) = (Mutex::default(), AtomicU64::new(1));
-        Forwarder { control, dial, local, peers, streams, metrics }
+        Forwarder { control, dial, local, peers, streams, others, metrics }
     }
 
     /// Gives `track` a new stream number.
@@ -190,6 +193,14 @@
         (holder, self.peer(&name).await)
     }
 
+    /// Open link to the instance `name`, if there is one.
+    pub(crate) fn current(&self, name: &Name) -> Option<Arc<Peer>> {
+        let view = self.control.view().borrow().clone();
+        let incarnation = view.machine.instances.get(name).map_or(0, |record| record.incarnation);
+        let slot = lock(&self.peers).get(name).cloned()?;
+        slot.current(incarnation)
+    }
+
     /// Link to the instance `name`.
     pub(crate) async fn peer(&self, name: &Name) -> Option<Arc<Peer>> {
         let view = self.control.view().borrow().clone();
@@ -210,7 +221,7 @@
         } else {
             timeout(DIAL, self.dial.dial(name.clone(), record?.peer)).await.ok()??
         };
-        let peer = Peer::start(incarnation, link);
+        let peer = Peer::start(incarnation, link, self.others.clone());
         *lock(&slot.peer) = Some(peer.clone());
         Some(peer)
     }
@@ -225,6 +236,8 @@
         if view.wait_for(other).await.is_err() {
             std::future::pending().await
         }
+        // The former owner ends what it runs and says how.
+        sleep(GRACE).await;
     }
 
     async fn lapsed(&self) {
@@ -241,19 +254,21 @@
 }
 
 impl Peer {
-    fn start(incarnation: u64, link: Link<Traffic>) -> Arc<Peer> {
+    fn start(incarnation: u64, link: Link<Traffic>, others: mpsc::Sender<Traffic>) -> Arc<Peer> {
         let pending = Mutex::new(Some(HashMap::new()));
         let Link { out, mut inbox, .. } = link;
         let peer = Arc::new(Peer { incarnation, out, pending });
         let reader = peer.clone();
         tokio::spawn(async move {
             while let Some(message) = inbox.recv().await {
-                if let Traffic::Answer { stream, answer } = message {
-                    let waiting =
-                        lock(&reader.pending).as_mut().and_then(|map| map.remove(&stream));
-                    // A caller that is gone waits for nothing.
-                    let _ = waiting.map(|waiting| waiting.send(answer));
-                }
+                let Traffic::Answer { stream, answer } = message else {
+                    // Only an instance that stops takes no more of them.
+                    let _ = others.send(message).await;
+                    continue;
+                };
+                let waiting = lock(&reader.pending).as_mut().and_then(|map| map.remove(&stream));
+                // A caller that is gone waits for nothing.
+                let _ = waiting.map(|waiting| waiting.send(answer));
             }
             *lock(&reader.pending) = None;
         });
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -1,34 +1,53 @@
-//! State of a database group at its owner: servers, their status, queue and slots.
+//! State of a database group at its owner.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::{Arc, Mutex},
-    time::Duration,
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use auburnlug_coordination::{
     Position,
-    route::{Candidate, Choice, Need, Route},
+    acks::{Acks, Wait},
+    dedup::Requests,
+    failover::{self, Failover},
+    freshness::Freshness,
+    queue::Fair,
+    retry::Budget,
+    route::Route,
+    session::Positions,
 };
-use auburnlug_protocol::peer::Reason;
-use auburnlug_state::{self as state, Millis, Name, Term};
+use auburnlug_protocol::peer::Answer;
+use auburnlug_state::{self as state, GroupState, Millis, Name, Term};
 use tokio::{
     sync::{Notify, oneshot, watch},
     time::{Instant, timeout_at},
 };
 
 use crate::{
+    dispatch::Waiting,
     forward::lock,
+    member::Member,
     metrics::Metrics,
-    pool::Pool,
+    monitor,
+    rate::Rates,
     server::Servers,
-    status::{Status, Terms},
+    status::Status,
     view::{Control, View},
 };
 
 /// Most requests that wait in a group's queue.
 const MAX_QUEUE: usize = 10_000;
 
+/// Most sessions whose position is kept.
+const MAX_SESSIONS: usize = 100_000;
+
+/// Most request ids, and bytes of their answers, that are remembered.
+const MAX_REQUESTS: usize = 200_000;
+const MAX_ANSWERS: usize = 64 << 20;
+
 /// A group that this instance owns.
 pub(crate) struct Group {
     pub name: Name,
@@ -37,69 +56,41 @@
     pub control: Arc<dyn Control>,
     pub servers: Arc<dyn Servers>,
     pub metrics: Arc<Metrics>,
-    state: Mutex<State>,
-    /// Counts changes of what servers reported; waiting writes look again at each.
-    pub changes: watch::Sender<u64>,
-    /// Wakes the monitors while writes wait for their acknowledgement.
-    pub hurry: Notify,
+    pub rates: Arc<Rates>,
+    pub route: Box<dyn Route + Sync>,
+    pub core: Mutex<Core>,
+    /// Term that writes run under, and its primary.
+    pub primary: watch::Sender<(Term, Option<Name>)>,
+    /// Wakes the failover task.
+    pub wake: Notify,
     pub closed: watch::Sender<bool>,
+    /// Set while the instance drains: no new work is taken.
+    pub draining: Arc<AtomicBool>,
 }
 
-#[derive(Default)]
-struct State {
-    members: BTreeMap<Name, Arc<Member>>,
-    queue: VecDeque<Waiting>,
-    term: Term,
-    primary: Option<Name>,
-    writes: usize,
-}
-
-struct Waiting {
-    need: Need,
-    grant: oneshot::Sender<Grant>,
-}
-
-/// A database server of the group.
-pub(crate) struct Member {
-    pub record: state::Server,
-    pub pool: Pool,
-    pub seen: Mutex<Seen>,
-    /// Set when the server is gone or does not answer.
-    pub lost: watch::Sender<bool>,
-}
-
-/// What is known of a server.
-#[derive(Debug, Default)]
-pub(crate) struct Seen {
-    pub status: Option<Status>,
-    /// Time of sending of the last answered poll.
-    pub at: Millis,
-    pub terms: Terms,
-    running: u32,
-    /// Not chosen before this time, because a connection failed.
-    closed: Millis,
-}
-
-/// A slot on a server.
-pub(crate) struct Grant {
-    group: Arc<Group>,
-    pub member: Arc<Member>,
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        lock(&self.member.seen).running -= 1;
-        self.group.pump();
-    }
+/// What the tasks of a group share.
+pub(crate) struct Core {
+    pub members: BTreeMap<Name, Arc<Member>>,
+    pub queue: Fair<Waiting>,
+    /// `None` until the primary has reported its position after the takeover.
+    pub positions: Option<Positions>,
+    pub freshness: Freshness,
+    pub budget: Budget,
+    pub failover: Failover,
+    pub requests: Requests<Answer, oneshot::Sender<Answer>>,
+    acks: Acks,
+    waiters: HashMap<u64, oneshot::Sender<bool>>,
+    next: u64,
 }
 
-struct PrimaryOnly;
-
-impl Route for PrimaryOnly {
-    fn choose(&self, _: &Need, candidates: &[Candidate], _: Millis) -> Choice {
-        let found = candidates.iter().find(|item| item.primary && item.open && item.free > 0);
-        found.map_or(Choice::Wait, |item| Choice::Server(item.name.clone()))
-    }
+/// What a group needs from the instance.
+pub(crate) struct Means {
+    pub control: Arc<dyn Control>,
+    pub servers: Arc<dyn Servers>,
+    pub metrics: Arc<Metrics>,
+    pub rates: Arc<Rates>,
+    pub draining: Arc<AtomicBool>,
+    pub route: Box<dyn Route + Sync>,
 }
 
 impl Group {
@@ -107,222 +98,217 @@
         name: Name,
         config: state::Group,
         epoch: u64,
-        control: Arc<dyn Control>,
-        servers: Arc<dyn Servers>,
-        metrics: Arc<Metrics>,
+        means: Means,
+        view: &View,
     ) -> Arc<Group> {
-        Arc::new(Group {
+        let Means { control, servers, metrics, rates, draining, route } = means;
+        let now = control.now();
+        let recorded = view.machine.groups.get(&name).cloned().unwrap_or_default();
+        let core = Mutex::new(Core::new(config.size, epoch, recorded.clone(), now));
+        let group = Arc::new(Group {
             name,
             config,
             epoch,
             control,
             servers,
             metrics,
-            state: Mutex::default(),
-            changes: watch::Sender::new(0),
-            hurry: Notify::new(),
+            rates,
+            route,
+            core,
+            primary: watch::Sender::new((recorded.term, recorded.primary)),
+            wake: Notify::new(),
             closed: watch::Sender::new(false),
-        })
+            draining,
+        });
+        tokio::spawn(crate::owner_failover::drive(group.clone()));
+        group
     }
 
-    /// Ends the group here: waiting requests are refused, running ones become unknown.
+    /// Ends the group here: waiting requests are refused, running writes become unknown.
     pub(crate) fn close(&self) {
-        self.closed.send_replace(true);
-        let mut state = lock(&self.state);
-        state.queue.clear();
-        for member in std::mem::take(&mut state.members).into_values() {
-            member.lost.send_replace(true);
+        if self.closed.send_replace(true) {
+            return;
         }
+        let mut core = lock(&self.core);
+        // Dropped senders tell the waiting requests.
+        let queue = std::mem::replace(&mut core.queue, Fair::new(0));
+        let waiters = std::mem::take(&mut core.waiters);
+        core.members.clear();
+        drop(core);
+        drop((queue, waiters));
+    }
+
+    /// Whether new requests are refused.
+    pub(crate) fn drains(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Statements and transactions that hold a connection.
+    pub(crate) fn running(&self) -> u32 {
+        lock(&self.core).members.values().map(|member| lock(&member.seen).running).sum()
     }
 
     /// Takes over servers, term and primary from the view.
     pub(crate) fn update(self: &Arc<Self>, view: &View) {
-        let mut state = lock(&self.state);
         let machine = &view.machine;
-        let recorded = machine.groups.get(&self.name);
-        state.term = recorded.map_or(0, |group| group.term);
+        let now = self.control.now();
+        let mut core = lock(&self.core);
         let records = || machine.servers.values().filter(|server| server.group == self.name);
-        state.primary = recorded.and_then(|group| group.primary.clone()).or_else(|| {
-            let claims =
-                records().filter(|server| server.role == state::Role::Primary && state.term == 0);
-            claims.max_by_key(|server| server.term).map(|server| server.name.clone())
-        });
-        state.members.retain(|name, member| {
-            let kept = machine.servers.get(name).is_some_and(|record| same(record, &member.record));
-            if !kept {
-                member.lost.send_replace(true);
+        core.members.retain(|name, member| {
+            let kept = machine
+                .servers
+                .get(name)
+                .filter(|record| member.is(record) && record.group == self.name);
+            if let Some(record) = kept {
+                member.update(record);
+            } else {
+                member.removed.send_replace(true);
             }
-            kept
+            kept.is_some()
         });
         for record in records() {
-            if !state.members.contains_key(&record.name) {
-                let member = Arc::new(Member::new(record.clone(), self));
-                state.members.insert(record.name.clone(), member.clone());
-                tokio::spawn(crate::monitor::watch(self.clone(), member));
+            if !core.members.contains_key(&record.name) {
+                let (member, orders) = Member::new(record, self);
+                let member = Arc::new(member);
+                core.freshness.forget(&record.name);
+                core.members.insert(record.name.clone(), member.clone());
+                tokio::spawn(monitor::watch(self.clone(), member, orders));
             }
         }
-        drop(state);
-        self.changes.send_modify(|count| *count += 1);
-        self.pump();
+        let names: Vec<Name> = core.members.keys().cloned().collect();
+        core.failover.servers(&names);
+        if let Some(recorded) = machine.groups.get(&self.name) {
+            core.failover.recorded(recorded, now);
+        }
+        self.settle(core);
     }
 
-    /// Waits for a slot on a server that meets `need`.
-    ///
-    /// # Errors
-    ///
-    /// The reason why the request did not get one; it has not run.
-    pub(crate) async fn acquire(
-        self: &Arc<Self>,
-        need: Need,
-        deadline: Instant,
-    ) -> Result<Grant, Reason> {
-        let (grant, waiting) = oneshot::channel();
-        {
-            let mut state = lock(&self.state);
-            if *self.closed.borrow() {
-                return Err(Reason::Owner);
-            }
-            if state.queue.len() >= MAX_QUEUE {
-                return Err(Reason::Overload);
-            }
-            state.queue.push_back(Waiting { need, grant });
+    /// A server answered a poll that was sent at `sent`.
+    pub(crate) fn reported(self: &Arc<Self>, member: &Arc<Member>, status: Status, sent: Millis) {
+        let now = self.control.now();
+        let mut core = lock(&self.core);
+        let name = &member.name;
+        let received = Position { term: status.last, offset: status.received };
+        let applied = {
+            let mut seen = lock(&member.seen);
+            seen.terms.note(&status);
+            seen.status = Some(status.clone());
+            seen.applied()
+        };
+        let upstream = (status.role == state::Role::Replica).then_some(status.upstream);
+        let report = failover::Status { term: status.term, role: status.role, received, upstream };
+        core.failover.status(name, report, now);
+        let primary = core.failover.primary() == Some(name) && status.term == core.failover.term();
+        if primary && status.role == state::Role::Primary {
+            core.freshness.primary(sent, received);
+            core.positions.get_or_insert_with(|| Positions::new(received, MAX_SESSIONS));
         }
-        self.pump();
-        match timeout_at(deadline, waiting).await {
-            Ok(Ok(grant)) => Ok(grant),
-            Ok(Err(_)) => Err(Reason::Owner),
-            Err(_) if lock(&self.state).primary.is_none() => Err(Reason::Primary),
-            Err(_) => Err(Reason::Overload),
+        core.freshness.applied(name, applied, now);
+        let common = core.freshness.common(core.members.keys());
+        if let Some(positions) = &mut core.positions {
+            positions.cover(common);
         }
+        let held = core.acks.status(name, status.term, received);
+        core.tell(held, true);
+        self.settle(core);
     }
 
-    /// Gives free slots to waiting requests.
-    pub(crate) fn pump(self: &Arc<Self>) {
-        let mut grants = Vec::new();
-        {
-            let mut state = lock(&self.state);
-            let now = self.control.now();
-            let mut candidates = state.candidates(now);
-            let mut index = 0;
-            while index < state.queue.len() {
-                if state.queue[index].grant.is_closed() {
-                    state.queue.remove(index);
-                    continue;
-                }
-                let Choice::Server(name) =
-                    PrimaryOnly.choose(&state.queue[index].need, &candidates, now)
-                else {
-                    index += 1;
-                    continue;
-                };
-                let Some(member) = state.members.get(&name).cloned() else { break };
-                let Some(waiting) = state.queue.remove(index) else { break };
-                lock(&member.seen).running += 1;
-                if let Some(found) = candidates.iter_mut().find(|item| item.name == name) {
-                    found.free -= 1;
-                }
-                grants.push((waiting.grant, Grant { group: self.clone(), member }));
-            }
-        }
-        for (sender, grant) in grants {
-            // A request that gave up drops the grant, which frees the slot.
-            let _ = sender.send(grant);
+    /// A server did not answer its monitor.
+    pub(crate) fn failed(self: &Arc<Self>, member: &Member, refused: bool) {
+        let mut core = lock(&self.core);
+        core.failover.failed(&member.name);
+        if refused {
+            core.failover.refused(&member.name);
         }
+        self.settle(core);
     }
 
-    /// Waits until a majority holds the write at `position`.
-    ///
-    /// Returns false if the position's term has ended.
-    pub(crate) async fn acknowledged(&self, position: Position) -> bool {
-        let mut changes = self.changes.subscribe();
-        lock(&self.state).writes += 1;
-        self.hurry.notify_waiters();
-        let held = loop {
-            changes.borrow_and_update();
-            match lock(&self.state).held(position, self.config.size) {
-                Some(held) if held => break true,
-                Some(_) => {}
-                None => break false,
-            }
-            if changes.changed().await.is_err() {
-                break false;
-            }
-        };
-        lock(&self.state).writes -= 1;
-        held
+    /// A server answered on another connection than its monitor's.
+    pub(crate) fn answered(&self, member: &Member) {
+        lock(&self.core).failover.answered(&member.name, self.control.now());
     }
 
-    /// Whether writes wait for their acknowledgement.
-    pub(crate) fn waits(&self) -> bool {
-        lock(&self.state).writes > 0
+    /// A server took the order to follow `primary`.
+    pub(crate) fn followed(&self, member: &Member, primary: &Name, term: Term) {
+        lock(&self.core).failover.followed(&member.name, primary, term);
     }
 
-    /// Whether `member` is the primary.
-    pub(crate) fn is_primary(&self, member: &Member) -> bool {
-        lock(&self.state).primary.as_ref() == Some(&member.record.name)
+    /// Waits until a majority holds the write at `position`; false if that cannot be shown.
+    pub(crate) async fn acknowledged(&self, position: Position, deadline: Instant) -> bool {
+        let (id, held) = {
+            let mut core = lock(&self.core);
+            let id = core.next;
+            core.next += 1;
+            match core.acks.wait(position, id) {
+                Wait::Acknowledged => return true,
+                Wait::Unknown => return false,
+                Wait::Pending => {}
+            }
+            let (sender, held) = oneshot::channel();
+            core.waiters.insert(id, sender);
+            core.failover.hurry(true);
+            (id, held)
+        };
+        self.wake.notify_one();
+        if let Ok(held) = timeout_at(deadline, held).await {
+            return held.unwrap_or(false);
+        }
+        let mut core = lock(&self.core);
+        core.waiters.remove(&id);
+        let late = !core.acks.cancel(position, id);
+        let busy = core.acks.busy();
+        core.failover.hurry(busy);
+        late
     }
 
-    /// Keeps `member` from being chosen for `pause`, in milliseconds.
-    pub(crate) fn suspend(self: &Arc<Self>, member: &Member, pause: Millis) {
-        lock(&member.seen).closed = self.control.now() + pause;
-        let group = self.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(pause)).await;
-            group.pump();
+    /// Publishes what followed from a change of the core, and gives out slots.
+    pub(crate) fn settle(self: &Arc<Self>, mut core: std::sync::MutexGuard<'_, Core>) {
+        let term = core.failover.term();
+        let lost = core.acks.reset(term);
+        core.tell(lost, false);
+        let primary = (term, core.failover.primary().cloned());
+        drop(core);
+        self.primary.send_if_modified(|known| {
+            let changed = *known != primary;
+            *known = primary;
+            changed
         });
+        self.wake.notify_one();
+        self.pump();
     }
 }
 
-impl Member {
-    fn new(record: state::Server, group: &Group) -> Member {
-        let database = group.config.database.as_str();
-        let pool = Pool::new(
-            group.servers.clone(),
-            record.address,
-            database,
-            record.connections,
-            group.metrics.clone(),
-        );
-        Member { record, pool, seen: Mutex::default(), lost: watch::Sender::new(false) }
-    }
-}
-
-impl State {
-    fn candidates(&self, now: Millis) -> Vec<Candidate> {
-        let describe = |member: &Arc<Member>| {
-            let seen = lock(&member.seen);
-            let primary = self.primary.as_ref() == Some(&member.record.name);
-            let slots = member.record.slots.min(member.pool.cap());
-            let applied = seen.status.as_ref().map_or(0, |status| status.applied);
-            Candidate {
-                name: member.record.name.clone(),
-                primary,
-                open: !member.record.draining && now >= seen.closed && seen.status.is_some(),
-                applied: Position { term: seen.terms.at(applied), offset: applied },
-                fresh: 0,
-                free: slots.saturating_sub(seen.running),
-                latency: 0,
-            }
+impl Core {
+    fn new(size: u32, epoch: u64, recorded: GroupState, now: Millis) -> Core {
+        // Only the first owner knows that no request ran before.
+        let requests = if epoch <= 1 {
+            Requests::new(MAX_REQUESTS, MAX_ANSWERS)
+        } else {
+            Requests::resume(MAX_REQUESTS, MAX_ANSWERS, None, now)
         };
-        self.members.values().map(describe).collect()
+        Core {
+            members: BTreeMap::new(),
+            queue: Fair::new(MAX_QUEUE),
+            positions: None,
+            freshness: Freshness::new(),
+            budget: Budget::new(now),
+            acks: Acks::new(size, recorded.term),
+            failover: Failover::new(size, &[], recorded, now),
+            requests,
+            waiters: HashMap::new(),
+            next: 0,
+        }
     }
 
-    /// Whether a majority of `size` holds `position`; `None` if its term is not the recorded one.
-    fn held(&self, position: Position, size: u32) -> Option<bool> {
-        if self.term != 0 && position.term != self.term {
-            return None;
+    /// Ends the wait of writes.
+    fn tell(&mut self, ids: Vec<u64>, held: bool) {
+        for id in ids {
+            if let Some(waiter) = self.waiters.remove(&id) {
+                // A write that gave up waits for nothing.
+                let _ = waiter.send(held);
+            }
         }
-        let holds = |member: &&Arc<Member>| {
-            let seen = lock(&member.seen);
-            seen.status.as_ref().is_some_and(|status| status.holds(position))
-        };
-        let count = self.members.values().filter(holds).count();
-        Some(count > size as usize / 2)
+        let busy = self.acks.busy();
+        self.failover.hurry(busy);
     }
 }
-
-/// Whether two records describe the same run of a server.
-fn same(a: &state::Server, b: &state::Server) -> bool {
-    (a.incarnation, a.address, &a.group) == (b.incarnation, b.address, &b.group)
-        && (a.slots, a.connections, a.draining) == (b.slots, b.connections, b.draining)
-}
--- a/crates/transport/src/monitor.rs
+++ b/crates/transport/src/monitor.rs
@@ -1,73 +1,103 @@
-//! Polls the status of a database server on a connection of its own.
+//! Status polls and failover orders to a database server, on a connection of their own.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::time::{sleep, timeout};
+use auburnlug_state::Term;
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     forward::lock,
-    group::{Group, Member},
+    group::Group,
+    member::Member,
     server::{Connection, query},
     status::{STATUS, Status},
 };
 
-/// Time between polls while no write waits.
-const POLL: Duration = Duration::from_millis(50);
-
 /// Time without an answer after which a server counts as unreachable.
 const SILENCE: Duration = Duration::from_millis(500);
 
 /// Connections kept ready, so that a request does not wait for one to open.
 const WARM: usize = 1;
 
-/// Polls `member` until the group closes or the server is removed.
-pub(crate) async fn watch(group: Arc<Group>, member: Arc<Member>) {
-    let mut lost = member.lost.subscribe();
+/// An order to a database server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// Report the status.
+    Poll,
+    /// Refuse replication and writes of lower terms.
+    Fence(Term),
+    /// Become the primary of the term.
+    Promote(Term),
+    /// Follow the primary at this address.
+    Follow(Term, SocketAddr, auburnlug_state::Name),
+}
+
+/// Carries out orders until the group closes or the server is removed.
+pub(crate) async fn watch(group: Arc<Group>, member: Arc<Member>, orders: mpsc::Receiver<Order>) {
+    let mut removed = member.removed.subscribe();
     let mut closed = group.closed.subscribe();
     tokio::select! {
-        () = poll(&group, &member) => {}
-        _ = lost.wait_for(|lost| *lost) => {}
+        () = serve(&group, &member, orders) => {}
+        _ = removed.wait_for(|removed| *removed) => {}
         _ = closed.wait_for(|closed| *closed) => {}
     }
     member.pool.clear();
 }
 
-async fn poll(group: &Arc<Group>, member: &Arc<Member>) {
-    loop {
-        let opening = group.servers.connect(member.record.address, group.config.database.as_str());
-        if let Ok(Ok(mut connection)) = timeout(SILENCE, opening).await {
-            while ask(group, member, connection.as_mut()).await {
-                pause(group).await;
-            }
+async fn serve(group: &Arc<Group>, member: &Arc<Member>, mut orders: mpsc::Receiver<Order>) {
+    let mut connection = None;
+    while let Some(order) = orders.recv().await {
+        let result = timeout(SILENCE, carry_out(group, member, &mut connection, order)).await;
+        let result = result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        member.silent.send_if_modified(|silent| {
+            std::mem::replace(silent, result.is_err()) != result.is_err()
+        });
+        if let Err(error) = result {
+            connection = None;
+            member.pool.clear();
+            group.failed(member, error.kind() == io::ErrorKind::ConnectionRefused);
+        } else if !member.pool.is_warm() && lock(&member.seen).running == 0 {
+            // Opening takes tens of milliseconds, which must not delay the next poll.
+            let member = member.clone();
+            tokio::spawn(async move { member.pool.warm(WARM).await });
         }
-        lock(&member.seen).status = None;
-        group.changes.send_modify(|count| *count += 1);
-        sleep(POLL).await;
     }
 }
 
-/// Asks for the status once; false if the connection has to be closed.
-async fn ask(group: &Arc<Group>, member: &Member, connection: &mut dyn Connection) -> bool {
-    let sent = group.control.now();
-    let Ok(Ok(reply)) = timeout(SILENCE, connection.run(query(STATUS))).await else { return false };
-    let Some(status) = Status::parse(&reply) else { return false };
-    {
-        let mut seen = lock(&member.seen);
-        seen.terms.note(&status);
-        seen.status = Some(status);
-        seen.at = sent;
+async fn carry_out(
+    group: &Arc<Group>,
+    member: &Arc<Member>,
+    slot: &mut Option<Box<dyn Connection>>,
+    order: Order,
+) -> io::Result<()> {
+    let connection = match slot {
+        Some(connection) => connection,
+        None => {
+            let database = group.config.database.as_str();
+            slot.insert(group.servers.connect(member.pool.address, database).await?)
+        }
+    };
+    if let Some(sql) = sql(&order) {
+        let reply = connection.run(query(&sql)).await?;
+        if let (Order::Follow(term, _, primary), None) = (&order, &reply.error) {
+            group.followed(member, primary, *term);
+        }
     }
-    group.changes.send_modify(|count| *count += 1);
-    group.pump();
-    member.pool.warm(WARM).await;
-    true
+    // The status after an order shows its effect without waiting for the next poll.
+    let sent = group.control.now();
+    let reply = connection.run(query(STATUS)).await?;
+    let status = Status::parse(&reply).ok_or(io::ErrorKind::InvalidData)?;
+    group.reported(member, status, sent);
+    Ok(())
 }
 
-async fn pause(group: &Group) {
-    let hurry = group.hurry.notified();
-    if group.waits() {
-        return;
+fn sql(order: &Order) -> Option<String> {
+    match order {
+        Order::Poll => None,
+        Order::Fence(term) => Some(format!("SELECT auburnlug.fence({term})")),
+        Order::Promote(term) => Some(format!("SELECT auburnlug.promote({term})")),
+        Order::Follow(term, address, _) => {
+            Some(format!("SELECT auburnlug.follow({term}, '{address}')"))
+        }
     }
-    // Either the pause is over or a write waits.
-    let _ = timeout(POLL, hurry).await;
 }
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -5,32 +5,46 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
+use auburnlug_coordination::{limit::Ask, route::Balanced};
 use auburnlug_protocol::peer::{Reason, Request, Traffic};
 use auburnlug_state::{Name, Shard};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
+    time::sleep,
 };
 
 use crate::{
     forward::{lease_end, lock, refused},
-    group::Group,
+    group::{Group, Means},
     link::Link,
     metrics::Metrics,
     owner_run::Stream,
+    rate::Rates,
+    rate_owner::RateOwner,
     server::Servers,
     view::{Control, View},
 };
 
+/// Time between two looks at what still runs while the instance drains.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
 /// Groups owned by this instance.
 pub(crate) struct Owner {
     control: Arc<dyn Control>,
     servers: Arc<dyn Servers>,
     metrics: Arc<Metrics>,
+    rates: Arc<Rates>,
+    buckets: RateOwner,
     groups: Mutex<BTreeMap<Name, Arc<Group>>>,
+    draining: Arc<AtomicBool>,
 }
 
 impl Owner {
@@ -38,8 +52,20 @@
         control: Arc<dyn Control>,
         servers: Arc<dyn Servers>,
         metrics: Arc<Metrics>,
+        rates: Arc<Rates>,
     ) -> Owner {
-        Owner { control, servers, metrics, groups: Mutex::default() }
+        let buckets = RateOwner::new(control.clone());
+        let (groups, draining) = (Mutex::default(), Arc::new(AtomicBool::new(false)));
+        Owner { control, servers, metrics, rates, buckets, groups, draining }
+    }
+
+    /// Takes no new work and returns when nothing runs any more.
+    pub(crate) async fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        let running = || lock(&self.groups).values().map(|group| group.running()).sum::<u32>();
+        while running() > 0 {
+            sleep(DRAIN_POLL).await;
+        }
     }
 
     /// Takes links until the channel closes.
@@ -74,6 +100,7 @@
 
     /// Stops all groups.
     pub(crate) fn close(&self) {
+        self.buckets.close();
         for group in std::mem::take(&mut *lock(&self.groups)).into_values() {
             group.close();
         }
@@ -84,6 +111,7 @@
     }
 
     fn update(&self, view: &Arc<View>) {
+        self.buckets.update(view);
         let mut groups = lock(&self.groups);
         let valid = self.control.now() < self.control.lease();
         let epoch = |name: &Name| {
@@ -101,15 +129,7 @@
         for (name, config) in &view.machine.config.groups {
             let Some(epoch) = epoch(name) else { continue };
             groups.entry(name.clone()).or_insert_with(|| {
-                let (control, servers) = (self.control.clone(), self.servers.clone());
-                Group::start(
-                    name.clone(),
-                    config.clone(),
-                    epoch,
-                    control,
-                    servers,
-                    self.metrics.clone(),
-                )
+                Group::start(name.clone(), config.clone(), epoch, self.means(view), view)
             });
         }
         for group in groups.values() {
@@ -117,10 +137,23 @@
         }
     }
 
+    fn means(&self, view: &View) -> Means {
+        let record = view.machine.instances.get(&view.me);
+        let domain = record.map_or_else(|| view.me.clone(), |record| record.domain.clone());
+        Means {
+            control: self.control.clone(),
+            servers: self.servers.clone(),
+            metrics: self.metrics.clone(),
+            rates: self.rates.clone(),
+            draining: self.draining.clone(),
+            route: Box::new(Balanced::new(domain)),
+        }
+    }
+
     /// The group, once this instance's view covers what the request was made from.
     async fn group(&self, request: &Request) -> Option<Arc<Group>> {
         let mut view: watch::Receiver<Arc<View>> = self.control.view();
-        let wait = std::time::Duration::from_millis(request.wait);
+        let wait = Duration::from_millis(request.wait);
         let seen = view.wait_for(|view| view.machine.index >= request.index);
         let current = tokio::time::timeout(wait, seen).await.ok()?.ok()?.clone();
         if let Some(group) = lock(&self.groups).get(&request.group) {
@@ -132,7 +165,7 @@
     }
 
     async fn serve(self: Arc<Self>, link: Link<Traffic>) {
-        let Link { out, mut inbox, .. } = link;
+        let Link { peer, out, mut inbox } = link;
         let mut streams: HashMap<u64, Arc<Stream>> = HashMap::new();
         while let Some(message) = inbox.recv().await {
             match message {
@@ -158,6 +191,14 @@
                         state.close(&self.servers);
                     }
                 }
+                Traffic::Take { id, account, count, demand, returned } => {
+                    let ask = Ask { id, count, demand, returned };
+                    if let Some(tokens) = self.buckets.take(&peer, account, ask)
+                        && out.send(tokens).await.is_err()
+                    {
+                        break;
+                    }
+                }
                 _ => {}
             }
         }
--- /dev/null
+++ b/crates/transport/src/owner_failover.rs
@@ -0,0 +1,88 @@
+//! Carries out the steps of the failover module for one group.
+
+use std::{sync::Arc, time::Duration};
+
+use auburnlug_coordination::failover::Step;
+use auburnlug_state::{Applied, Command, Name, Shard};
+use tokio::time::timeout;
+
+use crate::{
+    forward::{lease_end, lock},
+    group::Group,
+    monitor::Order,
+};
+
+/// Longest time between two looks at the steps that are due.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Drives the failover of `group` until it closes here.
+pub(crate) async fn drive(group: Arc<Group>) {
+    let mut closed = group.closed.subscribe();
+    tokio::select! {
+        () = steps(&group) => {}
+        _ = closed.wait_for(|closed| *closed) => {}
+        () = lease_end(group.control.as_ref()) => group.close(),
+    }
+}
+
+async fn steps(group: &Arc<Group>) {
+    loop {
+        let now = group.control.now();
+        let steps = lock(&group.core).failover.tick(now);
+        for step in steps {
+            take(group, step);
+        }
+        // Either an input or the end of the pause leads to the next look.
+        let _ = timeout(TICK, group.wake.notified()).await;
+    }
+}
+
+fn take(group: &Arc<Group>, step: Step) {
+    match step {
+        Step::Poll(name) => order(group, &name, Order::Poll),
+        Step::Fence(name, term) => order(group, &name, Order::Fence(term)),
+        Step::Promote(name, term) => order(group, &name, Order::Promote(term)),
+        Step::Follow { server, primary, term } => {
+            let address = lock(&group.core).members.get(&primary).map(|member| member.pool.address);
+            if let Some(address) = address {
+                order(group, &server, Order::Follow(term, address, primary));
+            }
+        }
+        Step::Term(term) => {
+            let command = Command::Term { group: group.name.clone(), term, epoch: group.epoch };
+            let proposal = group.control.propose(command);
+            let group = group.clone();
+            tokio::spawn(async move {
+                if proposal.await == Some(Applied::Done) {
+                    let now = group.control.now();
+                    let mut core = lock(&group.core);
+                    core.failover.agreed(term, now);
+                    group.settle(core);
+                }
+            });
+        }
+        Step::Primary(server, term) => {
+            let (name, epoch) = (group.name.clone(), group.epoch);
+            // The view shows the effect.
+            tokio::spawn(group.control.propose(Command::Primary {
+                group: name,
+                term,
+                server,
+                epoch,
+            }));
+        }
+        Step::Resign => {
+            let shard = Shard::Group(group.name.clone());
+            let command = Command::Assign { shard, instance: None, epoch: group.epoch };
+            tokio::spawn(group.control.propose(command));
+        }
+    }
+}
+
+/// Hands an order to the server's monitor; if it is busy, the step comes again.
+fn order(group: &Group, server: &Name, order: Order) {
+    let core = lock(&group.core);
+    if let Some(member) = core.members.get(server) {
+        let _ = member.orders.try_send(order);
+    }
+}
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -1,63 +1,82 @@
 //! Runs a request at the group's owner.
 
 use std::{
+    io::ErrorKind,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use auburnlug_coordination::{Position, route::Need};
+use auburnlug_coordination::{
+    dedup::Begin,
+    queue::Place,
+    retry::{Attempts, Failure, Next},
+    route::Need,
+};
 use auburnlug_protocol::{
     outcome::Fault,
     peer::{Answer, Block, Outcome, Reason, Request},
 };
+use auburnlug_state::Millis;
 use bytes::{Bytes, BytesMut};
 use tokio::{
-    sync::{Mutex as AsyncMutex, watch},
+    sync::{Mutex as AsyncMutex, MutexGuard, oneshot, watch},
     time::{Instant, timeout_at},
 };
 
 use crate::{
     forward::{lease_end, lock, refused},
     frame,
-    group::{Grant, Group, Member},
+    group::Group,
     handshake::{PUBLIC, holds},
-    pool::Pooled,
+    held::Held,
+    member::Member,
     server::{CancelKey, Reply, Servers},
 };
 
 /// Time for which a server is not chosen after a connection to it failed, in milliseconds.
-const SUSPEND: u64 = 100;
+const SUSPEND: Millis = 100;
+
+/// SQLSTATE class of servers that stop or start.
+const STOPPING: &str = "57P";
 
 /// A caller's connection as its owner sees it.
 #[derive(Default)]
 pub(crate) struct Stream {
     /// Connection that an open transaction holds.
     pinned: AsyncMutex<Option<Held>>,
-    /// Where the running statement can be cancelled.
-    running: Mutex<Option<(Arc<Member>, CancelKey)>>,
+    running: Mutex<Option<Running>>,
     closed: watch::Sender<bool>,
 }
 
-/// A connection in use, with its slot.
-pub(crate) struct Held {
-    grant: Grant,
-    pooled: Pooled,
-    changed: bool,
+/// Where the running statement can be cancelled.
+struct Running {
+    member: Arc<Member>,
+    key: CancelKey,
+    /// Whether it is a write on its own, whose outcome should not depend on the caller's leaving.
+    write: bool,
+}
+
+/// How an attempt to run a request ended.
+enum Attempt {
+    Answer(Answer, Option<Held>),
+    /// It did not get an answer from this server.
+    Failed(Arc<Member>, Failure),
 }
 
 impl Stream {
     /// Cancels the running statement.
     pub(crate) fn cancel(&self, servers: &Arc<dyn Servers>) {
-        if let Some((member, key)) = &*lock(&self.running) {
-            let cancel = servers.cancel(member.record.address, key.clone());
-            tokio::spawn(cancel);
+        if let Some(running) = &*lock(&self.running) {
+            tokio::spawn(servers.cancel(running.member.pool.address, running.key.clone()));
         }
     }
 
     /// Rolls back what is open: the caller is gone.
     pub(crate) fn close(self: &Arc<Self>, servers: &Arc<dyn Servers>) {
         self.closed.send_replace(true);
-        self.cancel(servers);
+        if lock(&self.running).as_ref().is_some_and(|running| !running.write) {
+            self.cancel(servers);
+        }
         let this = self.clone();
         tokio::spawn(async move {
             let held = this.pinned.lock().await.take();
@@ -66,148 +85,307 @@
             }
         });
     }
-}
 
-impl Held {
-    async fn reset(self) {
-        self.grant.member.pool.reset(self.pooled, self.changed).await;
-    }
-
-    /// Makes the connection available to other callers.
-    async fn release(self) {
-        if self.changed {
-            return self.reset().await;
-        }
-        self.grant.member.pool.put(self.pooled);
+    async fn gone(&self) {
+        let mut closed = self.closed.subscribe();
+        // The stream itself keeps the channel open.
+        let _ = closed.wait_for(|closed| *closed).await;
     }
 }
 
-/// How sending a request ended.
-enum Sent {
-    Reply(Box<Reply>),
-    /// The connection, the primary, the lease or the group was lost while it ran.
-    Lost,
-}
-
 impl Group {
     /// Runs `request` of the caller behind `stream`.
     pub(crate) async fn run(self: &Arc<Self>, stream: &Arc<Stream>, request: Request) -> Answer {
         let deadline = Instant::now() + Duration::from_millis(request.wait);
         let mut pinned = stream.pinned.lock().await;
-        if let Err(reason) = self.admit(&request) {
+        if let Err(reason) = self.check(&request) {
             if let Some(held) = pinned.take() {
                 held.reset().await;
             }
             return refused(reason);
         }
-        let held = match pinned.take() {
-            Some(held) => held,
-            None if !matches!(request.block, Block::Single | Block::Begin) => {
-                return refused(Reason::Owner);
+        let Some(held) = pinned.take() else {
+            if !matches!(request.block, Block::Single | Block::Begin) {
+                return refused(Reason::Connection);
             }
-            None => match self.hold(&request, deadline).await {
-                Ok(held) => held,
-                Err(reason) => return refused(reason),
-            },
+            return self.first(stream, &mut pinned, &request, deadline).await;
         };
-        let (answer, held) = self.execute(stream, request, held, deadline).await;
-        if let Some(held) = held {
-            if *stream.closed.borrow() {
-                held.reset().await;
-            } else if answer.messages.last() != Some(&b'I') {
-                *pinned = Some(held);
-            } else {
-                held.release().await;
-            }
+        match self.execute(stream, &request, held, deadline).await {
+            Attempt::Answer(answer, held) => self.settled(stream, &mut pinned, answer, held).await,
+            // Without its connection the transaction is rolled back.
+            Attempt::Failed(_, Failure::Unsent) => refused(Reason::Connection),
+            Attempt::Failed(..) => unknown(),
+        }
+    }
+
+    /// Keeps the connection for the open transaction, or makes it available.
+    async fn settled(
+        &self,
+        stream: &Stream,
+        pinned: &mut MutexGuard<'_, Option<Held>>,
+        answer: Answer,
+        held: Option<Held>,
+    ) -> Answer {
+        let Some(held) = held else { return answer };
+        if *stream.closed.borrow() {
+            held.reset().await;
+        } else if answer.messages.last() == Some(&b'I') {
+            held.release().await;
+        } else {
+            **pinned = Some(held);
         }
         answer
     }
 
-    /// Checks lease and key again, with the configuration in force here.
-    fn admit(&self, request: &Request) -> Result<(), Reason> {
+    /// Checks lease, ownership and key again, with the configuration in force here.
+    fn check(&self, request: &Request) -> Result<(), Reason> {
         if *self.closed.borrow() {
             return Err(Reason::Owner);
         }
         if self.control.now() >= self.control.lease() {
             return Err(Reason::Lease);
         }
-        let view = self.control.view().borrow().clone();
-        if view.stopping && matches!(request.block, Block::Single | Block::Begin) {
+        if self.drains() && matches!(request.block, Block::Single | Block::Begin) {
             return Err(Reason::Stopping);
         }
+        let view = self.control.view().borrow().clone();
         let account = view.machine.config.accounts.get(&request.account).ok_or(Reason::Key)?;
         let known = match &request.key {
             Some(key) => holds(account, key),
-            None => request.account.as_str() == PUBLIC,
+            None => {
+                request.account.as_str() == PUBLIC
+                    && crate::batch::open(&request.messages, &view.machine.config)
+            }
         };
         if known { Ok(()) } else { Err(Reason::Key) }
     }
 
+    /// Runs a request outside a transaction; one with an id runs once.
+    async fn first(
+        self: &Arc<Self>,
+        stream: &Arc<Stream>,
+        pinned: &mut MutexGuard<'_, Option<Held>>,
+        request: &Request,
+        deadline: Instant,
+    ) -> Answer {
+        let single = request.block == Block::Single && !request.idempotent;
+        let Some(id) = request.id.as_ref().filter(|_| single) else {
+            return self.attempts(stream, pinned, request, deadline).await;
+        };
+        let (waiter, answer) = oneshot::channel();
+        let now = self.control.now();
+        let begin = lock(&self.core).requests.begin(&request.account, id, waiter, now);
+        match begin {
+            Begin::First(_) => {}
+            Begin::Joined => {
+                let answer = timeout_at(deadline, answer).await;
+                return answer.ok().and_then(Result::ok).unwrap_or_else(unknown);
+            }
+            Begin::Answer(_, answer) => return answer,
+            Begin::Unknown(_) => return unknown(),
+            Begin::Full(_) => return refused(Reason::Overload),
+        }
+        let answer = self.attempts(stream, pinned, request, deadline).await;
+        let now = self.control.now();
+        let waiters = {
+            let requests = &mut lock(&self.core).requests;
+            match &answer.outcome {
+                Outcome::Refused { .. } => requests.drop(&request.account, id),
+                Outcome::Unknown => requests.lose(&request.account, id, now),
+                Outcome::Done | Outcome::Failed => {
+                    let size = answer.messages.len();
+                    requests.finish(&request.account, id, answer.clone(), size, now)
+                }
+            }
+        };
+        for waiter in waiters {
+            // A repeated request may have given up.
+            let _ = waiter.send(answer.clone());
+        }
+        answer
+    }
+
+    /// Runs a request, on another server if one fails and running it again does no harm.
+    async fn attempts(
+        self: &Arc<Self>,
+        stream: &Arc<Stream>,
+        pinned: &mut MutexGuard<'_, Option<Held>>,
+        request: &Request,
+        deadline: Instant,
+    ) -> Answer {
+        if executes(&request.messages)
+            && let Err((reason, retry)) = self.rates.admit(&request.account, deadline).await
+        {
+            return Answer { outcome: Outcome::Refused { reason, retry }, ..unknown() };
+        }
+        if request.read {
+            lock(&self.core).budget.read();
+        }
+        let mut attempts = Attempts { idempotent: request.idempotent, ..Attempts::default() };
+        loop {
+            let held = match self.hold(stream, request, &attempts, deadline).await {
+                Ok(held) => held,
+                Err(_) if attempts.sent => return unknown(),
+                Err(reason) => return refused(reason),
+            };
+            let (member, failure) = match self.execute(stream, request, held, deadline).await {
+                Attempt::Answer(answer, held) => {
+                    return self.settled(stream, pinned, answer, held).await;
+                }
+                Attempt::Failed(member, failure) => (member, failure),
+            };
+            let now = self.control.now();
+            let next = attempts.failed(&member.name, failure, &mut lock(&self.core).budget, now);
+            match next {
+                Next::Elsewhere => self.metrics.retried(if failure == Failure::Stopping {
+                    "stopping"
+                } else {
+                    "lost"
+                }),
+                Next::Refuse => return refused(Reason::Connection),
+                Next::Report | Next::Unknown => return unknown(),
+            }
+        }
+    }
+
     /// Waits for a slot and a connection.
-    async fn hold(self: &Arc<Self>, request: &Request, deadline: Instant) -> Result<Held, Reason> {
-        let primary = !request.read;
-        let need = Need { floor: Position::default(), age: request.age, primary };
+    async fn hold(
+        self: &Arc<Self>,
+        stream: &Stream,
+        request: &Request,
+        attempts: &Attempts,
+        deadline: Instant,
+    ) -> Result<Held, Reason> {
         loop {
-            let grant = self.acquire(need.clone(), deadline).await?;
+            let (need, place) = self.need(request, deadline);
+            let grant = tokio::select! {
+                grant = self.acquire(need, attempts.servers.clone(), place, deadline) => grant?,
+                () = stream.gone() => return Err(Reason::Connection),
+            };
             match timeout_at(deadline, grant.member.pool.get()).await {
-                Ok(Ok(pooled)) => {
-                    return Ok(Held { grant, pooled, changed: false });
-                }
-                Ok(Err(_)) => {
+                Ok(Ok(pooled)) => return Ok(Held::new(grant, pooled, self.primary.borrow().0)),
+                Ok(Err(error)) => {
                     self.metrics.retried("connect");
                     self.suspend(&grant.member, SUSPEND);
+                    if error.kind() == ErrorKind::ConnectionRefused {
+                        self.failed(&grant.member, true);
+                    }
                 }
                 Err(_) => return Err(Reason::Connection),
             }
         }
     }
 
+    fn need(&self, request: &Request, deadline: Instant) -> (Need, Place) {
+        let view = self.control.view().borrow().clone();
+        let account = view.machine.config.accounts.get(&request.account);
+        let core = lock(&self.core);
+        let floor = core
+            .positions
+            .as_ref()
+            .map(|table| table.need(&request.account, request.session.as_deref()));
+        let need = Need {
+            // Until the primary has reported its position, no replica is known to be fresh enough.
+            primary: !request.read || floor.is_none(),
+            floor: floor.unwrap_or_default(),
+            age: request.age,
+            paused: 0,
+        };
+        let left = deadline.saturating_duration_since(Instant::now()).as_millis() as Millis;
+        let place = Place {
+            account: request.account.clone(),
+            rate: account.map_or(1.0, |account| account.rate),
+            class: request.class,
+            deadline: self.control.now() + left,
+        };
+        (need, place)
+    }
+
     /// Sends the request and turns what comes back into an answer.
     ///
     /// The connection comes back only if its answer was complete.
     async fn execute(
         self: &Arc<Self>,
         stream: &Arc<Stream>,
-        request: Request,
+        request: &Request,
         mut held: Held,
         deadline: Instant,
-    ) -> (Answer, Option<Held>) {
-        // The lease may have ended while the request waited.
-        if let Err(reason) = self.admit(&request) {
+    ) -> Attempt {
+        let member = held.grant.member.clone();
+        // Lease, key and term may have changed while the request or the transaction waited.
+        if let Err(reason) = self.check(request) {
             held.reset().await;
-            return (refused(reason), None);
+            return Attempt::Answer(refused(reason), None);
         }
-        let member = held.grant.member.clone();
-        *lock(&stream.running) = Some((member.clone(), held.pooled.connection.key()));
-        let sent = self.send(&mut held, &member, request.messages.into()).await;
+        if !request.read && held.term != self.primary.borrow().0 {
+            return Attempt::Failed(member, Failure::Unsent);
+        }
+        let write = !request.read && request.block == Block::Single;
+        let key = held.pooled.connection.key();
+        *lock(&stream.running) = Some(Running { member: member.clone(), key, write });
+        let begun = Instant::now();
+        let reply = self.send(&mut held, &member, request).await;
         *lock(&stream.running) = None;
-        let Sent::Reply(reply) = sent else { return (unknown(), None) };
-        let replica = !self.is_primary(&member);
+        let Some(reply) = reply else { return Attempt::Failed(member, Failure::Lost) };
+        self.answered(&member);
         held.changed |= reply.changed;
-        if let Some(position) = reply.position {
-            let held_by_majority = tokio::select! {
-                acknowledged = timeout_at(deadline, self.acknowledged(position)) => acknowledged.unwrap_or(false),
-                () = self.ended() => false,
-            };
-            if !held_by_majority || self.control.now() >= self.control.lease() {
-                held.reset().await;
-                return (unknown(), None);
-            }
+        if reply.error.as_ref().is_some_and(|code| code.starts_with(STOPPING)) {
+            return Attempt::Failed(member, Failure::Stopping);
         }
+        if request.read {
+            member.took(begun.elapsed().as_micros() as u64);
+        }
+        if !self.confirmed(request, &reply, deadline).await {
+            held.reset().await;
+            return Attempt::Answer(unknown(), None);
+        }
+        let replica = self.primary.borrow().1.as_ref() != Some(&member.name);
         if request.read {
             let counter =
                 if replica { &self.metrics.replica_reads } else { &self.metrics.primary_reads };
             counter.inc();
         }
-        (answer(*reply, replica), Some(held))
+        Attempt::Answer(answer(reply, replica), Some(held))
     }
 
-    async fn send(&self, held: &mut Held, member: &Member, messages: Bytes) -> Sent {
-        let mut lost = member.lost.subscribe();
+    /// Waits until a majority holds what the request wrote; false if that cannot be shown.
+    async fn confirmed(&self, request: &Request, reply: &Reply, deadline: Instant) -> bool {
+        if let Some(position) = reply.position {
+            let held = tokio::select! {
+                held = self.acknowledged(position, deadline) => held,
+                () = self.ended() => false,
+            };
+            if !held {
+                return false;
+            }
+            let now = self.control.now();
+            let mut core = lock(&self.core);
+            if let Some(positions) = &mut core.positions {
+                positions.acknowledge(&request.account, request.session.as_deref(), position);
+            }
+            if let Some(gap) = core.failover.acknowledged(now) {
+                self.metrics.gap("detection", gap.detection);
+                self.metrics.gap("agreement", gap.agreement);
+                self.metrics.gap("promotion", gap.promotion);
+                self.metrics.gap("first_write", gap.first);
+            }
+        }
+        self.control.now() < self.control.lease()
+    }
+
+    /// Sends the request; `None` if the connection, the server, the term or the lease was lost.
+    async fn send(&self, held: &mut Held, member: &Member, request: &Request) -> Option<Reply> {
+        let mut removed = member.removed.subscribe();
+        let mut silent = member.silent.subscribe();
+        let mut primary = self.primary.subscribe();
+        let term = held.term;
+        let messages = Bytes::copy_from_slice(&request.messages);
         tokio::select! {
-            reply = held.pooled.connection.run(messages) => reply.map_or(Sent::Lost, |reply| Sent::Reply(Box::new(reply))),
-            _ = lost.wait_for(|lost| *lost) => Sent::Lost,
-            () = self.ended() => Sent::Lost,
+            reply = held.pooled.connection.run(messages) => reply.ok(),
+            _ = removed.wait_for(|removed| *removed) => None,
+            _ = silent.wait_for(|silent| *silent), if request.read => None,
+            _ = primary.wait_for(|primary| primary.0 != term), if !request.read => None,
+            () = self.ended() => None,
         }
     }
 
@@ -215,13 +393,18 @@
     async fn ended(&self) {
         let mut closed = self.closed.subscribe();
         tokio::select! {
-            // An error means that the group is gone.
+            // The group itself keeps the channel open.
             _ = closed.wait_for(|closed| *closed) => {}
             () = lease_end(self.control.as_ref()) => {}
         }
     }
 }
 
+/// Whether the messages run a statement; preparing one costs no token.
+fn executes(messages: &[u8]) -> bool {
+    frame::frames(messages).iter().any(|frame| matches!(frame.tag, b'Q' | b'E'))
+}
+
 fn unknown() -> Answer {
     Answer { outcome: Outcome::Unknown, messages: Vec::new(), replica: false, position: None }
 }
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{ErrorKind, Result},
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -28,6 +31,7 @@
     database: String,
     cap: u32,
     idle: Mutex<Vec<Pooled>>,
+    warming: AtomicBool,
     metrics: Arc<Metrics>,
 }
 
@@ -54,7 +58,8 @@
     ) -> Pool {
         // Two owners may overlap during a move, and each keeps a monitor connection.
         let cap = (connections / 2).saturating_sub(1).max(1);
-        Pool { servers, address, database: database.into(), cap, idle: Mutex::default(), metrics }
+        let (idle, warming) = (Mutex::default(), AtomicBool::new(false));
+        Pool { servers, address, database: database.into(), cap, idle, warming, metrics }
     }
 
     /// Most connections that this instance opens, the monitor left out.
@@ -68,10 +73,12 @@
     ///
     /// No connection could be opened; nothing was sent.
     pub(crate) async fn get(&self) -> Result<Pooled> {
-        if let Some(pooled) = lock(&self.idle).pop() {
-            return Ok(pooled);
+        loop {
+            let Some(mut pooled) = lock(&self.idle).pop() else { return self.open().await };
+            if pooled.connection.is_open() {
+                return Ok(pooled);
+            }
         }
-        self.open().await
     }
 
     /// Takes back a connection whose last answer was complete with status `I`.
@@ -97,13 +104,22 @@
         self.put(pooled);
     }
 
+    /// Whether a connection is ready.
+    pub(crate) fn is_warm(&self) -> bool {
+        !lock(&self.idle).is_empty()
+    }
+
     /// Opens connections until `count` are idle.
     pub(crate) async fn warm(&self, count: usize) {
+        if self.warming.swap(true, Ordering::SeqCst) {
+            return;
+        }
         let count = count.min(self.cap as usize);
         while lock(&self.idle).len() < count {
-            let Ok(pooled) = self.open().await else { return };
+            let Ok(pooled) = self.open().await else { break };
             self.put(pooled);
         }
+        self.warming.store(false, Ordering::SeqCst);
     }
 
     /// Closes the idle connections.
--- /dev/null
+++ b/crates/transport/src/rate.rs
@@ -0,0 +1,181 @@
+//! Admission by rate at a group owner: takes tokens from the rate owners of client accounts.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use auburnlug_coordination::{
+    allotment::{Admit, Allotment, Limit},
+    limit::{Ask, Grant},
+};
+use auburnlug_protocol::peer::{Reason, Traffic};
+use auburnlug_state::{Millis, Name, Shard};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, interval, timeout_at},
+};
+
+use crate::{
+    forward::{Forwarder, lock},
+    view::Control,
+};
+
+/// Time between two looks at asks that are due.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Result of a wait for a token; the error says when to come again.
+type Verdict = Result<(), Millis>;
+
+/// Allotments of this instance, one a client account.
+pub(crate) struct Rates {
+    control: Arc<dyn Control>,
+    forwarder: Arc<Forwarder>,
+    accounts: Mutex<BTreeMap<Name, Account>>,
+    /// First id of asks; greater than those of the run before.
+    first: u64,
+}
+
+struct Account {
+    limit: Box<dyn Limit>,
+    waiting: VecDeque<(u64, oneshot::Sender<Verdict>)>,
+    next: u64,
+}
+
+impl Rates {
+    pub(crate) fn new(control: Arc<dyn Control>, forwarder: Arc<Forwarder>) -> Rates {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Rates { control, forwarder, accounts: Mutex::default(), first: since.as_micros() as u64 }
+    }
+
+    /// Waits for a token of `account`.
+    ///
+    /// # Errors
+    ///
+    /// Why the request must not run, and when to come again.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        account: &Name,
+        deadline: Instant,
+    ) -> Result<(), (Reason, Millis)> {
+        let (id, verdict) = match self.ask(account) {
+            Ok(Some(waiting)) => waiting,
+            Ok(None) => return Ok(()),
+            Err(retry) => return Err((Reason::Rate, retry)),
+        };
+        match timeout_at(deadline, verdict).await {
+            Ok(Ok(verdict)) => verdict.map_err(|retry| (Reason::Rate, retry)),
+            Ok(Err(_)) => Err((Reason::Owner, 0)),
+            Err(_) => {
+                self.leave(account, id);
+                Err((Reason::Owner, 0))
+            }
+        }
+    }
+
+    /// Takes a token, or joins the requests that wait for one.
+    fn ask(
+        self: &Arc<Self>,
+        account: &Name,
+    ) -> Result<Option<(u64, oneshot::Receiver<Verdict>)>, Millis> {
+        let now = self.control.now();
+        let mut accounts = lock(&self.accounts);
+        let state = accounts.entry(account.clone()).or_insert_with(|| Account {
+            limit: Box::new(Allotment::new(self.first)),
+            waiting: VecDeque::new(),
+            next: 0,
+        });
+        let ask = match state.limit.admit(now) {
+            Admit::Now => return Ok(None),
+            Admit::Refused { retry } => return Err(retry),
+            Admit::Ask(ask) => Some(ask),
+            Admit::Wait => None,
+        };
+        let (sender, receiver) = oneshot::channel();
+        state.next += 1;
+        let id = state.next;
+        state.waiting.push_back((id, sender));
+        drop(accounts);
+        if let Some(ask) = ask {
+            self.send(account.clone(), ask);
+        }
+        Ok(Some((id, receiver)))
+    }
+
+    fn leave(&self, account: &Name, id: u64) {
+        let mut accounts = lock(&self.accounts);
+        let Some(state) = accounts.get_mut(account) else { return };
+        let before = state.waiting.len();
+        state.waiting.retain(|(other, _)| *other != id);
+        if state.waiting.len() < before {
+            state.limit.leave();
+        }
+    }
+
+    /// Follows the answers of rate owners, and asks again when that is due.
+    pub(crate) async fn follow(self: Arc<Self>, mut answers: mpsc::Receiver<Traffic>) {
+        let mut tick = interval(TICK);
+        loop {
+            tokio::select! {
+                answer = answers.recv() => match answer {
+                    Some(Traffic::Tokens { id, account, count, retry, owner: true }) => {
+                        self.granted(&account, id, Grant { count, retry });
+                    }
+                    // Without an owner, the ask is repeated when it is overdue.
+                    Some(_) => {}
+                    None => return,
+                },
+                _ = tick.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn granted(self: &Arc<Self>, account: &Name, id: u64, grant: Grant) {
+        let now = self.control.now();
+        let mut accounts = lock(&self.accounts);
+        let Some(state) = accounts.get_mut(account) else { return };
+        let granted = state.limit.granted(id, grant, now);
+        let verdicts = std::iter::repeat_n(Ok(()), granted.admitted as usize)
+            .chain(std::iter::repeat_n(Err(granted.retry), granted.refused as usize));
+        for verdict in verdicts {
+            if let Some((_, waiting)) = state.waiting.pop_front() {
+                // A request that gave up at the same moment loses the token.
+                let _ = waiting.send(verdict);
+            }
+        }
+        drop(accounts);
+        if let Some(ask) = granted.ask {
+            self.send(account.clone(), ask);
+        }
+    }
+
+    fn tick(self: &Arc<Self>) {
+        let now = self.control.now();
+        let mut due = Vec::new();
+        for (account, state) in lock(&self.accounts).iter_mut() {
+            due.extend(state.limit.tick(now).map(|ask| (account.clone(), ask)));
+        }
+        for (account, ask) in due {
+            self.send(account, ask);
+        }
+    }
+
+    /// Sends an ask to the rate owner; a lost one is repeated when it is overdue.
+    fn send(self: &Arc<Self>, account: Name, ask: Ask) {
+        let view = self.control.view().borrow().clone();
+        let holder = view.machine.shards.get(&Shard::Account(account.clone()));
+        let Some(owner) = holder.and_then(|holder| holder.instance.clone()) else { return };
+        let Ask { id, count, demand, returned } = ask;
+        let take = Traffic::Take { id, account, count, demand, returned };
+        if let Some(peer) = self.forwarder.current(&owner) {
+            return peer.tell(take);
+        }
+        let forwarder = self.forwarder.clone();
+        tokio::spawn(async move {
+            if let Some(peer) = forwarder.peer(&owner).await {
+                peer.tell(take);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/transport/src/rate_owner.rs
@@ -0,0 +1,81 @@
+//! Token buckets of the client accounts whose rate this instance owns.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
+
+use auburnlug_coordination::limit::{Ask, Bucket, Grant};
+use auburnlug_protocol::peer::Traffic;
+use auburnlug_state::{Name, Shard};
+
+use crate::{
+    forward::lock,
+    view::{Control, View},
+};
+
+/// Buckets owned by this instance.
+pub(crate) struct RateOwner {
+    control: Arc<dyn Control>,
+    buckets: Mutex<BTreeMap<Name, Owned>>,
+}
+
+struct Owned {
+    epoch: u64,
+    limits: (f64, f64),
+    bucket: Bucket,
+}
+
+impl RateOwner {
+    pub(crate) fn new(control: Arc<dyn Control>) -> RateOwner {
+        RateOwner { control, buckets: Mutex::default() }
+    }
+
+    /// Takes over ownership, rates and bursts from the view.
+    pub(crate) fn update(&self, view: &View) {
+        let now = self.control.now();
+        let valid = now < self.control.lease();
+        let mut buckets = lock(&self.buckets);
+        let epoch = |name: &Name| {
+            let holder = view.machine.shards.get(&Shard::Account(name.clone()))?;
+            (valid && holder.instance.as_ref() == Some(&view.me)).then_some(holder.epoch)
+        };
+        let accounts = &view.machine.config.accounts;
+        buckets
+            .retain(|name, owned| accounts.contains_key(name) && epoch(name) == Some(owned.epoch));
+        for (name, account) in accounts {
+            let Some(epoch) = epoch(name) else { continue };
+            let limits = (account.rate, account.burst);
+            let owned = buckets.entry(name.clone()).or_insert_with(|| {
+                // Tokens of a former owner may still be in use.
+                let bucket = if epoch <= 1 {
+                    Bucket::new(account.rate, account.burst, now)
+                } else {
+                    Bucket::empty(account.rate, account.burst, 0, now)
+                };
+                Owned { epoch, limits, bucket }
+            });
+            if owned.limits != limits {
+                owned.limits = limits;
+                owned.bucket.set(account.rate, account.burst, now);
+            }
+        }
+    }
+
+    /// Answers an ask of the instance `holder`; `None` if it is doubled or late.
+    pub(crate) fn take(&self, holder: &Name, account: Name, ask: Ask) -> Option<Traffic> {
+        let now = self.control.now();
+        let mut buckets = lock(&self.buckets);
+        let owned = buckets.get_mut(&account).filter(|_| now < self.control.lease());
+        let Some(owned) = owned else {
+            return Some(Traffic::Tokens { id: ask.id, account, count: 0, retry: 0, owner: false });
+        };
+        let Grant { count, retry } = owned.bucket.take(holder, ask, now)?;
+        Some(Traffic::Tokens { id: ask.id, account, count, retry, owner: true })
+    }
+
+    /// Gives up all buckets.
+    pub(crate) fn close(&self) {
+        lock(&self.buckets).clear();
+    }
+}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -52,6 +52,9 @@
 
     /// Key that cancels the running statement.
     fn key(&self) -> CancelKey;
+
+    /// Whether the connection can take a request: still open, and nothing arrived unasked.
+    fn is_open(&mut self) -> bool;
 }
 
 /// Key of a connection for cancel requests.
@@ -221,6 +224,12 @@
     fn key(&self) -> CancelKey {
         self.key.clone()
     }
+
+    fn is_open(&mut self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        self.buf.is_empty() && read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
 }
 
 /// Notes what `frame` says about the request; true if the caller must not see it.
@@ -264,7 +273,7 @@
     let fields = frame.decode::<ErrorResponse>().map(|error| error.fields).unwrap_or_default();
     let text =
         fields.into_iter().find(|field| field.0 == b'M').map_or_else(String::new, |field| field.1);
-    Error::new(ErrorKind::ConnectionRefused, text)
+    Error::new(ErrorKind::PermissionDenied, text)
 }
 
 /// Messages of a simple query.
--- a/crates/transport/src/status.rs
+++ b/crates/transport/src/status.rs
@@ -1,6 +1,5 @@
 //! Status of a database server, as its answer to `SHOW auburnlug.status` gives it.
 
-use auburnlug_coordination::Position;
 use auburnlug_state::{Millis, Role, Term};
 use bytes::Buf;
 use pgwire::messages::data::DataRow;
@@ -49,13 +48,6 @@
             upstream: upstream.parse().unwrap_or(Millis::MAX),
         })
     }
-
-    /// Whether the server holds the write at `position` under the position's own term.
-    ///
-    /// A server whose log ends in another term may hold a different entry at that offset.
-    pub(crate) fn holds(&self, position: Position) -> bool {
-        self.term == position.term && self.last == position.term && self.received >= position.offset
-    }
 }
 
 /// Offsets from which on a server's log is known to be of a term.
--- a/crates/transport/src/traffic.rs
+++ b/crates/transport/src/traffic.rs
@@ -16,6 +16,7 @@
     link::{Dial, Link},
     metrics::Metrics,
     owner::Owner,
+    rate::Rates,
     server::{Credentials, Servers, TcpServers},
     view::Control,
 };
@@ -26,6 +27,9 @@
 /// Links to and from this instance itself that may wait to be taken.
 const LOCAL: usize = 4;
 
+/// Messages of rate owners that may wait to be taken.
+const OTHERS: usize = 1024;
+
 /// Settings of the traffic runtime.
 #[derive(Debug)]
 pub struct TrafficConfig {
@@ -70,10 +74,13 @@
 ) -> TrafficHandle {
     let (local, links) = mpsc::channel(LOCAL);
     let stopping = watch::Sender::new(false);
-    let forwarder = Forwarder::new(control.clone(), dial, local, metrics.clone());
-    let owner = Arc::new(Owner::new(control.clone(), servers, metrics.clone()));
+    let (others, answers) = mpsc::channel(OTHERS);
+    let forwarder = Arc::new(Forwarder::new(control.clone(), dial, local, others, metrics.clone()));
+    let rates = Arc::new(Rates::new(control.clone(), forwarder.clone()));
+    let owner = Arc::new(Owner::new(control.clone(), servers, metrics.clone(), rates.clone()));
     let shared = Shared::new(control, forwarder, metrics, config.wait, stopping.subscribe());
     let tasks = vec![
+        tokio::spawn(rates.follow(answers)).abort_handle(),
         tokio::spawn(owner.clone().follow()).abort_handle(),
         tokio::spawn(owner.clone().listen(inbound)).abort_handle(),
         tokio::spawn(owner.clone().listen(links)).abort_handle(),
@@ -83,8 +90,9 @@
 }
 
 impl TrafficHandle {
-    /// Stops gracefully: accepts no callers, closes idle ones, and returns when the last open
-    /// transaction has ended. Groups are served until the handle is dropped.
+    /// Stops gracefully: accepts no callers, closes idle ones, and returns when all transactions
+    /// and statements have ended, those of other entries too. Release the shards afterwards and
+    /// then drop the handle; until then, other entries hold their requests for the next owner.
     pub async fn stop(&mut self) {
         self.stopping.send_replace(true);
         if let Some(entry) = &mut self.entry {
@@ -92,6 +100,7 @@
             let _ = entry.await;
             self.entry = None;
         }
+        self.owner.drain().await;
     }
 }
 
