--- a/crates/bench/src/execute.rs
+++ b/crates/bench/src/execute.rs
@@ -237,6 +237,10 @@
     /// Holds the slot for the time of a statement; a cancel request ends it early.
     async fn serve(&self, factor: u64) -> std::result::Result<(), Fault> {
         let time = self.server.service.load(Ordering::Relaxed) * factor;
+        // The timer rounds up to a millisecond, even for a time of 0.
+        if time == 0 {
+            return Ok(());
+        }
         tokio::select! {
             () = tokio::time::sleep(Duration::from_millis(time)) => Ok(()),
             () = self.cancel.notified() => {
--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -35,6 +35,7 @@
     put("requests", evidence.requests.len() as f64);
     let done = evidence.requests.iter().filter(|r| r.outcome == Outcome::Done).count();
     put("done", done as f64);
+    put("not_done", (evidence.requests.len() - done) as f64);
     let refused = evidence.requests.iter().filter(|r| r.outcome == Outcome::Limit).count();
     put("refused_limit", refused as f64);
     let refused = evidence.requests.iter().filter(|r| r.outcome == Outcome::Unavailable).count();
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod oracle;
 pub mod panel;
+pub mod plot;
 pub mod record;
 pub mod relay;
 pub mod replicate;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
     Error, Result, Sink, check,
     deployment::{Deployment, Flood, Schedule},
     evidence::{self, Files},
-    load,
+    load, plot,
     record::{self, Mark},
     relay, server,
 };
@@ -17,13 +17,14 @@
     Relay(relay::Options),
     Load(load::Options),
     Check(check::Options),
+    Plot(plot::Options),
     Mark { file: PathBuf, name: String },
     Get { url: String },
 }
 
 fn main() -> ExitCode {
     let command =
-        construct!([server(), relay(), load(), check(), mark(), get()]).to_options().run();
+        construct!([server(), relay(), load(), check(), plot(), mark(), get()]).to_options().run();
     match run(command) {
         Ok(code) => code,
         Err(error) => {
@@ -43,6 +44,7 @@
         Command::Check(options) => {
             return Ok(ExitCode::from(u8::from(!check::run(&options)?)));
         }
+        Command::Plot(options) => plot::run(&options)?,
         Command::Mark { file, name } => {
             Sink::open(&file)?.put(&[Mark { time: record::now(), name }])?;
         }
@@ -133,18 +135,29 @@
     construct!(Schedule { deployment, seed, seconds, share, flood })
 }
 
-fn check() -> impl Parser<Command> {
+fn sources() -> impl Parser<evidence::Options> {
     let template = long("template").argument::<PathBuf>("FILE");
     let load = long("load").argument::<PathBuf>("FILE");
     let servers = long("server").argument::<Files>("GROUP,RECORD,DATA").some("no server");
     let marks = long("marks").argument::<PathBuf>("FILE").optional();
-    let sources = construct!(evidence::Options { template, load, servers, marks });
+    construct!(evidence::Options { template, load, servers, marks })
+}
+
+fn check() -> impl Parser<Command> {
+    let sources = sources();
     let out = long("out").argument::<PathBuf>("FILE").optional();
     let zero = long("zero").argument::<String>("FIGURE").many();
     let options = construct!(check::Options { sources, out, zero });
     options.map(Command::Check).to_options().descr("Figures of a run").command("check")
 }
 
+fn plot() -> impl Parser<Command> {
+    let sources = sources();
+    let out = long("out").argument::<PathBuf>("FILE.svg");
+    let options = construct!(plot::Options { sources, out });
+    options.map(Command::Plot).to_options().descr("Plots of a run over time").command("plot")
+}
+
 fn mark() -> impl Parser<Command> {
     let file = long("file").argument::<PathBuf>("FILE");
     let name = bpaf::positional::<String>("NAME");
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -186,7 +186,10 @@
     let writer = async {
         while let Some((time, chunk)) = receiver.recv().await {
             let delay = rules.borrow().delay(link);
-            tokio::time::sleep_until(time + delay).await;
+            // The timer rounds up to a millisecond, even for a time that has passed.
+            if !delay.is_zero() {
+                tokio::time::sleep_until(time + delay).await;
+            }
             pass(rules, link, way).await;
             if chunk.is_empty() || write.write_all(&chunk).await.is_err() {
                 break;
