--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -125,10 +125,10 @@
         now: Millis,
     ) -> Result<Option<Control>> {
         match message {
-            Control::Raft { from: sender, to, message } => {
-                if to == self.identity && instance_of(&sender).as_ref() == Some(from) {
-                    self.agree(&sender, message, now);
-                }
+            Control::Raft { from: sender, to, message }
+                if to == self.identity && instance_of(&sender).as_ref() == Some(from) =>
+            {
+                self.agree(&sender, message, now);
             }
             Control::Probe { .. } => {
                 let members = self.raft().map(|raft| raft.members().clone());
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -52,7 +52,12 @@
 
 impl FakeControl {
     pub fn new(machine: Machine) -> Arc<FakeControl> {
-        let view = View { me: name("a"), machine: Arc::new(machine), stopping: false };
+        let view = View {
+            me: name("a"),
+            machine: Arc::new(machine),
+            stopping: false,
+            release: Default::default(),
+        };
         Arc::new(FakeControl {
             view: watch::Sender::new(Arc::new(view)),
             lease: AtomicU64::new(1 << 40),
