Pass announcements only to a known leader

Cause: a member without a leader passed each announcement to all members, which passed it on again. The links filled up, were closed and reopened, and no leader was elected. Seen in 3 of 4 starts with nine announcing servers (links of one pair of members reopened 4 to 5 times in 2 s; no leader after 30 s). Ruled out: slow syncs (0.3 ms each) and messages that cannot be decoded (none). Change: only the leader takes an announcement from a link, and others send it to the leader that they know.

--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -248,7 +248,9 @@
                     let _ = reply.send(applied);
                 }
             }
-            Control::Announce(server) => {
+            // Only the leader takes an announcement from a link. Members that passed it on again
+            // while there was no leader filled each other's queues and kept one from being elected.
+            Control::Announce(server) if self.leader.is_some() => {
                 self.announced(server);
             }
             Control::Release { shard, epoch } => self.release(shard, epoch),
@@ -452,12 +454,8 @@
     }
 
     fn publish_status(&mut self, now: Millis) {
-        let member = self.member.as_ref();
-        let leader = match member {
-            Some(member) => member.leader(),
-            None => self.granter.clone().filter(|_| self.holder.valid(now)),
-        };
-        let term = member.map_or(0, Member::term);
+        let leader = self.known_leader().filter(|_| self.holder.valid(now));
+        let term = self.member.as_ref().map_or(0, Member::term);
         let status =
             Status { leads: self.leader.is_some(), leader, term, confirmed: self.confirmed };
         self.outputs.status.send_if_modified(|old| {
@@ -481,8 +479,7 @@
             self.propose(command, Waiter::Local(reply));
             return;
         }
-        let leader = self.member.as_ref().and_then(Member::leader);
-        let Some(leader) = leader.or_else(|| self.granter.clone()) else {
+        let Some(leader) = self.known_leader() else {
             let _ = reply.send(None);
             return;
         };
@@ -492,6 +489,12 @@
         self.links.send_member(&leader, Control::Propose { id, command });
     }
 
+    /// Instance that leads, as far as known.
+    pub(crate) fn known_leader(&self) -> Option<Name> {
+        let leader = self.member.as_ref().and_then(Member::leader);
+        leader.or_else(|| self.granter.clone())
+    }
+
     fn expire_proposals(&mut self, now: Millis) {
         self.remote.retain(|_, (_, since)| now < *since + PROPOSAL_LIMIT);
         let old: Vec<Index> = self
--- a/crates/transport/src/control_leader.rs
+++ b/crates/transport/src/control_leader.rs
@@ -216,15 +216,10 @@
         }
     }
 
+    /// Without a known leader the announcement is dropped; servers repeat it every second.
     fn pass_on(&mut self, server: Server) {
-        let leader = self.member.as_ref().and_then(Member::leader);
-        match leader {
-            Some(leader) => self.links.send_member(&leader, Control::Announce(server)),
-            None => {
-                for name in self.links.members() {
-                    self.links.send_member(&name, Control::Announce(server.clone()));
-                }
-            }
+        if let Some(leader) = self.known_leader() {
+            self.links.send_member(&leader, Control::Announce(server));
         }
     }
 
