--- /dev/null
+++ b/crates/transport/src/disk_memory.rs
@@ -0,0 +1,121 @@
+//! A disk in memory for tests, with failures on demand.
+
+use std::{
+    path::PathBuf,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use auburnlug_coordination::raft::{Ready, Saved, Snapshot};
+use auburnlug_state::Name;
+
+use crate::{
+    disk::{Disk, Loaded},
+    error::{Error, Kind, Result},
+};
+
+/// Disk in memory; clones share its content, so that a test keeps one to inject failures.
+#[derive(Debug, Clone)]
+pub struct MemoryDisk {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    identity: Name,
+    durable: Saved,
+    /// What is stored, synced or not.
+    stored: Saved,
+    fail_store: bool,
+    fail_sync: bool,
+    stopped: bool,
+}
+
+impl MemoryDisk {
+    /// Empty disk of the member `identity`.
+    pub fn new(identity: Name) -> MemoryDisk {
+        let (durable, stored) = (Saved::default(), Saved::default());
+        let (fail_store, fail_sync, stopped) = (false, false, false);
+        let state = State { identity, durable, stored, fail_store, fail_sync, stopped };
+        MemoryDisk { state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Makes the next store fail, as on a full disk.
+    pub fn fail_store(&self) {
+        self.state().fail_store = true;
+    }
+
+    /// Makes the next sync fail and lose what was not synced.
+    pub fn fail_sync(&self) {
+        self.state().fail_sync = true;
+    }
+
+    /// Restarts the member after a loss of power: what was not synced is lost.
+    pub fn crash(&self) {
+        let mut state = self.state();
+        state.stored = state.durable.clone();
+        state.stopped = false;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn working(&self) -> Result<MutexGuard<'_, State>> {
+        let state = self.state();
+        if state.stopped { Err(Kind::Stopped.into()) } else { Ok(state) }
+    }
+}
+
+impl State {
+    fn fail(&mut self, text: &str) -> Error {
+        self.stopped = true;
+        Error::file(&PathBuf::from("memory"))(std::io::Error::other(text))
+    }
+}
+
+impl Disk for MemoryDisk {
+    fn load(&mut self) -> Result<Loaded> {
+        let state = self.working()?;
+        let (identity, saved) = (state.identity.clone(), state.stored.clone());
+        Ok(Loaded { identity, saved, cut: 0 })
+    }
+
+    fn store(&mut self, ready: &Ready) -> Result<()> {
+        let mut state = self.working()?;
+        if std::mem::take(&mut state.fail_store) {
+            return Err(state.fail("disk full"));
+        }
+        let stored = &mut state.stored;
+        if let Some(vote) = &ready.vote {
+            stored.vote = vote.clone();
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            stored.entries.clear();
+            stored.snapshot = Some(snapshot.clone());
+        }
+        if let Some(index) = ready.truncate {
+            stored.entries.retain(|e| e.index < index);
+        }
+        stored.entries.extend(ready.append.iter().cloned());
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<()> {
+        let mut state = self.working()?;
+        if std::mem::take(&mut state.fail_sync) {
+            state.stored = state.durable.clone();
+            return Err(state.fail("sync failed"));
+        }
+        state.durable = state.stored.clone();
+        Ok(())
+    }
+
+    fn compact(&mut self, snapshot: &Snapshot) -> Result<()> {
+        self.sync()?;
+        let mut state = self.working()?;
+        state.stored.entries.retain(|e| e.index > snapshot.index);
+        state.stored.snapshot = Some(snapshot.clone());
+        state.durable = state.stored.clone();
+        Ok(())
+    }
+}
