Cover votes, log comparison and earlier terms in the Raft tests

Mutations showed that a vote not stored, a skipped log comparison and the commit of an earlier term's entry went unnoticed. There are direct tests for them now, a named case, and a schedule step that swaps the isolated member for the leader. Indexes of received messages no longer overflow.

--- a/crates/coordination/src/raft_lead.rs
+++ b/crates/coordination/src/raft_lead.rs
@@ -148,7 +148,8 @@
             return self.advance();
         }
         // Replies to messages sent before the last correction tell nothing new.
-        let stale = sent < peer.rewound || index < peer.matched || index + 1 >= peer.next;
+        let stale =
+            sent < peer.rewound || index < peer.matched || index >= peer.next.saturating_sub(1);
         if stale || peer.installing.is_some_and(|at| clock < at + retry) {
             return;
         }
--- a/crates/coordination/src/raft_log.rs
+++ b/crates/coordination/src/raft_log.rs
@@ -134,8 +134,8 @@
         if index > commit && self.term(index) != Some(term) {
             return Err(self.hint(index, commit));
         }
-        let end = index + entries.len() as Index;
-        if !entries.iter().map(|e| e.index).eq(index + 1..=end) {
+        let end = index.saturating_add(entries.len() as Index);
+        if !entries.iter().map(|e| e.index).eq(index.saturating_add(1)..=end) {
             return Err(commit);
         }
         for entry in entries {
--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -9,8 +9,9 @@
 
 use auburnlug_coordination::{
     Category,
-    raft::{Entry, Members, Message, Payload, Raft, Saved, Snapshot, Timing, Vote},
+    raft::{Entry, Members, Message, Payload, Raft, Ready, Saved, Snapshot, Timing, Vote},
 };
+use auburnlug_state::Command;
 use cluster::{Cluster, Faults, name};
 use proptest::{
     prelude::*,
@@ -33,6 +34,8 @@
     /// Cuts what the present leader hears, or what it says.
     CutLeader(bool),
     Heal,
+    /// Ends all cuts and isolates the present leader, so that members cut off so far stand.
+    Swap,
     Restart(usize),
     RestartLeader,
     LoseDisk(usize),
@@ -49,6 +52,7 @@
         1 => (0..5usize).prop_map(Step::Isolate),
         2 => any::<bool>().prop_map(Step::CutLeader),
         2 => Just(Step::Heal),
+        2 => Just(Step::Swap),
         2 => (0..5usize).prop_map(Step::Restart),
         2 => Just(Step::RestartLeader),
         1 => (0..5usize).prop_map(Step::LoseDisk),
@@ -81,6 +85,12 @@
             cluster.faults.cuts.extend((0..size).map(pair));
         }
         Step::Heal => cluster.faults.cuts.clear(),
+        Step::Swap => {
+            cluster.faults.cuts.clear();
+            if let Some(slot) = cluster.leader() {
+                cluster.isolate(slot);
+            }
+        }
         Step::Restart(slot) => cluster.restart(slot % size),
         Step::RestartLeader => {
             if let Some(slot) = cluster.leader() {
@@ -153,6 +163,15 @@
         c.propose();
         c.run(300);
     }),
+    ("member that missed entries stands while the leader is cut off", |c, leader| {
+        c.isolate((leader + 1) % 3);
+        c.run(1500);
+        c.propose();
+        c.run(200);
+        c.faults.cuts.clear();
+        c.isolate(leader);
+        c.run(3000);
+    }),
     ("voter restarts next to a member that asks for votes", |c, leader| {
         c.isolate((leader + 1) % 3);
         c.run(1500);
@@ -347,11 +366,52 @@
     let ready = raft.ready();
     assert!(raft.leads() && ready.vote.is_some() && ready.append.len() == 1);
     assert_eq!((raft.commit(), raft.lease_valid(timing.longest)), (0, false));
-    assert!(!raft.ready().durable());
+    raft.propose(Command::Forget(name("c")), timing.longest).unwrap();
+    assert_eq!(raft.ready(), Ready::default());
     raft.persisted();
     assert_eq!((raft.ready().committed.len(), raft.lease_valid(timing.longest)), (1, true));
 }
 
+#[test]
+fn leader_commits_earlier_entries_only_with_its_own() {
+    // Guards against an earlier leader's entry that is taken for committed on a majority and is
+    // then replaced by a member with a newer entry.
+    let mut raft = follower();
+    let (now, from, term, granted) = (800, name("m1"), 3, true);
+    raft.tick(now);
+    raft.receive(&from, Message::PreVoteReply { term, granted }, now);
+    raft.receive(&from, Message::VoteReply { term, granted }, now);
+    assert!(raft.leads() && raft.ready().durable());
+    raft.persisted();
+    for (index, commit) in [(3, 0), (4, 4)] {
+        let reply = Message::AppendReply { term, accepted: true, index, sent: now };
+        raft.receive(&from, reply, now);
+        assert_eq!((raft.commit(), raft.lease_valid(now)), (commit, commit > 0));
+    }
+}
+
+#[test]
+fn vote_is_given_once_a_term_and_survives_a_restart() {
+    // Guards against two candidates that both gain a majority in one term.
+    let mut raft = follower();
+    raft.receive(&name("m2"), Message::PreVoteReply { term: 6, granted: false }, 400);
+    assert_eq!(raft.ready().vote, Some(Vote { term: 6, candidate: None }));
+    raft.persisted();
+    let request = Message::RequestVote { term: 6, index: 9, last: 4 };
+    raft.receive(&name("m1"), request.clone(), 400);
+    let vote = raft.ready().vote.unwrap();
+    raft.persisted();
+    let saved = Saved { vote, ..Saved::default() };
+    let members = raft.members().clone();
+    let again = Raft::new(name("m0"), members, saved, Timing::default(), 1, 0).unwrap();
+    for mut raft in [raft, again] {
+        raft.ready();
+        raft.receive(&name("m2"), request.clone(), 900);
+        let refusal = Message::VoteReply { term: 6, granted: false };
+        assert_eq!(raft.ready().messages, [(name("m2"), refusal)]);
+    }
+}
+
 #[test]
 fn start_refuses_unsafe_input() {
     // Guards against timings that break the lease, and against a log that contradicts itself.
