Cover replaced entries and non-voters in the Raft tests

Six mutations went unnoticed: a membership change before the first own commit, a learner promoted before it caught up, votes of non-voters, and membership, durable index and pending sync kept after their entries were replaced. Direct tests cover them now.

--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -307,6 +307,12 @@
     raft.propose_members(one, now).unwrap();
     let error = raft.propose_members(old, now).unwrap_err();
     assert_eq!(error.category(), Category::Busy);
+    cluster.run(200);
+    let voters = set(&["m0", "m1", "m2", "m3"]);
+    let members = Members { voters, learners: set(&[]) };
+    let now = cluster.clock(leader);
+    let error = cluster.nodes[leader].raft.propose_members(members, now).unwrap_err();
+    assert_eq!(error.category(), Category::Lagging);
 }
 
 /// A member of three with three entries of term 2, just started.
@@ -318,6 +324,45 @@
     Raft::new(name("m0"), initial, saved, Timing::default(), 1, 0).unwrap()
 }
 
+/// Makes `raft` the leader of `term` by the votes of m1; those of a stranger must not count.
+fn elect(raft: &mut Raft, term: u64, now: u64) {
+    raft.tick(now);
+    for (from, stands) in [("x", false), ("m1", true)] {
+        raft.receive(&name(from), Message::PreVoteReply { term, granted: true }, now);
+        assert_eq!(raft.term() == term, stands);
+    }
+    for (from, leads) in [("x", false), ("m1", true)] {
+        raft.receive(&name(from), Message::VoteReply { term, granted: true }, now);
+        assert_eq!(raft.leads(), leads);
+    }
+}
+
+#[test]
+fn replaced_entries_leave_nothing_behind() {
+    // Guards against an own copy that counts as durable because the entry it replaced was, and
+    // against a membership that stays in force although its entry is gone.
+    let mut raft = follower();
+    let (initial, from) = (raft.members().clone(), name("m1"));
+    let payload = Payload::Members(Members { learners: [name("m3")].into(), ..initial.clone() });
+    let entries = vec![Entry { index: 4, term: 2, payload }];
+    let append = Message::Append { term: 2, index: 3, last: 2, entries, commit: 0, sent: 0 };
+    raft.receive(&from, append, 1);
+    assert_eq!((raft.ready().append.len(), raft.members() == &initial), (1, false));
+    let entries = vec![Entry { index: 2, term: 3, payload: Payload::Noop }];
+    let append = Message::Append { term: 3, index: 1, last: 2, entries, commit: 0, sent: 0 };
+    raft.receive(&from, append, 1);
+    assert_eq!(raft.members(), &initial);
+    raft.persisted();
+    elect(&mut raft, 4, 900);
+    let reply = Message::AppendReply { term: 4, accepted: true, index: 3, sent: 900 };
+    raft.receive(&from, reply, 900);
+    assert_eq!(raft.commit(), 0);
+    let ready = raft.ready();
+    assert_eq!((ready.truncate, ready.append.len()), (Some(2), 2));
+    raft.persisted();
+    assert_eq!(raft.commit(), 3);
+}
+
 #[test]
 fn voter_in_contact_refuses_votes() {
     // Guards against a vote request, delayed since its pre-vote, that ends a valid lease. A voter
@@ -377,12 +422,14 @@
     // Guards against an earlier leader's entry that is taken for committed on a majority and is
     // then replaced by a member with a newer entry.
     let mut raft = follower();
-    let (now, from, term, granted) = (800, name("m1"), 3, true);
-    raft.tick(now);
-    raft.receive(&from, Message::PreVoteReply { term, granted }, now);
-    raft.receive(&from, Message::VoteReply { term, granted }, now);
-    assert!(raft.leads() && raft.ready().durable());
+    let (now, from, term) = (800, name("m1"), 3);
+    elect(&mut raft, term, now);
+    assert!(raft.ready().durable());
     raft.persisted();
+    let learners = BTreeSet::from([name("m3")]);
+    let members = Members { learners, ..raft.members().clone() };
+    let error = raft.propose_members(members, now).unwrap_err();
+    assert_eq!(error.category(), Category::Busy);
     for (index, commit) in [(3, 0), (4, 4)] {
         let reply = Message::AppendReply { term, accepted: true, index, sent: now };
         raft.receive(&from, reply, now);
