--- a/crates/transport/src/disk.rs
+++ b/crates/transport/src/disk.rs
@@ -86,6 +86,8 @@
 enum Line<'a> {
     Entry(&'a Entry),
     Truncate(Index),
+    /// A snapshot up to here exists; tells a removed snapshot from one never taken.
+    Covered(Index),
 }
 
 /// A record of the log as it is read.
@@ -93,6 +95,7 @@
 enum Stored {
     Entry(Entry),
     Truncate(Index),
+    Covered(Index),
 }
 
 /// A segment of the log.
@@ -243,6 +246,7 @@
         if let Some(snapshot) = &ready.snapshot {
             // The old entries from here on contradict the snapshot and must not follow it.
             self.write(&[Line::Truncate(snapshot.index)])?;
+            self.segments.iter_mut().for_each(|s| s.last = s.last.min(snapshot.index));
             self.try_compact(snapshot)?;
         }
         let mut lines: Vec<Line<'_>> = ready.truncate.map(Line::Truncate).into_iter().collect();
@@ -298,6 +302,7 @@
         if self.size > 0 {
             self.roll()?;
         }
+        self.write(&[Line::Covered(snapshot.index)])?;
         // From the oldest on, so that a crash in between leaves no gap.
         let last = self.segments.len() - 1;
         let covered = self.segments[..last].iter().take_while(|s| s.last <= snapshot.index).count();
@@ -332,9 +337,10 @@
         let number = self.segments.last().map_or(1, |s| s.number);
         let path = self.segment(number);
         let file = OpenOptions::new().append(true).open(&path).map_err(Error::file(&path))?;
-        // What was read may still be in memory only, if the process before ended unexpectedly.
+        // If the process before ended unexpectedly, what was read may not be durable yet.
         let trim = || if cut > 0 { file.set_len(self.size) } else { Ok(()) };
         trim().and_then(|()| file.sync_all()).map_err(Error::file(&path))?;
+        sync_folder(&self.folder)?;
         self.active = Some(file);
         Ok(Loaded { identity, saved, cut })
     }
@@ -360,6 +366,10 @@
         let found = record::decode(&bytes[at..]);
         match found.map_err(|e| Kind::Corrupt(path.into(), at as u64, e))? {
             Read::End | Read::Torn => return Ok((last, at)),
+            Read::Record(Stored::Covered(index), _) if index > covered => {
+                return Err(Kind::Missing(path.with_file_name("snapshot")).into());
+            }
+            Read::Record(Stored::Covered(_), length) => at += length,
             Read::Record(Stored::Truncate(index), length) => {
                 saved.entries.retain(|e| e.index < index);
                 at += length;
--- a/crates/transport/src/disk_error.rs
+++ b/crates/transport/src/disk_error.rs
@@ -1,4 +1,4 @@
-//! Errors of the transport layer.
+//! Errors of the data folder.
 
 use std::{
     fmt, io,
@@ -7,15 +7,15 @@
 
 use quick_error::quick_error;
 
-/// Result of the transport layer.
+/// Result of the data folder.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// An error of the transport layer; [`Error::category`] tells its kind.
+/// An error of the data folder; [`Error::category`] tells its kind.
 pub struct Error {
     kind: Kind,
 }
 
-/// Kind of a transport error.
+/// Kind of a data folder error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Category {
     /// A file operation failed.
