Test the length of a promotion and isolate whole servers in the schedules

The schedules cut single links only, so that many of them kept their first primary; now they also isolate a server from everything.

--- a/crates/coordination/tests/failover.rs
+++ b/crates/coordination/tests/failover.rs
@@ -5,7 +5,7 @@
 use auburnlug_coordination::{
     Position,
     acks::{Acks, Wait},
-    failover::{Failover, Status, Step},
+    failover::{Failover, Gap, Status, Step},
 };
 use auburnlug_state::{GroupState, Millis, Name, Role, Term};
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -83,6 +83,7 @@
     /// Acknowledged writes, and the server that wrote each of their terms.
     acknowledged: Vec<u64>,
     promoted: BTreeMap<Term, usize>,
+    gaps: Vec<Gap>,
     faulty: bool,
 }
 
@@ -109,6 +110,7 @@
             acks: Acks::new(1, 0),
             acknowledged: Vec::new(),
             promoted: BTreeMap::new(),
+            gaps: Vec::new(),
             faulty: false,
         };
         world.takeover();
@@ -205,7 +207,7 @@
 
     fn done(&mut self, ids: Vec<u64>) {
         for id in ids {
-            self.owner.acknowledged(self.now);
+            self.gaps.extend(self.owner.acknowledged(self.now));
             self.acknowledged.push(id);
         }
     }
@@ -261,7 +263,12 @@
                 }
                 server.up = true;
             }
-            3 | 4 => {
+            3 => {
+                let until = self.now + self.rng.random_range(50..2500);
+                (0..size).for_each(|j| _ = self.cuts.insert((i.min(j), i.max(j)), until));
+                self.cuts.insert((i, usize::MAX), until);
+            }
+            4 => {
                 let j = if self.rng.random_bool(0.4) { usize::MAX } else { (i + 1) % size };
                 let until = self.now + self.rng.random_range(50..2500);
                 self.cuts.insert((i.min(j), i.max(j)), until);
@@ -329,6 +336,28 @@
     }
 }
 
+/// Guards against a promotion that takes longer than its timeouts add up to, in the model's time,
+/// and against gaps that are not reported.
+#[test]
+fn a_killed_or_isolated_primary_is_replaced_in_time() {
+    for isolated in [false, true] {
+        let mut world = World::new(1, 3);
+        world.run(2000, false);
+        world.gaps.clear();
+        let i = index(world.owner.primary().expect("a primary serves"));
+        world.servers[i].up = isolated;
+        for j in [0, 1, 2, usize::MAX] {
+            world.cuts.insert((i.min(j), i.max(j)), if isolated { 9000 } else { 0 });
+        }
+        world.run(2000, false);
+        let [gap] = world.gaps[..] else { panic!("{:?}", world.gaps) };
+        let sum = gap.detection + gap.agreement + gap.promotion + gap.first;
+        let silence = if isolated { 500 } else { 300 };
+        assert!(gap.detection >= silence && sum <= silence + 100, "{gap:?}");
+        world.settle();
+    }
+}
+
 /// An owner of three servers in term 1 with primary s0 and fresh statuses of the others.
 fn three(primary: Option<Status>, upstream: [Millis; 2], refused: bool) -> Vec<Step> {
     let names: Vec<_> = (0..3).map(name).collect();
