Add golden sessions and client tests of the traffic runtime

Nothing showed what callers see in each outcome. They led to fixes: a write without a majority no longer rolls back an idle connection, an unreachable primary is reported as such, and a process that did not see a shard unowned treats its request ids and tokens as those of a takeover.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -1,10 +1,10 @@
 //! A caller's connection after start-up.
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use auburnlug_protocol::{
     outcome::{Fault, fault, refusal},
-    peer::{Answer, Outcome, Reason, Request},
+    peer::{Answer, Block, Outcome, Reason, Request},
     statement::Setting,
 };
 use auburnlug_state::Millis;
@@ -13,6 +13,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::watch,
+    time::timeout,
 };
 
 use crate::{
@@ -27,6 +28,9 @@
 /// Longest message and longest batch of a caller, in bytes.
 pub(crate) const MAX_REQUEST: usize = 1 << 20;
 
+/// Longest time to write the error that closes a connection.
+const FAREWELL: Duration = Duration::from_secs(1);
+
 /// A caller's connection.
 pub(crate) struct Caller {
     shared: Arc<Shared>,
@@ -108,8 +112,8 @@
         if let End::Close(fault) = end {
             let mut out = BytesMut::new();
             frame::put_fault(&mut out, "FATAL", &fault);
-            // The caller may be gone already.
-            let _ = self.stream.write_all(&out).await;
+            // The caller may be gone already, or read nothing.
+            let _ = timeout(FAREWELL, self.stream.write_all(&out)).await;
             let _ = self.stream.shutdown().await;
         }
     }
@@ -123,7 +127,10 @@
         };
         let mut out = BytesMut::new();
         match plan {
-            Plan::Refuse(fault) => self.refuse(&mut out, &fault),
+            Plan::Refuse(fault) => {
+                self.shared.metrics.refused(label(&fault));
+                self.refuse(&mut out, &fault);
+            }
             Plan::Local(settings, answer) => {
                 for setting in settings {
                     self.set(setting);
@@ -133,7 +140,7 @@
             }
             Plan::Forward(forward) => self.forward(*forward, &mut out).await?,
         }
-        Ok(self.stream.write_all(&out).await?)
+        self.write(&out).await
     }
 
     /// Reads messages up to `Query` or `Sync`.
@@ -174,7 +181,8 @@
             let Some(fault) = skip else { return Ok(Some(batch)) };
             let mut out = BytesMut::new();
             self.refuse(&mut out, &fault);
-            self.stream.write_all(&out).await?;
+            self.shared.metrics.refused(label(&fault));
+            self.write(&out).await?;
             return Ok(None);
         }
     }
@@ -182,8 +190,8 @@
     /// Closes the connection if its key was withdrawn or, while it is `idle`, the instance stops.
     fn check(&mut self, idle: bool) -> Result<(), End> {
         let view = self.view.borrow_and_update().clone();
-        if !self.holds(&view) {
-            return Err(End::Close(Fault::new("28000", "the key was withdrawn")));
+        if !current(&self.who, &view) {
+            return Err(End::Close(withdrawn()));
         }
         let stopping = view.stopping || *self.stopping.borrow();
         if stopping && idle && matches!(self.block, State::Idle) {
@@ -192,9 +200,21 @@
         Ok(())
     }
 
-    fn holds(&self, view: &View) -> bool {
-        let account = view.machine.config.accounts.get(&self.who.account);
-        account.is_some_and(|account| self.who.key.as_ref().is_none_or(|key| holds(account, key)))
+    /// Writes an answer; ends early if the key is withdrawn, because the caller may not read it.
+    async fn write(&mut self, out: &[u8]) -> Result<(), End> {
+        let writing = self.stream.write_all(out);
+        tokio::pin!(writing);
+        loop {
+            tokio::select! {
+                done = &mut writing => return Ok(done?),
+                changed = self.view.changed() => {
+                    changed.map_err(|_| End::Gone)?;
+                    if !current(&self.who, &self.view.borrow()) {
+                        return Err(End::Close(withdrawn()));
+                    }
+                }
+            }
+        }
     }
 
     /// Forwards a batch and appends its answer.
@@ -290,7 +310,6 @@
 
     /// Answers a batch in a lost transaction.
     fn lost(&mut self, forward: &Forward, out: &mut BytesMut) {
-        use auburnlug_protocol::peer::Block;
         if forward.needs.block == Block::Rollback {
             self.block = State::Idle;
             self.prepared.end();
@@ -326,3 +345,22 @@
         }
     }
 }
+
+/// Whether the caller's key is still valid.
+fn current(who: &Identity, view: &View) -> bool {
+    let account = view.machine.config.accounts.get(&who.account);
+    account.is_some_and(|account| who.key.as_ref().is_none_or(|key| holds(account, key)))
+}
+
+fn withdrawn() -> Fault {
+    Fault::new("28000", "the key was withdrawn")
+}
+
+/// Counter of a refusal by the entry.
+fn label(fault: &Fault) -> &'static str {
+    match fault.code {
+        "0A000" => "state",
+        "54000" => "size",
+        _ => "protocol",
+    }
+}
--- a/crates/transport/src/dispatch.rs
+++ b/crates/transport/src/dispatch.rs
@@ -75,7 +75,9 @@
             Err(_) => {
                 let mut core = lock(&self.core);
                 let removed = core.queue.remove(ticket);
-                let missing = core.failover.primary().is_none();
+                let now = self.control.now();
+                let primary = core.failover.primary().and_then(|name| core.members.get(name));
+                let missing = primary.is_none_or(|member| !member.open(&lock(&member.seen), now));
                 drop(core);
                 drop(removed);
                 Err(if missing { Reason::Primary } else { Reason::Overload })
@@ -147,11 +149,15 @@
         let since = waiting.paused.get();
         let mut need = waiting.need.clone();
         need.paused = since.map_or(0, |since| now.saturating_sub(since));
-        let choice = if waiting.avoid.is_empty() {
-            self.route.choose(&need, candidates, now)
-        } else {
-            let allowed = candidates.iter().filter(|item| !waiting.avoid.contains(&item.name));
-            self.route.choose(&need, &allowed.cloned().collect::<Vec<_>>(), now)
+        let others = candidates.iter().filter(|item| !waiting.avoid.contains(&item.name));
+        let choice = match waiting.avoid.is_empty() {
+            true => Choice::Wait,
+            false => self.route.choose(&need, &others.cloned().collect::<Vec<_>>(), now),
+        };
+        // A server that failed is better than none: the group may have only this primary.
+        let choice = match choice {
+            Choice::Wait => self.route.choose(&need, candidates, now),
+            choice => choice,
         };
         if matches!(choice, Choice::Pause(_)) && since.is_none() {
             waiting.paused.set(Some(now));
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     sync::{
         Arc, Mutex,
         atomic::{AtomicI32, Ordering},
@@ -144,6 +145,9 @@
             shared.metrics.callers.dec();
             lock(&shared.cancels).remove(&pid);
         }
+        Ok(Err(error)) if error.kind() == ErrorKind::PermissionDenied => {
+            shared.metrics.refused("startup")
+        }
         Ok(Err(_)) | Err(_) => {}
     }
 }
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -81,7 +81,11 @@
 
     fn aim(&self, peer: &Arc<Peer>) -> u64 {
         let mut state = lock(&self.0);
-        state.1 = Some(peer.clone());
+        if let Some(former) = state.1.replace(peer.clone())
+            && !Arc::ptr_eq(&former, peer)
+        {
+            former.tell(Traffic::Close { stream: state.0 });
+        }
         state.0
     }
 }
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -94,17 +94,18 @@
 }
 
 impl Group {
+    /// Starts the group; `first` tells that it had no owner before, so that no request ran.
     pub(crate) fn start(
         name: Name,
         config: state::Group,
-        epoch: u64,
+        (epoch, first): (u64, bool),
         means: Means,
         view: &View,
     ) -> Arc<Group> {
         let Means { control, servers, metrics, rates, draining, route } = means;
         let now = control.now();
         let recorded = view.machine.groups.get(&name).cloned().unwrap_or_default();
-        let core = Mutex::new(Core::new(config.size, epoch, recorded.clone(), now));
+        let core = Mutex::new(Core::new(config.size, first, recorded.clone(), now));
         let group = Arc::new(Group {
             name,
             config,
@@ -279,9 +280,8 @@
 }
 
 impl Core {
-    fn new(size: u32, epoch: u64, recorded: GroupState, now: Millis) -> Core {
-        // Only the first owner knows that no request ran before.
-        let requests = if epoch <= 1 {
+    fn new(size: u32, first: bool, recorded: GroupState, now: Millis) -> Core {
+        let requests = if first {
             Requests::new(MAX_REQUESTS, MAX_ANSWERS)
         } else {
             Requests::resume(MAX_REQUESTS, MAX_ANSWERS, None, now)
--- a/crates/transport/src/handshake.rs
+++ b/crates/transport/src/handshake.rs
@@ -9,7 +9,7 @@
 use pgwire::messages::{
     DecodeContext, Message,
     cancel::CancelRequest,
-    startup::{Authentication, Password, Startup},
+    startup::{Authentication, NegotiateProtocolVersion, Password, Startup},
 };
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
@@ -80,6 +80,11 @@
     let Some(startup) = startup.filter(|startup| startup.protocol_number_major == 3) else {
         return reject(stream, &Fault::new("08P01", "unsupported start-up message")).await;
     };
+    if startup.protocol_number_minor > 0 {
+        let mut out = BytesMut::new();
+        frame::put(&mut out, &NegotiateProtocolVersion::new(0, Vec::new()));
+        stream.write_all(&out).await?;
+    }
     if control.now() >= control.lease() {
         return reject(stream, &refusal(Reason::Lease, 0)).await;
     }
--- a/crates/transport/src/held.rs
+++ b/crates/transport/src/held.rs
@@ -10,25 +10,26 @@
     pub pooled: Pooled,
     /// Term under which it was taken.
     pub term: Term,
+    /// Transaction status after the last answer.
+    pub status: u8,
     /// Whether a setting of the connection changed.
     pub changed: bool,
 }
 
 impl Held {
     pub(crate) fn new(grant: Grant, pooled: Pooled, term: Term) -> Held {
-        Held { grant, pooled, term, changed: false }
+        Held { grant, pooled, term, status: b'I', changed: false }
     }
 
-    /// Rolls back what is open and makes the connection available once that is confirmed.
-    pub(crate) async fn reset(self) {
-        self.grant.member.pool.reset(self.pooled, self.changed).await;
-    }
-
-    /// Makes the connection available to other callers.
-    pub(crate) async fn release(self) {
-        if self.changed {
-            return self.reset().await;
+    /// Makes the connection available to other callers, once it holds nothing of this one.
+    pub(crate) fn release(self) {
+        if self.status == b'I' && !self.changed {
+            return self.grant.member.pool.put(self.pooled);
         }
-        self.grant.member.pool.put(self.pooled);
+        // The caller's answer does not wait for it; the slot does.
+        tokio::spawn(async move {
+            let Held { grant, pooled, changed, .. } = self;
+            grant.member.pool.reset(pooled, changed).await;
+        });
     }
 }
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -85,6 +85,11 @@
         self.outcomes.get_or_create(&Label { kind: outcome_label(outcome) }).inc();
     }
 
+    /// Counts a refusal by the entry itself.
+    pub fn refused(&self, kind: &'static str) {
+        self.refusals.get_or_create(&Label { kind }).inc();
+    }
+
     /// Counts a retry.
     pub fn retried(&self, kind: &'static str) {
         self.retries.get_or_create(&Label { kind }).inc();
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -14,7 +14,7 @@
 
 use auburnlug_coordination::{limit::Ask, route::Balanced};
 use auburnlug_protocol::peer::{Reason, Request, Traffic};
-use auburnlug_state::{Name, Shard};
+use auburnlug_state::{Machine, Name, Shard};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
@@ -45,6 +45,8 @@
     buckets: RateOwner,
     groups: Mutex<BTreeMap<Name, Arc<Group>>>,
     draining: Arc<AtomicBool>,
+    /// State at the last update.
+    before: Mutex<Arc<Machine>>,
 }
 
 impl Owner {
@@ -56,7 +58,8 @@
     ) -> Owner {
         let buckets = RateOwner::new(control.clone());
         let (groups, draining) = (Mutex::default(), Arc::new(AtomicBool::new(false)));
-        Owner { control, servers, metrics, rates, buckets, groups, draining }
+        let before = Mutex::new(control.view().borrow().machine.clone());
+        Owner { control, servers, metrics, rates, buckets, groups, draining, before }
     }
 
     /// Takes no new work and returns when nothing runs any more.
@@ -100,7 +103,6 @@
 
     /// Stops all groups.
     pub(crate) fn close(&self) {
-        self.buckets.close();
         for group in std::mem::take(&mut *lock(&self.groups)).into_values() {
             group.close();
         }
@@ -111,7 +113,11 @@
     }
 
     fn update(&self, view: &Arc<View>) {
-        self.buckets.update(view);
+        let mut before = lock(&self.before);
+        if view.machine.index < before.index {
+            return;
+        }
+        self.buckets.update(view, &before);
         let mut groups = lock(&self.groups);
         let valid = self.control.now() < self.control.lease();
         let epoch = |name: &Name| {
@@ -129,12 +135,22 @@
         for (name, config) in &view.machine.config.groups {
             let Some(epoch) = epoch(name) else { continue };
             groups.entry(name.clone()).or_insert_with(|| {
-                Group::start(name.clone(), config.clone(), epoch, self.means(view), view)
+                let first = first(&before, view, &Shard::Group(name.clone()));
+                Group::start(name.clone(), config.clone(), (epoch, first), self.means(view), view)
             });
         }
         for group in groups.values() {
             group.update(view);
         }
+        *before = view.machine.clone();
+    }
+
+    /// Takes over changes that the task which follows the view may not have seen yet.
+    fn catch_up(&self) {
+        let view = self.control.view().borrow().clone();
+        if view.machine.index > lock(&self.before).index {
+            self.update(&view);
+        }
     }
 
     fn means(&self, view: &View) -> Means {
@@ -193,6 +209,7 @@
                 }
                 Traffic::Take { id, account, count, demand, returned } => {
                     let ask = Ask { id, count, demand, returned };
+                    self.catch_up();
                     if let Some(tokens) = self.buckets.take(&peer, account, ask)
                         && out.send(tokens).await.is_err()
                     {
@@ -207,3 +224,12 @@
         }
     }
 }
+
+/// Whether the shard certainly had no owner before the one in `view`.
+///
+/// The epoch alone does not show it: this instance may have owned the shard under the same epoch
+/// before it restarted. So the state without an owner must have been seen by this process.
+pub(crate) fn first(before: &Machine, view: &View, shard: &Shard) -> bool {
+    let never = before.index > 0 && before.shards.get(shard).is_none_or(|holder| holder.epoch == 0);
+    never && view.machine.shards.get(shard).is_some_and(|holder| holder.epoch == 1)
+}
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -81,7 +81,7 @@
         tokio::spawn(async move {
             let held = this.pinned.lock().await.take();
             if let Some(held) = held {
-                held.reset().await;
+                held.release();
             }
         });
     }
@@ -100,7 +100,7 @@
         let mut pinned = stream.pinned.lock().await;
         if let Err(reason) = self.check(&request) {
             if let Some(held) = pinned.take() {
-                held.reset().await;
+                held.release();
             }
             return refused(reason);
         }
@@ -111,7 +111,7 @@
             return self.first(stream, &mut pinned, &request, deadline).await;
         };
         match self.execute(stream, &request, held, deadline).await {
-            Attempt::Answer(answer, held) => self.settled(stream, &mut pinned, answer, held).await,
+            Attempt::Answer(answer, held) => self.settled(stream, &mut pinned, answer, held),
             // Without its connection the transaction is rolled back.
             Attempt::Failed(_, Failure::Unsent) => refused(Reason::Connection),
             Attempt::Failed(..) => unknown(),
@@ -119,20 +119,17 @@
     }
 
     /// Keeps the connection for the open transaction, or makes it available.
-    async fn settled(
+    fn settled(
         &self,
         stream: &Stream,
         pinned: &mut MutexGuard<'_, Option<Held>>,
         answer: Answer,
         held: Option<Held>,
     ) -> Answer {
-        let Some(held) = held else { return answer };
-        if *stream.closed.borrow() {
-            held.reset().await;
-        } else if answer.messages.last() == Some(&b'I') {
-            held.release().await;
-        } else {
-            **pinned = Some(held);
+        match held {
+            Some(held) if held.status != b'I' && !*stream.closed.borrow() => **pinned = Some(held),
+            Some(held) => held.release(),
+            None => {}
         }
         answer
     }
@@ -230,10 +227,14 @@
             };
             let (member, failure) = match self.execute(stream, request, held, deadline).await {
                 Attempt::Answer(answer, held) => {
-                    return self.settled(stream, pinned, answer, held).await;
+                    return self.settled(stream, pinned, answer, held);
                 }
                 Attempt::Failed(member, failure) => (member, failure),
             };
+            if failure == Failure::Unsent {
+                self.metrics.retried("term");
+                continue;
+            }
             let now = self.control.now();
             let next = attempts.failed(&member.name, failure, &mut lock(&self.core).budget, now);
             match next {
@@ -314,7 +315,7 @@
         let member = held.grant.member.clone();
         // Lease, key and term may have changed while the request or the transaction waited.
         if let Err(reason) = self.check(request) {
-            held.reset().await;
+            held.release();
             return Attempt::Answer(refused(reason), None);
         }
         if !request.read && held.term != self.primary.borrow().0 {
@@ -329,6 +330,7 @@
         let Some(reply) = reply else { return Attempt::Failed(member, Failure::Lost) };
         self.answered(&member);
         held.changed |= reply.changed;
+        held.status = reply.status;
         if reply.error.as_ref().is_some_and(|code| code.starts_with(STOPPING)) {
             return Attempt::Failed(member, Failure::Stopping);
         }
@@ -336,7 +338,7 @@
             member.took(begun.elapsed().as_micros() as u64);
         }
         if !self.confirmed(request, &reply, deadline).await {
-            held.reset().await;
+            held.release();
             return Attempt::Answer(unknown(), None);
         }
         let replica = self.primary.borrow().1.as_ref() != Some(&member.name);
--- a/crates/transport/src/rate_owner.rs
+++ b/crates/transport/src/rate_owner.rs
@@ -5,12 +5,13 @@
     sync::{Arc, Mutex},
 };
 
-use auburnlug_coordination::limit::{Ask, Bucket, Grant};
+use auburnlug_coordination::limit::{Ask, Bucket, Grant, TOKEN_LIFE};
 use auburnlug_protocol::peer::Traffic;
-use auburnlug_state::{Name, Shard};
+use auburnlug_state::{Machine, Millis, Name, Shard};
 
 use crate::{
     forward::lock,
+    owner::first,
     view::{Control, View},
 };
 
@@ -24,6 +25,8 @@
     epoch: u64,
     limits: (f64, f64),
     bucket: Bucket,
+    /// Until then tokens of a former owner may be in use, and requests wait.
+    frozen: Millis,
 }
 
 impl RateOwner {
@@ -32,13 +35,15 @@
     }
 
     /// Takes over ownership, rates and bursts from the view.
-    pub(crate) fn update(&self, view: &View) {
+    ///
+    /// A bucket outlasts the lease, during whose absence it grants nothing: while the epoch is the
+    /// same, nobody else has granted tokens.
+    pub(crate) fn update(&self, view: &View, before: &Machine) {
         let now = self.control.now();
-        let valid = now < self.control.lease();
         let mut buckets = lock(&self.buckets);
         let epoch = |name: &Name| {
             let holder = view.machine.shards.get(&Shard::Account(name.clone()))?;
-            (valid && holder.instance.as_ref() == Some(&view.me)).then_some(holder.epoch)
+            (holder.instance.as_ref() == Some(&view.me)).then_some(holder.epoch)
         };
         let accounts = &view.machine.config.accounts;
         buckets
@@ -47,13 +52,12 @@
             let Some(epoch) = epoch(name) else { continue };
             let limits = (account.rate, account.burst);
             let owned = buckets.entry(name.clone()).or_insert_with(|| {
-                // Tokens of a former owner may still be in use.
-                let bucket = if epoch <= 1 {
-                    Bucket::new(account.rate, account.burst, now)
+                let (bucket, frozen) = if first(before, view, &Shard::Account(name.clone())) {
+                    (Bucket::new(account.rate, account.burst, now), 0)
                 } else {
-                    Bucket::empty(account.rate, account.burst, 0, now)
+                    (Bucket::empty(account.rate, account.burst, 0, now), now + TOKEN_LIFE)
                 };
-                Owned { epoch, limits, bucket }
+                Owned { epoch, limits, bucket, frozen }
             });
             if owned.limits != limits {
                 owned.limits = limits;
@@ -66,16 +70,12 @@
     pub(crate) fn take(&self, holder: &Name, account: Name, ask: Ask) -> Option<Traffic> {
         let now = self.control.now();
         let mut buckets = lock(&self.buckets);
-        let owned = buckets.get_mut(&account).filter(|_| now < self.control.lease());
+        let valid = now < self.control.lease();
+        let owned = buckets.get_mut(&account).filter(|owned| valid && now >= owned.frozen);
         let Some(owned) = owned else {
             return Some(Traffic::Tokens { id: ask.id, account, count: 0, retry: 0, owner: false });
         };
         let Grant { count, retry } = owned.bucket.take(holder, ask, now)?;
         Some(Traffic::Tokens { id: ask.id, account, count, retry, owner: true })
     }
-
-    /// Gives up all buckets.
-    pub(crate) fn close(&self) {
-        lock(&self.buckets).clear();
-    }
 }
--- a/crates/transport/tests/client.rs
+++ b/crates/transport/tests/client.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::Rig;
-use tokio_postgres::SimpleQueryMessage;
+use std::{sync::Arc, time::Duration};
+
+use common::{KEY, Rig, hash, name, until};
+use tokio_postgres::{SimpleQueryMessage, error::SqlState};
 
 /// Guards against a break anywhere on the way of a simple query.
 #[tokio::test]
@@ -26,3 +28,294 @@
     let row = client.query_one("select status from loans where id = $1", &[&"7"]).await.unwrap();
     assert_eq!(row.get::<_, &str>(0), "ok");
 }
+
+/// Guards against named statements on server connections, and against answers with the
+/// `ParseComplete` that the proxy adds. The server asserts that no statement has a name.
+#[tokio::test]
+async fn prepared_statements_are_kept_by_the_proxy() {
+    let rig = Rig::start(1).await;
+    let client = rig.connect().await;
+    let one = client.prepare("select status from loans where id = $1").await.unwrap();
+    let two = client.prepare("insert into loans values ($1)").await.unwrap();
+    for _ in 0..3 {
+        assert_eq!(client.query(&one, &[&"7"]).await.unwrap().len(), 1);
+        assert_eq!(client.execute(&two, &[&"8"]).await.unwrap(), 1);
+    }
+    assert_eq!(rig.backends[0].ran().len(), 6);
+}
+
+/// Guards against transactions that are spread over connections or not ended.
+#[tokio::test]
+async fn transactions_commit_and_roll_back() {
+    let rig = Rig::start(1).await;
+    let mut client = rig.connect().await;
+    let transaction = client.transaction().await.unwrap();
+    transaction.execute("insert into loans values (1)", &[]).await.unwrap();
+    transaction.commit().await.unwrap();
+    let transaction = client.transaction().await.unwrap();
+    let error = transaction.simple_query("select fails").await.unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::DIVISION_BY_ZERO));
+    transaction.rollback().await.unwrap();
+    client.simple_query("select status").await.unwrap();
+    let ran = rig.backends[0].ran();
+    let expected = [
+        "START TRANSACTION",
+        "insert into loans values (1)",
+        "COMMIT",
+        "START TRANSACTION",
+        "select fails",
+        "ROLLBACK",
+        "select status",
+    ];
+    assert_eq!(ran, expected);
+}
+
+/// Guards against a transaction that stays open when its caller is gone: its slot would be lost
+/// and the next caller could continue it.
+#[tokio::test]
+async fn transaction_of_a_lost_caller_is_rolled_back() {
+    let rig = Rig::start(1).await;
+    let (client, connection) =
+        tokio_postgres::connect(&rig.url(), tokio_postgres::NoTls).await.unwrap();
+    let task = tokio::spawn(connection);
+    client.simple_query("begin").await.unwrap();
+    task.abort();
+    until(|| rig.backends[0].ran().contains(&"ROLLBACK".to_string())).await;
+}
+
+/// Guards against cancel requests that do not reach the server.
+#[tokio::test]
+async fn cancel_reaches_the_server() {
+    let rig = Rig::start(1).await;
+    let client = Arc::new(rig.connect().await);
+    let token = client.cancel_token();
+    let running = client.clone();
+    let task = tokio::spawn(async move { running.simple_query("select status hangs").await });
+    until(|| !rig.backends[0].ran().is_empty()).await;
+    token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+    // The stand-in ends the statement when the cancel request arrives.
+    task.await.unwrap().unwrap();
+    assert_eq!(rig.backends[0].shared.lock().unwrap().cancels, 1);
+}
+
+/// Guards against a caller's key on a server connection (property P5).
+#[tokio::test]
+async fn servers_see_only_the_system_credentials() {
+    let rig = Rig::start(1).await;
+    rig.connect().await.simple_query("select status").await.unwrap();
+    let logins = rig.backends[0].shared.lock().unwrap().logins.clone();
+    assert!(!logins.is_empty());
+    for login in logins {
+        assert!(login.contains("user auburnlug") && login.ends_with(" secret"), "{login}");
+        assert!(!login.contains(KEY) && !login.contains("sohar"), "{login}");
+    }
+}
+
+/// Guards against a withdrawn key that works on in an open transaction (property P6).
+#[tokio::test]
+async fn withdrawn_key_ends_the_connection_in_mid_transaction() {
+    let rig = Rig::start(1).await;
+    let (client, connection) =
+        tokio_postgres::connect(&rig.url(), tokio_postgres::NoTls).await.unwrap();
+    let task = tokio::spawn(connection);
+    client.simple_query("begin").await.unwrap();
+    rig.control.change(|machine| {
+        let account = machine.config.accounts.get_mut("sohar").unwrap();
+        account.keys.remove(&hash(KEY));
+    });
+    let error = task.await.unwrap().unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::INVALID_AUTHORIZATION_SPECIFICATION));
+    until(|| rig.backends[0].ran().contains(&"ROLLBACK".to_string())).await;
+}
+
+/// Guards against a graceful stop that cuts a transaction or keeps idle connections (P12).
+#[tokio::test]
+async fn stop_lets_transactions_end() {
+    let mut rig = Rig::start(1).await;
+    let (idle, idle_connection) =
+        tokio_postgres::connect(&rig.url(), tokio_postgres::NoTls).await.unwrap();
+    let idle_task = tokio::spawn(idle_connection);
+    let client = rig.connect().await;
+    client.simple_query("begin").await.unwrap();
+    let mut handle = rig.handle;
+    let stop = tokio::spawn(async move {
+        handle.stop().await;
+        handle
+    });
+    let error = idle_task.await.unwrap().unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::ADMIN_SHUTDOWN));
+    assert!(!stop.is_finished());
+    client.simple_query("insert into loans values (1)").await.unwrap();
+    client.simple_query("commit").await.unwrap();
+    drop(stop.await.unwrap());
+    drop(idle);
+    rig.backends.clear();
+}
+
+/// Guards against an order of start-up checks that tells a wrong key from an unknown account.
+#[tokio::test]
+async fn wrong_key_and_unknown_account_get_the_same_answer() {
+    let rig = Rig::start(1).await;
+    let mut answers = Vec::new();
+    for user in ["sohar", "nobody"] {
+        let url =
+            format!("host=127.0.0.1 port={} user={user} password=wrong dbname=loans", rig.port);
+        let error = tokio_postgres::connect(&url, tokio_postgres::NoTls).await.err().unwrap();
+        answers.push((
+            error.code().cloned(),
+            error.as_db_error().map(|error| error.message().to_string()),
+        ));
+    }
+    assert_eq!(answers[0].0, Some(SqlState::INVALID_PASSWORD));
+    assert_eq!(answers[0], answers[1]);
+}
+
+/// Guards against `public` running more than open routes (property P4).
+#[tokio::test]
+async fn public_runs_only_open_routes() {
+    let rig = Rig::start(1).await;
+    let url = format!("host=127.0.0.1 port={} user=public dbname=loans", rig.port);
+    let (client, connection) = tokio_postgres::connect(&url, tokio_postgres::NoTls).await.unwrap();
+    tokio::spawn(connection);
+    client.simple_query("select hours from desk").await.unwrap();
+    for sql in [
+        "select status",
+        "begin",
+        "select hours from desk; delete from loans",
+        "insert into loans values (1)",
+    ] {
+        let error = client.simple_query(sql).await.unwrap_err();
+        assert!(error.code().is_some(), "{sql}: {error}");
+    }
+    assert_eq!(rig.backends[0].ran(), ["select hours from desk"]);
+}
+
+/// Guards against a read of a session that misses the session's own write (property P1), and
+/// against replicas that serve nothing.
+#[tokio::test]
+async fn reads_use_a_replica_only_when_it_has_the_write() {
+    let rig = Rig::start(3).await;
+    for replica in &rig.backends[1..] {
+        replica.shared.lock().unwrap().follows = Some(rig.backends[0].shared.clone());
+    }
+    let client = rig.connect().await;
+    until(|| {
+        rig.metrics.text().contains("auburnlug_failover")
+            || !rig.backends[2].shared.lock().unwrap().logins.is_empty()
+    })
+    .await;
+    client.simple_query("insert into loans values (1)").await.unwrap();
+    for replica in &rig.backends[1..] {
+        let mut shared = replica.shared.lock().unwrap();
+        shared.follows = None;
+        shared.applied = 10;
+    }
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    client.simple_query("select status after write").await.unwrap();
+    assert!(rig.backends[0].ran().contains(&"select status after write".to_string()));
+    for replica in &rig.backends[1..] {
+        replica.shared.lock().unwrap().follows = Some(rig.backends[0].shared.clone());
+    }
+    let served = || rig.backends[1].ran().len() + rig.backends[2].ran().len() > 0;
+    while !served() {
+        client.simple_query("select status later").await.unwrap();
+    }
+}
+
+/// Guards against an acknowledgement without a majority (property P2).
+#[tokio::test]
+async fn write_without_a_majority_is_unknown() {
+    let rig = Rig::start(3).await;
+    let client = rig.connect().await;
+    let error = client.simple_query("insert into loans values (1)").await.unwrap_err();
+    assert_eq!(error.code().map(SqlState::code), Some("08007"));
+    assert_eq!(rig.backends[0].ran(), ["insert into loans values (1)"]);
+}
+
+/// Guards against a failover that does not complete or loses the primary's role.
+#[tokio::test]
+async fn writes_go_on_after_the_primary_is_killed() {
+    let rig = Rig::start(3).await;
+    for replica in &rig.backends[1..] {
+        replica.shared.lock().unwrap().follows = Some(rig.backends[0].shared.clone());
+    }
+    let client = rig.connect().await;
+    client.simple_query("insert into loans values (1)").await.unwrap();
+    for (replica, other) in [(1, 2), (2, 1)] {
+        let source = rig.backends[other].shared.clone();
+        let mut shared = rig.backends[replica].shared.lock().unwrap();
+        (shared.upstream, shared.follows) = (1000, None);
+        shared.after_fence = Some(source);
+    }
+    rig.backends[0].kill();
+    // One attempt may end as unknown: it was on its way to the killed primary.
+    while client.simple_query("insert into loans values (2)").await.is_err() {}
+    let view = rig.control.view.subscribe().borrow().clone();
+    let state = &view.machine.groups[&name("loans")];
+    assert!(state.term > 1 && state.primary != Some(name("s0")), "{state:?}");
+    assert!(rig.metrics.text().contains("kind=\"promotion\""), "{}", rig.metrics.text());
+}
+
+/// Guards against a non-idempotent request that runs twice under one id (property P10).
+#[tokio::test]
+async fn repeated_request_id_gets_the_first_answer() {
+    let rig = Rig::start(1).await;
+    let client = rig.connect().await;
+    for _ in 0..3 {
+        client.simple_query("/* auburnlug id=r1 */ insert into loans values (1)").await.unwrap();
+    }
+    client.simple_query("set auburnlug.request = 'r1'").await.unwrap();
+    client.simple_query("insert into loans values (1)").await.unwrap();
+    assert_eq!(rig.backends[0].ran().len(), 1);
+}
+
+/// Guards against a token that one caller's burst takes from nobody: beyond the burst, requests
+/// are refused with the limit's SQLSTATE and have not run (properties P7 and P9).
+#[tokio::test]
+async fn requests_above_the_burst_are_refused() {
+    let rig = Rig::start(1).await;
+    rig.control.change(|machine| {
+        let account = machine.config.accounts.get_mut("sohar").unwrap();
+        (account.rate, account.burst) = (0.001, 3.0);
+    });
+    let client = rig.connect().await;
+    let mut codes = Vec::new();
+    for _ in 0..5 {
+        let result = client.simple_query("insert into loans values (1)").await;
+        codes.push(result.err().and_then(|error| error.code().cloned()));
+    }
+    let limit = Some(SqlState::CONFIGURATION_LIMIT_EXCEEDED);
+    assert_eq!(codes, [None, None, None, limit.clone(), limit]);
+    assert_eq!(rig.backends[0].ran().len(), 3);
+}
+
+/// Guards against work without a valid lease: refused, and not run.
+#[tokio::test]
+async fn nothing_runs_without_a_lease() {
+    let rig = Rig::start(1).await;
+    let client = rig.connect().await;
+    client.simple_query("select status").await.unwrap();
+    rig.control.lease.store(0, std::sync::atomic::Ordering::SeqCst);
+    let error = client.simple_query("insert into loans values (1)").await.unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::CANNOT_CONNECT_NOW));
+    assert_eq!(rig.backends[0].ran(), ["select status"]);
+}
+
+/// Guards against requests that are refused while ownership moves.
+#[tokio::test]
+async fn requests_wait_for_an_owner() {
+    let rig = Rig::start(1).await;
+    let client = rig.connect().await;
+    let shard = auburnlug_state::Shard::Group(name("loans"));
+    rig.control.change(|machine| machine.shards.get_mut(&shard).unwrap().instance = None);
+    let request = client.simple_query("select status");
+    let give = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        rig.control.change(|machine| {
+            let holder = machine.shards.get_mut(&shard).unwrap();
+            (holder.instance, holder.epoch) = (Some(name("a")), 2);
+        });
+    };
+    let (answer, ()) = tokio::join!(request, give);
+    answer.unwrap();
+}
--- a/crates/transport/tests/common/backend.rs
+++ b/crates/transport/tests/common/backend.rs
@@ -40,6 +40,8 @@
     pub silent: bool,
     /// A replica that takes over each write of the server it follows.
     pub follows: Option<Arc<Mutex<Script>>>,
+    /// What it follows once it is told to.
+    pub after_fence: Option<Arc<Mutex<Script>>>,
 }
 
 /// A running stand-in server.
@@ -256,6 +258,10 @@
         if text.contains("hangs") {
             self.wake.notified().await;
         }
+        if text.is_empty() {
+            out.put_slice(&[b'I', 0, 0, 0, 4]);
+            return Ok(true);
+        }
         let tag = if text.starts_with("begin") || text.starts_with("start") {
             self.status = b'T';
             "BEGIN"
@@ -299,7 +305,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         let source = self.shared.lock().unwrap().follows.clone();
-        if let Some(source) = source {
+        if let Some(source) = source.filter(|_| sql.contains("status")) {
             let (received, last) = {
                 let source = source.lock().unwrap();
                 (source.received, source.last_term)
@@ -318,6 +324,12 @@
             (shared.primary, shared.term, shared.last_term) = (true, term, term);
             shared.received += 1;
             shared.applied = shared.received;
+        } else if sql.contains("follow") {
+            let source = shared.after_fence.take();
+            (shared.primary, shared.upstream) = (false, 0);
+            shared.follows = source.or(shared.follows.take());
+            let term = sql.split(['(', ',']).nth(1).and_then(|term| term.trim().parse().ok());
+            shared.term = shared.term.max(term.unwrap_or(0));
         }
         let role = if shared.primary { "primary" } else { "replica" };
         let values =
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -134,8 +134,12 @@
         let credentials = Credentials { user: "auburnlug".into(), password: Some("secret".into()) };
         let config = TrafficConfig { callers, credentials, source: None, wait: 1000 };
         let (inbound, links) = mpsc::channel(4);
+        // Shards are assigned after the start, as for an instance that joins.
+        let shards = control.view.subscribe().borrow().machine.shards.clone();
+        control.change(|machine| machine.shards.clear());
         let handle =
             traffic::start(config, control.clone(), Arc::new(NoDial), links, metrics.clone());
+        control.change(|machine| machine.shards = shards);
         Rig { control, handle, port, metrics, backends, _inbound: inbound }
     }
 
