--- /dev/null
+++ b/crates/protocol/tests/outcome.rs
@@ -0,0 +1,56 @@
+//! SQLSTATE and text of outcomes.
+
+use auburnlug_protocol::{
+    outcome::{fault, refusal},
+    peer::{Outcome, Reason},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestRunner},
+};
+
+const REASONS: [(Reason, &str); 10] = [
+    (Reason::Rate, "53400"),
+    (Reason::Overload, "53400"),
+    (Reason::Primary, "57P03"),
+    (Reason::Owner, "57P03"),
+    (Reason::Lease, "57P03"),
+    (Reason::Key, "28000"),
+    (Reason::Stopping, "57P03"),
+    (Reason::State, "0A000"),
+    (Reason::Connection, "57P03"),
+    (Reason::Size, "54000"),
+];
+
+/// Guards against a refusal that does not say "not run", or an unknown outcome that does (P9).
+#[test]
+fn refusals_say_that_nothing_ran() {
+    for (reason, code) in REASONS {
+        let fault = refusal(reason, 0);
+        assert_eq!(fault.code, code, "{reason:?}");
+        assert!(fault.message.starts_with("not run: "), "{reason:?}");
+        assert_eq!(fault.hint, None);
+    }
+    let unknown = fault(&Outcome::Unknown).unwrap();
+    assert_eq!(unknown.code, "08007");
+    assert!(!unknown.message.contains("not run"));
+    assert_eq!(fault(&Outcome::Done), None);
+    assert_eq!(fault(&Outcome::Failed), None);
+}
+
+/// Guards against a retry hint that differs from the refusal's time.
+#[test]
+fn hints_give_the_time() {
+    let mut runner = TestRunner::new(ProptestConfig {
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    });
+    let result = runner.run(&(0..REASONS.len(), 1..100_000u64), |(index, retry)| {
+        let outcome = Outcome::Refused { reason: REASONS[index].0, retry };
+        let hint = fault(&outcome).and_then(|fault| fault.hint);
+        prop_assert_eq!(hint, Some(format!("retry after {retry} ms")));
+        Ok(())
+    });
+    result.unwrap();
+}
