Test forwarding between two instances

Links had only been used inside one instance. Eight tests run an entry and an owner over links that can be cut: writes become unknown and run once, reads run again, transactions roll back, the owner checks the key again, and a graceful stop cuts nothing.

--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -52,7 +52,11 @@
 
 impl FakeControl {
     pub fn new(machine: Machine) -> Arc<FakeControl> {
-        let view = View { me: name("a"), machine: Arc::new(machine), stopping: false };
+        FakeControl::named("a", machine)
+    }
+
+    pub fn named(me: &str, machine: Machine) -> Arc<FakeControl> {
+        let view = View { me: name(me), machine: Arc::new(machine), stopping: false };
         Arc::new(FakeControl {
             view: watch::Sender::new(Arc::new(view)),
             lease: AtomicU64::new(1 << 40),
@@ -99,6 +103,49 @@
     }
 }
 
+/// Links to another instance in this process, which tests can cut.
+#[derive(Default)]
+pub struct Wire {
+    target: Mutex<Option<mpsc::Sender<Link<Traffic>>>>,
+    tasks: Mutex<Vec<tokio::task::JoinHandle<()>>>,
+}
+
+impl Wire {
+    pub fn to(&self, target: mpsc::Sender<Link<Traffic>>) {
+        *self.target.lock().unwrap() = Some(target);
+    }
+
+    /// Closes all links; messages on their way are lost.
+    pub fn cut(&self) {
+        self.tasks.lock().unwrap().drain(..).for_each(|task| task.abort());
+    }
+}
+
+impl Dial<Traffic> for Wire {
+    fn dial(&self, to: Name, _: SocketAddr) -> Dialing<Traffic> {
+        let (near, near_relay) = Link::pair(name("b"), to.clone());
+        let (far_relay, far) = Link::pair(name("b"), to);
+        let Some(target) = self.target.lock().unwrap().clone() else {
+            return Box::pin(async { None });
+        };
+        let relay = async move {
+            let (mut a, mut b) = (near_relay, far_relay);
+            loop {
+                tokio::select! {
+                    Some(message) = a.inbox.recv() => { let _ = b.out.send(message).await; }
+                    Some(message) = b.inbox.recv() => { let _ = a.out.send(message).await; }
+                    else => return,
+                }
+            }
+        };
+        self.tasks.lock().unwrap().push(tokio::spawn(relay));
+        Box::pin(async move {
+            target.send(far).await.ok()?;
+            Some(near)
+        })
+    }
+}
+
 struct NoDial;
 
 impl Dial<Traffic> for NoDial {
@@ -114,7 +161,7 @@
     pub port: u16,
     pub metrics: Arc<Metrics>,
     pub backends: Vec<Backend>,
-    _inbound: mpsc::Sender<Link<Traffic>>,
+    pub inbound: mpsc::Sender<Link<Traffic>>,
 }
 
 impl Rig {
@@ -128,6 +175,26 @@
     }
 
     pub async fn with(control: Arc<FakeControl>, backends: Vec<Backend>) -> Rig {
+        Rig::dialing(control, backends, Arc::new(NoDial)).await
+    }
+
+    /// Two instances: `a` owns the group, and `b` reaches `a` over the wire.
+    pub async fn pair() -> (Rig, Rig, Arc<Wire>) {
+        let a = Rig::start(1).await;
+        let mut machine = machine(&a.backends);
+        let record = Instance { name: name("b"), ..machine.instances[&name("a")].clone() };
+        machine.instances.insert(name("b"), record);
+        let wire = Arc::new(Wire::default());
+        wire.to(a.inbound.clone());
+        let b = Rig::dialing(FakeControl::named("b", machine), Vec::new(), wire.clone()).await;
+        (a, b, wire)
+    }
+
+    async fn dialing(
+        control: Arc<FakeControl>,
+        backends: Vec<Backend>,
+        dial: Arc<dyn Dial<Traffic>>,
+    ) -> Rig {
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let port = callers.local_addr().unwrap().port();
         let metrics = Arc::new(Metrics::default());
@@ -137,10 +204,9 @@
         // Shards are assigned after the start, as for an instance that joins.
         let shards = control.view.subscribe().borrow().machine.shards.clone();
         control.change(|machine| machine.shards.clear());
-        let handle =
-            traffic::start(config, control.clone(), Arc::new(NoDial), links, metrics.clone());
+        let handle = traffic::start(config, control.clone(), dial, links, metrics.clone());
         control.change(|machine| machine.shards = shards);
-        Rig { control, handle, port, metrics, backends, _inbound: inbound }
+        Rig { control, handle, port, metrics, backends, inbound }
     }
 
     pub fn url(&self) -> String {
--- /dev/null
+++ b/crates/transport/tests/remote.rs
@@ -0,0 +1,157 @@
+//! Requests that an entry forwards to an owner on another instance.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{KEY, Rig, hash, name, until};
+use tokio_postgres::error::SqlState;
+
+/// Guards against breaks on the way over a link.
+#[tokio::test]
+async fn requests_run_at_the_owner() {
+    let (a, b, _wire) = Rig::pair().await;
+    let mut client = b.connect().await;
+    assert_eq!(
+        client.query("select status from loans where id = $1", &[&"7"]).await.unwrap().len(),
+        1
+    );
+    let transaction = client.transaction().await.unwrap();
+    transaction.execute("insert into loans values (1)", &[]).await.unwrap();
+    transaction.commit().await.unwrap();
+    assert_eq!(a.backends[0].ran().last().map(String::as_str), Some("COMMIT"));
+}
+
+/// Guards against a second run of a write whose answer was lost with the link (property P10), and
+/// against a "not run" for it (property P9).
+#[tokio::test]
+async fn write_on_a_cut_link_is_unknown() {
+    let (a, b, wire) = Rig::pair().await;
+    let client = b.connect().await;
+    let request = tokio::spawn(async move { client.simple_query("insert into loans hangs").await });
+    until(|| !a.backends[0].ran().is_empty()).await;
+    wire.cut();
+    let error = request.await.unwrap().unwrap_err();
+    assert_eq!(error.code().map(SqlState::code), Some("08007"));
+    a.backends[0].wake.notify_waiters();
+    assert_eq!(a.backends[0].ran(), ["insert into loans hangs"]);
+}
+
+/// Guards against reads that are given up although they may run again.
+#[tokio::test]
+async fn read_on_a_cut_link_runs_again() {
+    let (a, b, wire) = Rig::pair().await;
+    let client = b.connect().await;
+    let request = tokio::spawn(async move { client.simple_query("select status hangs").await });
+    until(|| a.backends[0].ran().len() == 1).await;
+    wire.cut();
+    until(|| a.backends[0].ran().len() == 2).await;
+    a.backends[0].wake.notify_waiters();
+    request.await.unwrap().unwrap();
+    assert!(b.metrics.text().contains("unknown_read"), "{}", b.metrics.text());
+}
+
+/// Guards against transactions that survive the link that they came over, and against statements
+/// of a lost transaction that run on their own.
+#[tokio::test]
+async fn transaction_on_a_cut_link_is_rolled_back() {
+    let (a, b, wire) = Rig::pair().await;
+    let client = b.connect().await;
+    client.simple_query("begin").await.unwrap();
+    wire.cut();
+    until(|| a.backends[0].ran().contains(&"ROLLBACK".to_string())).await;
+    client.simple_query("insert into loans values (1)").await.unwrap_err();
+    let error = client.simple_query("insert into loans values (2)").await.unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::IN_FAILED_SQL_TRANSACTION));
+    client.simple_query("rollback").await.unwrap();
+    client.simple_query("insert into loans values (3)").await.unwrap();
+    assert_eq!(a.backends[0].ran(), ["begin", "ROLLBACK", "insert into loans values (3)"]);
+}
+
+/// Guards against an entry with an old configuration that lets a withdrawn key in (property P6).
+#[tokio::test]
+async fn owner_checks_the_key_again() {
+    let (a, b, _wire) = Rig::pair().await;
+    let client = b.connect().await;
+    client.simple_query("select status").await.unwrap();
+    a.control.change(|machine| {
+        machine.config.accounts.get_mut("sohar").unwrap().keys.remove(&hash(KEY));
+    });
+    let error = client.simple_query("insert into loans values (1)").await.unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::INVALID_AUTHORIZATION_SPECIFICATION));
+    assert_eq!(a.backends[0].ran(), ["select status"]);
+}
+
+/// Guards against an owner that decides with an older configuration than the entry.
+#[tokio::test]
+async fn owner_waits_for_the_configuration_of_the_entry() {
+    let (a, b, _wire) = Rig::pair().await;
+    let grant = |machine: &mut auburnlug_state::Machine| {
+        machine.config.accounts.get_mut("sohar").unwrap().keys.insert(hash("second"));
+        (machine.index, machine.version) = (100, 100);
+    };
+    b.control.change(grant);
+    let url = b.url().replace(KEY, "second");
+    let (client, connection) = tokio_postgres::connect(&url, tokio_postgres::NoTls).await.unwrap();
+    tokio::spawn(connection);
+    let request = tokio::spawn(async move { client.simple_query("select status").await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(a.backends[0].ran().is_empty());
+    a.control.change(grant);
+    request.await.unwrap().unwrap();
+}
+
+/// Guards against entries that together admit more than the burst (property P7).
+#[tokio::test]
+async fn entries_share_the_burst() {
+    let (a, b, _wire) = Rig::pair().await;
+    for rig in [&a, &b] {
+        rig.control.change(|machine| {
+            let account = machine.config.accounts.get_mut("sohar").unwrap();
+            (account.rate, account.burst) = (0.001, 4.0);
+            (machine.index, machine.version) = (50, 50);
+        });
+    }
+    let mut served = 0;
+    for client in [a.connect().await, b.connect().await] {
+        for _ in 0..4 {
+            served +=
+                usize::from(client.simple_query("insert into loans values (1)").await.is_ok());
+        }
+    }
+    assert_eq!(served, 4);
+    assert_eq!(a.backends[0].ran().len(), 4);
+}
+
+/// Guards against a graceful stop of an owner that cuts statements or refuses what another owner
+/// will run (property P12).
+#[tokio::test]
+async fn entry_holds_requests_while_the_owner_stops() {
+    let (a, b, _wire) = Rig::pair().await;
+    let client = Arc::new(b.connect().await);
+    let running = client.clone();
+    let first = tokio::spawn(async move { running.simple_query("insert into loans hangs").await });
+    until(|| !a.backends[0].ran().is_empty()).await;
+    let (mut handle, backends) = (a.handle, a.backends);
+    let stop = tokio::spawn(async move {
+        handle.stop().await;
+        handle
+    });
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    assert!(!stop.is_finished());
+    backends[0].wake.notify_waiters();
+    first.await.unwrap().unwrap();
+    let held = b.connect().await;
+    let second =
+        tokio::spawn(async move { held.simple_query("insert into loans values (2)").await });
+    let handle = stop.await.unwrap();
+    // The next owner is `b` itself.
+    b.control.change(|machine| {
+        for holder in machine.shards.values_mut() {
+            (holder.instance, holder.epoch) = (Some(name("b")), 2);
+        }
+    });
+    drop(handle);
+    second.await.unwrap().unwrap();
+    assert_eq!(backends[0].ran(), ["insert into loans hangs", "insert into loans values (2)"]);
+}
