Keep refusals true and request ids over a lapse of the lease

A read that was resent after an unknown attempt could end with "not run", and a lapse of the lease made request ids unknown for a minute. The entry and the owner now report such reads as unknown, the owner checks epoch and holder before each statement, and request ids are kept while the epoch is the same.

--- a/crates/protocol/tests/outcome.rs
+++ b/crates/protocol/tests/outcome.rs
@@ -1,4 +1,5 @@
 //! SQLSTATE and text of outcomes.
+#![allow(clippy::unwrap_used)]
 
 use auburnlug_protocol::{
     outcome::{fault, refusal},
--- a/crates/protocol/tests/statement.rs
+++ b/crates/protocol/tests/statement.rs
@@ -1,4 +1,5 @@
 //! Classification of statements.
+#![allow(clippy::unwrap_used)]
 
 use auburnlug_protocol::statement::{Effect, Hints, Setting, classify, hints, normalise};
 use auburnlug_state::{Class, Config, Kind, Name, Route};
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -127,9 +127,15 @@
         let deadline = Instant::now() + Duration::from_millis(request.wait);
         let again = pin.is_none() && matches!(request.block, Block::Single | Block::Begin);
         let mut last = refused(Reason::Owner);
+        // An attempt that may have run rules out "not run" for the whole request.
+        let mut sent = false;
+        let honest = |answer: Answer, sent| match answer.outcome {
+            Outcome::Refused { .. } if sent => unknown(),
+            _ => answer,
+        };
         loop {
             if self.control.now() >= self.control.lease() {
-                return Forwarded { answer: refused(Reason::Lease), peer: None };
+                return Forwarded { answer: honest(refused(Reason::Lease), sent), peer: None };
             }
             let (holder, peer) = match &pin {
                 Some(peer) => (None, Some(peer.clone())),
@@ -140,8 +146,9 @@
             if let Some(peer) = peer {
                 let answer = self.attempt(&peer, track, &request, holder).await;
                 if !again || !retryable(&answer.outcome, &request) {
-                    return Forwarded { answer, peer: Some(peer) };
+                    return Forwarded { answer: honest(answer, sent), peer: Some(peer) };
                 }
+                sent |= answer.outcome == Outcome::Unknown;
                 kind =
                     if answer.outcome == Outcome::Unknown { "unknown_read" } else { "owner_moved" };
                 last = answer;
@@ -149,7 +156,7 @@
                 return Forwarded { answer: refused(Reason::Owner), peer: None };
             }
             if Instant::now() + RETRY >= deadline {
-                return Forwarded { answer: last, peer: None };
+                return Forwarded { answer: honest(last, sent), peer: None };
             }
             self.metrics.retried(kind);
             let mut view = self.control.view();
@@ -170,12 +177,14 @@
         let stream = track.aim(peer);
         let Some(answer) = peer.expect(stream) else { return refused(Reason::Owner) };
         let run = Traffic::Run { stream, request: Box::new(request.clone()) };
-        if peer.out.send(run).await.is_err() {
-            return refused(Reason::Owner);
-        }
-        let unknown = || Answer { outcome: Outcome::Unknown, ..refused(Reason::Owner) };
+        let exchange = async {
+            if peer.out.send(run).await.is_err() {
+                return Some(refused(Reason::Owner));
+            }
+            answer.await.ok()
+        };
         let result = tokio::select! {
-            answer = answer => answer.ok(),
+            answer = exchange => answer,
             () = self.moved(&request.group, holder) => None,
             () = self.lapsed() => None,
         };
@@ -313,6 +322,11 @@
     }
 }
 
+/// An unknown outcome as an answer.
+pub(crate) fn unknown() -> Answer {
+    Answer { outcome: Outcome::Unknown, messages: Vec::new(), replica: false, position: None }
+}
+
 /// A refusal as an answer.
 pub(crate) fn refused(reason: Reason) -> Answer {
     let outcome = Outcome::Refused { reason, retry: 0 };
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -59,6 +59,7 @@
     pub rates: Arc<Rates>,
     pub route: Box<dyn Route + Sync>,
     pub core: Mutex<Core>,
+    pub requests: SharedIds,
     /// Term that writes run under, and its primary.
     pub primary: watch::Sender<(Term, Option<Name>)>,
     /// Wakes the failover task.
@@ -68,6 +69,21 @@
     pub draining: Arc<AtomicBool>,
 }
 
+/// Request ids of a group.
+pub(crate) type RequestIds = Requests<Answer, oneshot::Sender<Answer>>;
+
+/// Request ids that outlast the group's runtime.
+pub(crate) type SharedIds = Arc<Mutex<RequestIds>>;
+
+/// Request ids of a group that begins; `first` tells that it had no owner before.
+pub(crate) fn request_ids(first: bool, now: Millis) -> RequestIds {
+    if first {
+        Requests::new(MAX_REQUESTS, MAX_ANSWERS)
+    } else {
+        Requests::resume(MAX_REQUESTS, MAX_ANSWERS, None, now)
+    }
+}
+
 /// What the tasks of a group share.
 pub(crate) struct Core {
     pub members: BTreeMap<Name, Arc<Member>>,
@@ -77,7 +93,6 @@
     pub freshness: Freshness,
     pub budget: Budget,
     pub failover: Failover,
-    pub requests: Requests<Answer, oneshot::Sender<Answer>>,
     acks: Acks,
     waiters: HashMap<u64, oneshot::Sender<bool>>,
     next: u64,
@@ -90,22 +105,22 @@
     pub metrics: Arc<Metrics>,
     pub rates: Arc<Rates>,
     pub draining: Arc<AtomicBool>,
+    pub requests: SharedIds,
     pub route: Box<dyn Route + Sync>,
 }
 
 impl Group {
-    /// Starts the group; `first` tells that it had no owner before, so that no request ran.
     pub(crate) fn start(
         name: Name,
         config: state::Group,
-        (epoch, first): (u64, bool),
+        epoch: u64,
         means: Means,
         view: &View,
     ) -> Arc<Group> {
-        let Means { control, servers, metrics, rates, draining, route } = means;
+        let Means { control, servers, metrics, rates, draining, requests, route } = means;
         let now = control.now();
         let recorded = view.machine.groups.get(&name).cloned().unwrap_or_default();
-        let core = Mutex::new(Core::new(config.size, first, recorded.clone(), now));
+        let core = Mutex::new(Core::new(config.size, recorded.clone(), now));
         let group = Arc::new(Group {
             name,
             config,
@@ -116,6 +131,7 @@
             rates,
             route,
             core,
+            requests,
             primary: watch::Sender::new((recorded.term, recorded.primary)),
             wake: Notify::new(),
             closed: watch::Sender::new(false),
@@ -280,12 +296,7 @@
 }
 
 impl Core {
-    fn new(size: u32, first: bool, recorded: GroupState, now: Millis) -> Core {
-        let requests = if first {
-            Requests::new(MAX_REQUESTS, MAX_ANSWERS)
-        } else {
-            Requests::resume(MAX_REQUESTS, MAX_ANSWERS, None, now)
-        };
+    fn new(size: u32, recorded: GroupState, now: Millis) -> Core {
         Core {
             members: BTreeMap::new(),
             queue: Fair::new(MAX_QUEUE),
@@ -294,7 +305,6 @@
             budget: Budget::new(now),
             acks: Acks::new(size, recorded.term),
             failover: Failover::new(size, &[], recorded, now),
-            requests,
             waiters: HashMap::new(),
             next: 0,
         }
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     forward::{lease_end, lock, refused},
-    group::{Group, Means},
+    group::{Group, Means, SharedIds, request_ids},
     link::Link,
     metrics::Metrics,
     owner_run::Stream,
@@ -45,6 +45,9 @@
     buckets: RateOwner,
     groups: Mutex<BTreeMap<Name, Arc<Group>>>,
     draining: Arc<AtomicBool>,
+    /// Request ids by group and epoch. They outlast the lease: while the epoch is the same, no
+    /// other instance has run requests.
+    requests: Mutex<BTreeMap<Name, (u64, SharedIds)>>,
     /// State at the last update.
     before: Mutex<Arc<Machine>>,
 }
@@ -59,7 +62,17 @@
         let buckets = RateOwner::new(control.clone());
         let (groups, draining) = (Mutex::default(), Arc::new(AtomicBool::new(false)));
         let before = Mutex::new(control.view().borrow().machine.clone());
-        Owner { control, servers, metrics, rates, buckets, groups, draining, before }
+        Owner {
+            control,
+            servers,
+            metrics,
+            rates,
+            buckets,
+            groups,
+            draining,
+            requests: Mutex::default(),
+            before,
+        }
     }
 
     /// Takes no new work and returns when nothing runs any more.
@@ -136,7 +149,8 @@
             let Some(epoch) = epoch(name) else { continue };
             groups.entry(name.clone()).or_insert_with(|| {
                 let first = first(&before, view, &Shard::Group(name.clone()));
-                Group::start(name.clone(), config.clone(), (epoch, first), self.means(view), view)
+                let means = self.means(view, self.request_ids(name, epoch, first));
+                Group::start(name.clone(), config.clone(), epoch, means, view)
             });
         }
         for group in groups.values() {
@@ -153,7 +167,18 @@
         }
     }
 
-    fn means(&self, view: &View) -> Means {
+    /// Request ids of the group under this epoch.
+    fn request_ids(&self, group: &Name, epoch: u64, first: bool) -> SharedIds {
+        let mut known = lock(&self.requests);
+        if let Some((_, ids)) = known.get(group).filter(|(at, _)| *at == epoch) {
+            return ids.clone();
+        }
+        let ids = Arc::new(Mutex::new(request_ids(first, self.control.now())));
+        known.insert(group.clone(), (epoch, ids.clone()));
+        ids
+    }
+
+    fn means(&self, view: &View, requests: SharedIds) -> Means {
         let record = view.machine.instances.get(&view.me);
         let domain = record.map_or_else(|| view.me.clone(), |record| record.domain.clone());
         Means {
@@ -162,6 +187,7 @@
             metrics: self.metrics.clone(),
             rates: self.rates.clone(),
             draining: self.draining.clone(),
+            requests,
             route: Box::new(Balanced::new(domain)),
         }
     }
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -16,7 +16,7 @@
     outcome::Fault,
     peer::{Answer, Block, Outcome, Reason, Request},
 };
-use auburnlug_state::Millis;
+use auburnlug_state::{Millis, Shard};
 use bytes::{Bytes, BytesMut};
 use tokio::{
     sync::{Mutex as AsyncMutex, MutexGuard, oneshot, watch},
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    forward::{lease_end, lock, refused},
+    forward::{lease_end, lock, refused, unknown},
     frame,
     group::Group,
     handshake::{PUBLIC, holds},
@@ -146,6 +146,12 @@
             return Err(Reason::Stopping);
         }
         let view = self.control.view().borrow().clone();
+        let holder = view.machine.shards.get(&Shard::Group(self.name.clone()));
+        let owned =
+            holder.is_some_and(|h| h.epoch == self.epoch && h.instance.as_ref() == Some(&view.me));
+        if !owned {
+            return Err(Reason::Owner);
+        }
         let account = view.machine.config.accounts.get(&request.account).ok_or(Reason::Key)?;
         let known = match &request.key {
             Some(key) => holds(account, key),
@@ -171,7 +177,7 @@
         };
         let (waiter, answer) = oneshot::channel();
         let now = self.control.now();
-        let begin = lock(&self.core).requests.begin(&request.account, id, waiter, now);
+        let begin = lock(&self.requests).begin(&request.account, id, waiter, now);
         match begin {
             Begin::First(_) => {}
             Begin::Joined => {
@@ -185,7 +191,8 @@
         let answer = self.attempts(stream, pinned, request, deadline).await;
         let now = self.control.now();
         let waiters = {
-            let requests = &mut lock(&self.core).requests;
+            let mut guard = lock(&self.requests);
+            let requests = &mut *guard;
             match &answer.outcome {
                 Outcome::Refused { .. } => requests.drop(&request.account, id),
                 Outcome::Unknown => requests.lose(&request.account, id, now),
@@ -226,6 +233,9 @@
                 Err(reason) => return refused(reason),
             };
             let (member, failure) = match self.execute(stream, request, held, deadline).await {
+                Attempt::Answer(answer, _) if attempts.sent && refusal(&answer) => {
+                    return unknown();
+                }
                 Attempt::Answer(answer, held) => {
                     return self.settled(stream, pinned, answer, held);
                 }
@@ -402,15 +412,15 @@
     }
 }
 
+fn refusal(answer: &Answer) -> bool {
+    matches!(answer.outcome, Outcome::Refused { .. })
+}
+
 /// Whether the messages run a statement; preparing one costs no token.
 fn executes(messages: &[u8]) -> bool {
     frame::frames(messages).iter().any(|frame| matches!(frame.tag, b'Q' | b'E'))
 }
 
-fn unknown() -> Answer {
-    Answer { outcome: Outcome::Unknown, messages: Vec::new(), replica: false, position: None }
-}
-
 fn answer(reply: Reply, replica: bool) -> Answer {
     let failed = reply.error.is_some() || reply.oversize;
     let outcome = if failed { Outcome::Failed } else { Outcome::Done };
--- a/crates/transport/tests/client.rs
+++ b/crates/transport/tests/client.rs
@@ -301,6 +301,34 @@
     assert_eq!(rig.backends[0].ran(), ["select status"]);
 }
 
+/// Guards against request ids that are forgotten while the lease lapses (property P10).
+#[tokio::test]
+async fn request_ids_outlast_a_lapse_of_the_lease() {
+    let rig = Rig::start(1).await;
+    let client = rig.connect().await;
+    let sql = "/* auburnlug id=r1 */ insert into loans values (1)";
+    client.simple_query(sql).await.unwrap();
+    rig.control.lease.store(0, std::sync::atomic::Ordering::SeqCst);
+    rig.control.change(|_| {});
+    client.simple_query(sql).await.unwrap_err();
+    rig.control.lease.store(1 << 40, std::sync::atomic::Ordering::SeqCst);
+    client.simple_query(sql).await.unwrap();
+    client.simple_query("/* auburnlug id=r2 */ insert into loans values (2)").await.unwrap();
+    assert_eq!(rig.backends[0].ran().len(), 2);
+}
+
+/// Guards against a new owner that runs a request which the former one may have run (P10).
+#[tokio::test]
+async fn request_ids_are_unknown_after_a_takeover() {
+    let rig = Rig::start(1).await;
+    let client = rig.connect().await;
+    rig.control.change(|machine| machine.shards.values_mut().for_each(|holder| holder.epoch += 1));
+    let sql = "/* auburnlug id=r1 */ insert into loans values (1)";
+    let error = client.simple_query(sql).await.unwrap_err();
+    assert_eq!(error.code().map(SqlState::code), Some("08007"));
+    assert!(rig.backends[0].ran().is_empty());
+}
+
 /// Guards against requests that are refused while ownership moves.
 #[tokio::test]
 async fn requests_wait_for_an_owner() {
