Close cancelled connections and keep one warm for each slot

A cancel request that arrives late could hit the next caller's statement on a pooled connection, and a burst had to wait for connections to open. Cancelled connections are now closed, the monitor keeps one connection ready for each free slot, and orders given before a failure are dropped.

--- a/crates/transport/src/dispatch.rs
+++ b/crates/transport/src/dispatch.rs
@@ -111,6 +111,9 @@
                     Choice::Wait => false,
                 };
                 let Some(waiting) = core.queue.pop(&mut fits) else { break };
+                if waiting.grant.is_closed() {
+                    continue;
+                }
                 let member = chosen.as_ref().and_then(|name| core.members.get(name)).cloned();
                 let Some(member) = member else { break };
                 lock(&member.seen).running += 1;
--- a/crates/transport/src/held.rs
+++ b/crates/transport/src/held.rs
@@ -14,15 +14,21 @@
     pub status: u8,
     /// Whether a setting of the connection changed.
     pub changed: bool,
+    /// Whether a cancel request was sent; it may arrive late and hit the next statement.
+    pub cancelled: bool,
 }
 
 impl Held {
     pub(crate) fn new(grant: Grant, pooled: Pooled, term: Term) -> Held {
-        Held { grant, pooled, term, status: b'I', changed: false }
+        Held { grant, pooled, term, status: b'I', changed: false, cancelled: false }
     }
 
-    /// Makes the connection available to other callers, once it holds nothing of this one.
+    /// Makes the connection available to other callers once it holds nothing of this one, or
+    /// closes it.
     pub(crate) fn release(self) {
+        if self.cancelled {
+            return;
+        }
         if self.status == b'I' && !self.changed {
             return self.grant.member.pool.put(self.pooled);
         }
--- a/crates/transport/src/monitor.rs
+++ b/crates/transport/src/monitor.rs
@@ -16,9 +16,6 @@
 /// Time without an answer after which a server counts as unreachable.
 const SILENCE: Duration = Duration::from_millis(500);
 
-/// Connections kept ready, so that a request does not wait for one to open.
-const WARM: usize = 1;
-
 /// An order to a database server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Order {
@@ -52,15 +49,25 @@
         member.silent.send_if_modified(|silent| {
             std::mem::replace(silent, result.is_err()) != result.is_err()
         });
-        if let Err(error) = result {
-            connection = None;
-            member.pool.clear();
-            group.failed(member, error.kind() == io::ErrorKind::ConnectionRefused);
-        } else if !member.pool.is_warm() && lock(&member.seen).running == 0 {
-            // Opening takes tens of milliseconds, which must not delay the next poll.
-            let member = member.clone();
-            tokio::spawn(async move { member.pool.warm(WARM).await });
-        }
+        let Err(error) = result else {
+            warm(member);
+            continue;
+        };
+        connection = None;
+        member.pool.clear();
+        // Orders given before the failure are out of date; those that still matter come again.
+        while orders.try_recv().is_ok() {}
+        group.failed(member, error.kind() == io::ErrorKind::ConnectionRefused);
+    }
+}
+
+/// Keeps a connection ready for each slot, so that requests do not wait for one to open.
+fn warm(member: &Arc<Member>) {
+    let free = member.slots().saturating_sub(lock(&member.seen).running) as usize;
+    if member.pool.idle() < free {
+        // Opening takes tens of milliseconds, which must not delay the next poll.
+        let member = member.clone();
+        tokio::spawn(async move { member.pool.warm(free).await });
     }
 }
 
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -54,6 +54,7 @@
     key: CancelKey,
     /// Whether it is a write on its own, whose outcome should not depend on the caller's leaving.
     write: bool,
+    cancelled: bool,
 }
 
 /// How an attempt to run a request ended.
@@ -66,7 +67,8 @@
 impl Stream {
     /// Cancels the running statement.
     pub(crate) fn cancel(&self, servers: &Arc<dyn Servers>) {
-        if let Some(running) = &*lock(&self.running) {
+        if let Some(running) = &mut *lock(&self.running) {
+            running.cancelled = true;
             tokio::spawn(servers.cancel(running.member.pool.address, running.key.clone()));
         }
     }
@@ -333,10 +335,12 @@
         }
         let write = !request.read && request.block == Block::Single;
         let key = held.pooled.connection.key();
-        *lock(&stream.running) = Some(Running { member: member.clone(), key, write });
+        *lock(&stream.running) =
+            Some(Running { member: member.clone(), key, write, cancelled: false });
         let begun = Instant::now();
         let reply = self.send(&mut held, &member, request).await;
-        *lock(&stream.running) = None;
+        let running = lock(&stream.running).take();
+        held.cancelled |= running.is_some_and(|running| running.cancelled);
         let Some(reply) = reply else { return Attempt::Failed(member, Failure::Lost) };
         self.answered(&member);
         held.changed |= reply.changed;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -104,9 +104,9 @@
         self.put(pooled);
     }
 
-    /// Whether a connection is ready.
-    pub(crate) fn is_warm(&self) -> bool {
-        !lock(&self.idle).is_empty()
+    /// Number of connections that are ready.
+    pub(crate) fn idle(&self) -> usize {
+        lock(&self.idle).len()
     }
 
     /// Opens connections until `count` are idle.
--- a/crates/transport/tests/client.rs
+++ b/crates/transport/tests/client.rs
@@ -98,6 +98,45 @@
     assert_eq!(rig.backends[0].shared.lock().unwrap().cancels, 1);
 }
 
+/// Guards against a request that waits for ever behind others, and a refusal of it that ran.
+#[tokio::test]
+async fn request_without_a_slot_is_refused() {
+    let rig = Rig::start(1).await;
+    let mut tasks = Vec::new();
+    for _ in 0..3 {
+        let client = rig.connect().await;
+        tasks.push(tokio::spawn(async move { client.simple_query("select status hangs").await }));
+    }
+    until(|| rig.backends[0].ran().len() == 3).await;
+    let error = rig.connect().await.simple_query("insert into loans values (1)").await.unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::CONFIGURATION_LIMIT_EXCEEDED));
+    rig.backends[0].wake.notify_waiters();
+    for task in tasks {
+        task.await.unwrap().unwrap();
+    }
+    assert_eq!(rig.backends[0].ran().len(), 3);
+}
+
+/// Guards against a cancel request that arrives late and hits another caller's statement: the
+/// connection is not used again.
+#[tokio::test]
+async fn cancelled_connection_is_not_used_again() {
+    let rig = Rig::start(1).await;
+    let client = Arc::new(rig.connect().await);
+    client.simple_query("select status").await.unwrap();
+    let token = client.cancel_token();
+    let running = client.clone();
+    let task = tokio::spawn(async move { running.simple_query("insert into loans hangs").await });
+    until(|| rig.backends[0].ran().len() == 2).await;
+    let used = rig.backends[0].last();
+    token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+    task.await.unwrap().unwrap();
+    for _ in 0..20 {
+        client.simple_query("select status").await.unwrap();
+        assert_ne!(rig.backends[0].last(), used);
+    }
+}
+
 /// Guards against a caller's key on a server connection (property P5).
 #[tokio::test]
 async fn servers_see_only_the_system_credentials() {
--- a/crates/transport/tests/common/backend.rs
+++ b/crates/transport/tests/common/backend.rs
@@ -34,6 +34,9 @@
     pub ran: Vec<String>,
     /// Passwords and users that came with start-ups.
     pub logins: Vec<String>,
+    /// Number of connections so far, and the one that ran a statement last.
+    pub connections: usize,
+    pub last: usize,
     /// Cancel requests.
     pub cancels: usize,
     /// Neither status nor fences are answered.
@@ -77,7 +80,13 @@
             let mut tasks = tokio::task::JoinSet::new();
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
+                let number = {
+                    let mut shared = state.lock().unwrap();
+                    shared.connections += 1;
+                    shared.connections
+                };
                 let session = Session {
+                    number,
                     stream,
                     buf: BytesMut::new(),
                     shared: state.clone(),
@@ -96,6 +105,11 @@
         self.shared.lock().unwrap().ran.clone()
     }
 
+    /// Number of the connection that ran a caller's statement last.
+    pub fn last(&self) -> usize {
+        self.shared.lock().unwrap().last
+    }
+
     /// Ends the server with its listener and connections.
     pub fn kill(&self) {
         self.task.abort();
@@ -103,6 +117,7 @@
 }
 
 struct Session {
+    number: usize,
     stream: TcpStream,
     buf: BytesMut,
     shared: Arc<Mutex<Script>>,
@@ -241,7 +256,11 @@
         if self.internal(sql, out).await {
             return Ok(true);
         }
-        self.shared.lock().unwrap().ran.push(sql.to_string());
+        {
+            let mut shared = self.shared.lock().unwrap();
+            shared.ran.push(sql.to_string());
+            shared.last = self.number;
+        }
         let text = sql.trim().to_lowercase();
         if text.contains("fails") {
             self.status = if self.status == b'I' { b'I' } else { b'E' };
