--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -14,8 +14,12 @@
 /// Latencies above this are counted as this, in microseconds.
 const MAX_LATENCY: u64 = 60_000_000;
 
+/// Time in which a departing server still gets work, in microseconds; announcements come every
+/// second, so it allows for one that is lost.
+const DRAIN_TIME: u64 = 3_000_000;
+
 /// Figures that must be 0 in every run.
-pub const ZERO: [&str; 7] = [
+pub const ZERO: [&str; 8] = [
     "lost_writes",
     "doubled",
     "stale_reads",
@@ -23,6 +27,7 @@
     "not_run_but_ran",
     "over_rate",
     "keys_seen",
+    "late_work",
 ];
 
 /// All figures, in the order of output.
@@ -49,7 +54,9 @@
     put("not_run_but_ran", not_run_but_ran(evidence) as f64);
     put("over_rate", over_rate(evidence) as f64);
     put("keys_seen", evidence.groups.values().map(|g| g.keys).sum::<u64>() as f64);
+    put("late_work", late_work(evidence) as f64);
     put("wrongful_refusals", wrongful_refusals(evidence) as f64);
+    put("excess_refusals", excess_refusals(evidence) as f64);
     put("cut_requests", cut_requests(evidence) as f64);
     put("worst_account_share", worst_account_share(evidence));
     put("replica_share", replica_share(evidence));
@@ -60,6 +67,9 @@
     if let Some(time) = key_withdrawal(evidence) {
         put("key_withdrawal_ms", time);
     }
+    if let Some(time) = config_spread(evidence) {
+        put("config_spread_ms", time);
+    }
     for (name, quantile) in [("p50_ms", 0.5), ("p99_ms", 0.99)] {
         put(name, latency(evidence, quantile)?);
     }
@@ -169,6 +179,21 @@
     refused.filter(|r| admitted.contains(r.id.as_str())).count()
 }
 
+/// Refusals for the rate beyond the number that an exact token bucket makes, over all client
+/// accounts. While a client account sends more than its rate, the order of arrivals that are
+/// microseconds apart decides which request gets the next token, and `wrongful_refusals` counts
+/// each one that differs; this figure does not.
+pub fn excess_refusals(evidence: &Evidence) -> u64 {
+    let admitted = oracle::admitted(evidence);
+    let mut counts: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    for request in &evidence.requests {
+        let (refused, due) = counts.entry(&request.account).or_default();
+        *refused += u64::from(request.outcome == Outcome::Limit);
+        *due += u64::from(!admitted.contains(request.id.as_str()));
+    }
+    counts.values().map(|(refused, due)| refused.saturating_sub(*due)).sum()
+}
+
 /// Requests that were sent and got no answer.
 pub fn cut_requests(evidence: &Evidence) -> usize {
     evidence.requests.iter().filter(|r| r.outcome == Outcome::None && r.sent > 0).count()
@@ -187,11 +212,13 @@
     shares.fold(1.0, f64::min)
 }
 
-/// Share of the reads outside of transactions that replicas served, by the servers' record.
+/// Share of the load's reads outside of transactions that replicas served, by the servers' record.
 pub fn replica_share(evidence: &Evidence) -> f64 {
+    let sent = evidence.requests.iter().filter(|r| is_read(r));
+    let sent: BTreeSet<&str> = sent.map(|r| r.id.as_str()).collect();
     let ran = evidence.groups.values().flat_map(|g| &g.ran);
-    let reads: Vec<&Ran> =
-        ran.filter(|r| !r.write && r.committed && r.transaction.is_none()).collect();
+    let ran = ran.filter(|r| !r.write && r.committed && r.transaction.is_none());
+    let reads: Vec<&Ran> = ran.filter(|r| sent.contains(r.request.as_str())).collect();
     let replica = reads.iter().filter(|r| !r.primary).count();
     if reads.is_empty() { 1.0 } else { replica as f64 / reads.len() as f64 }
 }
@@ -224,6 +251,27 @@
     times.reduce(f64::max)
 }
 
+/// Statements that a server got later than [`DRAIN_TIME`] after its `drained SERVER` mark (P11).
+pub fn late_work(evidence: &Evidence) -> usize {
+    let marks = evidence.marks.iter().filter_map(|m| Some((m.name.strip_prefix("drained ")?, m)));
+    let late = marks.map(|(server, mark)| {
+        let ran = evidence.groups.values().flat_map(|g| &g.ran);
+        ran.filter(|r| r.server == server && r.time > mark.time + DRAIN_TIME).count()
+    });
+    late.sum()
+}
+
+/// Time from a `change ID` mark to its last `in force ID` mark, in milliseconds.
+pub fn config_spread(evidence: &Evidence) -> Option<f64> {
+    let changes = evidence.marks.iter().filter_map(|m| Some((m.name.strip_prefix("change ")?, m)));
+    let times = changes.map(|(id, change)| {
+        let all = evidence.marks.iter().filter(|m| m.name.strip_prefix("in force ") == Some(id));
+        let last = all.map(|m| m.time).max();
+        last.map_or(f64::INFINITY, |t| t.saturating_sub(change.time) as f64 / 1000.0)
+    });
+    times.reduce(f64::max)
+}
+
 /// Quantile of the time from the intended time to the answer of served requests that somebody
 /// waits for, in milliseconds.
 fn latency(evidence: &Evidence, quantile: f64) -> Result<f64> {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,10 @@
 //! Command line of the test tooling.
 
-use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use auburnlug_bench::{
     Error, Result, Sink, check,
@@ -19,7 +23,7 @@
     Check(check::Options),
     Plot(plot::Options),
     Mark { file: PathBuf, name: String },
-    Get { url: String },
+    Get { url: String, bearer: Option<PathBuf> },
 }
 
 fn main() -> ExitCode {
@@ -48,17 +52,23 @@
         Command::Mark { file, name } => {
             Sink::open(&file)?.put(&[Mark { time: record::now(), name }])?;
         }
-        Command::Get { url } => {
-            let error = |e: ureq::Error| Error::Input(format!("{url}: {e}"));
-            let text = ureq::get(&url).call().map_err(error)?.into_body().read_to_string();
-            print!("{}", text.map_err(error)?);
-        }
+        Command::Get { url, bearer } => print!("{}", fetch(&url, bearer.as_deref())?),
     }
     // Requests to instances that do not answer must not delay the end of the process.
     runtime.shutdown_background();
     Ok(ExitCode::SUCCESS)
 }
 
+fn fetch(url: &str, bearer: Option<&Path>) -> Result<String> {
+    let mut request = ureq::get(url);
+    if let Some(file) = bearer {
+        let secret = std::fs::read_to_string(file)?;
+        request = request.header("authorization", format!("Bearer {}", secret.trim()));
+    }
+    let error = |e: ureq::Error| Error::Input(format!("{url}: {e}"));
+    request.call().map_err(error)?.into_body().read_to_string().map_err(error)
+}
+
 fn server() -> impl Parser<Command> {
     let name = long("name").argument::<String>("NAME");
     let group = long("group").argument::<String>("GROUP");
@@ -167,6 +177,7 @@
 
 fn get() -> impl Parser<Command> {
     let url = bpaf::positional::<String>("URL");
-    let options = construct!(Command::Get { url });
+    let bearer = long("bearer").argument::<PathBuf>("FILE").optional();
+    let options = construct!(Command::Get { bearer, url });
     options.to_options().descr("Prints what a URL answers").command("get")
 }
--- a/crates/bench/tests/figures.rs
+++ b/crates/bench/tests/figures.rs
@@ -212,6 +212,23 @@
     assert_eq!(figures::not_run_but_ran(&sent_twice), 0);
 }
 
+/// Guards against a departing server that keeps getting work.
+#[test]
+fn drained_server() {
+    let with = |time| {
+        let run = Ran { server: "s2".into(), ..ran("r", false, time, 0) };
+        let mut evidence = evidence(vec![], vec![run], &[]);
+        evidence.marks = vec![Mark { name: "drained s2".into(), time: SECOND }];
+        evidence
+    };
+    check(vec![Row {
+        name: "late_work: more than 3 s after the mark",
+        figure: figures::late_work,
+        flagged: with(4 * SECOND + 1),
+        clean: with(4 * SECOND),
+    }]);
+}
+
 /// Guards against rate figures that are off by one request, in either direction.
 #[test]
 fn rates() {
@@ -219,6 +236,12 @@
         let run = |(n, t): (usize, &u64)| ran(&format!("r{n}"), false, *t, 0);
         times.iter().enumerate().map(run).collect()
     };
+    // The bucket admits the first two, the system admitted the first and the third.
+    let swapped = |second: Outcome, third: Outcome| {
+        let mut requests = vec![done("1", Kind::Read, 0), request("2", Kind::Read, 0, second)];
+        requests.push(request("3", Kind::Read, 0, third));
+        evidence(requests, vec![], &[])
+    };
     let retried = vec![ran("r", false, 0, 0), ran("r", false, 1, 0), ran("r", false, 2, 0)];
     let arrivals = |third: u64| {
         let mut requests = vec![done("1", Kind::Read, 0), done("2", Kind::Read, 0)];
@@ -238,6 +261,18 @@
             flagged: evidence(vec![], at(&[0, SECOND, SECOND, SECOND]), &[]),
             clean: evidence(vec![], retried, &[]),
         },
+        Row {
+            name: "excess_refusals: more than the bucket makes; as many, of another request",
+            figure: |e| figures::excess_refusals(e) as usize,
+            flagged: swapped(Outcome::Limit, Outcome::Limit),
+            clean: swapped(Outcome::Limit, Outcome::Done),
+        },
+        Row {
+            name: "wrongful_refusals: the bucket would have admitted it",
+            figure: figures::wrongful_refusals,
+            flagged: swapped(Outcome::Limit, Outcome::Done),
+            clean: swapped(Outcome::Done, Outcome::Limit),
+        },
         Row {
             name: "wrongful_refusals: a token was there; none was there",
             figure: figures::wrongful_refusals,
@@ -259,8 +294,11 @@
     served.push(request("3", Kind::Read, 0, Outcome::Limit));
     assert!((figures::worst_account_share(&evidence(served, vec![], &[])) - 0.5).abs() < 1e-9);
 
-    let reads = vec![ran("1", false, 0, 0), Ran { primary: true, ..ran("2", false, 0, 0) }];
-    assert!((figures::replica_share(&evidence(vec![], reads, &[])) - 0.5).abs() < 1e-9);
+    // The third is not of the load: it came before, to see whether the system serves.
+    let sent = vec![done("1", Kind::Read, 0), done("2", Kind::Read, 0)];
+    let other = ran("3", false, 0, 0);
+    let reads = vec![ran("1", false, 0, 0), Ran { primary: true, ..ran("2", false, 0, 0) }, other];
+    assert!((figures::replica_share(&evidence(sent, reads, &[])) - 0.5).abs() < 1e-9);
 
     // A replica that has applied position 1 at time 50 can serve the read unless the session's
     // write at position 2 comes first.
@@ -291,6 +329,12 @@
     evidence.marks = vec![mark("failover g", 3 * SECOND), mark("withdrawn a", 2 * SECOND)];
     assert_eq!(figures::failover_gap(&evidence), Some(3000.0));
     assert_eq!(figures::key_withdrawal(&evidence), Some(1000.0));
+    evidence.marks = ["change c", "in force c", "in force c", "in force d"]
+        .iter()
+        .zip(1..)
+        .map(|(name, second)| mark(name, second * SECOND))
+        .collect();
+    assert_eq!(figures::config_spread(&evidence), Some(2000.0));
     evidence.marks = vec![mark("failover g", 5 * SECOND + SECOND / 2)];
     assert_eq!(figures::failover_gap(&evidence), Some(1000.0));
 }
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -211,6 +211,50 @@
     "$CTL" --control "$(joined "${controls[@]}")" --secret-file "$RUN/operator.secret" "$@"
 }
 
+# A field of an instance's status: field INSTANCE NAME.
+field() {
+    local url
+    url=http://$(address "$1"):7200/v1/status
+    "$BENCH" get --bearer "$RUN/operator.secret" "$url" | sed -n "s/.*\"$2\":\"\?\([^\",}]*\).*/\1/p"
+}
+
+# Name of the control leader.
+leader() {
+    local name address
+    for name in "${CONTROLS[@]}"; do
+        [ -n "${PID[$name]:-}" ] || continue
+        address=$(field "$name" leader) || continue
+        [ -n "$address" ] && [ "$address" != null ] && break
+    done
+    for name in "${CONTROLS[@]}"; do
+        [ "$(address "$name"):7200" != "$address" ] || echo "$name"
+    done
+}
+
+# Marks the time at which an instance has a later version than VERSION: spread ID VERSION INSTANCE.
+spread() {
+    for _ in $(seq 1000); do
+        if [ "$(field "$3" version)" -gt "$2" ]; then mark "in force $1"; return 0; fi
+        sleep 0.01
+    done
+    return 1
+}
+
+# Publishes a template with another burst and marks when each instance has it: change ID INSTANCE..
+change() {
+    local id=$1 version name pids=() pid
+    shift
+    version=$(field "$1" version)
+    sed "0,/^burst = .*/s//burst = $((100 + RANDOM % 5))/" "$TEMPLATE" >"$RUN/template-$id"
+    for name in "$@"; do
+        spread "$id" "$version" "$name" &
+        pids+=($!)
+    done
+    mark "change $id"
+    ctl publish "$RUN/template-$id" || return 1
+    for pid in "${pids[@]}"; do wait "$pid" || return 1; done
+}
+
 # Waits until a command succeeds.
 eventually() {
     local end=$((SECONDS + READY_SECONDS))
