--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -208,7 +208,8 @@
 ctl() {
     local controls=() name
     for name in "${CONTROLS[@]}"; do controls+=("$(address "$name"):7200"); done
-    "$CTL" --control "$(joined "${controls[@]}")" --secret-file "$RUN/operator.secret" "$@"
+    "$CTL" --control "$(joined "${controls[@]}")" --secret-file "$RUN/operator.secret" \
+        --operator "${OPERATOR:-scripts}" "$@"
 }
 
 # A field of an instance's status: field INSTANCE NAME.
