Raise the failover quorum when a group has more servers than its size

A majority of the size need not meet the majority that acknowledged a write when more servers are announced, so a promotion could lose that write. The quorum now intersects every such majority.

--- a/crates/coordination/src/failover.rs
+++ b/crates/coordination/src/failover.rs
@@ -304,8 +304,11 @@
         steps
     }
 
+    /// Servers that each majority which may acknowledge a write has one in common with. With more
+    /// servers than the size of the group, a majority of the size would not be enough.
     fn quorum(&self) -> usize {
-        self.size / 2 + 1
+        let half = self.size / 2;
+        (half + 1).max(self.peers.len().saturating_sub(half))
     }
 
     fn reachable(&self, now: Millis) -> impl Iterator<Item = (&Name, &Peer)> {
--- a/crates/coordination/tests/failover.rs
+++ b/crates/coordination/tests/failover.rs
@@ -493,6 +493,28 @@
     assert!(steps.contains(&Step::Term(6)), "{lost:?}");
 }
 
+/// Guards against a promotion by servers that need not hold an acknowledged write, because the
+/// group has one server more than its size.
+#[test]
+fn a_server_too_many_raises_the_quorum() {
+    let names: Vec<_> = (0..4).map(name).collect();
+    for (fenced, promotes) in [(2, false), (3, true)] {
+        let mut owner = Failover::new(3, &names, GroupState { term: 4, primary: None }, 0);
+        owner.tick(1);
+        owner.agreed(5, 2);
+        let steps = (3..300).flat_map(|now| {
+            for i in 0..fenced {
+                let received = at(4, 7);
+                let status = Status { term: 5, role: Role::Replica, received, upstream: None };
+                owner.status(&name(i), status, now);
+            }
+            owner.tick(now)
+        });
+        let steps: Vec<_> = steps.collect();
+        assert_eq!(steps.iter().any(|s| matches!(s, Step::Promote(..))), promotes, "{fenced}");
+    }
+}
+
 /// Guards against an acknowledgement without a majority of the current term.
 #[test]
 fn only_a_majority_of_the_term_acknowledges() {
