Test that a replaced primary acknowledges nothing

A primary that is cut off but answers callers was not covered. The new test cuts it off in mid-write, lets the group fail over and expects an unknown outcome and no further write there. The stand-in replica now hears from a primary only after a change of term, since it answered for one that it could not reach.

--- a/crates/transport/tests/client.rs
+++ b/crates/transport/tests/client.rs
@@ -295,6 +295,34 @@
     assert!(rig.metrics.text().contains("kind=\"promotion\""), "{}", rig.metrics.text());
 }
 
+/// Guards against an acknowledgement by a primary that was cut off and replaced (property P2).
+#[tokio::test]
+async fn replaced_primary_acknowledges_nothing() {
+    let rig = Rig::start(3).await;
+    for replica in &rig.backends[1..] {
+        replica.shared.lock().unwrap().follows = Some(rig.backends[0].shared.clone());
+    }
+    let client = rig.connect().await;
+    client.simple_query("insert into loans values (1)").await.unwrap();
+    let request = tokio::spawn(async move { client.simple_query("insert into loans hangs").await });
+    until(|| rig.backends[0].ran().len() == 2).await;
+    rig.backends[0].shared.lock().unwrap().silent = true;
+    for (replica, other) in [(1, 2), (2, 1)] {
+        let source = rig.backends[other].shared.clone();
+        let mut shared = rig.backends[replica].shared.lock().unwrap();
+        (shared.upstream, shared.follows) = (1000, None);
+        shared.after_fence = Some(source);
+    }
+    let error = request.await.unwrap().unwrap_err();
+    assert_eq!(error.code().map(SqlState::code), Some("08007"));
+    rig.backends[0].wake.notify_waiters();
+    let client = rig.connect().await;
+    client.simple_query("insert into loans values (3)").await.unwrap();
+    assert_eq!(rig.backends[0].ran().len(), 2);
+    let view = rig.control.view.subscribe().borrow().clone();
+    assert_ne!(view.machine.groups[&name("loans")].primary, Some(name("s0")));
+}
+
 /// Guards against a non-idempotent request that runs twice under one id (property P10).
 #[tokio::test]
 async fn repeated_request_id_gets_the_first_answer() {
--- a/crates/transport/tests/common/backend.rs
+++ b/crates/transport/tests/common/backend.rs
@@ -344,11 +344,16 @@
             shared.received += 1;
             shared.applied = shared.received;
         } else if sql.contains("follow") {
-            let source = shared.after_fence.take();
-            (shared.primary, shared.upstream) = (false, 0);
-            shared.follows = source.or(shared.follows.take());
             let term = sql.split(['(', ',']).nth(1).and_then(|term| term.trim().parse().ok());
-            shared.term = shared.term.max(term.unwrap_or(0));
+            let term = term.unwrap_or(0);
+            shared.primary = false;
+            shared.term = shared.term.max(term);
+            // A replica that is told to follow a primary it cannot reach hears nothing from it.
+            if term > shared.last_term
+                && let Some(source) = shared.after_fence.take()
+            {
+                (shared.upstream, shared.follows) = (0, Some(source));
+            }
         }
         let role = if shared.primary { "primary" } else { "replica" };
         let values =
