Contain malformed messages and wait for the next owner of a stopping one

The codec panics on lengths that point past a message, which ended the caller's task without closing its transaction; decoding now contains that and a guard ends what a caller left open.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -108,7 +108,6 @@
                 break end;
             }
         };
-        self.track.close();
         if let End::Close(fault) = end {
             let mut out = BytesMut::new();
             frame::put_fault(&mut out, "FATAL", &fault);
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -78,19 +78,6 @@
         Shared { control, forwarder, metrics, wait, stopping, cancels, next }
     }
 
-    /// Registers a caller for cancel requests; returns its number and secret.
-    fn register(&self, track: &Arc<Track>) -> (i32, i32) {
-        let secret = rand::random();
-        let mut cancels = lock(&self.cancels);
-        loop {
-            let pid = self.next.fetch_add(1, Ordering::Relaxed) & i32::MAX;
-            if pid != 0 && !cancels.contains_key(&pid) {
-                cancels.insert(pid, Cancel { secret, track: track.clone() });
-                return (pid, secret);
-            }
-        }
-    }
-
     fn cancel(&self, request: &CancelRequest) {
         let cancels = lock(&self.cancels);
         if let Some(cancel) = cancels.get(&request.pid)
@@ -101,6 +88,38 @@
     }
 }
 
+/// A caller that can be cancelled; dropping it ends what the caller left open.
+struct Registered {
+    shared: Arc<Shared>,
+    pid: i32,
+    secret: i32,
+    track: Arc<Track>,
+}
+
+impl Registered {
+    fn new(shared: &Arc<Shared>) -> Registered {
+        let (secret, track) = (rand::random(), Arc::new(Track::default()));
+        shared.forwarder.renew(&track);
+        shared.metrics.callers.inc();
+        let mut cancels = lock(&shared.cancels);
+        loop {
+            let pid = shared.next.fetch_add(1, Ordering::Relaxed) & i32::MAX;
+            if pid != 0 && !cancels.contains_key(&pid) {
+                cancels.insert(pid, Cancel { secret, track: track.clone() });
+                return Registered { shared: shared.clone(), pid, secret, track };
+            }
+        }
+    }
+}
+
+impl Drop for Registered {
+    fn drop(&mut self) {
+        self.track.close();
+        self.shared.metrics.callers.dec();
+        lock(&self.shared.cancels).remove(&self.pid);
+    }
+}
+
 /// Accepts callers until the instance stops; returns when the last one is gone.
 pub(crate) async fn listen(listener: TcpListener, shared: Arc<Shared>) {
     let mut tasks = JoinSet::new();
@@ -135,15 +154,11 @@
     match opening {
         Ok(Ok(Opening::Cancel(request))) => shared.cancel(&request),
         Ok(Ok(Opening::Caller(who))) => {
-            let track = Arc::new(Track::default());
-            shared.forwarder.renew(&track);
-            let (pid, secret) = shared.register(&track);
-            shared.metrics.callers.inc();
-            if greet(&mut stream, pid, secret).await.is_ok() {
+            let registered = Registered::new(&shared);
+            if greet(&mut stream, registered.pid, registered.secret).await.is_ok() {
+                let track = registered.track.clone();
                 Caller::new(shared.clone(), stream, buf, who, track).serve().await;
             }
-            shared.metrics.callers.dec();
-            lock(&shared.cancels).remove(&pid);
         }
         Ok(Err(error)) if error.kind() == ErrorKind::PermissionDenied => {
             shared.metrics.refused("startup")
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -22,7 +22,7 @@
 use crate::{
     link::{Dial, Link},
     metrics::Metrics,
-    view::Control,
+    view::{Control, View},
 };
 
 /// Longest time until a held request looks again for the owner.
@@ -144,7 +144,7 @@
             request.wait = deadline.saturating_duration_since(Instant::now()).as_millis() as Millis;
             let mut kind = "no_owner";
             if let Some(peer) = peer {
-                let answer = self.attempt(&peer, track, &request, holder).await;
+                let answer = self.attempt(&peer, track, &request, holder.as_ref()).await;
                 if !again || !retryable(&answer.outcome, &request) {
                     return Forwarded { answer: honest(answer, sent), peer: Some(peer) };
                 }
@@ -159,6 +159,11 @@
                 return Forwarded { answer: honest(last, sent), peer: None };
             }
             self.metrics.retried(kind);
+            if matches!(last.outcome, Outcome::Refused { reason: Reason::Stopping, .. }) {
+                // Its link may close at any time, and a request on its way would become unknown.
+                let _ = timeout_at(deadline, self.replaced(&request.group, holder.as_ref())).await;
+                continue;
+            }
             let mut view = self.control.view();
             view.mark_unchanged();
             // Either a change of the view or the end of the pause leads to the next attempt.
@@ -172,7 +177,7 @@
         peer: &Arc<Peer>,
         track: &Track,
         request: &Request,
-        holder: Option<Holder>,
+        holder: Option<&Holder>,
     ) -> Answer {
         let stream = track.aim(peer);
         let Some(answer) = peer.expect(stream) else { return refused(Reason::Owner) };
@@ -239,18 +244,22 @@
         Some(peer)
     }
 
+    /// Ends some time after the group's owner is no longer `holder`, in which the former owner
+    /// says what became of what it ran.
+    async fn moved(&self, group: &Name, holder: Option<&Holder>) {
+        self.replaced(group, holder).await;
+        sleep(GRACE).await;
+    }
+
     /// Ends when the group's owner is no longer `holder`.
-    async fn moved(&self, group: &Name, holder: Option<Holder>) {
+    async fn replaced(&self, group: &Name, holder: Option<&Holder>) {
         let Some(holder) = holder else { return std::future::pending().await };
         let shard = Shard::Group(group.clone());
         let mut view = self.control.view();
-        let other =
-            |view: &Arc<crate::view::View>| view.machine.shards.get(&shard) != Some(&holder);
+        let other = |view: &Arc<View>| view.machine.shards.get(&shard) != Some(holder);
         if view.wait_for(other).await.is_err() {
             std::future::pending().await
         }
-        // The former owner ends what it runs and says how.
-        sleep(GRACE).await;
     }
 
     async fn lapsed(&self) {
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -3,7 +3,10 @@
 //! Answers are passed on as bytes, so the stream is cut at message borders without decoding the
 //! bodies. The bodies that matter are decoded and encoded with `pgwire`.
 
-use std::io::{Error, ErrorKind};
+use std::{
+    io::{Error, ErrorKind},
+    panic::{AssertUnwindSafe, catch_unwind},
+};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use pgwire::messages::{
@@ -29,7 +32,7 @@
 impl Frame {
     /// Decodes the message; `None` if it is not well formed.
     pub(crate) fn decode<M: Message>(&self) -> Option<M> {
-        M::decode(&mut BytesMut::from(&self.bytes[..]), &DecodeContext::default()).ok().flatten()
+        decode(&mut BytesMut::from(&self.bytes[..]))
     }
 
     /// Body without the head.
@@ -38,6 +41,15 @@
     }
 }
 
+/// Decodes a message; `None` if it is not well formed.
+///
+/// The codec panics when a length inside a message points past its end, which must not end the
+/// task that serves the connection.
+pub(crate) fn decode<M: Message>(buf: &mut BytesMut) -> Option<M> {
+    let decode = AssertUnwindSafe(|| M::decode(buf, &DecodeContext::default()));
+    catch_unwind(decode).ok()?.ok().flatten()
+}
+
 /// Takes the next whole message from `buf`; `limit` bounds its size.
 ///
 /// # Errors
--- a/crates/transport/src/handshake.rs
+++ b/crates/transport/src/handshake.rs
@@ -7,7 +7,6 @@
 use auburnlug_state::{Account, Config, Name};
 use bytes::{Buf, BytesMut};
 use pgwire::messages::{
-    DecodeContext, Message,
     cancel::CancelRequest,
     startup::{Authentication, NegotiateProtocolVersion, Password, Startup},
 };
@@ -69,14 +68,10 @@
         }
     };
     if (&packet[4..]).get_u32() == CANCEL_REQUEST {
-        let request = CancelRequest::decode(&mut packet, &DecodeContext::default());
-        return request
-            .ok()
-            .flatten()
-            .map(Opening::Cancel)
-            .ok_or_else(|| io::ErrorKind::InvalidData.into());
+        let request = frame::decode::<CancelRequest>(&mut packet);
+        return request.map(Opening::Cancel).ok_or_else(|| io::ErrorKind::InvalidData.into());
     }
-    let startup = Startup::decode(&mut packet, &DecodeContext::default()).ok().flatten();
+    let startup = frame::decode::<Startup>(&mut packet);
     let Some(startup) = startup.filter(|startup| startup.protocol_number_major == 3) else {
         return reject(stream, &Fault::new("08P01", "unsupported start-up message")).await;
     };
--- a/crates/transport/src/traffic.rs
+++ b/crates/transport/src/traffic.rs
@@ -92,7 +92,9 @@
 impl TrafficHandle {
     /// Stops gracefully: accepts no callers, closes idle ones, and returns when all transactions
     /// and statements have ended, those of other entries too. Release the shards afterwards and
-    /// then drop the handle; until then, other entries hold their requests for the next owner.
+    /// then drop the handle, once other instances have had time to see it; until then, other
+    /// entries hold their requests for the next owner. Bound the time of this call: a transaction
+    /// that its caller leaves open ends only with the caller.
     pub async fn stop(&mut self) {
         self.stopping.send_replace(true);
         if let Some(entry) = &mut self.entry {
