--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -9,8 +9,9 @@
 
 use auburnlug_coordination::{
     Category,
-    raft::{Entry, Members, Message, Payload, Raft, Saved, Snapshot, Timing, Vote},
+    raft::{Entry, Members, Message, Payload, Raft, Ready, Saved, Snapshot, Timing, Vote},
 };
+use auburnlug_state::Command;
 use cluster::{Cluster, Faults, name};
 use proptest::{
     prelude::*,
@@ -33,6 +34,8 @@
     /// Cuts what the present leader hears, or what it says.
     CutLeader(bool),
     Heal,
+    /// Ends all cuts and isolates the present leader, so that members cut off so far stand.
+    Swap,
     Restart(usize),
     RestartLeader,
     LoseDisk(usize),
@@ -49,6 +52,7 @@
         1 => (0..5usize).prop_map(Step::Isolate),
         2 => any::<bool>().prop_map(Step::CutLeader),
         2 => Just(Step::Heal),
+        2 => Just(Step::Swap),
         2 => (0..5usize).prop_map(Step::Restart),
         2 => Just(Step::RestartLeader),
         1 => (0..5usize).prop_map(Step::LoseDisk),
@@ -81,6 +85,12 @@
             cluster.faults.cuts.extend((0..size).map(pair));
         }
         Step::Heal => cluster.faults.cuts.clear(),
+        Step::Swap => {
+            cluster.faults.cuts.clear();
+            if let Some(slot) = cluster.leader() {
+                cluster.isolate(slot);
+            }
+        }
         Step::Restart(slot) => cluster.restart(slot % size),
         Step::RestartLeader => {
             if let Some(slot) = cluster.leader() {
@@ -153,6 +163,15 @@
         c.propose();
         c.run(300);
     }),
+    ("member that missed entries stands while the leader is cut off", |c, leader| {
+        c.isolate((leader + 1) % 3);
+        c.run(1500);
+        c.propose();
+        c.run(200);
+        c.faults.cuts.clear();
+        c.isolate(leader);
+        c.run(3000);
+    }),
     ("voter restarts next to a member that asks for votes", |c, leader| {
         c.isolate((leader + 1) % 3);
         c.run(1500);
@@ -288,6 +307,12 @@
     raft.propose_members(one, now).unwrap();
     let error = raft.propose_members(old, now).unwrap_err();
     assert_eq!(error.category(), Category::Busy);
+    cluster.run(200);
+    let voters = set(&["m0", "m1", "m2", "m3"]);
+    let members = Members { voters, learners: set(&[]) };
+    let now = cluster.clock(leader);
+    let error = cluster.nodes[leader].raft.propose_members(members, now).unwrap_err();
+    assert_eq!(error.category(), Category::Lagging);
 }
 
 /// A member of three with three entries of term 2, just started.
@@ -299,6 +324,45 @@
     Raft::new(name("m0"), initial, saved, Timing::default(), 1, 0).unwrap()
 }
 
+/// Makes `raft` the leader of `term` by the votes of m1; those of a stranger must not count.
+fn elect(raft: &mut Raft, term: u64, now: u64) {
+    raft.tick(now);
+    for (from, stands) in [("x", false), ("m1", true)] {
+        raft.receive(&name(from), Message::PreVoteReply { term, granted: true }, now);
+        assert_eq!(raft.term() == term, stands);
+    }
+    for (from, leads) in [("x", false), ("m1", true)] {
+        raft.receive(&name(from), Message::VoteReply { term, granted: true }, now);
+        assert_eq!(raft.leads(), leads);
+    }
+}
+
+#[test]
+fn replaced_entries_leave_nothing_behind() {
+    // Guards against an own copy that counts as durable because the entry it replaced was, and
+    // against a membership that stays in force although its entry is gone.
+    let mut raft = follower();
+    let (initial, from) = (raft.members().clone(), name("m1"));
+    let payload = Payload::Members(Members { learners: [name("m3")].into(), ..initial.clone() });
+    let entries = vec![Entry { index: 4, term: 2, payload }];
+    let append = Message::Append { term: 2, index: 3, last: 2, entries, commit: 0, sent: 0 };
+    raft.receive(&from, append, 1);
+    assert_eq!((raft.ready().append.len(), raft.members() == &initial), (1, false));
+    let entries = vec![Entry { index: 2, term: 3, payload: Payload::Noop }];
+    let append = Message::Append { term: 3, index: 1, last: 2, entries, commit: 0, sent: 0 };
+    raft.receive(&from, append, 1);
+    assert_eq!(raft.members(), &initial);
+    raft.persisted();
+    elect(&mut raft, 4, 900);
+    let reply = Message::AppendReply { term: 4, accepted: true, index: 3, sent: 900 };
+    raft.receive(&from, reply, 900);
+    assert_eq!(raft.commit(), 0);
+    let ready = raft.ready();
+    assert_eq!((ready.truncate, ready.append.len()), (Some(2), 2));
+    raft.persisted();
+    assert_eq!(raft.commit(), 3);
+}
+
 #[test]
 fn voter_in_contact_refuses_votes() {
     // Guards against a vote request, delayed since its pre-vote, that ends a valid lease. A voter
@@ -347,11 +411,54 @@
     let ready = raft.ready();
     assert!(raft.leads() && ready.vote.is_some() && ready.append.len() == 1);
     assert_eq!((raft.commit(), raft.lease_valid(timing.longest)), (0, false));
-    assert!(!raft.ready().durable());
+    raft.propose(Command::Forget(name("c")), timing.longest).unwrap();
+    assert_eq!(raft.ready(), Ready::default());
     raft.persisted();
     assert_eq!((raft.ready().committed.len(), raft.lease_valid(timing.longest)), (1, true));
 }
 
+#[test]
+fn leader_commits_earlier_entries_only_with_its_own() {
+    // Guards against an earlier leader's entry that is taken for committed on a majority and is
+    // then replaced by a member with a newer entry.
+    let mut raft = follower();
+    let (now, from, term) = (800, name("m1"), 3);
+    elect(&mut raft, term, now);
+    assert!(raft.ready().durable());
+    raft.persisted();
+    let learners = BTreeSet::from([name("m3")]);
+    let members = Members { learners, ..raft.members().clone() };
+    let error = raft.propose_members(members, now).unwrap_err();
+    assert_eq!(error.category(), Category::Busy);
+    for (index, commit) in [(3, 0), (4, 4)] {
+        let reply = Message::AppendReply { term, accepted: true, index, sent: now };
+        raft.receive(&from, reply, now);
+        assert_eq!((raft.commit(), raft.lease_valid(now)), (commit, commit > 0));
+    }
+}
+
+#[test]
+fn vote_is_given_once_a_term_and_survives_a_restart() {
+    // Guards against two candidates that both gain a majority in one term.
+    let mut raft = follower();
+    raft.receive(&name("m2"), Message::PreVoteReply { term: 6, granted: false }, 400);
+    assert_eq!(raft.ready().vote, Some(Vote { term: 6, candidate: None }));
+    raft.persisted();
+    let request = Message::RequestVote { term: 6, index: 9, last: 4 };
+    raft.receive(&name("m1"), request.clone(), 400);
+    let vote = raft.ready().vote.unwrap();
+    raft.persisted();
+    let saved = Saved { vote, ..Saved::default() };
+    let members = raft.members().clone();
+    let again = Raft::new(name("m0"), members, saved, Timing::default(), 1, 0).unwrap();
+    for mut raft in [raft, again] {
+        raft.ready();
+        raft.receive(&name("m2"), request.clone(), 900);
+        let refusal = Message::VoteReply { term: 6, granted: false };
+        assert_eq!(raft.ready().messages, [(name("m2"), refusal)]);
+    }
+}
+
 #[test]
 fn start_refuses_unsafe_input() {
     // Guards against timings that break the lease, and against a log that contradicts itself.
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -16,7 +16,7 @@
     outcome::Fault,
     peer::{Answer, Block, Outcome, Reason, Request},
 };
-use auburnlug_state::Millis;
+use auburnlug_state::{Millis, Shard};
 use bytes::{Bytes, BytesMut};
 use tokio::{
     sync::{Mutex as AsyncMutex, MutexGuard, oneshot, watch},
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    forward::{lease_end, lock, refused},
+    forward::{lease_end, lock, refused, unknown},
     frame,
     group::Group,
     handshake::{PUBLIC, holds},
@@ -54,6 +54,7 @@
     key: CancelKey,
     /// Whether it is a write on its own, whose outcome should not depend on the caller's leaving.
     write: bool,
+    cancelled: bool,
 }
 
 /// How an attempt to run a request ended.
@@ -66,7 +67,8 @@
 impl Stream {
     /// Cancels the running statement.
     pub(crate) fn cancel(&self, servers: &Arc<dyn Servers>) {
-        if let Some(running) = &*lock(&self.running) {
+        if let Some(running) = &mut *lock(&self.running) {
+            running.cancelled = true;
             tokio::spawn(servers.cancel(running.member.pool.address, running.key.clone()));
         }
     }
@@ -81,7 +83,7 @@
         tokio::spawn(async move {
             let held = this.pinned.lock().await.take();
             if let Some(held) = held {
-                held.reset().await;
+                held.release();
             }
         });
     }
@@ -100,7 +102,7 @@
         let mut pinned = stream.pinned.lock().await;
         if let Err(reason) = self.check(&request) {
             if let Some(held) = pinned.take() {
-                held.reset().await;
+                held.release();
             }
             return refused(reason);
         }
@@ -111,7 +113,7 @@
             return self.first(stream, &mut pinned, &request, deadline).await;
         };
         match self.execute(stream, &request, held, deadline).await {
-            Attempt::Answer(answer, held) => self.settled(stream, &mut pinned, answer, held).await,
+            Attempt::Answer(answer, held) => self.settled(stream, &mut pinned, answer, held),
             // Without its connection the transaction is rolled back.
             Attempt::Failed(_, Failure::Unsent) => refused(Reason::Connection),
             Attempt::Failed(..) => unknown(),
@@ -119,20 +121,17 @@
     }
 
     /// Keeps the connection for the open transaction, or makes it available.
-    async fn settled(
+    fn settled(
         &self,
         stream: &Stream,
         pinned: &mut MutexGuard<'_, Option<Held>>,
         answer: Answer,
         held: Option<Held>,
     ) -> Answer {
-        let Some(held) = held else { return answer };
-        if *stream.closed.borrow() {
-            held.reset().await;
-        } else if answer.messages.last() == Some(&b'I') {
-            held.release().await;
-        } else {
-            **pinned = Some(held);
+        match held {
+            Some(held) if held.status != b'I' && !*stream.closed.borrow() => **pinned = Some(held),
+            Some(held) => held.release(),
+            None => {}
         }
         answer
     }
@@ -149,6 +148,12 @@
             return Err(Reason::Stopping);
         }
         let view = self.control.view().borrow().clone();
+        let holder = view.machine.shards.get(&Shard::Group(self.name.clone()));
+        let owned =
+            holder.is_some_and(|h| h.epoch == self.epoch && h.instance.as_ref() == Some(&view.me));
+        if !owned {
+            return Err(Reason::Owner);
+        }
         let account = view.machine.config.accounts.get(&request.account).ok_or(Reason::Key)?;
         let known = match &request.key {
             Some(key) => holds(account, key),
@@ -174,7 +179,7 @@
         };
         let (waiter, answer) = oneshot::channel();
         let now = self.control.now();
-        let begin = lock(&self.core).requests.begin(&request.account, id, waiter, now);
+        let begin = lock(&self.requests).begin(&request.account, id, waiter, now);
         match begin {
             Begin::First(_) => {}
             Begin::Joined => {
@@ -188,7 +193,8 @@
         let answer = self.attempts(stream, pinned, request, deadline).await;
         let now = self.control.now();
         let waiters = {
-            let requests = &mut lock(&self.core).requests;
+            let mut guard = lock(&self.requests);
+            let requests = &mut *guard;
             match &answer.outcome {
                 Outcome::Refused { .. } => requests.drop(&request.account, id),
                 Outcome::Unknown => requests.lose(&request.account, id, now),
@@ -229,11 +235,18 @@
                 Err(reason) => return refused(reason),
             };
             let (member, failure) = match self.execute(stream, request, held, deadline).await {
+                Attempt::Answer(answer, _) if attempts.sent && refusal(&answer) => {
+                    return unknown();
+                }
                 Attempt::Answer(answer, held) => {
-                    return self.settled(stream, pinned, answer, held).await;
+                    return self.settled(stream, pinned, answer, held);
                 }
                 Attempt::Failed(member, failure) => (member, failure),
             };
+            if failure == Failure::Unsent {
+                self.metrics.retried("term");
+                continue;
+            }
             let now = self.control.now();
             let next = attempts.failed(&member.name, failure, &mut lock(&self.core).budget, now);
             match next {
@@ -314,7 +327,7 @@
         let member = held.grant.member.clone();
         // Lease, key and term may have changed while the request or the transaction waited.
         if let Err(reason) = self.check(request) {
-            held.reset().await;
+            held.release();
             return Attempt::Answer(refused(reason), None);
         }
         if !request.read && held.term != self.primary.borrow().0 {
@@ -322,13 +335,16 @@
         }
         let write = !request.read && request.block == Block::Single;
         let key = held.pooled.connection.key();
-        *lock(&stream.running) = Some(Running { member: member.clone(), key, write });
+        *lock(&stream.running) =
+            Some(Running { member: member.clone(), key, write, cancelled: false });
         let begun = Instant::now();
         let reply = self.send(&mut held, &member, request).await;
-        *lock(&stream.running) = None;
+        let running = lock(&stream.running).take();
+        held.cancelled |= running.is_some_and(|running| running.cancelled);
         let Some(reply) = reply else { return Attempt::Failed(member, Failure::Lost) };
         self.answered(&member);
         held.changed |= reply.changed;
+        held.status = reply.status;
         if reply.error.as_ref().is_some_and(|code| code.starts_with(STOPPING)) {
             return Attempt::Failed(member, Failure::Stopping);
         }
@@ -336,7 +352,7 @@
             member.took(begun.elapsed().as_micros() as u64);
         }
         if !self.confirmed(request, &reply, deadline).await {
-            held.reset().await;
+            held.release();
             return Attempt::Answer(unknown(), None);
         }
         let replica = self.primary.borrow().1.as_ref() != Some(&member.name);
@@ -400,15 +416,15 @@
     }
 }
 
+fn refusal(answer: &Answer) -> bool {
+    matches!(answer.outcome, Outcome::Refused { .. })
+}
+
 /// Whether the messages run a statement; preparing one costs no token.
 fn executes(messages: &[u8]) -> bool {
     frame::frames(messages).iter().any(|frame| matches!(frame.tag, b'Q' | b'E'))
 }
 
-fn unknown() -> Answer {
-    Answer { outcome: Outcome::Unknown, messages: Vec::new(), replica: false, position: None }
-}
-
 fn answer(reply: Reply, replica: bool) -> Answer {
     let failed = reply.error.is_some() || reply.oversize;
     let outcome = if failed { Outcome::Failed } else { Outcome::Done };
--- a/crates/transport/tests/common/backend.rs
+++ b/crates/transport/tests/common/backend.rs
@@ -34,12 +34,17 @@
     pub ran: Vec<String>,
     /// Passwords and users that came with start-ups.
     pub logins: Vec<String>,
+    /// Number of connections so far, and the one that ran a statement last.
+    pub connections: usize,
+    pub last: usize,
     /// Cancel requests.
     pub cancels: usize,
     /// Neither status nor fences are answered.
     pub silent: bool,
     /// A replica that takes over each write of the server it follows.
     pub follows: Option<Arc<Mutex<Script>>>,
+    /// What it follows once it is told to.
+    pub after_fence: Option<Arc<Mutex<Script>>>,
 }
 
 /// A running stand-in server.
@@ -75,7 +80,13 @@
             let mut tasks = tokio::task::JoinSet::new();
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
+                let number = {
+                    let mut shared = state.lock().unwrap();
+                    shared.connections += 1;
+                    shared.connections
+                };
                 let session = Session {
+                    number,
                     stream,
                     buf: BytesMut::new(),
                     shared: state.clone(),
@@ -94,6 +105,11 @@
         self.shared.lock().unwrap().ran.clone()
     }
 
+    /// Number of the connection that ran a caller's statement last.
+    pub fn last(&self) -> usize {
+        self.shared.lock().unwrap().last
+    }
+
     /// Ends the server with its listener and connections.
     pub fn kill(&self) {
         self.task.abort();
@@ -101,6 +117,7 @@
 }
 
 struct Session {
+    number: usize,
     stream: TcpStream,
     buf: BytesMut,
     shared: Arc<Mutex<Script>>,
@@ -239,7 +256,11 @@
         if self.internal(sql, out).await {
             return Ok(true);
         }
-        self.shared.lock().unwrap().ran.push(sql.to_string());
+        {
+            let mut shared = self.shared.lock().unwrap();
+            shared.ran.push(sql.to_string());
+            shared.last = self.number;
+        }
         let text = sql.trim().to_lowercase();
         if text.contains("fails") {
             self.status = if self.status == b'I' { b'I' } else { b'E' };
@@ -256,6 +277,10 @@
         if text.contains("hangs") {
             self.wake.notified().await;
         }
+        if text.is_empty() {
+            out.put_slice(&[b'I', 0, 0, 0, 4]);
+            return Ok(true);
+        }
         let tag = if text.starts_with("begin") || text.starts_with("start") {
             self.status = b'T';
             "BEGIN"
@@ -299,7 +324,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         let source = self.shared.lock().unwrap().follows.clone();
-        if let Some(source) = source {
+        if let Some(source) = source.filter(|_| sql.contains("status")) {
             let (received, last) = {
                 let source = source.lock().unwrap();
                 (source.received, source.last_term)
@@ -318,6 +343,12 @@
             (shared.primary, shared.term, shared.last_term) = (true, term, term);
             shared.received += 1;
             shared.applied = shared.received;
+        } else if sql.contains("follow") {
+            let source = shared.after_fence.take();
+            (shared.primary, shared.upstream) = (false, 0);
+            shared.follows = source.or(shared.follows.take());
+            let term = sql.split(['(', ',']).nth(1).and_then(|term| term.trim().parse().ok());
+            shared.term = shared.term.max(term.unwrap_or(0));
         }
         let role = if shared.primary { "primary" } else { "replica" };
         let values =
