Cancel requests that wait for a slot

A cancel request had no effect until the statement was sent. It now ends the wait with 57014 and "not run"; the reason Cancelled is new in the messages between instances.

--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -249,8 +249,10 @@
     State,
     /// No server connection within the deadline.
     Connection,
-    /// The request or its answer is too large.
+    /// The request is too large.
     Size,
+    /// The caller cancelled it while it waited.
+    Cancelled,
 }
 
 mod bytes_field {
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -135,5 +135,6 @@
         Reason::State => "state",
         Reason::Connection => "connection",
         Reason::Size => "size",
+        Reason::Cancelled => "cancelled",
     }
 }
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -19,7 +19,7 @@
 use auburnlug_state::{Millis, Shard};
 use bytes::{Bytes, BytesMut};
 use tokio::{
-    sync::{Mutex as AsyncMutex, MutexGuard, oneshot, watch},
+    sync::{Mutex as AsyncMutex, MutexGuard, Notify, oneshot, watch},
     time::{Instant, timeout_at},
 };
 
@@ -46,6 +46,8 @@
     pinned: AsyncMutex<Option<Held>>,
     running: Mutex<Option<Running>>,
     closed: watch::Sender<bool>,
+    /// Ends the wait of a request that has not been sent.
+    cancels: Notify,
 }
 
 /// Where the running statement can be cancelled.
@@ -65,8 +67,9 @@
 }
 
 impl Stream {
-    /// Cancels the running statement.
+    /// Cancels the request that waits or runs.
     pub(crate) fn cancel(&self, servers: &Arc<dyn Servers>) {
+        self.cancels.notify_waiters();
         if let Some(running) = &mut *lock(&self.running) {
             running.cancelled = true;
             tokio::spawn(servers.cancel(running.member.pool.address, running.key.clone()));
@@ -274,6 +277,7 @@
             let grant = tokio::select! {
                 grant = self.acquire(need, attempts.servers.clone(), place, deadline) => grant?,
                 () = stream.gone() => return Err(Reason::Connection),
+                () = stream.cancels.notified() => return Err(Reason::Cancelled),
             };
             match timeout_at(deadline, grant.member.pool.get()).await {
                 Ok(Ok(pooled)) => return Ok(Held::new(grant, pooled, self.primary.borrow().0)),
--- a/crates/transport/tests/client.rs
+++ b/crates/transport/tests/client.rs
@@ -117,6 +117,34 @@
     assert_eq!(rig.backends[0].ran().len(), 3);
 }
 
+/// Guards against a waiting request that cannot be cancelled, or that runs afterwards.
+#[tokio::test]
+async fn waiting_request_is_cancelled() {
+    let rig = Rig::start(1).await;
+    let mut tasks = Vec::new();
+    for _ in 0..3 {
+        let client = rig.connect().await;
+        tasks.push(tokio::spawn(async move { client.simple_query("select status hangs").await }));
+    }
+    until(|| rig.backends[0].ran().len() == 3).await;
+    let client = rig.connect().await;
+    let token = client.cancel_token();
+    let waiting =
+        tokio::spawn(async move { client.simple_query("insert into loans values (1)").await });
+    // The request may not have arrived yet, and a cancel request without one has no effect.
+    while !waiting.is_finished() {
+        token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let error = waiting.await.unwrap().unwrap_err();
+    assert_eq!(error.code(), Some(&SqlState::QUERY_CANCELED));
+    rig.backends[0].wake.notify_waiters();
+    for task in tasks {
+        task.await.unwrap().unwrap();
+    }
+    assert_eq!(rig.backends[0].ran().len(), 3);
+}
+
 /// Guards against a cancel request that arrives late and hits another caller's statement: the
 /// connection is not used again.
 #[tokio::test]
