--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -126,7 +126,7 @@
         account: Name,
         /// Tokens granted; 0 with `retry` set when the bucket is empty.
         count: u32,
-        /// When to come again, in milliseconds.
+        /// When to come again, in milliseconds; 0 if requests without a token wait on.
         retry: Millis,
         /// False if the receiver does not own the client account.
         owner: bool,
--- a/crates/transport/src/dispatch.rs
+++ b/crates/transport/src/dispatch.rs
@@ -75,12 +75,10 @@
             Err(_) => {
                 let mut core = lock(&self.core);
                 let removed = core.queue.remove(ticket);
-                let now = self.control.now();
-                let primary = core.failover.primary().and_then(|name| core.members.get(name));
-                let missing = primary.is_none_or(|member| !member.open(&lock(&member.seen), now));
+                let reason = self.late(&core);
                 drop(core);
                 drop(removed);
-                Err(if missing { Reason::Primary } else { Reason::Overload })
+                Err(reason)
             }
         }
     }
@@ -89,13 +87,14 @@
     pub(crate) fn pump(self: &Arc<Self>) {
         let mut grants = Vec::new();
         let mut pause: Option<Millis> = None;
-        let expired = {
+        let (expired, reason) = {
             let mut core = lock(&self.core);
             if core.queue.is_empty() {
                 return;
             }
             let now = self.control.now();
             let expired = core.queue.expire(now);
+            let reason = self.late(&core);
             let mut candidates = self.candidates(&core, now);
             loop {
                 let mut chosen = None;
@@ -122,13 +121,15 @@
                 }
                 grants.push((waiting.grant, Grant { group: self.clone(), member }));
             }
-            expired
+            (expired, reason)
         };
         // Outside the lock: a request that gave up drops its grant, which takes the lock again.
         for (sender, grant) in grants {
             let _ = sender.send(Ok(grant));
         }
-        drop(expired);
+        for waiting in expired {
+            let _ = waiting.grant.send(Err(reason));
+        }
         if let Some(span) = pause {
             let group = self.clone();
             tokio::spawn(async move {
@@ -148,6 +149,14 @@
         });
     }
 
+    /// Why a request whose wait is over got no slot.
+    fn late(&self, core: &Core) -> Reason {
+        let now = self.control.now();
+        let primary = core.failover.primary().and_then(|name| core.members.get(name));
+        let open = primary.is_some_and(|member| member.open(&lock(&member.seen), now));
+        if open { Reason::Overload } else { Reason::Primary }
+    }
+
     fn choose(&self, waiting: &Waiting, candidates: &[Candidate], now: Millis) -> Choice {
         let since = waiting.paused.get();
         let mut need = waiting.need.clone();
--- a/crates/transport/src/rate.rs
+++ b/crates/transport/src/rate.rs
@@ -25,6 +25,9 @@
 /// Time between two looks at asks that are due.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Time after which requests that wait on are asked for again, in milliseconds.
+const AGAIN: Millis = 20;
+
 /// Result of a wait for a token; the error says when to come again.
 type Verdict = Result<(), Millis>;
 
@@ -39,10 +42,40 @@
 
 struct Account {
     limit: Box<dyn Limit>,
-    waiting: VecDeque<(u64, oneshot::Sender<Verdict>)>,
+    waiting: VecDeque<Waiter>,
+    /// Requests that wait on after a takeover of the rate, and when they are asked for again.
+    later: VecDeque<Waiter>,
+    again: Millis,
     next: u64,
 }
 
+type Waiter = (u64, oneshot::Sender<Verdict>);
+
+impl Account {
+    /// Asks for tokens for the requests that wait on.
+    fn resume(&mut self, now: Millis) -> Option<Ask> {
+        let mut due = None;
+        for (id, waiting) in std::mem::take(&mut self.later) {
+            let verdict = match self.limit.admit(now) {
+                Admit::Now => Ok(()),
+                Admit::Refused { retry } => Err(retry),
+                Admit::Ask(ask) => {
+                    due = Some(ask);
+                    self.waiting.push_back((id, waiting));
+                    continue;
+                }
+                Admit::Wait => {
+                    self.waiting.push_back((id, waiting));
+                    continue;
+                }
+            };
+            // The request may have given up at the same moment.
+            let _ = waiting.send(verdict);
+        }
+        due
+    }
+}
+
 impl Rates {
     pub(crate) fn new(control: Arc<dyn Control>, forwarder: Arc<Forwarder>) -> Rates {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -84,6 +117,8 @@
         let state = accounts.entry(account.clone()).or_insert_with(|| Account {
             limit: Box::new(Allotment::new(self.first)),
             waiting: VecDeque::new(),
+            later: VecDeque::new(),
+            again: 0,
             next: 0,
         });
         let ask = match state.limit.admit(now) {
@@ -106,6 +141,7 @@
     fn leave(&self, account: &Name, id: u64) {
         let mut accounts = lock(&self.accounts);
         let Some(state) = accounts.get_mut(account) else { return };
+        state.later.retain(|(other, _)| *other != id);
         let before = state.waiting.len();
         state.waiting.retain(|(other, _)| *other != id);
         if state.waiting.len() < before {
@@ -136,13 +172,21 @@
         let mut accounts = lock(&self.accounts);
         let Some(state) = accounts.get_mut(account) else { return };
         let granted = state.limit.granted(id, grant, now);
-        let verdicts = std::iter::repeat_n(Ok(()), granted.admitted as usize)
-            .chain(std::iter::repeat_n(Err(granted.retry), granted.refused as usize));
-        for verdict in verdicts {
+        for _ in 0..granted.admitted {
             if let Some((_, waiting)) = state.waiting.pop_front() {
                 // A request that gave up at the same moment loses the token.
-                let _ = waiting.send(verdict);
+                let _ = waiting.send(Ok(()));
+            }
+        }
+        for _ in 0..granted.refused {
+            let Some((id, waiting)) = state.waiting.pop_front() else { break };
+            if granted.retry == 0 {
+                state.again = now + AGAIN;
+                state.later.push_back((id, waiting));
+                continue;
             }
+            // The request may have given up at the same moment.
+            let _ = waiting.send(Err(granted.retry));
         }
         drop(accounts);
         if let Some(ask) = granted.ask {
@@ -155,6 +199,9 @@
         let mut due = Vec::new();
         for (account, state) in lock(&self.accounts).iter_mut() {
             due.extend(state.limit.tick(now).map(|ask| (account.clone(), ask)));
+            if now >= state.again {
+                due.extend(state.resume(now).map(|ask| (account.clone(), ask)));
+            }
         }
         for (account, ask) in due {
             self.send(account, ask);
--- a/crates/transport/src/rate_owner.rs
+++ b/crates/transport/src/rate_owner.rs
@@ -15,6 +15,10 @@
     view::{Control, View},
 };
 
+/// Time after a takeover in which requests wait instead of being refused. The bucket starts empty
+/// although the client account may have been within its rate.
+const SETTLE: Millis = 1500;
+
 /// Buckets owned by this instance.
 pub(crate) struct RateOwner {
     control: Arc<dyn Control>,
@@ -76,6 +80,8 @@
             return Some(Traffic::Tokens { id: ask.id, account, count: 0, retry: 0, owner: false });
         };
         let Grant { count, retry } = owned.bucket.take(holder, ask, now)?;
+        let settling = owned.frozen > 0 && now < owned.frozen + SETTLE;
+        let retry = if settling { 0 } else { retry };
         Some(Traffic::Tokens { id: ask.id, account, count, retry, owner: true })
     }
 }
