--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -162,7 +162,7 @@
         account: Name,
         /// Tokens granted; 0 with `retry` set when the bucket is empty.
         count: u32,
-        /// When to come again, in milliseconds.
+        /// When to come again, in milliseconds; 0 if requests without a token wait on.
         retry: Millis,
         /// False if the receiver does not own the client account.
         owner: bool,
@@ -285,8 +285,10 @@
     State,
     /// No server connection within the deadline.
     Connection,
-    /// The request or its answer is too large.
+    /// The request is too large.
     Size,
+    /// The caller cancelled it while it waited.
+    Cancelled,
 }
 
 mod bytes_field {
