--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -52,7 +52,9 @@
     put("stale_reads", stale_reads(evidence) as f64);
     put("wrong_account", wrong_account(evidence) as f64);
     put("not_run_but_ran", not_run_but_ran(evidence) as f64);
-    put("over_rate", over_rate(evidence) as f64);
+    let (count, early) = over_rate(evidence);
+    put("over_rate", count as f64);
+    put("over_rate_early_ms", early);
     put("keys_seen", evidence.groups.values().map(|g| g.keys).sum::<u64>() as f64);
     put("late_work", late_work(evidence) as f64);
     put("wrongful_refusals", wrongful_refusals(evidence) as f64);
@@ -158,9 +160,11 @@
         .len()
 }
 
-/// Requests at the servers beyond burst + rate * T in some window of length T. A request that ran
-/// several times counts once, at its first time.
-pub fn over_rate(evidence: &Evidence) -> usize {
+/// Requests at the servers beyond burst + rate * T in some window of length T, and the most that
+/// one of them came too early, in milliseconds. A request that ran several times counts once, at
+/// its first time. Nothing is allowed for the way from admission to the server, so a time of
+/// microseconds points to requests that drew closer on that way.
+pub fn over_rate(evidence: &Evidence) -> (usize, f64) {
     let mut ran: Vec<&Ran> = evidence.groups.values().flat_map(|g| &g.ran).collect();
     ran.sort_by_key(|r| r.time);
     let mut seen = BTreeSet::new();
@@ -169,7 +173,11 @@
         buckets.insert(name, Bucket::new(account));
     }
     let first = ran.into_iter().filter(|r| seen.insert(r.request.as_str()));
-    first.filter(|r| buckets.get_mut(r.account.as_str()).is_some_and(|b| !b.take(r.time))).count()
+    let early = first.filter_map(|r| {
+        let bucket = buckets.get_mut(r.account.as_str())?;
+        (!bucket.take(r.time)).then(|| bucket.wait())
+    });
+    early.fold((0, 0.0), |(count, most), time| (count + 1, f64::max(most, time)))
 }
 
 /// Requests refused for their rate although an exact token bucket would have admitted them.
--- a/crates/bench/src/oracle.rs
+++ b/crates/bench/src/oracle.rs
@@ -37,6 +37,11 @@
         }
         enough
     }
+
+    /// Time until there is a token again, in milliseconds.
+    pub fn wait(&self) -> f64 {
+        ((1.0 - self.level) / self.rate * 1000.0).max(0.0)
+    }
 }
 
 /// Requests that an exact token bucket over the intended arrivals admits.
--- a/crates/bench/tests/figures.rs
+++ b/crates/bench/tests/figures.rs
@@ -251,13 +251,13 @@
     check(vec![
         Row {
             name: "over_rate: third of burst 2 within 0.1 s; exactly after 0.1 s",
-            figure: figures::over_rate,
+            figure: |e| figures::over_rate(e).0,
             flagged: evidence(vec![], at(&[0, 0, SECOND / 10 - 1000]), &[]),
             clean: evidence(vec![], at(&[0, 0, SECOND / 10]), &[]),
         },
         Row {
             name: "over_rate: window that starts late; a retried read counts once",
-            figure: figures::over_rate,
+            figure: |e| figures::over_rate(e).0,
             flagged: evidence(vec![], at(&[0, SECOND, SECOND, SECOND]), &[]),
             clean: evidence(vec![], retried, &[]),
         },
@@ -282,6 +282,16 @@
     ]);
 }
 
+/// Guards against a wrong size of the excess, from which a reader tells jitter from a fault.
+#[test]
+fn size_of_the_excess() {
+    let times = [0, 0, SECOND / 10 - 1000];
+    let runs = times.iter().enumerate().map(|(n, t)| ran(&format!("r{n}"), false, *t, 0));
+    let (count, early) = figures::over_rate(&evidence(vec![], runs.collect(), &[]));
+    assert_eq!(count, 1);
+    assert!((early - 1.0).abs() < 1e-6, "{early} ms, expected 1 ms");
+}
+
 /// Guards against shares that count the wrong requests.
 #[test]
 fn shares() {
