Test the reported position and the cut of the stand-in

The proxy acknowledges writes by the position that the stand-in reports, and the cut scenarios rest on cuts that hold bytes back without closing connections.

--- a/crates/bench/tests/server.rs
+++ b/crates/bench/tests/server.rs
@@ -5,6 +5,7 @@
 
 use auburnlug_bench::{
     Result,
+    cut::Way,
     record::Event,
     server::{Options, Server, start},
 };
@@ -133,6 +134,45 @@
     assert!(connect(running.address()).await.is_ok());
 }
 
+/// Guards against writes whose position the proxy cannot learn, and reads that report one.
+#[tokio::test]
+async fn position_is_reported_after_a_write() {
+    let running = run(Options { primary: true, ..options("s1") }).await;
+    let (host, port) = (running.address().ip(), running.address().port());
+    let text = format!("host={host} port={port} user=proxy dbname=g");
+    let (client, mut connection) = tokio_postgres::connect(&text, NoTls).await.unwrap();
+    for (sql, position) in [
+        ("SELECT value FROM t WHERE key = 'a:1'", None),
+        ("INSERT INTO t VALUES ('a:1', 'r1|x')", Some("1/2")),
+        ("BEGIN; INSERT INTO t VALUES ('a:1', 'r2|x'); ROLLBACK", Some("1/2")),
+        ("BEGIN; INSERT INTO t VALUES ('a:1', 'r3|x'); COMMIT", Some("1/3")),
+    ] {
+        tokio::select! {
+            done = client.batch_execute(sql) => done.unwrap(),
+            _ = &mut connection => panic!("the connection ended"),
+        }
+        assert_eq!(connection.parameter("auburnlug.position"), position, "{sql}");
+    }
+}
+
+/// Guards against a cut that closes connections or loses answers instead of holding them back.
+#[tokio::test]
+async fn cut_is_silent_and_ends() {
+    let running = run(Options { primary: true, ..options("s1") }).await;
+    let client = client(&running).await;
+    for way in [Way::In, Way::Out] {
+        running.server.cuts.cut(None, way);
+        let write = client.batch_execute("INSERT INTO t VALUES ('a:1', 'r1|x')");
+        tokio::pin!(write);
+        // A slow machine can only make it more likely that there is no answer yet.
+        let early = tokio::time::timeout(Duration::from_millis(50), &mut write).await;
+        assert!(early.is_err(), "an answer passed the cut");
+        running.server.cuts.heal(None);
+        write.await.unwrap();
+    }
+    assert_eq!(running.server.node().received(), 3);
+}
+
 /// Guards against two primaries of one term and against writes under a replaced one.
 #[tokio::test]
 async fn fenced_primary_refuses_writes_and_lower_terms() {
