Choose a standby for each shard and prefer it as the next owner

Change: every instance derives the same standby from the replicated state, in another failure domain than the owner; the leader assigns a shard of a dead owner to its standby.

--- a/crates/coordination/src/assign.rs
+++ b/crates/coordination/src/assign.rs
@@ -12,6 +12,21 @@
 /// Interval between requests to release a shard, in milliseconds. Each one interrupts a group.
 pub const RELEASE: Millis = 1000;
 
+/// Instance that keeps a copy of what the owner of `shard` must not lose, and its next owner.
+///
+/// Every instance derives the same one from the same state. It is in another failure domain than
+/// the owner if there is one; the hash spreads the shards of one owner over all others.
+pub fn standby<'a>(machine: &'a Machine, shard: &Shard) -> Option<&'a Name> {
+    let owner = machine.shards.get(shard)?.instance.as_ref()?;
+    let domain = machine.instances.get(owner).map(|i| &i.domain);
+    let others = machine.instances.values().filter(|i| i.entry && i.name != *owner);
+    let rank = |i: &&Instance| {
+        let hash = crc32fast::hash(format!("{shard}@{}", i.name).as_bytes());
+        (Some(&i.domain) == domain, hash)
+    };
+    others.min_by_key(rank).map(|i| &i.name)
+}
+
 /// What the leader has to do.
 #[derive(Debug, Default, PartialEq)]
 pub struct Plan {
@@ -32,13 +47,20 @@
     pub epoch: u64,
 }
 
+#[derive(Debug)]
+struct Last {
+    name: Name,
+    incarnation: u64,
+    standby: Option<Name>,
+}
+
 /// Plans ownership; a new leader starts with a new one.
 #[derive(Debug, Default)]
 pub struct Assigner {
-    /// Last seen holder of each shard, by name and incarnation.
-    last: BTreeMap<Shard, (Name, u64)>,
+    /// Last seen holder of each shard.
+    last: BTreeMap<Shard, Last>,
     /// Chosen holder of each shard and the epoch that the choice was made from.
-    chosen: BTreeMap<Shard, (u64, (Name, u64))>,
+    chosen: BTreeMap<Shard, (u64, Last)>,
     asked: Option<Millis>,
 }
 
@@ -63,8 +85,9 @@
             if let Some(taker) = load.taker(shard, self.last.get(shard)) {
                 let instance = Some(taker.name.clone());
                 let (shard, epoch) = (shard.clone(), holder.epoch);
-                let run = (taker.name.clone(), taker.incarnation);
-                self.chosen.insert(shard.clone(), (epoch, run));
+                let name = taker.name.clone();
+                let last = Last { name, incarnation: taker.incarnation, standby: None };
+                self.chosen.insert(shard.clone(), (epoch, last));
                 plan.commands.push(Command::Assign { shard, instance, epoch });
             }
         }
@@ -84,14 +107,16 @@
         self.chosen.retain(|shard, _| machine.shards.contains_key(shard));
         for (shard, holder) in &machine.shards {
             // A holder may take a shard and give it up again between two plans.
-            let chosen = self.chosen.get(shard).filter(|(epoch, _)| *epoch < holder.epoch);
-            if let Some((_, run)) = chosen {
-                self.last.insert(shard.clone(), run.clone());
-                self.chosen.remove(shard);
+            if self.chosen.get(shard).is_some_and(|(epoch, _)| *epoch < holder.epoch)
+                && let Some((_, last)) = self.chosen.remove(shard)
+            {
+                self.last.insert(shard.clone(), last);
             }
             let holder = holder.instance.as_ref().and_then(|name| machine.instances.get(name));
-            if let Some(holder) = holder {
-                self.last.insert(shard.clone(), (holder.name.clone(), holder.incarnation));
+            if let Some(Instance { name, incarnation, .. }) = holder {
+                let standby = standby(machine, shard).cloned();
+                let last = Last { name: name.clone(), incarnation: *incarnation, standby };
+                self.last.insert(shard.clone(), last);
             }
         }
     }
@@ -131,14 +156,15 @@
         }
     }
 
-    /// Chooses and counts the next holder of a shard: not the one that gave it up, then the one
-    /// with the fewest shards of this kind, then the nearest, then the one with the fewest of the
-    /// other kind.
-    fn taker(&mut self, shard: &Shard, last: Option<&(Name, u64)>) -> Option<&'a Instance> {
+    /// Chooses and counts the next holder of a shard: not the one that gave it up, then its
+    /// standby, then the one with the fewest shards of this kind, then the nearest, then the one
+    /// with the fewest of the other kind.
+    fn taker(&mut self, shard: &Shard, last: Option<&Last>) -> Option<&'a Instance> {
         let taker = self.takers.values().copied().min_by_key(|i| {
-            let gave = last.is_some_and(|(name, run)| *name == i.name && *run == i.incarnation);
+            let gave = last.is_some_and(|l| l.name == i.name && l.incarnation == i.incarnation);
+            let copy = last.is_some_and(|l| l.standby.as_ref() == Some(&i.name));
             let (count, other) = self.counts(shard, &i.name);
-            (gave, count, self.distance(shard, i), other, &i.name)
+            (gave, !copy, count, self.distance(shard, i), other, &i.name)
         })?;
         self.add(shard, &taker.name);
         Some(taker)
