Count bytes and messages on links by purpose and direction

The network share of control could only be read from the sockets, where it is mixed with HTTP and traffic. auburnlug_link_bytes_total{purpose,direction} and auburnlug_link_messages_total count each message with its frame header; pings, masks and the headers of TCP and IP are not counted.

--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -57,10 +57,12 @@
 
 async fn serve(settings: &Settings) -> Result<()> {
     let files = Files::read(settings)?;
+    let metrics = Arc::new(Metrics::default());
     let identity = Arc::new(Identity {
         name: settings.name.clone(),
         secret: files.cluster,
         source: settings.source,
+        links: metrics.links.clone(),
     });
     let http = tokio::net::TcpListener::from_std(bind(settings.http.bind)?)?;
     let callers = settings.callers.map(bind).transpose()?;
@@ -68,7 +70,6 @@
     let (failed, failure) = oneshot::channel();
     let options = options(settings, &identity, sockets_out)?;
     let control = Arc::new(control::start(options, failed)?);
-    let metrics = Arc::new(Metrics::default());
     let state = http::State::new(control.clone(), metrics.clone(), files.http);
     tokio::spawn(http::serve(http, state.clone()));
     let (links_out, links) = mpsc::channel(QUEUE);
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and gauges of the traffic runtime.
 
-use auburnlug_protocol::peer::{Outcome, Reason};
+use auburnlug_protocol::{
+    auth::Purpose,
+    peer::{Outcome, Reason},
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -17,6 +20,56 @@
 /// Upper bounds of the failover histogram, in seconds.
 const GAP_BOUNDS: [f64; 8] = [0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 3.0];
 
+/// Labels of the counters of links.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LinkLabel {
+    /// What the link is for.
+    pub purpose: &'static str,
+    /// `in` or `out`.
+    pub direction: &'static str,
+}
+
+/// Bytes and messages on links to other instances, after the handshake.
+#[derive(Debug, Clone, Default)]
+pub struct LinkMetrics {
+    bytes: Family<LinkLabel, Counter>,
+    messages: Family<LinkLabel, Counter>,
+}
+
+impl LinkMetrics {
+    /// Counters of one direction of the links for `purpose`.
+    pub fn meter(&self, purpose: Purpose, direction: &'static str) -> Meter {
+        let purpose = match purpose {
+            Purpose::Control => "control",
+            Purpose::Traffic => "traffic",
+        };
+        let label = LinkLabel { purpose, direction };
+        let bytes = self.bytes.get_or_create(&label).clone();
+        Meter { bytes, messages: self.messages.get_or_create(&label).clone() }
+    }
+}
+
+/// Counters of one direction of a link.
+#[derive(Debug, Clone)]
+pub struct Meter {
+    bytes: Counter,
+    messages: Counter,
+}
+
+impl Meter {
+    /// Counts a message with `payload` bytes and its frame header; without the header's mask and
+    /// those of TCP and IP.
+    pub fn count(&self, payload: usize) {
+        let header = match payload {
+            0..=125 => 2,
+            126..=0xffff => 4,
+            _ => 10,
+        };
+        self.bytes.inc_by(payload as u64 + header);
+        self.messages.inc();
+    }
+}
+
 /// Metrics of an instance's traffic.
 #[derive(Debug)]
 pub struct Metrics {
@@ -37,6 +90,8 @@
     pub connections: Gauge,
     /// Parts of failover gaps, in seconds.
     pub failover: Family<Label, Histogram>,
+    /// Bytes and messages on links.
+    pub links: LinkMetrics,
 }
 
 impl Default for Metrics {
@@ -62,6 +117,9 @@
         );
         let failover = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("failover_seconds", "Parts of failover gaps", failover.clone());
+        let links = LinkMetrics::default();
+        registry.register("link_bytes", "Bytes on links between instances", links.bytes.clone());
+        registry.register("link_messages", "Messages on links", links.messages.clone());
         Metrics {
             registry,
             refusals,
@@ -72,6 +130,7 @@
             callers,
             connections,
             failover,
+            links,
         }
     }
 }
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -31,6 +31,7 @@
 use crate::{
     Error, Result,
     link::{Dial, Dialing, Link},
+    metrics::{LinkMetrics, Meter},
 };
 
 /// Longest time for connecting and for the handshake.
@@ -62,6 +63,8 @@
     pub secret: Secret,
     /// Source address of outbound connections.
     pub source: Option<IpAddr>,
+    /// Counters of bytes and messages on links.
+    pub links: LinkMetrics,
 }
 
 /// Opens links for one purpose.
@@ -85,7 +88,7 @@
         Box::pin(async move {
             let dialed = timeout(HANDSHAKE, dial(&identity, purpose, name.clone(), address)).await;
             let Ok(Ok(socket)) = dialed else { return None };
-            Some(spawn(name, socket))
+            Some(spawn(name, socket, &Meters::new(&identity.links, purpose)))
         })
     }
 }
@@ -98,12 +101,26 @@
     /// What the link is for.
     pub purpose: Purpose,
     socket: Socket,
+    meters: Meters,
+}
+
+/// Counters of a link.
+#[derive(Debug)]
+struct Meters {
+    inbound: Meter,
+    outbound: Meter,
+}
+
+impl Meters {
+    fn new(links: &LinkMetrics, purpose: Purpose) -> Meters {
+        Meters { inbound: links.meter(purpose, "in"), outbound: links.meter(purpose, "out") }
+    }
 }
 
 impl Accepted {
     /// Starts to move messages.
     pub fn link<M: Serialize + DeserializeOwned + Send + 'static>(self) -> Link<M> {
-        spawn(self.peer, self.socket)
+        spawn(self.peer, self.socket, &self.meters)
     }
 }
 
@@ -211,7 +228,8 @@
     if !me.secret.verify(&hello, &nonce, &proof) {
         return Err(Error::authentication());
     }
-    Ok(Accepted { peer: hello.from, purpose: hello.purpose, socket })
+    let meters = Meters::new(&me.links, hello.purpose);
+    Ok(Accepted { peer: hello.from, purpose: hello.purpose, socket, meters })
 }
 
 async fn send<T: Serialize>(socket: &mut Socket, message: &T) -> Result<()> {
@@ -227,25 +245,34 @@
     }
 }
 
-fn spawn<M: Serialize + DeserializeOwned + Send + 'static>(peer: Name, socket: Socket) -> Link<M> {
+fn spawn<M: Serialize + DeserializeOwned + Send + 'static>(
+    peer: Name,
+    socket: Socket,
+    meters: &Meters,
+) -> Link<M> {
     let (near, far) = Link::pair(peer.clone(), peer);
     let (sink, stream) = socket.split();
     let Link { out, inbox, .. } = far;
-    let writer = tokio::spawn(write(sink, inbox));
+    let writer = tokio::spawn(write(sink, inbox, meters.outbound.clone()));
+    let inbound = meters.inbound.clone();
     tokio::spawn(async move {
-        read(stream, out).await;
+        read(stream, out, inbound).await;
         writer.abort();
     });
     near
 }
 
-async fn write<M: Serialize>(mut sink: SplitSink<Socket, Message>, mut inbox: mpsc::Receiver<M>) {
+async fn write<M: Serialize>(
+    mut sink: SplitSink<Socket, Message>,
+    mut inbox: mpsc::Receiver<M>,
+    meter: Meter,
+) {
     let mut ping = tokio::time::interval(PING);
     loop {
         let sent = tokio::select! {
             message = inbox.recv() => {
                 let Some(message) = message else { break };
-                write_batch(&mut sink, message, &mut inbox).await
+                write_batch(&mut sink, message, &mut inbox, &meter).await
             }
             _ = ping.tick() => sink.send(Message::Ping(Default::default())).await.map_err(Error::from),
         };
@@ -260,17 +287,28 @@
     sink: &mut SplitSink<Socket, Message>,
     first: M,
     inbox: &mut mpsc::Receiver<M>,
+    meter: &Meter,
 ) -> Result<()> {
-    sink.feed(Message::Binary(encode(&first)?.into())).await?;
+    sink.feed(frame(&first, meter)?).await?;
     for _ in 0..BATCH {
         let Ok(next) = inbox.try_recv() else { break };
-        sink.feed(Message::Binary(encode(&next)?.into())).await?;
+        sink.feed(frame(&next, meter)?).await?;
     }
     sink.flush().await?;
     Ok(())
 }
 
-async fn read<M: DeserializeOwned>(mut stream: SplitStream<Socket>, out: mpsc::Sender<M>) {
+fn frame<M: Serialize>(message: &M, meter: &Meter) -> Result<Message> {
+    let bytes = encode(message)?;
+    meter.count(bytes.len());
+    Ok(Message::Binary(bytes.into()))
+}
+
+async fn read<M: DeserializeOwned>(
+    mut stream: SplitStream<Socket>,
+    out: mpsc::Sender<M>,
+    meter: Meter,
+) {
     let mut heard = Instant::now();
     let mut check = tokio::time::interval(PING);
     loop {
@@ -287,6 +325,7 @@
         heard = Instant::now();
         match message {
             Some(Ok(Message::Binary(bytes))) => {
+                meter.count(bytes.len());
                 let Ok(message) = decode(&bytes) else { return };
                 if out.send(message).await.is_err() {
                     return;
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -40,8 +40,12 @@
     let members: BTreeMap<_, _> = names.iter().cloned().zip(addresses).collect();
     let start = |(me, listener): (&Name, TcpListener)| {
         listener.set_nonblocking(true).expect("sets the mode");
-        let identity =
-            Arc::new(Identity { name: me.clone(), secret: Secret::new("same"), source: None });
+        let identity = Arc::new(Identity {
+            name: me.clone(),
+            secret: Secret::new("same"),
+            source: None,
+            links: Default::default(),
+        });
         let address = members[me.as_str()];
         let instance = Instance {
             name: me.clone(),
--- a/crates/transport/tests/socket.rs
+++ b/crates/transport/tests/socket.rs
@@ -18,7 +18,12 @@
 }
 
 fn identity(text: &str, secret: &str) -> Arc<Identity> {
-    Arc::new(Identity { name: name(text), secret: Secret::new(secret), source: None })
+    Arc::new(Identity {
+        name: name(text),
+        secret: Secret::new(secret),
+        source: None,
+        links: Default::default(),
+    })
 }
 
 struct Listening {
