--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod replicate;
 pub mod server;
 pub mod session;
+pub mod slopes;
+pub mod slopes_control;
 pub mod statement;
 
 pub use error::{Error, Result};
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,7 +12,8 @@
     evidence::{self, Files},
     load, plot,
     record::{self, Mark},
-    relay, server,
+    relay, server, slopes,
+    slopes_control::{self, Announcers, Changes, Held},
 };
 use bpaf::{Parser, construct, long};
 
@@ -24,11 +25,18 @@
     Plot(plot::Options),
     Mark { file: PathBuf, name: String },
     Get { url: String, bearer: Option<PathBuf> },
+    Fit,
+    Drive(slopes::Drive),
+    Changes(Changes),
+    Announcers(Announcers),
+    State(Held),
 }
 
 fn main() -> ExitCode {
-    let command =
-        construct!([server(), relay(), load(), check(), plot(), mark(), get()]).to_options().run();
+    let slopes = construct!([fit(), drive(), changes(), announcers(), state()]);
+    let command = construct!([server(), relay(), load(), check(), plot(), mark(), get(), slopes])
+        .to_options();
+    let command = command.run();
     match run(command) {
         Ok(code) => code,
         Err(error) => {
@@ -52,6 +60,11 @@
         Command::Mark { file, name } => {
             Sink::open(&file)?.put(&[Mark { time: record::now(), name }])?;
         }
+        Command::Fit => slopes::fit(std::io::stdin().lock(), std::io::stdout().lock())?,
+        Command::Drive(options) => runtime.block_on(slopes::drive(options))?,
+        Command::Changes(options) => slopes_control::changes(&options)?,
+        Command::Announcers(options) => slopes_control::announcers(&options)?,
+        Command::State(held) => slopes_control::state(&held)?,
         Command::Get { url, bearer } => print!("{}", fetch(&url, bearer.as_deref())?),
     }
     // Requests to instances that do not answer must not delay the end of the process.
@@ -181,3 +194,52 @@
     let options = construct!(Command::Get { bearer, url });
     options.to_options().descr("Prints what a URL answers").command("get")
 }
+
+fn fit() -> impl Parser<Command> {
+    bpaf::pure(())
+        .map(|()| Command::Fit)
+        .to_options()
+        .descr("Lines through points from stdin")
+        .command("fit")
+}
+
+fn drive() -> impl Parser<Command> {
+    let at = long("at").argument::<SocketAddr>("IP:PORT");
+    let user = long("user").argument::<String>("USER");
+    let password = long("password").argument::<PathBuf>("FILE");
+    let database = long("database").argument::<String>("NAME").some("no database");
+    let connections = long("connections").argument::<usize>("N").fallback(1);
+    let count = long("count").argument::<u64>("N").fallback(0);
+    let every = long("every").argument::<u64>("MS").fallback(0);
+    let hold = long("hold").argument::<u64>("S").fallback(0);
+    let options =
+        construct!(slopes::Drive { at, user, password, database, connections, count, every, hold });
+    options.map(Command::Drive).to_options().descr("Closed-loop load").command("drive")
+}
+
+fn changes() -> impl Parser<Command> {
+    let control = long("control").argument::<SocketAddr>("IP:PORT");
+    let watch = long("watch").argument::<SocketAddr>("IP:PORT").many();
+    let secret = long("secret").argument::<PathBuf>("FILE");
+    let account = long("account").argument::<String>("NAME").fallback("capacity".into());
+    let count = long("count").argument::<u64>("N").fallback(1);
+    let template = long("template").argument::<PathBuf>("FILE").optional();
+    let options = construct!(Changes { control, watch, secret, account, count, template });
+    options.map(Command::Changes).to_options().descr("Configuration changes").command("changes")
+}
+
+fn announcers() -> impl Parser<Command> {
+    let at = long("at").argument::<SocketAddr>("IP:PORT").some("no instance");
+    let secret = long("secret").argument::<PathBuf>("FILE");
+    let count = long("count").argument::<usize>("N");
+    let seconds = long("seconds").argument::<u64>("S").fallback(5);
+    let options = construct!(Announcers { at, secret, count, seconds });
+    options.map(Command::Announcers).to_options().descr("Announcements only").command("announcers")
+}
+
+fn state() -> impl Parser<Command> {
+    let kind = long("kind").argument::<String>("group|server|instance|account");
+    let count = long("count").argument::<usize>("N");
+    let held = construct!(Held { kind, count });
+    held.map(Command::State).to_options().descr("Memory of the replicated state").command("state")
+}
