Pass over joining members that lost their disk again

The leader served the joining member with the lowest identity first and kept it until it was a voter, so one that lost its disk a second time blocked all others and stayed a learner for ever. A joining member now counts only while it repeats its request (2 s), and a learner of a former run of the same instance is removed first; an_abandoned_learner_leaves covers the second.

--- a/crates/coordination/src/formation.rs
+++ b/crates/coordination/src/formation.rs
@@ -87,16 +87,21 @@
     if members.voters.contains(joining.as_str()) {
         return None;
     }
+    let instance = instance_of(joining)?;
+    let of = |id: &&Name| *id != joining && instance_of(id).as_ref() == Some(&instance);
     let mut next = members.clone();
+    // A former run that lost its disk before it was filled never comes back.
+    if let Some(former) = members.learners.iter().find(of) {
+        next.learners.remove(former.as_str());
+        return Some(next);
+    }
     if next.learners.insert(joining.clone()) {
         return Some(next);
     }
     if !filled {
         return None;
     }
-    let instance = instance_of(joining)?;
-    let former = next.voters.iter().find(|id| instance_of(id).as_ref() == Some(&instance)).cloned();
-    if let Some(former) = former {
+    if let Some(former) = members.voters.iter().find(of) {
         next.voters.remove(former.as_str());
         return Some(next);
     }
--- a/crates/coordination/tests/formation.rs
+++ b/crates/coordination/tests/formation.rs
@@ -85,6 +85,15 @@
     assert_eq!(join_step(&members(&["c1.x", "c2.b"], &[]), &joining, true), None);
 }
 
+/// Guards against learners that stay for ever because their disk was lost before they were filled.
+#[test]
+fn an_abandoned_learner_leaves() {
+    let joining = name("c1.y");
+    let before = members(&["c1.a", "c2.b", "c3.c"], &["c1.x", "c3.z"]);
+    let after = members(&["c1.a", "c2.b", "c3.c"], &["c3.z"]);
+    assert_eq!(join_step(&before, &joining, false), Some(after));
+}
+
 #[test]
 fn identity_names_its_instance() {
     assert_eq!(instance_of(&name("c1.oman.1f")), Some(name("c1.oman")));
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -18,6 +18,10 @@
 /// Entries after which a snapshot replaces them.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
 
+/// A joining member that has not asked for this long is passed over, in milliseconds. It asks every
+/// 200 ms; one that lost its disk again comes back under another identity and never asks again.
+const JOIN_LIMIT: Millis = 2_000;
+
 /// Control member of this instance.
 pub(crate) struct Member {
     instance: Name,
@@ -25,12 +29,20 @@
     configured: BTreeSet<Name>,
     disk: Box<dyn Disk>,
     state: State,
-    /// Members that asked to join, with the commit index at that time.
-    joining: BTreeMap<Name, Index>,
+    /// Members that ask to join.
+    joining: BTreeMap<Name, Joining>,
     covered: Index,
     seed: u64,
 }
 
+/// A member that asks to join.
+struct Joining {
+    /// Commit index when it asked first.
+    target: Index,
+    /// Time at which it asked last.
+    asked: Millis,
+}
+
 enum State {
     Searching(Formation),
     /// Knows that the group exists and asks to be added.
@@ -228,7 +240,9 @@
             return;
         }
         let commit = self.raft().map_or(0, Raft::commit);
-        self.joining.entry(identity).or_insert(commit);
+        let joining =
+            self.joining.entry(identity).or_insert(Joining { target: commit, asked: now });
+        joining.asked = now;
     }
 
     /// Proposes the next membership for a joining member. The agreement core refuses to make a
@@ -238,21 +252,18 @@
             self.joining.clear();
             return;
         }
+        self.joining.retain(|_, joining| now < joining.asked + JOIN_LIMIT);
         let State::Member(raft, _) = &mut self.state else { return };
-        let Some((identity, target)) = self.joining.first_key_value() else { return };
+        let Some((identity, joining)) = self.joining.first_key_value() else { return };
         let identity = identity.clone();
-        let filled = raft.matched(&identity).is_some_and(|index| index >= *target);
+        let filled = raft.matched(&identity).is_some_and(|index| index >= joining.target);
         if raft.members().voters.contains(identity.as_str()) {
             self.joining.remove(identity.as_str());
             return;
         }
-        if let Some(next) = join_step(raft.members(), &identity, filled)
-            && raft.propose_members(next.clone(), now).is_ok()
-        {
-            log(
-                Event::MembersChanged,
-                format_args!("voters {:?}, learners {:?}", next.voters, next.learners),
-            );
+        if let Some(next) = join_step(raft.members(), &identity, filled) {
+            // Refused while an earlier change is open; the next step tries again.
+            let _ = raft.propose_members(next, now);
         }
     }
 
