Keep the state from reverting and answer lost proposals at once

Proposals are answered as unknown when the lead is lost, the link to the leader ends or another leads, instead of after 3 s. Renewals come every 100 ms once two are unanswered, go to all members if the granter is not linked, and a late grant of an earlier leader no longer replaces a newer one. A newer link of an instance closes the former, the leader forgets instances that are gone, and a member outside the group relies on its granter. The core is split by concern.

--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -13,6 +13,10 @@
 /// Interval of renewals, in milliseconds. Four may be lost in a row before the lease ends.
 pub const RENEWAL: Millis = 300;
 
+/// Interval of renewals while none is answered, in milliseconds. An election takes up to 1.2 s of
+/// a lease, and a renewal that falls right after it keeps the lease from running out.
+pub const RETRY: Millis = 100;
+
 /// Added by the granter for clocks that run at different rates: 10% of a lease, in milliseconds.
 pub const MARGIN: Millis = LEASE / 10;
 
@@ -40,12 +44,17 @@
     pending: Vec<(Millis, Index)>,
     applied: Index,
     until: Millis,
+    /// Sending time of the latest renewal that was answered.
+    answered: Millis,
 }
 
 impl Holder {
-    /// Whether it is time for a renewal.
+    /// Whether it is time for a renewal: every [`RENEWAL`], and every [`RETRY`] once two have not
+    /// been answered.
     pub fn due(&self, now: Millis) -> bool {
-        self.sent.last().is_none_or(|last| now >= last.saturating_add(RENEWAL))
+        let late = now >= self.answered.saturating_add(2 * RENEWAL);
+        let pause = if late { RETRY } else { RENEWAL };
+        self.sent.last().is_none_or(|last| now >= last.saturating_add(pause))
     }
 
     /// Notes that a renewal is sent at `now`; call it before sending.
@@ -56,16 +65,18 @@
     }
 
     /// Takes a lease. One that answers no renewal of this run is ignored: its `sent` may come
-    /// from the clock of an earlier run.
-    pub fn grant(&mut self, lease: &Lease) {
+    /// from the clock of an earlier run. Returns whether it was taken.
+    pub fn grant(&mut self, lease: &Lease) -> bool {
         if !self.sent.contains(&lease.sent) {
-            return;
+            return false;
         }
+        self.answered = self.answered.max(lease.sent);
         let until = lease.sent.saturating_add(lease.span.min(LEASE));
         if until > self.until {
             self.pending.push((until, lease.index));
         }
         self.settle();
+        true
     }
 
     /// Notes that the replicated state is applied up to `index`.
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -34,6 +34,23 @@
     assert!(holder.valid(100 + LEASE - 1) && !holder.valid(100 + LEASE));
 }
 
+/// Without quicker renewals, up to 300 ms of the lease pass unused after an election.
+#[test]
+fn unanswered_renewals_come_more_often() {
+    let mut holder = Holder::default();
+    holder.sent(1000);
+    assert!(holder.grant(&lease(1000, 0)));
+    let mut sent = vec![1000];
+    for now in 1001..2000 {
+        if holder.due(now) {
+            holder.sent(now);
+            sent.push(now);
+        }
+    }
+    assert_eq!(sent, [1000, 1300, 1600, 1700, 1800, 1900]);
+    assert!(holder.grant(&lease(1900, 0)) && !holder.due(1900 + RENEWAL - 1));
+}
+
 /// Late, repeated, foreign and too long grants must not extend the lease.
 #[test]
 fn lease_counts_from_its_own_renewal() {
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -10,12 +10,9 @@
     time::Duration,
 };
 
-use auburnlug_coordination::{
-    lease::{Holder, Lease},
-    raft::{Entry, Payload},
-};
+use auburnlug_coordination::lease::{Holder, LEASE, Lease, RENEWAL};
 use auburnlug_protocol::peer::{Control, Grant, Renew};
-use auburnlug_state::{Applied, Command, Index, Instance, Machine, Millis, Name, Shard};
+use auburnlug_state::{Command, Index, Instance, Machine, Millis, Name, Shard};
 use rand::Rng;
 use tokio::{
     net::TcpListener,
@@ -30,6 +27,7 @@
     control_leader::Leader,
     control_links::Links,
     control_member::Member,
+    control_propose::{Pending, Sent, Waiter},
     event::{Event, log},
     link::Dial,
     socket::{self, Identity},
@@ -39,25 +37,16 @@
 /// Interval of the loop's periodic work.
 const TICK: Duration = Duration::from_millis(10);
 
-/// A proposal whose effect is not known after this long is answered as unknown, in milliseconds.
-const PROPOSAL_LIMIT: Millis = 3_000;
-
 /// Interval at which a member without a place in the group asks for one, in milliseconds.
 const SEARCH: Millis = 200;
 
-/// Committed commands kept for instances that lag behind; others get the whole state.
-const RECENT: usize = 4_096;
+/// A granter that has not answered for this long, counted from the renewal that it answered last,
+/// is not relied on, in milliseconds.
+const UNANSWERED: Millis = 2 * RENEWAL;
 
 /// Inputs handled before the durable work of all of them is done with one sync.
 const BATCH: usize = 256;
 
-/// Who waits for the effect of a proposal.
-pub(crate) enum Waiter {
-    Local(oneshot::Sender<Option<Applied>>),
-    Remote { link: u64, id: u64 },
-    Nobody,
-}
-
 /// State of the control thread.
 pub(crate) struct Core {
     pub(crate) instance: Instance,
@@ -74,18 +63,21 @@
     clock: Arc<dyn Clock>,
     dial: Arc<dyn Dial<Control>>,
     pub(crate) input: mpsc::Sender<Input>,
-    outputs: Outputs,
-    holder: Holder,
+    pub(crate) outputs: Outputs,
+    pub(crate) holder: Holder,
+    /// Whether the log says that the lease is in force.
+    held: bool,
     /// Recorded servers that announced themselves here since the last renewal.
     pub(crate) heard: BTreeSet<Name>,
     /// Member that granted the last lease.
-    granter: Option<Name>,
-    confirmed: Millis,
-    /// Proposals in this member's log: term, waiter and time, by index.
-    pending: BTreeMap<Index, (u64, Waiter, Millis)>,
+    pub(crate) granter: Option<Name>,
+    /// Sending time of the last renewal that was granted.
+    answered: Millis,
+    /// Proposals in this member's log, by index.
+    pub(crate) pending: BTreeMap<Index, Pending>,
     /// Proposals sent to the leader, by number.
-    remote: BTreeMap<u64, (oneshot::Sender<Option<Applied>>, Millis)>,
-    next: u64,
+    pub(crate) remote: BTreeMap<u64, Sent>,
+    pub(crate) next: u64,
     searched: Millis,
     stopping: Option<oneshot::Sender<()>>,
 }
@@ -122,9 +114,10 @@
             input,
             outputs,
             holder: Holder::default(),
+            held: false,
             heard: BTreeSet::new(),
             granter: None,
-            confirmed: 0,
+            answered: 0,
             pending: BTreeMap::new(),
             remote: BTreeMap::new(),
             next: 1,
@@ -164,11 +157,6 @@
         Ok(())
     }
 
-    /// Index of the newest proposal that is not applied.
-    pub(crate) fn last_pending(&self) -> Option<Index> {
-        self.pending.last_key_value().map(|(index, _)| *index)
-    }
-
     fn listen(&mut self) -> Result<()> {
         let Some(listener) = self.listener.take() else { return Ok(()) };
         let listener = TcpListener::from_std(listener)?;
@@ -199,22 +187,6 @@
         self.links.peer(link).cloned()
     }
 
-    /// Proposes a command to the own log; false if this member does not lead.
-    pub(crate) fn propose(&mut self, command: Command, waiter: Waiter) -> bool {
-        let now = self.now();
-        let proposed = self.member.as_mut().and_then(|member| member.propose(command, now));
-        match proposed {
-            Some((term, index)) => {
-                self.pending.insert(index, (term, waiter, now));
-                true
-            }
-            None => {
-                self.answer(waiter, None);
-                false
-            }
-        }
-    }
-
     fn handle(&mut self, input: Input) -> Result<()> {
         match input {
             Input::Accepted(accepted) => self.links.accept(accepted.link()),
@@ -239,13 +211,13 @@
             Control::Grant(grant) => self.granted(from, &grant),
             Control::Redirect { .. } => {}
             Control::Update { after, until, commands } => self.update(after, until, &commands),
-            Control::Snapshot(machine) => self.replace(*machine),
+            Control::Snapshot(machine) => self.copy(*machine),
             Control::Propose { id, command } => {
                 self.propose(command, Waiter::Remote { link, id });
             }
             Control::Proposed { id, applied } => {
-                if let Some((reply, _)) = self.remote.remove(&id) {
-                    let _ = reply.send(applied);
+                if let Some(sent) = self.remote.remove(&id) {
+                    let _ = sent.reply.send(applied);
                 }
             }
             // Only the leader takes an announcement from a link. Members that passed it on again
@@ -275,6 +247,7 @@
                 self.links.send_member(&to, message);
             }
         }
+        self.note_lease(now);
         if self.holder.due(now) {
             self.send_renewal(now);
         }
@@ -301,8 +274,6 @@
 
     /// Renews with the member that granted last; with all members once that one fails to answer.
     fn send_renewal(&mut self, now: Millis) {
-        let answered = now < self.confirmed + 2 * auburnlug_coordination::lease::RENEWAL;
-        let granter = self.granter.clone().filter(|_| answered && self.confirmed > 0);
         self.holder.sent(now);
         let heard = std::mem::take(&mut self.heard).into_iter().collect();
         let (instance, index) = (self.instance.clone(), self.machine.index);
@@ -311,27 +282,41 @@
             let name = self.instance.name.clone();
             return self.renew(0, &name, renew);
         }
+        let answers = |name: &Name| self.links.linked(name) && now < self.answered + UNANSWERED;
+        let granter = self.granter.clone().filter(answers);
         let targets = granter.map_or_else(|| self.links.members(), |name| vec![name]);
         for name in targets {
             self.links.send_member(&name, Control::Renew(renew.clone()));
         }
     }
 
-    /// Takes a lease; also called for the lease that the leader grants itself.
+    /// Takes a lease; also called for the lease that the leader grants itself. A late answer of
+    /// an earlier granter does not replace a newer one.
     pub(crate) fn granted(&mut self, from: Name, grant: &Grant) {
         let lease = Lease { sent: grant.sent, span: grant.span, index: grant.index };
-        self.holder.grant(&lease);
-        self.confirmed = self.now();
-        self.granter = Some(from);
+        if self.holder.grant(&lease) && grant.sent >= self.answered {
+            self.answered = grant.sent;
+            self.granter = Some(from);
+        }
         self.publish_lease();
     }
 
-    fn publish_lease(&mut self) {
-        let (before, until) = (self.outputs.lease.load(Ordering::Acquire), self.holder.until());
-        if before == 0 && until > 0 {
-            log(Event::LeaseGained, format_args!("from {:?}", self.granter));
+    pub(crate) fn publish_lease(&mut self) {
+        self.outputs.lease.store(self.holder.until(), Ordering::Release);
+        self.note_lease(self.now());
+    }
+
+    /// Logs the start and the end of the lease.
+    fn note_lease(&mut self, now: Millis) {
+        let held = self.holder.valid(now);
+        match (std::mem::replace(&mut self.held, held), held) {
+            (false, true) => log(Event::LeaseGained, format_args!("from {:?}", self.granter)),
+            (true, false) => log(
+                Event::LeaseLost,
+                format_args!("last granter {:?}, index {}", self.granter, self.machine.index),
+            ),
+            _ => {}
         }
-        self.outputs.lease.store(until, Ordering::Release);
     }
 
     /// Does the durable work and what follows from it.
@@ -359,105 +344,13 @@
         Ok(())
     }
 
-    fn commit(&mut self, entries: Vec<Entry>) {
-        let mut answers = Vec::new();
-        for entry in entries {
-            let applied = self.apply_entry(&entry);
-            if let Some((term, waiter, _)) = self.pending.remove(&entry.index) {
-                answers.push((waiter, applied.filter(|_| term == entry.term)));
-            }
-        }
-        self.publish_view();
-        self.push_updates();
-        for (waiter, applied) in answers {
-            self.answer(waiter, applied);
-        }
-    }
-
-    fn apply_entry(&mut self, entry: &Entry) -> Option<Applied> {
-        let machine = Arc::make_mut(&mut self.machine);
-        let Payload::Command(command) = &entry.payload else {
-            machine.index = entry.index;
-            return None;
-        };
-        let applied = machine.apply(entry.index, command);
-        self.note(entry.index, command.clone(), &applied);
-        Some(applied)
-    }
-
-    fn note(&mut self, index: Index, command: Command, applied: &Applied) {
-        match (&command, applied) {
-            (Command::Configure(change), Applied::Changed(version)) => log(
-                Event::ConfigApplied,
-                format_args!("version {version}, change {} by {}", change.id, change.operator),
-            ),
-            (Command::Configure(change), refused) => {
-                log(Event::ChangeRefused, format_args!("change {}: {refused:?}", change.id));
-            }
-            (Command::Assign { shard, instance, epoch }, Applied::Done) => {
-                log(
-                    Event::ShardAssigned,
-                    format_args!("{shard} to {instance:?} after epoch {epoch}"),
-                );
-            }
-            (Command::Register(instance), Applied::Done) => {
-                log(Event::InstanceRegistered, format_args!("{}", instance.name));
-            }
-            (Command::Remove { instance, .. }, Applied::Done) => {
-                log(Event::InstanceRemoved, format_args!("{instance}"));
-            }
-            _ => {}
-        }
-        self.recent.push_back((index, command));
-        if self.recent.len() > RECENT {
-            self.recent.pop_front();
-        }
-    }
-
-    /// Applies committed commands that the leader sent. Those that are already applied are left
-    /// out, so that repeated and overlapping updates have no effect.
-    fn update(&mut self, after: Index, until: Index, commands: &[(Index, Command)]) {
-        if self.member.as_ref().is_some_and(Member::agrees) || after > self.machine.index {
-            return;
-        }
-        let start = self.machine.index;
-        for (index, command) in commands.iter().filter(|(index, _)| *index > start) {
-            let applied = Arc::make_mut(&mut self.machine).apply(*index, command);
-            self.note(*index, command.clone(), &applied);
-        }
-        if until > self.machine.index {
-            Arc::make_mut(&mut self.machine).index = until;
-        }
-        self.publish_view();
-    }
-
-    fn replace(&mut self, machine: Machine) {
-        if machine.index > self.machine.index {
-            self.machine = Arc::new(machine);
-            self.recent.clear();
-            self.publish_view();
-        }
-    }
-
-    fn publish_view(&mut self) {
-        self.holder.applied(self.machine.index);
-        self.publish_lease();
-        let machine = self.machine.clone();
-        self.outputs.view.send_modify(|view| {
-            let mut next = View::clone(view);
-            next.release.retain(|shard, epoch| {
-                machine.shards.get(shard).is_some_and(|holder| holder.epoch == *epoch)
-            });
-            next.machine = machine;
-            *view = Arc::new(next);
-        });
-    }
-
     fn publish_status(&mut self, now: Millis) {
         let leader = self.known_leader().filter(|_| self.holder.valid(now));
         let term = self.member.as_ref().map_or(0, Member::term);
-        let status =
-            Status { leads: self.leader.is_some(), leader, term, confirmed: self.confirmed };
+        // The lease takes effect once its index is applied, so the version in force is confirmed as
+        // of the renewal that the lease counts from.
+        let confirmed = self.holder.until().saturating_sub(LEASE);
+        let status = Status { leads: self.leader.is_some(), leader, term, confirmed };
         self.outputs.status.send_if_modified(|old| {
             let changed = *old != status;
             *old = status;
@@ -474,54 +367,9 @@
         });
     }
 
-    fn propose_anywhere(&mut self, command: Command, reply: oneshot::Sender<Option<Applied>>) {
-        if self.leader.is_some() {
-            self.propose(command, Waiter::Local(reply));
-            return;
-        }
-        let Some(leader) = self.known_leader() else {
-            let _ = reply.send(None);
-            return;
-        };
-        let id = self.next;
-        self.next += 1;
-        self.remote.insert(id, (reply, self.now()));
-        self.links.send_member(&leader, Control::Propose { id, command });
-    }
-
-    /// Instance that leads, as far as known.
-    pub(crate) fn known_leader(&self) -> Option<Name> {
-        let leader = self.member.as_ref().and_then(Member::leader);
-        leader.or_else(|| self.granter.clone())
-    }
-
-    fn expire_proposals(&mut self, now: Millis) {
-        self.remote.retain(|_, (_, since)| now < *since + PROPOSAL_LIMIT);
-        let old: Vec<Index> = self
-            .pending
-            .iter()
-            .filter(|(_, (_, _, since))| now >= since + PROPOSAL_LIMIT)
-            .map(|(index, _)| *index)
-            .collect();
-        for index in old {
-            if let Some((_, waiter, _)) = self.pending.remove(&index) {
-                self.answer(waiter, None);
-            }
-        }
-    }
-
-    fn answer(&mut self, waiter: Waiter, applied: Option<Applied>) {
-        match waiter {
-            Waiter::Local(reply) => {
-                let _ = reply.send(applied);
-            }
-            Waiter::Remote { link, id } => self.links.send(link, Control::Proposed { id, applied }),
-            Waiter::Nobody => {}
-        }
-    }
-
     fn stop(&mut self, reply: oneshot::Sender<()>) {
         self.holder.end();
+        self.held = false;
         self.outputs.lease.store(0, Ordering::Release);
         let incarnation = self.instance.incarnation;
         for name in self.links.members() {
--- a/crates/transport/src/control_leader.rs
+++ b/crates/transport/src/control_leader.rs
@@ -12,8 +12,9 @@
 
 use crate::{
     control::{Announced, Input},
-    control_core::{Core, Waiter},
+    control_core::Core,
     control_member::Member,
+    control_propose::Waiter,
     event::{Event, log},
     socket,
 };
@@ -25,6 +26,10 @@
 /// milliseconds. Longer than one renewal interval, so that a healthy instance is never checked.
 const PROBE_AFTER: Millis = 450;
 
+/// An instance that is not recorded and has not renewed for this long is forgotten, in
+/// milliseconds. Instances are replaced under new names, so that the table would grow otherwise.
+const FORGET_AFTER: Millis = 10_000;
+
 /// What only a leader keeps.
 pub(crate) struct Leader {
     pub(crate) ledger: Ledger,
@@ -65,6 +70,8 @@
             (false, true) => {
                 log(Event::LeaderLost, format_args!("at index {}", self.machine.index));
                 self.leader = None;
+                self.granter = None;
+                self.drop_proposals();
             }
             _ => {}
         }
@@ -146,6 +153,10 @@
             return;
         }
         leader.planned = now;
+        let machine = &self.machine;
+        leader.known.retain(|name, known| {
+            machine.instances.contains_key(name) || now < known.heard + FORGET_AFTER
+        });
         let plan = leader.assigner.plan(&self.machine, &mut leader.ledger, now);
         let mut commands = plan.commands;
         commands.extend(leader.directory.tick(&self.machine, now));
--- a/crates/transport/src/control_links.rs
+++ b/crates/transport/src/control_links.rs
@@ -14,6 +14,8 @@
     input: mpsc::Sender<Input>,
     open: BTreeMap<u64, (Name, mpsc::Sender<peer::Control>)>,
     dialed: BTreeMap<Name, u64>,
+    /// Newest link that each instance opened.
+    accepted: BTreeMap<Name, u64>,
     dialing: BTreeSet<Name>,
     next: u64,
 }
@@ -24,14 +26,20 @@
             input,
             open: BTreeMap::new(),
             dialed: BTreeMap::new(),
+            accepted: BTreeMap::new(),
             dialing: BTreeSet::new(),
             next: 1,
         }
     }
 
-    /// Takes a link that another instance opened.
+    /// Takes a link that another instance opened. An instance dials again only after its former
+    /// link has failed at its end, so that one is closed here too.
     pub(crate) fn accept(&mut self, link: Link<peer::Control>) {
-        self.add(link);
+        let peer = link.peer.clone();
+        let number = self.add(link);
+        if let Some(former) = self.accepted.insert(peer, number) {
+            self.open.remove(&former);
+        }
     }
 
     /// Takes the result of dialing `member`.
@@ -51,6 +59,7 @@
     pub(crate) fn closed(&mut self, link: u64) {
         self.open.remove(&link);
         self.dialed.retain(|_, number| *number != link);
+        self.accepted.retain(|_, number| *number != link);
     }
 
     /// Instance at the other end of a link.
@@ -74,6 +83,11 @@
         }
     }
 
+    /// Whether a link to `member` is open.
+    pub(crate) fn linked(&self, member: &Name) -> bool {
+        self.dialed.contains_key(member.as_str())
+    }
+
     /// Members with a dialed link.
     pub(crate) fn members(&self) -> Vec<Name> {
         self.dialed.keys().cloned().collect()
--- /dev/null
+++ b/crates/transport/tests/control_group/mod.rs
@@ -0,0 +1,331 @@
+//! Control groups for tests: members over loopback links that can be cut, with disks in memory
+//! and clocks that can stop their thread.
+
+// clippy.toml allows panics in test functions; this covers their helpers.
+#![allow(dead_code, clippy::panic)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use auburnlug_protocol::{
+    auth::{Purpose, Secret},
+    peer,
+};
+use auburnlug_state::{Applied, Change, Command, Edit, Instance, Millis, Name};
+use auburnlug_transport::{
+    clock::{Clock, SystemClock},
+    control::{self, Handle, Options},
+    disk::Disk,
+    disk_memory::MemoryDisk,
+    link::{Dial, Dialing, Link},
+    socket::{Dialer, Identity},
+    view::Control,
+};
+use tokio::sync::{mpsc, oneshot};
+
+pub const TEMPLATE: &str = "\
+[template]
+format = 1
+name = test
+[group loans]
+size = 3
+database = loans
+[account desk]
+rate = 10
+burst = 5
+age = 100
+key = 2d3b9c09910e3044f1b7784ff884e12af626881fe605e91b30f95bb6602c589e
+";
+
+pub fn name(text: &str) -> Name {
+    Name::try_from(text).expect("valid name")
+}
+
+/// A clock that stops the thread that reads it.
+pub struct GateClock {
+    inner: SystemClock,
+    closed: AtomicBool,
+}
+
+impl GateClock {
+    fn start() -> GateClock {
+        GateClock { inner: SystemClock::start(), closed: AtomicBool::new(false) }
+    }
+
+    /// Stops the thread.
+    pub fn stop(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Lets the thread go on.
+    pub fn go_on(&self) {
+        self.closed.store(false, Ordering::SeqCst);
+    }
+
+    /// Time, also while the thread is stopped.
+    pub fn time(&self) -> Millis {
+        self.inner.now()
+    }
+}
+
+impl Clock for GateClock {
+    fn now(&self) -> Millis {
+        while self.closed.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        self.inner.now()
+    }
+}
+
+/// Rules of the network: links stay open while messages are dropped.
+#[derive(Default)]
+pub struct Net {
+    cuts: Mutex<BTreeSet<(Name, Name)>>,
+    stale: Mutex<BTreeSet<Name>>,
+    granters: Mutex<Vec<Name>>,
+    slow: Mutex<BTreeSet<Name>>,
+}
+
+impl Net {
+    /// Drops all messages between `a` and the others, in both directions.
+    pub fn cut(&self, a: &Name, others: &[Name]) {
+        let mut cuts = self.cuts.lock().expect("not poisoned");
+        for b in others.iter().filter(|b| *b != a) {
+            cuts.extend([(a.clone(), b.clone()), (b.clone(), a.clone())]);
+        }
+    }
+
+    pub fn heal(&self) {
+        self.cuts.lock().expect("not poisoned").clear();
+        self.stale.lock().expect("not poisoned").clear();
+    }
+
+    /// Drops the committed commands that go to `name`.
+    pub fn withhold(&self, name: &Name) {
+        self.stale.lock().expect("not poisoned").insert(name.clone());
+    }
+
+    /// Delays each message of the agreement to `name`, so that its log grows in small parts.
+    pub fn slow(&self, name: &Name) {
+        self.slow.lock().expect("not poisoned").insert(name.clone());
+    }
+
+    fn delays(&self, to: &Name, message: &peer::Control) -> bool {
+        let slow = self.slow.lock().expect("not poisoned").contains(to.as_str());
+        slow && matches!(message, peer::Control::Raft { .. })
+    }
+
+    /// Members that sent grants since the last call.
+    pub fn granters(&self) -> Vec<Name> {
+        std::mem::take(&mut self.granters.lock().expect("not poisoned"))
+    }
+
+    fn pass(&self, from: &Name, to: &Name, message: &peer::Control) -> bool {
+        use peer::Control::{Grant, Snapshot, Update};
+        if matches!(message, Grant(_)) {
+            self.granters.lock().expect("not poisoned").push(from.clone());
+        }
+        let stale = self.stale.lock().expect("not poisoned").contains(to.as_str());
+        let cut = self.cuts.lock().expect("not poisoned").contains(&(from.clone(), to.clone()));
+        !(cut || stale && matches!(message, Update { .. } | Snapshot(_)))
+    }
+}
+
+struct NetDial {
+    me: Name,
+    net: Arc<Net>,
+    inner: Dialer<peer::Control>,
+}
+
+impl Dial<peer::Control> for NetDial {
+    fn dial(&self, to: Name, address: SocketAddr) -> Dialing<peer::Control> {
+        let (me, net) = (self.me.clone(), self.net.clone());
+        let dialing = self.inner.dial(to.clone(), address);
+        Box::pin(async move {
+            let outer = dialing.await?;
+            let (near, far) = Link::pair(me.clone(), to.clone());
+            relay(net.clone(), (me.clone(), to.clone()), far.inbox, outer.out);
+            relay(net, (to, me), outer.inbox, far.out);
+            Some(near)
+        })
+    }
+}
+
+fn relay(
+    net: Arc<Net>,
+    (from, to): (Name, Name),
+    mut inbox: mpsc::Receiver<peer::Control>,
+    out: mpsc::Sender<peer::Control>,
+) {
+    tokio::spawn(async move {
+        while let Some(message) = inbox.recv().await {
+            if net.delays(&to, &message) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            if net.pass(&from, &to, &message) && out.send(message).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// A running instance.
+pub struct Node {
+    pub name: Name,
+    pub handle: Handle,
+    pub clock: Arc<GateClock>,
+    pub disk: Option<MemoryDisk>,
+    pub failed: oneshot::Receiver<String>,
+}
+
+impl Node {
+    pub fn lease_valid(&self) -> bool {
+        self.handle.lease() > self.clock.time()
+    }
+
+    pub async fn serves(&self) {
+        while !self.lease_valid() {
+            pause().await;
+        }
+    }
+
+    pub async fn reaches(&self, version: u64) {
+        let mut view = self.handle.view();
+        view.wait_for(|view| view.machine.version == version).await.expect("runs");
+    }
+
+    /// Whether the member's own log makes it a voter.
+    pub fn votes(&self) -> bool {
+        use auburnlug_coordination::raft::Payload;
+        let mut disk = self.disk.clone().expect("control member");
+        let loaded = disk.load().expect("works");
+        let me = name(&format!("{}.{}", self.name, loaded.identity));
+        let first = loaded.saved.snapshot.map(|snapshot| snapshot.members);
+        let logged = loaded.saved.entries.into_iter().filter_map(|entry| match entry.payload {
+            Payload::Members(members) => Some(members),
+            _ => None,
+        });
+        first.into_iter().chain(logged).last().is_some_and(|m| m.voters.contains(me.as_str()))
+    }
+}
+
+/// Addresses of a control group, and its network.
+pub struct Cluster {
+    pub names: Vec<Name>,
+    pub members: BTreeMap<Name, SocketAddr>,
+    pub net: Arc<Net>,
+    listeners: BTreeMap<Name, TcpListener>,
+}
+
+impl Cluster {
+    pub fn new(count: usize) -> Cluster {
+        let names: Vec<Name> = (1..=count).map(|n| name(&format!("c{n}"))).collect();
+        let listeners: BTreeMap<Name, TcpListener> = names
+            .iter()
+            .map(|name| (name.clone(), TcpListener::bind("127.0.63.1:0").expect("binds")))
+            .collect();
+        let members =
+            listeners.iter().map(|(n, l)| (n.clone(), l.local_addr().expect("bound"))).collect();
+        Cluster { names, members, net: Arc::default(), listeners }
+    }
+
+    /// Opens a link as the instance `from`.
+    pub async fn dial(&self, from: &str, to: &Name) -> Link<peer::Control> {
+        let secret = Secret::new("same");
+        let identity = Arc::new(Identity { name: name(from), secret, source: None });
+        let dialer = Dialer::new(identity, Purpose::Control);
+        dialer.dial(to.clone(), self.members[to.as_str()]).await.expect("accepted")
+    }
+
+    /// Starts all members with empty disks.
+    pub fn start_all(&mut self) -> Vec<Node> {
+        let disk = |n: &Name| MemoryDisk::new(name(&format!("first-{n}")));
+        self.names.clone().iter().map(|n| self.start(n, 1, Some(disk(n)))).collect()
+    }
+
+    /// Starts an instance; one that is no control member gets an address of its own.
+    pub fn start(&mut self, me: &Name, incarnation: u64, disk: Option<MemoryDisk>) -> Node {
+        let listener = self.listeners.remove(me.as_str()).unwrap_or_else(|| {
+            let address = self.members.get(me.as_str()).copied();
+            let address = address.unwrap_or("127.0.63.1:0".parse().expect("address"));
+            // The former run may still be closing its listener.
+            loop {
+                match TcpListener::bind(address) {
+                    Ok(listener) => return listener,
+                    Err(_) => std::thread::sleep(Duration::from_millis(5)),
+                }
+            }
+        });
+        listener.set_nonblocking(true).expect("sets the mode");
+        let address = listener.local_addr().expect("bound");
+        let identity =
+            Arc::new(Identity { name: me.clone(), secret: Secret::new("same"), source: None });
+        let instance = Instance {
+            name: me.clone(),
+            incarnation,
+            peer: address,
+            http: address,
+            region: name("r"),
+            domain: name("d"),
+            entry: false,
+        };
+        let clock = Arc::new(GateClock::start());
+        let inner = Dialer::new(identity.clone(), Purpose::Control);
+        let options = Options {
+            instance,
+            members: self.members.clone(),
+            disk: disk.clone().map(|disk| Box::new(disk) as Box<dyn Disk>),
+            trust: true,
+            clock: clock.clone(),
+            dial: Arc::new(NetDial { me: me.clone(), net: self.net.clone(), inner }),
+            listener,
+            traffic: mpsc::channel(1).0,
+            identity,
+        };
+        let (fails, failed) = oneshot::channel();
+        let handle = control::start(options, fails).expect("starts");
+        Node { name: me.clone(), handle, clock, disk, failed }
+    }
+}
+
+pub async fn pause() {
+    tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
+pub fn edit(id: &str, operator: &str, base: u64) -> Change {
+    let edit = Edit::Publish(TEMPLATE.into());
+    Change { id: name(id), operator: name(operator), base, edit }
+}
+
+/// Proposes until the effect is known; the change id makes that safe.
+pub async fn propose(handle: &Handle, change: Change) -> Applied {
+    loop {
+        if let Some(applied) = handle.propose(Command::Configure(change.clone())).await {
+            return applied;
+        }
+        pause().await;
+    }
+}
+
+pub async fn publish(handle: &Handle, id: &str, base: u64) -> u64 {
+    match propose(handle, edit(id, "ana", base)).await {
+        Applied::Changed(version) => version,
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+pub async fn leader(nodes: &[Node]) -> usize {
+    loop {
+        if let Some(at) = nodes.iter().position(|node| node.handle.status().leads) {
+            return at;
+        }
+        pause().await;
+    }
+}
