Count a new server for promotions only once it is filled

After a silent server was replaced by an empty one, a lagging replica and the new server could form the majority of a promotion that lacked a write acknowledged by the primary and the replaced server. The machine now records the servers that are being filled; the owner proposes Filled once such a server holds what the primary reported first after it came. A replaced server's last report no longer counts for acknowledgements together with that of the one in its place.

The model replaces servers in its schedules too. The types that the failover takes in and asks for move to failover_step.rs.

--- a/crates/coordination/src/acks.rs
+++ b/crates/coordination/src/acks.rs
@@ -37,6 +37,12 @@
         Acks { majority, term, received, held: Position::default(), waiting }
     }
 
+    /// Drops what other servers than these reported. Once another server has a former one's
+    /// place, the two together must not count as two of the group.
+    pub fn servers(&mut self, servers: &[Name]) {
+        self.received.retain(|name, _| servers.contains(name));
+    }
+
     /// Starts the wait of write `id` that ends at `position`.
     pub fn wait(&mut self, position: Position, id: u64) -> Wait {
         if position.term != self.term {
--- a/crates/coordination/src/failover.rs
+++ b/crates/coordination/src/failover.rs
@@ -5,12 +5,14 @@
 //! their effect, so a lost one does no harm. Only the term that this owner recorded itself leads
 //! to a promotion, and only one server is promoted in a term.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use auburnlug_state::{GroupState, Millis, Name, Role, Term};
 
 use crate::Position;
 
+pub use crate::failover_step::{Gap, Status, Step};
+
 /// Time without an answer after which the primary is suspected.
 const SILENCE: Millis = 500;
 
@@ -49,58 +51,6 @@
 /// the first use were not acknowledged by a majority, so a majority may lack some.
 const FIRST_WAIT: Millis = 1000;
 
-/// Answer to a status poll.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Status {
-    /// Term of the server: the highest that it was fenced with, promoted to or follows.
-    pub term: Term,
-    /// Role.
-    pub role: Role,
-    /// Position stored in its log: term of the last record, and offset.
-    pub received: Position,
-    /// Time since it heard from the primary that it follows, in milliseconds.
-    pub upstream: Option<Millis>,
-}
-
-/// Work for the caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Step {
-    /// Ask this server for its status.
-    Poll(Name),
-    /// Propose this term for the group.
-    Term(Term),
-    /// Fence this server with this term.
-    Fence(Name, Term),
-    /// Promote this server in this term.
-    Promote(Name, Term),
-    /// Let `server` follow `primary` in this term.
-    Follow {
-        /// Server that follows.
-        server: Name,
-        /// Primary.
-        primary: Name,
-        /// Term of the primary.
-        term: Term,
-    },
-    /// Propose this server as the primary of this term.
-    Primary(Name, Term),
-    /// Release the group, so that another instance tries.
-    Resign,
-}
-
-/// Parts of a service gap, in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Gap {
-    /// From the last answer of the old primary to the decision.
-    pub detection: Millis,
-    /// From there until the new term was recorded.
-    pub agreement: Millis,
-    /// From there until the new primary was recorded.
-    pub promotion: Millis,
-    /// From there until the first acknowledged write.
-    pub first: Millis,
-}
-
 #[derive(Debug, Default)]
 struct Peer {
     status: Option<Status>,
@@ -113,6 +63,17 @@
     polling: bool,
     /// Primary and term that it was told to follow.
     follows: Option<(Name, Term)>,
+    /// Set until it is recorded that the server has caught up.
+    filling: Option<Filling>,
+}
+
+/// A new server on its way to hold all that the group acknowledged.
+#[derive(Debug)]
+struct Filling {
+    /// Reports from before this time don't count.
+    since: Millis,
+    /// Position that the primary reported first after that.
+    target: Option<Position>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -178,6 +139,18 @@
         }
     }
 
+    /// Takes over which servers are recorded as being filled. They count for acknowledgements but
+    /// not for promotions.
+    pub fn filling(&mut self, filling: &BTreeSet<Name>, now: Millis) {
+        for (name, peer) in &mut self.peers {
+            if !filling.contains(name) {
+                peer.filling = None;
+            } else if peer.filling.is_none() {
+                peer.filling = Some(Filling { since: now, target: None });
+            }
+        }
+    }
+
     /// Primary that writes may go to; `None` during a promotion.
     pub fn primary(&self) -> Option<&Name> {
         self.recorded.primary.as_ref().filter(|_| self.phase == Phase::Steady)
@@ -311,6 +284,17 @@
         (half + 1).max(self.peers.len().saturating_sub(half))
     }
 
+    /// Full servers that a promotion needs. While fewer are left, all of them together hold every
+    /// acknowledged write, since the recorded primary is never removed from the group.
+    fn needed(&self) -> usize {
+        let full = self.peers.values().filter(|p| p.filling.is_none()).count();
+        self.quorum().min(full).max(1)
+    }
+
+    fn full(&self, now: Millis) -> impl Iterator<Item = (&Name, &Peer)> {
+        self.reachable(now).filter(|(_, p)| p.filling.is_none())
+    }
+
     fn reachable(&self, now: Millis) -> impl Iterator<Item = (&Name, &Peer)> {
         let alive = move |p: &Peer| p.heard.is_some_and(|at| now.saturating_sub(at) < REACHABLE);
         self.peers.iter().filter(move |(_, p)| !p.refused && alive(p))
@@ -319,6 +303,10 @@
     fn enter(&mut self, phase: Phase, now: Millis) {
         (self.phase, self.since) = (phase, now);
         self.sent.clear();
+        // Another term has another log, so the way starts again.
+        for filling in self.peers.values_mut().filter_map(|p| p.filling.as_mut()) {
+            *filling = Filling { since: now, target: None };
+        }
     }
 
     /// Notes the time of the n-th event of a gap, if the ones before are known.
@@ -379,6 +367,32 @@
             self.begin(heard.unwrap_or(self.since), now, steps);
         } else {
             self.follow(&primary, self.recorded.term, now, steps);
+            self.fill(&primary, now, steps);
+        }
+    }
+
+    /// Proposes new servers that hold what the primary held after they came.
+    fn fill(&mut self, primary: &Name, now: Millis, steps: &mut Vec<Step>) {
+        let term = self.recorded.term;
+        let Some(source) = self.peers.get(primary) else { return };
+        let reported = source.reported;
+        let leads = |s: &Status| s.role == Role::Primary && s.term == term;
+        let Some(Status { received, .. }) = source.status.filter(leads) else { return };
+        let mut filled = Vec::new();
+        for (name, peer) in &mut self.peers {
+            let Some(filling) = &mut peer.filling else { continue };
+            if reported > filling.since {
+                filling.target.get_or_insert(received);
+            }
+            let fresh = peer.status.filter(|s| peer.reported > filling.since && s.term == term);
+            if let (Some(status), Some(target)) = (fresh, filling.target)
+                && holds(status.received, target, term)
+            {
+                filled.push(name.clone());
+            }
+        }
+        for name in filled {
+            self.once(Some(&name), Step::Filled(name.clone(), term), now, steps);
         }
     }
 
@@ -388,7 +402,7 @@
         let status = peer.filter(|p| p.reported > self.since).and_then(|p| p.status);
         if status.is_some_and(|s| s.role == Role::Replica) {
             // It restarted and gave up its role; the others may have lost nothing at all.
-            return self.reachable(now).count() >= self.quorum();
+            return self.full(now).count() >= self.needed();
         }
         let heard = peer.and_then(|p| p.heard).unwrap_or(0).max(self.since);
         let silent = now.saturating_sub(heard) >= SILENCE;
@@ -399,8 +413,8 @@
             let status = p.status.filter(|_| fresh);
             status.is_some_and(|s| s.upstream.map_or(silent || refused, |span| span >= limit))
         };
-        let others = self.reachable(now).filter(|(name, _)| *name != primary);
-        others.filter(|(_, p)| quiet(p)).count() >= self.quorum()
+        let others = self.full(now).filter(|(name, _)| *name != primary);
+        others.filter(|(_, p)| quiet(p)).count() >= self.needed()
     }
 
     fn record(&mut self, term: Term, now: Millis, steps: &mut Vec<Step>) {
@@ -426,11 +440,11 @@
         for (name, _) in known.iter().filter(|(_, status)| status.is_none()) {
             self.once(Some(name), Step::Fence(name.clone(), term), now, steps);
         }
-        let alive = |n: &Name| self.peers.get(n).is_some_and(|p| !p.refused);
+        let alive = |n: &Name| self.peers.get(n).is_some_and(|p| !p.refused && p.filling.is_none());
         let ready = known.into_iter().filter_map(|(n, s)| s.filter(|_| alive(&n)).map(|s| (n, s)));
         let ready: Vec<_> = ready.collect();
         let patient = self.first && now.saturating_sub(since) < FIRST_WAIT;
-        if ready.len() < self.quorum() || (patient && ready.len() < self.peers.len()) {
+        if ready.len() < self.needed() || (patient && ready.len() < self.peers.len()) {
             return;
         }
         let claims = |n: &Name| self.claim.as_ref() == Some(n);
@@ -477,3 +491,10 @@
         }
     }
 }
+
+/// Whether a log that ends at `end` under `term` has all up to `target`. A record of a term in
+/// between may stem from a log that the primary has replaced.
+fn holds(end: Position, target: Position, term: Term) -> bool {
+    let same = end.term == target.term || end.term == term;
+    same && end >= target && end.offset >= target.offset
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 mod error;
 pub mod failover;
+mod failover_step;
 pub mod formation;
 pub mod freshness;
 pub mod lease;
--- a/crates/coordination/tests/failover_model.rs
+++ b/crates/coordination/tests/failover_model.rs
@@ -55,6 +55,7 @@
     Written(u64, Position, u64),
     Followed(u64, usize, usize, Term),
     Propose(u64, GroupState),
+    Filled(u64, usize, Term),
     Agreed(u64, Term),
     Recorded(GroupState),
 }
@@ -73,6 +74,10 @@
     rng: ChaCha8Rng,
     now: Millis,
     servers: Vec<Server>,
+    size: usize,
+    /// Recorded servers, and those of them that are being filled.
+    members: BTreeSet<usize>,
+    filling: BTreeSet<Name>,
     cuts: BTreeMap<(usize, usize), Millis>,
     queue: BTreeMap<(Millis, u64), Event>,
     serial: u64,
@@ -101,6 +106,9 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             servers: vec![server; size],
+            size,
+            members: (0..size).collect(),
+            filling: BTreeSet::new(),
             cuts: BTreeMap::new(),
             queue: BTreeMap::new(),
             serial: 0,
@@ -118,11 +126,43 @@
     }
 
     fn takeover(&mut self) {
-        let size = self.servers.len();
-        let names: Vec<_> = (0..size).map(name).collect();
+        let size = self.size as u32;
         self.epoch += 1;
-        self.owner = Failover::new(size as u32, &names, self.group.clone(), self.now);
-        self.acks = Acks::new(size as u32, self.group.term);
+        self.owner = Failover::new(size, &[], self.group.clone(), self.now);
+        self.acks = Acks::new(size, self.group.term);
+        self.view();
+    }
+
+    /// Tells the owner which servers are recorded.
+    fn view(&mut self) {
+        let names: Vec<_> = self.members.iter().copied().map(name).collect();
+        self.owner.servers(&names);
+        self.acks.servers(&names);
+        self.owner.filling(&self.filling, self.now);
+    }
+
+    /// Gives the place of server `i`, which never returns, to a new one with an empty log. The
+    /// recorded primary is never replaced. Returns the new server.
+    fn replace(&mut self, i: usize) -> Option<usize> {
+        let primary = self.group.primary.as_ref().map(index)?;
+        if primary == i {
+            return None;
+        }
+        self.servers[i].up = false;
+        let new = self.servers.len();
+        let (up, term, role, log) = (true, 0, Role::Replica, Vec::new());
+        self.servers.push(Server { up, term, role, log, follows: None, heard: 0 });
+        self.members.remove(&i);
+        self.members.insert(new);
+        self.filling.remove(&name(i));
+        self.filling.insert(name(new));
+        self.view();
+        Some(new)
+    }
+
+    /// Members other than `i`.
+    fn others(&self, i: usize) -> Vec<usize> {
+        self.members.iter().copied().filter(|j| *j != i).collect()
     }
 
     fn send(&mut self, event: Event) {
@@ -193,12 +233,23 @@
                 let primary = state.primary.is_some() && state.term == self.group.term;
                 if owner == epoch && (next || primary) {
                     self.group = state.clone();
+                    if let Some(primary) = &state.primary {
+                        self.filling.remove(primary);
+                        self.view();
+                    }
                     if next && !(self.faulty && self.rng.random_ratio(1, 5)) {
                         self.send(Event::Agreed(owner, state.term));
                     }
                     self.send(Event::Recorded(state));
                 }
             }
+            Event::Filled(owner, i, term) => {
+                let current = self.group.term == term && self.group.primary.is_some();
+                if owner == epoch && current {
+                    self.filling.remove(&name(i));
+                    self.view();
+                }
+            }
             Event::Agreed(owner, term) if owner == epoch => self.owner.agreed(term, now),
             Event::Recorded(state) => self.owner.recorded(&state, now),
             _ => {}
@@ -226,6 +277,7 @@
             Step::Primary(name, term) => {
                 Event::Propose(epoch, GroupState { term, primary: Some(name) })
             }
+            Step::Filled(name, term) => Event::Filled(epoch, index(&name), term),
             Step::Resign => return self.takeover(),
         };
         self.send(event);
@@ -253,8 +305,10 @@
 
     fn disturb(&mut self) {
         let size = self.servers.len();
-        let i = self.rng.random_range(0..size);
-        match self.rng.random_range(0..6) {
+        let members: Vec<_> = self.members.iter().copied().collect();
+        let i = members[self.rng.random_range(0..members.len())];
+        match self.rng.random_range(0..7) {
+            6 if !self.servers[i].up => _ = self.replace(i),
             0 => self.servers[i].up = false,
             1 | 2 => {
                 let server = &mut self.servers[i];
@@ -269,7 +323,11 @@
                 self.cuts.insert((i, usize::MAX), until);
             }
             4 => {
-                let j = if self.rng.random_bool(0.4) { usize::MAX } else { (i + 1) % size };
+                let j = if self.rng.random_bool(0.4) {
+                    usize::MAX
+                } else {
+                    self.rng.random_range(0..size)
+                };
                 let until = self.now + self.rng.random_range(50..2500);
                 self.cuts.insert((i.min(j), i.max(j)), until);
             }
@@ -306,7 +364,7 @@
     /// Ends all faults and checks that the group serves and holds every acknowledged write.
     fn settle(&mut self) {
         self.cuts.clear();
-        self.servers.iter_mut().for_each(|s| s.up = true);
+        self.members.iter().for_each(|i| self.servers[*i].up = true);
         let before = self.acknowledged.len();
         self.run(8000, false);
         assert!(self.acknowledged.len() > before + 100, "no service: {:?}", self.owner);
@@ -357,3 +415,43 @@
         world.settle();
     }
 }
+
+/// Guards against a promotion by a replica that lags and a new, empty server: the write was
+/// acknowledged by the primary and by the server whose place the new one took.
+#[test]
+fn a_new_server_counts_for_promotions_only_once_it_is_filled() {
+    let pair = |a: usize, b: usize| (a.min(b), a.max(b));
+    let mut world = World::new(1, 3);
+    world.run(2000, false);
+    let primary = index(world.owner.primary().expect("a primary serves"));
+    let [lagging, gone] = world.others(primary)[..] else { panic!("three servers") };
+    world.cuts.insert(pair(primary, lagging), Millis::MAX);
+    world.run(500, false);
+    let new = world.replace(gone).expect("not the primary");
+    world.cuts.insert(pair(primary, new), Millis::MAX);
+    world.servers[primary].up = false;
+    world.run(5000, false);
+    assert!(world.owner.primary().is_none_or(|p| index(p) == primary), "{:?}", world.owner);
+    world.settle();
+    assert!(world.filling.is_empty(), "never filled: {:?}", world.owner);
+    let next = index(world.owner.primary().expect("a primary serves"));
+    world.servers[next].up = false;
+    let before = world.acknowledged.len();
+    world.run(3000, false);
+    assert!(world.acknowledged.len() > before + 100, "a filled server does not count");
+    world.settle();
+}
+
+/// Guards against an acknowledgement for which a replaced server and the one in its place both
+/// count.
+#[test]
+fn a_replaced_server_no_longer_acknowledges() {
+    let mut acks = Acks::new(5, 1);
+    assert_eq!(acks.wait(at(1, 5), 1), Wait::Pending);
+    for i in 0..2 {
+        assert!(acks.status(&name(i), 1, at(1, 5)).is_empty());
+    }
+    acks.servers(&[0, 2, 3, 4, 5].map(name));
+    assert!(acks.status(&name(5), 1, at(1, 5)).is_empty(), "two of the group hold it");
+    assert_eq!(acks.status(&name(2), 1, at(1, 5)), [1]);
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -56,6 +56,18 @@
         /// Epoch of the group's owner.
         epoch: u64,
     },
+    /// Records that a new server of a group holds all that was acknowledged before it came, if
+    /// `epoch` still owns the group and the term is current.
+    Filled {
+        /// Database group.
+        group: Name,
+        /// Term in which the server caught up.
+        term: Term,
+        /// Server that caught up.
+        server: Name,
+        /// Epoch of the group's owner.
+        epoch: u64,
+    },
 }
 
 /// A conditional change of the configuration.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,12 @@
     pub groups: BTreeMap<Name, GroupState>,
     /// Announced servers.
     pub servers: BTreeMap<Name, Server>,
+    /// Servers that joined a group after it had its first primary and are not known to hold all
+    /// that was acknowledged before. They don't count for promotions: the server whose place one
+    /// took may have been the only other holder of a write. Only groups that have had a primary
+    /// are listed.
+    #[serde(default)]
+    pub filling: BTreeMap<Name, BTreeSet<Name>>,
     /// What outlasts a change of the configuration.
     pub history: History,
 }
@@ -77,6 +83,9 @@
             Command::Primary { group, term, server, epoch } => {
                 self.set_primary(group, *term, server, *epoch)
             }
+            Command::Filled { group, term, server, epoch } => {
+                self.set_filled(group, *term, server, *epoch)
+            }
         }
         .map_or(Applied::Stale, |()| Applied::Done)
     }
@@ -135,7 +144,10 @@
         if group.term == 0 && server.role == Role::Primary {
             group.term = server.term;
         }
-        self.servers.insert(server.name.clone(), server.clone());
+        let old = self.servers.insert(server.name.clone(), server.clone());
+        if let Some(filling) = self.filling.get_mut(&server.group).filter(|_| old.is_none()) {
+            filling.insert(server.name.clone());
+        }
         Some(())
     }
 
@@ -144,7 +156,11 @@
         if group.is_some_and(|g| g.primary.as_ref() == Some(server)) {
             return None;
         }
-        self.servers.remove(server).map(|_| ())
+        let removed = self.servers.remove(server)?;
+        if let Some(filling) = self.filling.get_mut(&removed.group) {
+            filling.remove(server);
+        }
+        Some(())
     }
 
     fn start_term(&mut self, group: &Name, term: Term, epoch: u64) -> Option<()> {
@@ -162,9 +178,16 @@
             return None;
         }
         state.primary = Some(server.clone());
+        self.filling.entry(group.clone()).or_default().remove(server);
         Some(())
     }
 
+    fn set_filled(&mut self, group: &Name, term: Term, server: &Name, epoch: u64) -> Option<()> {
+        self.check_owner(group, epoch)?;
+        self.groups.get(group).filter(|s| s.term == term && s.primary.is_some())?;
+        self.filling.get_mut(group)?.remove(server).then_some(())
+    }
+
     fn check_owner(&self, group: &Name, epoch: u64) -> Option<()> {
         let holder = self.shards.get(&Shard::Group(group.clone()))?;
         (holder.epoch == epoch && holder.instance.is_some()).then_some(())
--- a/crates/state/src/machine_config.rs
+++ b/crates/state/src/machine_config.rs
@@ -200,6 +200,7 @@
             self.groups.entry(name.clone()).or_insert(state);
         }
         self.servers.retain(|_, server| wanted.contains_key(&server.group));
+        self.filling.retain(|name, _| wanted.contains_key(name));
     }
 
     /// A shard that comes back stays with its last holder under a new epoch: that instance may
--- a/crates/state/tests/machine.rs
+++ b/crates/state/tests/machine.rs
@@ -257,6 +257,38 @@
     assert_eq!(log.0.shards[&group()], Holder { instance: None, epoch: 4 });
 }
 
+/// Guards against a new server that counts for promotions before it holds what was acknowledged,
+/// and against one that never counts.
+#[test]
+fn servers_after_the_first_primary_are_filled_before_they_count() {
+    let mut log = Log::new();
+    let shard = Shard::Group(name("g"));
+    let announce = |s: &str| Command::Announce(server(s, "g", Role::Replica, 0));
+    log.run(Command::Register(instance("i", 1)));
+    log.run(Command::Assign { shard, instance: Some(name("i")), epoch: 0 });
+    log.run(announce("a"));
+    log.run(announce("b"));
+    log.run(Command::Term { group: name("g"), term: 1, epoch: 1 });
+    let filled = |s: &str, term, epoch| {
+        let (group, server) = (name("g"), name(s));
+        Command::Filled { group, term, server, epoch }
+    };
+    let (group, server) = (name("g"), name("a"));
+    assert_eq!(log.run(Command::Primary { group, term: 1, server, epoch: 1 }), Applied::Done);
+    log.run(announce("b"));
+    assert!(log.0.filling["g"].is_empty(), "they were there before");
+    log.run(Command::Forget(name("b")));
+    log.run(announce("c"));
+    assert_eq!(Vec::from_iter(&log.0.filling["g"]), [&name("c")]);
+    assert_eq!(log.run(filled("c", 1, 0)), Applied::Stale, "old epoch");
+    assert_eq!(log.run(filled("c", 0, 1)), Applied::Stale, "old term");
+    assert_eq!(log.run(filled("a", 1, 1)), Applied::Stale, "not new");
+    assert_eq!(log.run(filled("c", 1, 1)), Applied::Done);
+    log.run(Command::Forget(name("c")));
+    log.run(announce("b"));
+    assert_eq!(Vec::from_iter(&log.0.filling["g"]), [&name("b")], "back after it was removed");
+}
+
 /// A group must not have more servers than its size, or a majority of it would mean nothing.
 #[test]
 fn servers_are_recorded_within_group_and_size() {
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -194,6 +194,9 @@
         }
         let names: Vec<Name> = core.members.keys().cloned().collect();
         core.failover.servers(&names);
+        core.acks.servers(&names);
+        let filling = machine.filling.get(&self.name).cloned().unwrap_or_default();
+        core.failover.filling(&filling, now);
         if let Some(recorded) = machine.groups.get(&self.name) {
             core.failover.recorded(recorded, now);
         }
--- a/crates/transport/src/owner_failover.rs
+++ b/crates/transport/src/owner_failover.rs
@@ -71,6 +71,16 @@
                 epoch,
             }));
         }
+        Step::Filled(server, term) => {
+            let (name, epoch) = (group.name.clone(), group.epoch);
+            // The view shows the effect.
+            tokio::spawn(group.control.propose(Command::Filled {
+                group: name,
+                term,
+                server,
+                epoch,
+            }));
+        }
         Step::Resign => {
             let shard = Shard::Group(group.name.clone());
             let command = Command::Assign { shard, instance: None, epoch: group.epoch };
