Report requests in flight as unknown when their key is withdrawn

The entry dropped a forwarded request and answered 28000 (not run) as soon as its key was withdrawn, and also in place of an answer that it was about to write. A commit lost on the way was reported as rolled back when the caller ended the transaction again.

--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -31,6 +31,10 @@
 /// Longest time to write the error that closes a connection.
 const FAREWELL: Duration = Duration::from_secs(1);
 
+/// Time after the withdrawal of a key in which the answer to a request that was sent is still
+/// passed on. Without it, most requests in flight would end as unknown.
+const GRACE: Duration = Duration::from_millis(200);
+
 /// A caller's connection.
 pub(crate) struct Caller {
     shared: Arc<Shared>,
@@ -54,6 +58,8 @@
     Open(Arc<Peer>, u8),
     /// Lost with its owner or connection; waits for the caller to end it.
     Lost,
+    /// Like `Lost`, but its commit was sent and may have run.
+    Doubtful,
 }
 
 /// Why a connection ends.
@@ -199,16 +205,20 @@
         Ok(())
     }
 
-    /// Writes an answer; ends early if the key is withdrawn, because the caller may not read it.
+    /// Writes an answer. If the key is withdrawn meanwhile, a caller that does not read is given a
+    /// short time; no error may follow a part of an answer.
     async fn write(&mut self, out: &[u8]) -> Result<(), End> {
         let writing = self.stream.write_all(out);
         tokio::pin!(writing);
         loop {
             tokio::select! {
+                biased;
                 done = &mut writing => return Ok(done?),
                 changed = self.view.changed() => {
                     changed.map_err(|_| End::Gone)?;
                     if !current(&self.who, &self.view.borrow()) {
+                        let written = timeout(GRACE, writing).await.map_err(|_| End::Gone)?;
+                        written?;
                         return Err(End::Close(withdrawn()));
                     }
                 }
@@ -222,14 +232,15 @@
             self.refuse(out, &Fault::new("42501", "not run: without a key only open routes run"));
             return Ok(());
         }
-        if matches!(self.block, State::Lost) {
+        if matches!(self.block, State::Lost | State::Doubtful) {
             self.lost(&forward, out);
             return Ok(());
         }
+        let commit = forward.needs.block == Block::Commit;
         let request = self.request(&mut forward);
         let Forwarded { answer, peer } = self.answer(request).await?;
         self.shared.metrics.answered(&answer.outcome);
-        self.settle(&answer, peer);
+        self.settle(&answer, peer, commit);
         match fault(&answer.outcome) {
             Some(fault) => self.refuse(out, &fault),
             None => out.extend_from_slice(&self.prepared.complete(&mut forward, answer.messages)),
@@ -241,6 +252,9 @@
     }
 
     /// Runs the request; ends early if the caller leaves or its key is withdrawn.
+    ///
+    /// After a withdrawal nothing more is sent. A request that was sent gets its answer if that
+    /// arrives in time and is unknown otherwise; the connection closes before the next request.
     async fn answer(&mut self, request: Request) -> Result<Forwarded, End> {
         let pin = match &self.block {
             State::Open(peer, _) => Some(peer.clone()),
@@ -255,7 +269,15 @@
                 answer = &mut run => return Ok(answer),
                 changed = self.view.changed() => {
                     changed.map_err(|_| End::Gone)?;
-                    self.check(false)?;
+                    if current(&self.who, &self.view.borrow()) {
+                        continue;
+                    }
+                    // The future is not polled here, so that no attempt can begin in between.
+                    if !track.revoke() {
+                        return Err(End::Close(withdrawn()));
+                    }
+                    let answer = timeout(GRACE, run).await;
+                    return Ok(answer.unwrap_or_else(|_| Forwarded::unknown()));
                 }
                 read = self.stream.read_buf(&mut self.buf), if self.buf.len() < MAX_REQUEST => {
                     if read? == 0 {
@@ -291,7 +313,7 @@
     }
 
     /// Follows the transaction state after an answer.
-    fn settle(&mut self, answer: &Answer, peer: Option<Arc<Peer>>) {
+    fn settle(&mut self, answer: &Answer, peer: Option<Arc<Peer>>, commit: bool) {
         let open = matches!(self.block, State::Open(..));
         self.block = match &answer.outcome {
             Outcome::Done | Outcome::Failed => match (answer.messages.last(), peer) {
@@ -301,7 +323,8 @@
             Outcome::Refused { .. } | Outcome::Unknown if open => {
                 self.track.close();
                 self.shared.forwarder.renew(&self.track);
-                State::Lost
+                let doubtful = commit && answer.outcome == Outcome::Unknown;
+                if doubtful { State::Doubtful } else { State::Lost }
             }
             Outcome::Refused { .. } | Outcome::Unknown => State::Idle,
         };
@@ -309,17 +332,25 @@
 
     /// Answers a batch in a lost transaction.
     fn lost(&mut self, forward: &Forward, out: &mut BytesMut) {
-        if forward.needs.block == Block::Rollback {
-            self.block = State::Idle;
-            self.prepared.end();
-            out.extend_from_slice(&forward.completed("ROLLBACK"));
-            frame::put_ready(out, b'I');
-        } else if forward.needs.block == Block::Commit {
+        let block = forward.needs.block;
+        let answer = match self.block {
+            State::Doubtful if matches!(block, Block::Commit | Block::Rollback) => {
+                fault(&Outcome::Unknown)
+            }
+            State::Doubtful => Some(Fault::new("25P02", "not run: the transaction has ended")),
+            _ if block == Block::Rollback => None,
+            _ => Some(Fault::new("25P02", "not run: the transaction was rolled back")),
+        };
+        if matches!(block, Block::Commit | Block::Rollback) {
             self.block = State::Idle;
             self.prepared.end();
-            self.refuse(out, &Fault::new("25P02", "not run: the transaction was rolled back"));
-        } else {
-            self.refuse(out, &Fault::new("25P02", "not run: the transaction was rolled back"));
+        }
+        match answer {
+            Some(fault) => self.refuse(out, &fault),
+            None => {
+                out.extend_from_slice(&forward.completed("ROLLBACK"));
+                frame::put_ready(out, b'I');
+            }
         }
     }
 
@@ -340,7 +371,7 @@
         match self.block {
             State::Idle => b'I',
             State::Open(_, status) => status,
-            State::Lost => b'E',
+            State::Lost | State::Doubtful => b'E',
         }
     }
 }
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -7,7 +7,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -61,26 +61,38 @@
 
 /// Stream number of a caller and the link that its last request went to.
 #[derive(Default)]
-pub(crate) struct Track(Mutex<(u64, Option<Arc<Peer>>)>);
+pub(crate) struct Track {
+    aim: Mutex<(u64, Option<Arc<Peer>>)>,
+    /// Whether the current request may have run: it was sent and no answer denied it.
+    sent: AtomicBool,
+    /// Set when the caller's key is withdrawn: no further attempt is made.
+    revoked: AtomicBool,
+}
 
 impl Track {
+    /// Forbids further attempts; tells whether the current request may have run.
+    pub(crate) fn revoke(&self) -> bool {
+        self.revoked.store(true, Ordering::SeqCst);
+        self.sent.load(Ordering::SeqCst)
+    }
+
     /// Asks the owner to cancel the running statement.
     pub(crate) fn cancel(&self) {
-        if let (stream, Some(peer)) = &*lock(&self.0) {
+        if let (stream, Some(peer)) = &*lock(&self.aim) {
             peer.tell(Traffic::Cancel { stream: *stream });
         }
     }
 
     /// Tells the owner that the caller is gone or gives up its transaction.
     pub(crate) fn close(&self) {
-        if let (stream, Some(peer)) = &*lock(&self.0) {
+        if let (stream, Some(peer)) = &*lock(&self.aim) {
             peer.forget(*stream);
             peer.tell(Traffic::Close { stream: *stream });
         }
     }
 
     fn aim(&self, peer: &Arc<Peer>) -> u64 {
-        let mut state = lock(&self.0);
+        let mut state = lock(&self.aim);
         if let Some(former) = state.1.replace(peer.clone())
             && !Arc::ptr_eq(&former, peer)
         {
@@ -98,6 +110,13 @@
     pub peer: Option<Arc<Peer>>,
 }
 
+impl Forwarded {
+    /// An unknown outcome.
+    pub(crate) fn unknown() -> Forwarded {
+        Forwarded { answer: unknown(), peer: None }
+    }
+}
+
 impl Forwarder {
     pub(crate) fn new(
         control: Arc<dyn Control>,
@@ -114,7 +133,7 @@
     ///
     /// A number is not used again after an attempt was given up, because its answer may still come.
     pub(crate) fn renew(&self, track: &Track) {
-        *lock(&track.0) = (self.streams.fetch_add(1, Ordering::Relaxed), None);
+        *lock(&track.aim) = (self.streams.fetch_add(1, Ordering::Relaxed), None);
     }
 
     /// Runs `request` at the owner of its group, or at `pin` inside a transaction.
@@ -129,11 +148,15 @@
         let mut last = refused(Reason::Owner);
         // An attempt that may have run rules out "not run" for the whole request.
         let mut sent = false;
+        track.sent.store(false, Ordering::SeqCst);
         let honest = |answer: Answer, sent| match answer.outcome {
             Outcome::Refused { .. } if sent => unknown(),
             _ => answer,
         };
         loop {
+            if track.revoked.load(Ordering::SeqCst) {
+                return Forwarded { answer: honest(refused(Reason::Key), sent), peer: None };
+            }
             if self.control.now() >= self.control.lease() {
                 return Forwarded { answer: honest(refused(Reason::Lease), sent), peer: None };
             }
@@ -144,11 +167,13 @@
             request.wait = deadline.saturating_duration_since(Instant::now()).as_millis() as Millis;
             let mut kind = "no_owner";
             if let Some(peer) = peer {
+                track.sent.store(true, Ordering::SeqCst);
                 let answer = self.attempt(&peer, track, &request, holder.as_ref()).await;
                 if !again || !retryable(&answer.outcome, &request) {
                     return Forwarded { answer: honest(answer, sent), peer: Some(peer) };
                 }
                 sent |= answer.outcome == Outcome::Unknown;
+                track.sent.store(sent, Ordering::SeqCst);
                 kind =
                     if answer.outcome == Outcome::Unknown { "unknown_read" } else { "owner_moved" };
                 last = answer;
