--- a/crates/transport/tests/control_group/mod.rs
+++ b/crates/transport/tests/control_group/mod.rs
@@ -239,7 +239,12 @@
     /// Opens a link as the instance `from`.
     pub async fn dial(&self, from: &str, to: &Name) -> Link<peer::Control> {
         let secret = Secret::new("same");
-        let identity = Arc::new(Identity { name: name(from), secret, source: None });
+        let identity = Arc::new(Identity {
+            name: name(from),
+            secret,
+            source: None,
+            links: Default::default(),
+        });
         let dialer = Dialer::new(identity, Purpose::Control);
         dialer.dial(to.clone(), self.members[to.as_str()]).await.expect("accepted")
     }
@@ -265,8 +270,12 @@
         });
         listener.set_nonblocking(true).expect("sets the mode");
         let address = listener.local_addr().expect("bound");
-        let identity =
-            Arc::new(Identity { name: me.clone(), secret: Secret::new("same"), source: None });
+        let identity = Arc::new(Identity {
+            name: me.clone(),
+            secret: Secret::new("same"),
+            source: None,
+            links: Default::default(),
+        });
         let instance = Instance {
             name: me.clone(),
             incarnation,
