--- /dev/null
+++ b/crates/protocol/tests/pages.rs
@@ -0,0 +1,40 @@
+//! The operators' page on refusals.
+
+use auburnlug_protocol::{
+    outcome::{Fault, fault, refusal},
+    peer::{Outcome, Reason},
+};
+
+const PAGE: &str = include_str!("../../../docs/operators/refusals.md");
+
+const REASONS: [Reason; 10] = [
+    Reason::Rate,
+    Reason::Overload,
+    Reason::Primary,
+    Reason::Owner,
+    Reason::Lease,
+    Reason::Key,
+    Reason::Stopping,
+    Reason::State,
+    Reason::Connection,
+    Reason::Size,
+];
+
+/// Guards against a refusal that operators cannot look up, and a page that promises another
+/// effect: the fourth column says whether the request ran.
+#[test]
+fn page_lists_every_refusal() {
+    let unknown = (fault(&Outcome::Unknown), "unknown");
+    let refusals = REASONS.iter().map(|reason| (Some(refusal(*reason, 0)), "no"));
+    for (fault, ran) in refusals.chain([unknown]) {
+        let Some(Fault { code, message, .. }) = fault else { continue };
+        let start = format!("| {code} | {message} | ");
+        let rows: Vec<&str> = PAGE.lines().filter(|line| line.starts_with(&start)).collect();
+        let ran = format!(" | {ran} | ");
+        assert!(!rows.is_empty(), "docs/operators/refusals.md lacks: {start}");
+        assert!(rows.iter().all(|row| row.contains(&ran)), "{rows:?} must say {ran}");
+    }
+    let rows = PAGE.lines().filter(|line| line.contains("| not run: "));
+    assert!(rows.clone().all(|row| row.contains(" | no | ")), "not run is a promise (P9)");
+    assert!(rows.count() >= REASONS.len());
+}
