Test auburnlugctl when every answer is lost

Of eight mutations of the tool, one went unnoticed: a lost answer that does not count as sent. The new session fails with it and passes without.

--- a/crates/auburnlugctl/tests/sessions.rs
+++ b/crates/auburnlugctl/tests/sessions.rs
@@ -277,3 +277,9 @@
 fn unknown_effect() {
     play("unknown-effect", vec![Reply::Say(Answer::Unknown)], &[PUBLISH]);
 }
+
+/// Guards against a change whose answers were all lost and that is reported as not sent.
+#[test]
+fn lost_answers() {
+    play("lost-answers", vec![Reply::Hang], &[&PUBLISH.replace("--id", "--base 4 --id")]);
+}
