--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -46,6 +46,10 @@
 /// Largest message on a link, in bytes.
 const MAX_MESSAGE: usize = 300 << 20;
 
+/// Read buffer of a link, in bytes. Each link keeps one while it is open, and an instance may have
+/// a link to and from each of 700 others: the library's default of 128 KiB would be 180 MB.
+const READ_BUFFER: usize = 16 << 10;
+
 /// First bytes of a traffic link's upgrade request.
 const TRAFFIC_START: &[u8; 12] = b"GET /traffic";
 
@@ -190,7 +194,10 @@
 }
 
 fn config() -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(MAX_MESSAGE)).max_frame_size(Some(MAX_MESSAGE))
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+        .read_buffer_size(READ_BUFFER)
 }
 
 fn nonce() -> Nonce {
