Wake idle entries less often and keep recent commands only at members

The control loop of an entry ran every 10 ms although its most frequent periodic work, the renewal, is due every 300 ms; it now runs every 25 ms.

Entries also kept the last 4096 commands, each up to 1 MiB, which only a leader sends on; they drop them now. The leader scanned all of them for each instance at each commit and now finds the first new one by binary search; neither effect was measured.

--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -36,9 +36,13 @@
     view::View,
 };
 
-/// Interval of the loop's periodic work.
+/// Interval of a control member's periodic work.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Interval of the periodic work without the control role, of which the renewals every 300 ms are
+/// the most frequent.
+const ENTRY_TICK: Duration = Duration::from_millis(25);
+
 /// A proposal whose effect is not known after this long is answered as unknown, in milliseconds.
 const PROPOSAL_LIMIT: Millis = 3_000;
 
@@ -140,7 +144,7 @@
     /// The disk failed: what was acknowledged is kept, and the member must not go on.
     pub(crate) async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Result<()> {
         self.listen()?;
-        let mut tick = interval(TICK);
+        let mut tick = interval(if self.member.is_some() { TICK } else { ENTRY_TICK });
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while self.stopping.is_none() {
             tokio::select! {
@@ -408,6 +412,10 @@
             }
             _ => {}
         }
+        // Only a leader sends them to others; a published template may be 1 MiB long.
+        if self.member.is_none() {
+            return;
+        }
         self.recent.push_back((index, command));
         if self.recent.len() > RECENT {
             self.recent.pop_front();
--- a/crates/transport/src/control_leader.rs
+++ b/crates/transport/src/control_leader.rs
@@ -131,7 +131,9 @@
         known.index = until;
         let covered = self.recent.front().is_some_and(|(first, _)| *first <= after + 1);
         let message = if covered {
-            let commands = self.recent.iter().filter(|(i, _)| *i > after).cloned().collect();
+            // In the order of their indices, so that only the new ones are looked at.
+            let start = self.recent.partition_point(|(i, _)| *i <= after);
+            let commands = self.recent.range(start..).cloned().collect();
             Control::Update { after, until, commands }
         } else {
             Control::Snapshot(Box::new(Machine::clone(&self.machine)))
