--- a/crates/transport/src/control_apply.rs
+++ b/crates/transport/src/control_apply.rs
@@ -56,6 +56,10 @@
 
     fn note(&mut self, index: Index, command: Command, applied: &Applied) {
         log_applied(&command, applied);
+        // Only a leader sends them to others; a published template may be 1 MiB long.
+        if self.member.is_none() {
+            return;
+        }
         self.recent.push_back((index, command));
         if self.recent.len() > RECENT {
             self.recent.pop_front();
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -34,9 +34,13 @@
     view::View,
 };
 
-/// Interval of the loop's periodic work.
+/// Interval of a control member's periodic work.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Interval of the periodic work without the control role, of which the renewals every 300 ms are
+/// the most frequent.
+const ENTRY_TICK: Duration = Duration::from_millis(25);
+
 /// Interval at which a member without a place in the group asks for one, in milliseconds.
 const SEARCH: Millis = 200;
 
@@ -133,7 +137,7 @@
     /// The disk failed: what was acknowledged is kept, and the member must not go on.
     pub(crate) async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Result<()> {
         self.listen()?;
-        let mut tick = interval(TICK);
+        let mut tick = interval(if self.member.is_some() { TICK } else { ENTRY_TICK });
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while self.stopping.is_none() {
             tokio::select! {
