Copy request ids to a standby before their statements are sent

A new owner could not tell first requests from repeated ones and answered every non-idempotent id with 08007 for 60 s.

--- a/crates/coordination/src/dedup.rs
+++ b/crates/coordination/src/dedup.rs
@@ -2,8 +2,9 @@
 //!
 //! The group owner remembers each id for a minute after its outcome, so that a repeated request
 //! gets the first answer and never runs twice. The standby keeps [`Intents`]: the ids that the
-//! owner was about to run. A new owner takes every id in that table for "may have run", and
-//! without the table every id that it has not seen.
+//! owner was about to run, with their answers as far as it got them. A new owner takes every id in
+//! that table without an answer for "may have run", and without the table every id that it has not
+//! seen.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -19,11 +20,15 @@
 /// Client account and request id.
 pub type Key = (Name, String);
 
+/// A request id in a copy of the table: its answer with the size in bytes, unless it may have run
+/// without one.
+pub type Entry<A> = (Key, Option<(A, usize)>);
+
 /// What is known of a request id.
 #[derive(Debug)]
 enum State<A, W> {
     Running(Vec<W>),
-    Done(A),
+    Done(A, usize),
     Unknown,
 }
 
@@ -68,14 +73,18 @@
     pub fn resume(
         bound: usize,
         bytes: usize,
-        intents: Option<Vec<Key>>,
+        intents: Option<Vec<Entry<A>>>,
         now: Millis,
     ) -> Requests<A, W> {
         let mut requests = Requests::new(bound, bytes);
         match intents {
-            Some(keys) => keys.into_iter().for_each(|key| {
-                requests.states.insert(key.clone(), State::Unknown);
-                requests.ended.push_back((now, key, 0));
+            Some(entries) => entries.into_iter().for_each(|(key, answer)| {
+                let size = answer.as_ref().map_or(0, |(_, size)| *size);
+                let state =
+                    answer.map_or(State::Unknown, |(answer, size)| State::Done(answer, size));
+                requests.states.insert(key.clone(), state);
+                requests.used += size;
+                requests.ended.push_back((now, key, size));
             }),
             None => requests.blind = now + RETENTION,
         }
@@ -91,7 +100,7 @@
                 waiters.push(waiter);
                 return Begin::Joined;
             }
-            Some(State::Done(answer)) => return Begin::Answer(waiter, answer.clone()),
+            Some(State::Done(answer, _)) => return Begin::Answer(waiter, answer.clone()),
             Some(State::Unknown) => return Begin::Unknown(waiter),
             None if now < self.blind => return Begin::Unknown(waiter),
             None => {}
@@ -112,7 +121,7 @@
         size: usize,
         now: Millis,
     ) -> Vec<W> {
-        self.end(account, id, State::Done(answer), size, now)
+        self.end(account, id, State::Done(answer, size), size, now)
     }
 
     /// Records that the outcome is unknown and returns the callers that wait for it.
@@ -133,11 +142,21 @@
         }
     }
 
-    /// All remembered ids, for [`Intents::fill`] at a new standby; `None` while ids that were not
-    /// seen are answered with "unknown", because the table is not complete then.
-    pub fn export(&mut self, now: Millis) -> Option<Vec<Key>> {
+    /// All remembered ids, for [`Intents::fill`] at a new standby, with answers of up to `bytes`
+    /// together; `None` while ids that were not seen are answered with "unknown", because the
+    /// table is not complete then.
+    pub fn export(&mut self, bytes: usize, now: Millis) -> Option<Vec<Entry<A>>> {
         self.expire(now);
-        (now >= self.blind).then(|| self.states.keys().cloned().collect())
+        let mut left = bytes;
+        let mut copy = |state: &State<A, W>| match state {
+            State::Done(answer, size) if *size <= left => {
+                left -= size;
+                Some((answer.clone(), *size))
+            }
+            _ => None,
+        };
+        let states = self.states.iter();
+        (now >= self.blind).then(|| states.map(|(key, state)| (key.clone(), copy(state))).collect())
     }
 
     /// Number of remembered ids.
@@ -184,28 +203,48 @@
 /// [`INTENT_RETENTION`]. An incomplete table must not be used: ids that are missing in it would
 /// count as new.
 #[derive(Debug)]
-pub struct Intents {
+pub struct Intents<A> {
     bound: usize,
+    /// Bytes of answers that may still be kept.
+    left: usize,
     complete: Millis,
-    keys: BTreeMap<Key, Millis>,
+    keys: BTreeMap<Key, Intent<A>>,
     order: VecDeque<(Millis, Key)>,
 }
 
-impl Intents {
-    /// An empty table of at most `bound` ids, for an owner that uses this standby from `now` on.
-    pub fn new(bound: usize, now: Millis) -> Intents {
+/// When an id was stored last, and its answer with the size in bytes.
+#[derive(Debug)]
+struct Intent<A> {
+    at: Millis,
+    answer: Option<(A, usize)>,
+}
+
+impl<A> Intents<A> {
+    /// An empty table of at most `bound` ids and `bytes` of answers, for an owner that uses this
+    /// standby from `now` on.
+    pub fn new(bound: usize, bytes: usize, now: Millis) -> Intents<A> {
         let complete = now + INTENT_RETENTION;
-        Intents { bound, complete, keys: BTreeMap::new(), order: VecDeque::new() }
+        Intents { bound, left: bytes, complete, keys: BTreeMap::new(), order: VecDeque::new() }
+    }
+
+    /// Whether a new owner may use the table.
+    pub fn is_complete(&self, now: Millis) -> bool {
+        now >= self.complete
     }
 
     /// Adds all ids that the owner remembers; false if they do not fit, and the table then stays
     /// incomplete.
-    pub fn fill(&mut self, keys: Vec<Key>, now: Millis) -> bool {
-        let all = keys.iter().all(|(account, id)| self.store(account, id, now));
-        if all {
-            self.complete = now;
+    pub fn fill(&mut self, entries: Vec<Entry<A>>, now: Millis) -> bool {
+        for ((account, id), answer) in entries {
+            if !self.store(&account, &id, now) {
+                return false;
+            }
+            if let Some((answer, size)) = answer {
+                self.finish(account, id, answer, size);
+            }
         }
-        all
+        self.complete = self.complete.min(now);
+        true
     }
 
     /// Stores an id; false if the table is full and the owner must not run the request.
@@ -217,24 +256,45 @@
         if full || self.order.len() >= 2 * self.bound {
             return false;
         }
-        self.keys.insert(key.clone(), now);
+        // An id that the owner runs again, because it forgot the first run, has no answer yet.
+        let old = self.keys.insert(key.clone(), Intent { at: now, answer: None });
+        self.left += old.map_or(0, |old| old.size());
         self.order.push_back((now, key));
         true
     }
 
+    /// Adds the answer to a stored id, of `size` bytes, if there is room for it.
+    pub fn finish(&mut self, account: Name, id: String, answer: A, size: usize) {
+        if let Some(intent) = self.keys.get_mut(&(account, id))
+            && intent.answer.is_none()
+            && size <= self.left
+        {
+            self.left -= size;
+            intent.answer = Some((answer, size));
+        }
+    }
+
     /// Ids for the new owner; `None` if the table is not complete.
-    pub fn export(mut self, now: Millis) -> Option<Vec<Key>> {
+    pub fn export(mut self, now: Millis) -> Option<Vec<Entry<A>>> {
         self.expire(now);
-        (now >= self.complete).then(|| self.keys.into_keys().collect())
+        let entries = self.keys.into_iter().map(|(key, intent)| (key, intent.answer));
+        (now >= self.complete).then(|| entries.collect())
     }
 
     fn expire(&mut self, now: Millis) {
         while self.order.front().is_some_and(|(at, _)| at + INTENT_RETENTION <= now) {
             if let Some((at, key)) = self.order.pop_front()
-                && self.keys.get(&key) == Some(&at)
+                && self.keys.get(&key).is_some_and(|intent| intent.at == at)
             {
-                self.keys.remove(&key);
+                let old = self.keys.remove(&key);
+                self.left += old.map_or(0, |old| old.size());
             }
         }
     }
 }
+
+impl<A> Intent<A> {
+    fn size(&self) -> usize {
+        self.answer.as_ref().map_or(0, |(_, size)| *size)
+    }
+}
--- a/crates/coordination/tests/dedup.rs
+++ b/crates/coordination/tests/dedup.rs
@@ -21,7 +21,7 @@
     #[test]
     fn no_id_runs_twice(ops in proptest::collection::vec((0..8u8, 0..10usize, 0..4000u64), 1..150)) {
         let mut table = Requests::<u32, ()>::new(6, 1000);
-        let mut standby = Intents::new(100, 0);
+        let mut standby = Intents::new(100, 50, 0);
         let mut runs = BTreeMap::<String, u64>::new();
         let mut now = 0;
         for (op, id, span) in ops {
@@ -37,14 +37,20 @@
                     Begin::Answer((), answer) => prop_assert_eq!(answer.to_string(), id),
                     _ => {}
                 },
-                4 | 5 => { table.finish(&account(), &id, id.parse().unwrap(), 10, now); }
+                4 | 5 => {
+                    table.finish(&account(), &id, id.parse().unwrap(), 10, now);
+                    // The copy of an answer may be lost.
+                    if op == 5 && runs.contains_key(&id) {
+                        standby.finish(account(), id.clone(), id.parse().unwrap(), 10);
+                    }
+                }
                 6 => { table.lose(&account(), &id, now); }
                 _ => {
                     let with = span % 2 == 0;
-                    let old = std::mem::replace(&mut standby, Intents::new(100, now));
+                    let old = std::mem::replace(&mut standby, Intents::new(100, 50, now));
                     let keys = if with { old.export(now) } else { None };
                     table = Requests::resume(6, 1000, keys, now);
-                    if let Some(keys) = table.export(now) {
+                    if let Some(keys) = table.export(30, now) {
                         prop_assert!(standby.fill(keys, now));
                     }
                 }
@@ -75,12 +81,14 @@
 #[test]
 fn a_new_owner_without_the_table_knows_nothing() {
     let mut table = Requests::<(), ()>::resume(9, 9, None, 1000);
-    assert_eq!(table.export(1000), None, "an incomplete table is no table for a standby");
-    assert_eq!(Intents::new(9, 1000).export(1000), None);
+    assert_eq!(table.export(0, 1000), None, "an incomplete table is no table for a standby");
+    assert_eq!(Intents::<()>::new(9, 9, 1000).export(1000), None);
     assert_eq!(table.begin(&account(), "1", (), 999 + RETENTION), Begin::Unknown(()));
     assert_eq!(table.begin(&account(), "1", (), 1000 + RETENTION), Begin::First(()));
-    let keys = vec![(account(), "1".to_owned())];
+    let keys =
+        vec![((account(), "1".to_owned()), None), ((account(), "3".to_owned()), Some(((), 1)))];
     let mut table = Requests::<(), ()>::resume(9, 9, Some(keys), 1000);
     assert_eq!(table.begin(&account(), "1", (), 1001), Begin::Unknown(()));
     assert_eq!(table.begin(&account(), "2", (), 1001), Begin::First(()));
+    assert_eq!(table.begin(&account(), "3", (), 1001), Begin::Answer((), ()));
 }
--- a/crates/protocol/src/outcome.rs
+++ b/crates/protocol/src/outcome.rs
@@ -49,6 +49,7 @@
         Reason::State => ("0A000", "not run: the statement would leave state on the connection"),
         Reason::Connection => ("57P03", "not run: no connection to a database server"),
         Reason::Size => ("54000", "not run: the request is too large"),
+        Reason::Standby => ("57P03", "not run: the standby of the database group does not answer"),
         Reason::Cancelled => ("57014", "not run: cancelled on the caller's request"),
     };
     let hint = (retry > 0).then(|| format!("retry after {retry} ms"));
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use auburnlug_coordination::{Position, raft};
+use auburnlug_coordination::{Position, dedup::Key, raft};
 use auburnlug_state::{
     Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard,
 };
@@ -167,24 +167,72 @@
         /// False if the receiver does not own the client account.
         owner: bool,
     },
-    /// Copies a request id to the standby.
+    /// Copies request ids to the standby before their statements are sent.
     Intent {
         /// Number chosen by the sender.
         id: u64,
         /// Database group.
         group: Name,
-        /// Client account.
-        account: Name,
-        /// Request id.
-        request: String,
+        /// Epoch of the owner.
+        epoch: u64,
+        /// Request ids.
+        keys: Vec<Key>,
+    },
+    /// Copies the answers to request ids to the standby; not answered.
+    Ended {
+        /// Database group.
+        group: Name,
+        /// Epoch of the owner.
+        epoch: u64,
+        /// Request ids with their answers.
+        answers: Vec<(Key, Answer)>,
+    },
+    /// Copies the owner's whole table to a new standby.
+    Fill {
+        /// Number chosen by the sender.
+        id: u64,
+        /// Database group.
+        group: Name,
+        /// Epoch of the owner.
+        epoch: u64,
+        /// Table that is meant; it has no effect on another one.
+        table: u64,
+        /// Request ids with their answers, where there are any.
+        entries: Vec<(Key, Option<Answer>)>,
     },
-    /// Answer to [`Traffic::Intent`].
+    /// Replaces the receiver's table by an empty, incomplete one.
+    Void {
+        /// Number chosen by the sender.
+        id: u64,
+        /// Database group.
+        group: Name,
+        /// Epoch of the owner.
+        epoch: u64,
+    },
+    /// Answer to [`Traffic::Intent`], [`Traffic::Fill`] and [`Traffic::Void`].
     Stored {
         /// Number of the request.
         id: u64,
+        /// Number of the table; a table that replaces it gets another one.
+        table: u64,
+        /// State of the table.
+        copy: Copied,
     },
 }
 
+/// State of a standby's table after a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Copied {
+    /// The message had its effect, and a new owner may use the table.
+    Complete,
+    /// The message had its effect, but the table lacks ids until the owner fills it.
+    Partial,
+    /// There is no room.
+    Full,
+    /// The sender does not own the group as far as the receiver knows, or another table is meant.
+    Stale,
+}
+
 /// A request of a caller.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Request {
@@ -289,6 +337,8 @@
     Size,
     /// The caller cancelled it while it waited.
     Cancelled,
+    /// The standby did not store its request id within the deadline.
+    Standby,
 }
 
 mod bytes_field {
--- a/crates/protocol/tests/outcome.rs
+++ b/crates/protocol/tests/outcome.rs
@@ -10,7 +10,7 @@
     test_runner::{RngSeed, TestRunner},
 };
 
-const REASONS: [(Reason, &str); 11] = [
+const REASONS: [(Reason, &str); 12] = [
     (Reason::Rate, "53400"),
     (Reason::Overload, "53400"),
     (Reason::Primary, "57P03"),
@@ -22,6 +22,7 @@
     (Reason::Connection, "57P03"),
     (Reason::Size, "54000"),
     (Reason::Cancelled, "57014"),
+    (Reason::Standby, "57P03"),
 ];
 
 /// Guards against a refusal that does not say "not run", or an unknown outcome that does (P9).
--- a/crates/transport/src/forward.rs
+++ b/crates/transport/src/forward.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use auburnlug_protocol::peer::{Answer, Block, Outcome, Reason, Request, Traffic};
+use auburnlug_protocol::peer::{Answer, Block, Copied, Outcome, Reason, Request, Traffic};
 use auburnlug_state::{Holder, Millis, Name, Shard};
 use tokio::{
     sync::{Mutex as AsyncMutex, mpsc, mpsc::error::TrySendError, oneshot},
@@ -57,6 +57,8 @@
     incarnation: u64,
     out: mpsc::Sender<Traffic>,
     pending: Mutex<Option<HashMap<u64, oneshot::Sender<Answer>>>>,
+    /// Copies of request ids that wait for [`Traffic::Stored`].
+    copies: Mutex<HashMap<u64, oneshot::Sender<(u64, Copied)>>>,
 }
 
 /// Stream number of a caller and the link that its last request went to.
@@ -133,7 +135,12 @@
     ///
     /// A number is not used again after an attempt was given up, because its answer may still come.
     pub(crate) fn renew(&self, track: &Track) {
-        *lock(&track.aim) = (self.streams.fetch_add(1, Ordering::Relaxed), None);
+        *lock(&track.aim) = (self.number(), None);
+    }
+
+    /// A number that no other message of this instance has.
+    pub(crate) fn number(&self) -> u64 {
+        self.streams.fetch_add(1, Ordering::Relaxed)
     }
 
     /// Runs `request` at the owner of its group, or at `pin` inside a transaction.
@@ -304,10 +311,15 @@
     fn start(incarnation: u64, link: Link<Traffic>, others: mpsc::Sender<Traffic>) -> Arc<Peer> {
         let pending = Mutex::new(Some(HashMap::new()));
         let Link { out, mut inbox, .. } = link;
-        let peer = Arc::new(Peer { incarnation, out, pending });
+        let peer = Arc::new(Peer { incarnation, out, pending, copies: Mutex::default() });
         let reader = peer.clone();
         tokio::spawn(async move {
             while let Some(message) = inbox.recv().await {
+                if let Traffic::Stored { id, table, copy } = message {
+                    let waiting = lock(&reader.copies).remove(&id);
+                    let _ = waiting.map(|waiting| waiting.send((table, copy)));
+                    continue;
+                }
                 let Traffic::Answer { stream, answer } = message else {
                     // Only an instance that stops takes no more of them.
                     let _ = others.send(message).await;
@@ -318,6 +330,7 @@
                 let _ = waiting.map(|waiting| waiting.send(answer));
             }
             *lock(&reader.pending) = None;
+            lock(&reader.copies).clear();
         });
         peer
     }
@@ -330,6 +343,19 @@
         }
     }
 
+    /// Sends a message about copies of request ids and waits for the answer.
+    pub(crate) async fn copy(&self, id: u64, message: Traffic) -> Option<(u64, Copied)> {
+        let (sender, answer) = oneshot::channel();
+        {
+            let mut copies = lock(&self.copies);
+            // Those that were given up have no receiver any more.
+            copies.retain(|_, waiting| !waiting.is_closed());
+            copies.insert(id, sender);
+        }
+        self.out.send(message).await.ok()?;
+        answer.await.ok()
+    }
+
     fn is_open(&self) -> bool {
         !self.out.is_closed() && lock(&self.pending).is_some()
     }
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -11,7 +11,7 @@
 use auburnlug_coordination::{
     Position,
     acks::{Acks, Wait},
-    dedup::Requests,
+    dedup::{Entry, Requests},
     failover::{self, Failover},
     freshness::Freshness,
     queue::Fair,
@@ -27,6 +27,7 @@
 };
 
 use crate::{
+    copier::Copier,
     dispatch::Waiting,
     forward::lock,
     member::Member,
@@ -45,8 +46,8 @@
 const MAX_SESSIONS: usize = 100_000;
 
 /// Most request ids, and bytes of their answers, that are remembered.
-const MAX_REQUESTS: usize = 200_000;
-const MAX_ANSWERS: usize = 64 << 20;
+pub(crate) const MAX_REQUESTS: usize = 200_000;
+pub(crate) const MAX_ANSWERS: usize = 64 << 20;
 
 /// A group that this instance owns.
 pub(crate) struct Group {
@@ -60,6 +61,7 @@
     pub route: Box<dyn Route + Sync>,
     pub core: Mutex<Core>,
     pub requests: SharedIds,
+    pub copier: Copier,
     /// Term that writes run under, and its primary.
     pub primary: watch::Sender<(Term, Option<Name>)>,
     /// Wakes the failover task.
@@ -75,12 +77,17 @@
 /// Request ids that outlast the group's runtime.
 pub(crate) type SharedIds = Arc<Mutex<RequestIds>>;
 
-/// Request ids of a group that begins; `first` tells that it had no owner before.
-pub(crate) fn request_ids(first: bool, now: Millis) -> RequestIds {
+/// Request ids of a group that begins; `first` tells that it had no owner before, and `copy` is
+/// the complete copy of the former owner's.
+pub(crate) fn request_ids(
+    first: bool,
+    copy: Option<Vec<Entry<Answer>>>,
+    now: Millis,
+) -> RequestIds {
     if first {
         Requests::new(MAX_REQUESTS, MAX_ANSWERS)
     } else {
-        Requests::resume(MAX_REQUESTS, MAX_ANSWERS, None, now)
+        Requests::resume(MAX_REQUESTS, MAX_ANSWERS, copy, now)
     }
 }
 
@@ -106,6 +113,7 @@
     pub rates: Arc<Rates>,
     pub draining: Arc<AtomicBool>,
     pub requests: SharedIds,
+    pub copier: Copier,
     pub route: Box<dyn Route + Sync>,
 }
 
@@ -117,7 +125,7 @@
         means: Means,
         view: &View,
     ) -> Arc<Group> {
-        let Means { control, servers, metrics, rates, draining, requests, route } = means;
+        let Means { control, servers, metrics, rates, draining, requests, copier, route } = means;
         let now = control.now();
         let recorded = view.machine.groups.get(&name).cloned().unwrap_or_default();
         let core = Mutex::new(Core::new(config.size, recorded.clone(), now));
@@ -132,6 +140,7 @@
             route,
             core,
             requests,
+            copier,
             primary: watch::Sender::new((recorded.term, recorded.primary)),
             wake: Notify::new(),
             closed: watch::Sender::new(false),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,6 +8,8 @@
 mod control_leader;
 mod control_links;
 mod control_member;
+mod copier;
+mod copies;
 pub mod disk;
 mod disk_error;
 pub mod disk_memory;
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -25,6 +25,8 @@
     pub refusals: Family<Label, Counter>,
     /// Retries by reason.
     pub retries: Family<Label, Counter>,
+    /// Exchanges with standbys by result.
+    pub copies: Family<Label, Counter>,
     /// Definite answers by outcome.
     pub outcomes: Family<Label, Counter>,
     /// Reads served by replicas.
@@ -46,6 +48,8 @@
         registry.register("refusals", "Refused requests by reason", refusals.clone());
         let retries = Family::default();
         registry.register("retries", "Retries by reason", retries.clone());
+        let copies = Family::default();
+        registry.register("copies", "Exchanges with standbys by result", copies.clone());
         let outcomes = Family::default();
         registry.register("outcomes", "Answered requests by outcome", outcomes.clone());
         let replica_reads = Counter::default();
@@ -66,6 +70,7 @@
             registry,
             refusals,
             retries,
+            copies,
             outcomes,
             replica_reads,
             primary_reads,
@@ -95,6 +100,11 @@
         self.retries.get_or_create(&Label { kind }).inc();
     }
 
+    /// Counts an exchange with a standby.
+    pub fn copied(&self, kind: &'static str) {
+        self.copies.get_or_create(&Label { kind }).inc();
+    }
+
     /// Records a part of a failover gap, in milliseconds.
     pub fn gap(&self, kind: &'static str, millis: u64) {
         let seconds = millis as f64 / 1000.0;
@@ -136,5 +146,6 @@
         Reason::Connection => "connection",
         Reason::Size => "size",
         Reason::Cancelled => "cancelled",
+        Reason::Standby => "standby",
     }
 }
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -22,6 +22,8 @@
 };
 
 use crate::{
+    copier::{self, Copier},
+    copies::Copies,
     forward::{lease_end, lock, refused},
     group::{Group, Means, SharedIds, request_ids},
     link::Link,
@@ -47,18 +49,21 @@
     draining: Arc<AtomicBool>,
     /// Request ids by group and epoch. They outlast the lease: while the epoch is the same, no
     /// other instance has run requests.
-    requests: Mutex<BTreeMap<Name, (u64, SharedIds)>>,
+    requests: Mutex<BTreeMap<Name, (u64, SharedIds, Copier)>>,
+    copier: copier::Means,
+    copies: Arc<Copies>,
     /// State at the last update.
     before: Mutex<Arc<Machine>>,
 }
 
 impl Owner {
     pub(crate) fn new(
-        control: Arc<dyn Control>,
+        copier: copier::Means,
         servers: Arc<dyn Servers>,
-        metrics: Arc<Metrics>,
         rates: Arc<Rates>,
     ) -> Owner {
+        let (control, metrics) = (copier.control.clone(), copier.metrics.clone());
+        let copies = Arc::new(Copies::new(control.clone()));
         let buckets = RateOwner::new(control.clone());
         let (groups, draining) = (Mutex::default(), Arc::new(AtomicBool::new(false)));
         let before = Mutex::new(control.view().borrow().machine.clone());
@@ -71,10 +76,17 @@
             groups,
             draining,
             requests: Mutex::default(),
+            copier,
+            copies,
             before,
         }
     }
 
+    /// Copies of other owners' request ids.
+    pub(crate) fn copies(&self) -> Arc<Copies> {
+        self.copies.clone()
+    }
+
     /// Takes no new work and returns when nothing runs any more.
     pub(crate) async fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
@@ -148,8 +160,7 @@
         for (name, config) in &view.machine.config.groups {
             let Some(epoch) = epoch(name) else { continue };
             groups.entry(name.clone()).or_insert_with(|| {
-                let first = first(&before, view, &Shard::Group(name.clone()));
-                let means = self.means(view, self.request_ids(name, epoch, first));
+                let means = self.means(view, self.request_ids(name, epoch, &before, view));
                 Group::start(name.clone(), config.clone(), epoch, means, view)
             });
         }
@@ -168,17 +179,27 @@
     }
 
     /// Request ids of the group under this epoch.
-    fn request_ids(&self, group: &Name, epoch: u64, first: bool) -> SharedIds {
+    fn request_ids(
+        &self,
+        group: &Name,
+        epoch: u64,
+        before: &Machine,
+        view: &View,
+    ) -> (SharedIds, Copier) {
         let mut known = lock(&self.requests);
-        if let Some((_, ids)) = known.get(group).filter(|(at, _)| *at == epoch) {
-            return ids.clone();
+        if let Some((_, ids, copier)) = known.get(group).filter(|(at, ..)| *at == epoch) {
+            return (ids.clone(), copier.clone());
         }
-        let ids = Arc::new(Mutex::new(request_ids(first, self.control.now())));
-        known.insert(group.clone(), (epoch, ids.clone()));
-        ids
+        let shard = Shard::Group(group.clone());
+        let copy = self.copies.resume(group, former(before, &shard, epoch), epoch);
+        let ids = request_ids(first(before, view, &shard), copy, self.control.now());
+        let ids = Arc::new(Mutex::new(ids));
+        let copier = Copier::start(self.copier.clone(), group.clone(), epoch, ids.clone());
+        known.insert(group.clone(), (epoch, ids.clone(), copier.clone()));
+        (ids, copier)
     }
 
-    fn means(&self, view: &View, requests: SharedIds) -> Means {
+    fn means(&self, view: &View, (requests, copier): (SharedIds, Copier)) -> Means {
         let record = view.machine.instances.get(&view.me);
         let domain = record.map_or_else(|| view.me.clone(), |record| record.domain.clone());
         Means {
@@ -188,6 +209,7 @@
             rates: self.rates.clone(),
             draining: self.draining.clone(),
             requests,
+            copier,
             route: Box::new(Balanced::new(domain)),
         }
     }
@@ -242,7 +264,13 @@
                         break;
                     }
                 }
-                _ => {}
+                message => {
+                    if let Some(answer) = self.copies.take(&peer, message)
+                        && out.send(answer).await.is_err()
+                    {
+                        break;
+                    }
+                }
             }
         }
         for state in streams.into_values() {
@@ -259,3 +287,13 @@
     let never = before.index > 0 && before.shards.get(shard).is_none_or(|holder| holder.epoch == 0);
     never && view.machine.shards.get(shard).is_some_and(|holder| holder.epoch == 1)
 }
+
+/// Epoch of the last owner before the one under `epoch`, as far as `before` shows it.
+///
+/// The epoch rises as well when a shard is given up, and in between nobody owns it. If that state
+/// was not seen, an instance without the copy may have owned the shard; the result then fits none.
+fn former(before: &Machine, shard: &Shard, epoch: u64) -> u64 {
+    let holder = before.shards.get(shard).filter(|holder| holder.instance.is_none());
+    let gap = holder.is_some_and(|holder| holder.epoch + 1 == epoch);
+    epoch.saturating_sub(if gap { 2 } else { 1 })
+}
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -7,7 +7,7 @@
 };
 
 use auburnlug_coordination::{
-    dedup::Begin,
+    dedup::{Begin, Key},
     queue::Place,
     retry::{Attempts, Failure, Next},
     route::Need,
@@ -176,10 +176,10 @@
         request: &Request,
         deadline: Instant,
     ) -> Answer {
-        let single = request.block == Block::Single && !request.idempotent;
-        let Some(id) = request.id.as_ref().filter(|_| single) else {
+        let Some((account, id)) = once(request) else {
             return self.attempts(stream, pinned, request, deadline).await;
         };
+        let id = &id;
         let (waiter, answer) = oneshot::channel();
         let now = self.control.now();
         let begin = lock(&self.requests).begin(&request.account, id, waiter, now);
@@ -203,6 +203,7 @@
                 Outcome::Unknown => requests.lose(&request.account, id, now),
                 Outcome::Done | Outcome::Failed => {
                     let size = answer.messages.len();
+                    self.copier.ended((account, id.clone()), &answer);
                     requests.finish(&request.account, id, answer.clone(), size, now)
                 }
             }
@@ -227,6 +228,16 @@
         {
             return Answer { outcome: Outcome::Refused { reason, retry }, ..unknown() };
         }
+        if let Some(key) = once(request) {
+            let copied = tokio::select! {
+                copied = self.copier.intent(key, deadline) => copied,
+                () = stream.gone() => Err(Reason::Connection),
+                () = stream.cancels.notified() => Err(Reason::Cancelled),
+            };
+            if let Err(reason) = copied {
+                return refused(reason);
+            }
+        }
         if request.read {
             lock(&self.core).budget.read();
         }
@@ -420,6 +431,13 @@
     }
 }
 
+/// Client account and id of a request that must run once.
+fn once(request: &Request) -> Option<Key> {
+    let once = request.block == Block::Single && !request.idempotent;
+    let id = request.id.as_ref().filter(|_| once)?;
+    Some((request.account.clone(), id.clone()))
+}
+
 fn refusal(answer: &Answer) -> bool {
     matches!(answer.outcome, Outcome::Refused { .. })
 }
--- a/crates/transport/src/traffic.rs
+++ b/crates/transport/src/traffic.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    copier::Means,
     entry::{self, Shared},
     forward::Forwarder,
     link::{Dial, Link},
@@ -77,11 +78,14 @@
     let (others, answers) = mpsc::channel(OTHERS);
     let forwarder = Arc::new(Forwarder::new(control.clone(), dial, local, others, metrics.clone()));
     let rates = Arc::new(Rates::new(control.clone(), forwarder.clone()));
-    let owner = Arc::new(Owner::new(control.clone(), servers, metrics.clone(), rates.clone()));
+    let means =
+        Means { control: control.clone(), forwarder: forwarder.clone(), metrics: metrics.clone() };
+    let owner = Arc::new(Owner::new(means, servers, rates.clone()));
     let shared = Shared::new(control, forwarder, metrics, config.wait, stopping.subscribe());
     let tasks = vec![
         tokio::spawn(rates.follow(answers)).abort_handle(),
         tokio::spawn(owner.clone().follow()).abort_handle(),
+        tokio::spawn(owner.copies().watch()).abort_handle(),
         tokio::spawn(owner.clone().listen(inbound)).abort_handle(),
         tokio::spawn(owner.clone().listen(links)).abort_handle(),
     ];
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -111,6 +111,8 @@
 /// Links to another instance in this process, which tests can cut.
 #[derive(Default)]
 pub struct Wire {
+    /// Instance that dials; `b` unless set.
+    pub from: Mutex<Option<Name>>,
     target: Mutex<Option<mpsc::Sender<Link<Traffic>>>>,
     tasks: Mutex<Vec<tokio::task::JoinHandle<()>>>,
 }
@@ -120,6 +122,12 @@
         *self.target.lock().unwrap() = Some(target);
     }
 
+    /// Closes all links and opens no more.
+    pub fn mute(&self) {
+        *self.target.lock().unwrap() = None;
+        self.cut();
+    }
+
     /// Closes all links; messages on their way are lost.
     pub fn cut(&self) {
         self.tasks.lock().unwrap().drain(..).for_each(|task| task.abort());
@@ -128,9 +136,10 @@
 
 impl Dial<Traffic> for Wire {
     fn dial(&self, to: Name, _: SocketAddr) -> Dialing<Traffic> {
-        let (near, near_relay) = Link::pair(name("b"), to.clone());
-        let (far_relay, far) = Link::pair(name("b"), to);
-        let Some(target) = self.target.lock().unwrap().clone() else {
+        let from = self.from.lock().unwrap().clone().unwrap_or_else(|| name("b"));
+        let (near, near_relay) = Link::pair(from.clone(), to.clone());
+        let (far_relay, far) = Link::pair(from, to.clone());
+        let Some(target) = self.target.lock().unwrap().clone().filter(|_| to != name("c")) else {
             return Box::pin(async { None });
         };
         let relay = async move {
@@ -196,6 +205,24 @@
         (a, b, wire)
     }
 
+    /// Two instances that reach each other: `a` owns the group, and `b` is its standby. The wire
+    /// leads from `a` to `b`.
+    pub async fn mesh() -> (Rig, Rig, Arc<Wire>) {
+        let backends = vec![Backend::start(true).await];
+        let mut machine = machine(&backends);
+        let record = Instance { name: name("b"), ..machine.instances[&name("a")].clone() };
+        machine.instances.insert(name("b"), record);
+        let (out, back) = (Arc::new(Wire::default()), Arc::new(Wire::default()));
+        *out.from.lock().unwrap() = Some(name("a"));
+        let control = FakeControl::named("a", machine.clone());
+        let a = Rig::dialing(control, backends, out.clone(), 1000).await;
+        let b =
+            Rig::dialing(FakeControl::named("b", machine), Vec::new(), back.clone(), 5000).await;
+        out.to(b.inbound.clone());
+        back.to(a.inbound.clone());
+        (a, b, out)
+    }
+
     async fn dialing(
         control: Arc<FakeControl>,
         backends: Vec<Backend>,
