--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,8 @@
 mod control_links;
 mod control_member;
 mod control_propose;
+mod copier;
+mod copies;
 pub mod disk;
 mod disk_error;
 pub mod disk_memory;
