--- a/crates/protocol/tests/auth.rs
+++ b/crates/protocol/tests/auth.rs
@@ -5,7 +5,7 @@
     Category,
     auth::{Challenge, Hello, Nonce, Proof, Purpose, Secret},
     decode, encode,
-    peer::{Answer, Block, Control, Outcome, Reason, Request, Traffic},
+    peer::{Answer, Block, Control, Copied, Outcome, Reason, Request, Traffic},
 };
 use auburnlug_state::{Class, Name};
 use proptest::{
@@ -149,7 +149,7 @@
         Traffic::Answer { stream: 1, answer },
         Traffic::Cancel { stream: u64::MAX },
         Traffic::Tokens { id: 2, account: name("desk"), count: 0, retry: 9, owner: true },
-        Traffic::Stored { id: 3 },
+        Traffic::Stored { id: 3, table: 4, copy: Copied::Partial },
     ]
 }
 
