Keep floors of token buckets at standbys

A new rate owner started with an empty bucket and granted nothing for 500 ms, so that requests within the rate waited and some were refused. A rate owner now keeps a floor at its standby and never sinks below one that the standby may hold; the standby starts from it, capped until old tokens have expired. Grants say 'wait' while an ideal bucket might have the token.

--- a/crates/coordination/src/allotment.rs
+++ b/crates/coordination/src/allotment.rs
@@ -8,6 +8,9 @@
 /// this is far above the time of a message between regions.
 const ASK_TIMEOUT: Millis = 250;
 
+/// Time after which an ask that found no rate owner is repeated.
+const LOST_AGAIN: Millis = 20;
+
 /// Time after which used tokens are reported. Tokens count against the burst until then.
 const REPORT_AFTER: Millis = 10;
 
@@ -57,6 +60,9 @@
     /// Takes the grant for the ask `id`.
     fn granted(&mut self, id: u64, grant: Grant, now: Millis) -> Granted;
 
+    /// The ask `id` reached an instance that does not own the rate; it is repeated soon.
+    fn lost(&mut self, id: u64, now: Millis);
+
     /// A waiting request gave up.
     fn leave(&mut self);
 
@@ -69,6 +75,8 @@
 struct Open {
     id: u64,
     sent: Millis,
+    /// When it is repeated.
+    again: Millis,
     count: u32,
 }
 
@@ -123,7 +131,8 @@
         let returned = std::mem::take(&mut self.unused) + std::mem::take(&mut self.tokens);
         let demand = if count > 0 { (self.demand.0 * AHEAD) as u32 } else { 0 };
         if count > 0 {
-            self.open = Some(Open { id: self.id, sent: now, count });
+            let again = now + ASK_TIMEOUT;
+            self.open = Some(Open { id: self.id, sent: now, again, count });
         }
         Ask { id: self.id, count, demand, returned }
     }
@@ -140,7 +149,7 @@
         }
         self.waiting += 1;
         match &self.open {
-            Some(open) if now.saturating_sub(open.sent) < ASK_TIMEOUT => Admit::Wait,
+            Some(open) if now < open.again => Admit::Wait,
             _ => Admit::Ask(self.ask(self.waiting, now)),
         }
     }
@@ -167,6 +176,12 @@
         Granted { admitted, refused, retry: grant.retry, ask }
     }
 
+    fn lost(&mut self, id: u64, now: Millis) {
+        if let Some(open) = self.open.as_mut().filter(|open| open.id == id) {
+            open.again = open.again.min(now + LOST_AGAIN);
+        }
+    }
+
     fn leave(&mut self) {
         self.waiting = self.waiting.saturating_sub(1);
     }
@@ -174,7 +189,7 @@
     fn tick(&mut self, now: Millis) -> Option<Ask> {
         self.expire(now);
         if let Some(open) = &self.open {
-            if now.saturating_sub(open.sent) < ASK_TIMEOUT {
+            if now < open.again {
                 return None;
             }
             self.open = None;
@@ -223,6 +238,8 @@
         Granted::default()
     }
 
+    fn lost(&mut self, _id: u64, _now: Millis) {}
+
     fn leave(&mut self) {}
 
     fn tick(&mut self, _now: Millis) -> Option<Ask> {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 mod error;
 pub mod failover;
+pub mod floor;
 pub mod formation;
 pub mod freshness;
 pub mod lease;
--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -8,6 +8,38 @@
 //! An [`Ask`] settles everything before it: tokens granted earlier are used, come back with it, or
 //! are void because the holder stopped waiting for that grant. Ids of asks grow, so the bucket
 //! recognises doubled and late ones, and the holder accepts only the grant for its open ask.
+//!
+//! # Exactness over a change of owner
+//!
+//! Let V be the level of an ideal bucket that starts full, grows at `rate` up to `burst` and loses
+//! one token at each admission. No window of length T admits more than `burst + rate * T` exactly
+//! if V never sinks below 0. An owner ensures V >= level + O, where O is the number of live tokens
+//! at holders: a grant moves tokens from level to O, an admission takes one from both V and O, an
+//! expiry only lowers O, and growth keeps level + O <= burst, which is where V stops growing.
+//!
+//! A new owner starts from a pair (level, held) for which, at the moment at which the former owner
+//! grants no more, V >= level + O and O <= held ([`Bucket::restore`]). It counts `held` as
+//! outstanding for [`TOKEN_LIFE`], after which the tokens of the former owner have expired. So its
+//! level is capped at `burst - held` until then, level + O stays within the burst, and the
+//! argument above goes on. There are three sources of the pair:
+//!
+//! - After a graceful move it is the level and the outstanding tokens of the former owner, which
+//!   grants nothing after it has sent them ([`Bucket::handover`]).
+//! - After a crash it is a floor F that the standby keeps ([`crate::floor`]), with
+//!   `held = burst - F`. It is valid while the former owner's level was never below F since it
+//!   sent F: then V >= level + O >= F + O, and O <= burst - level <= burst - F. The owner cannot
+//!   know which of its messages arrived, so it keeps the level above the greatest of the
+//!   acknowledged floor and all floors sent later ([`Bucket::guard`]). To go below it, it sends a
+//!   lower floor and waits for the acknowledgement; it sends it ahead of need.
+//! - Without a valid pair it is (0, burst), which always holds ([`Bucket::empty`]).
+//!
+//! The pair also holds after a change of the burst: (level, held) limits O by `held` alone, and a
+//! smaller burst b makes the new owner start from `min(level, b - held)`.
+//!
+//! # Refusals after a change of owner
+//!
+//! A new owner may know less than V. It keeps the greatest possible difference, and while that may
+//! cover a request, the grant asks the holder to let it wait instead of refusing it.
 
 use std::collections::BTreeMap;
 
@@ -20,6 +52,10 @@
 /// [`TOKEN_LIFE`], so that a token is never counted as gone while a holder can use it.
 pub const TOKEN_HOLD: Millis = 1000;
 
+/// Time after a takeover in which requests wait that the bucket may lack tokens for only because it
+/// started low. Equal to the usual longest wait of a request, after which it is refused anyway.
+const SETTLE: Millis = 5000;
+
 /// Longest time that a refusal names.
 const RETRY_MAX: Millis = 60_000;
 
@@ -44,7 +80,8 @@
 pub struct Grant {
     /// Tokens granted.
     pub count: u32,
-    /// When to come again, in milliseconds; 0 if everything needed was granted.
+    /// When to come again, in milliseconds; 0 if everything needed was granted, or if what was not
+    /// may still be: those requests wait and are asked for again.
     pub retry: Millis,
 }
 
@@ -69,6 +106,10 @@
     former: (f64, Millis),
     /// First expiry among `holders` and `former`.
     next: Millis,
+    /// Level that a standby may start from; grants leave it untouched.
+    guard: f64,
+    /// How far the level may be below that of an ideal bucket, and until when this matters.
+    doubt: (f64, Millis),
 }
 
 impl Bucket {
@@ -86,17 +127,25 @@
         bucket
     }
 
-    /// The bucket after a graceful move, from what [`Bucket::handover`] gave.
+    /// The bucket after a move, from what [`Bucket::handover`] gave or the standby kept: the level
+    /// and the most tokens of the former owner that holders may still use.
     pub fn restore(rate: f64, burst: f64, level: f64, held: f64, now: Millis) -> Bucket {
         let former = (held.max(0.0), now + TOKEN_LIFE);
         let next = if held > 0.0 { former.1 } else { Millis::MAX };
         let level = level.min(burst - former.0).max(0.0);
         let holders = BTreeMap::new();
-        Bucket { rate, burst, level, at: now, holders, outstanding: former.0, former, next }
+        let doubt = (burst - level, now + SETTLE);
+        let (at, outstanding, guard) = (now, former.0, 0.0);
+        Bucket { rate, burst, level, at, holders, outstanding, former, next, guard, doubt }
     }
 
-    /// Level and outstanding tokens for the next owner; this bucket grants nothing afterwards.
-    pub fn handover(mut self, now: Millis) -> (f64, f64) {
+    /// Sets the level that a standby may start from.
+    pub fn guard(&mut self, level: f64) {
+        self.guard = level;
+    }
+
+    /// Level and outstanding tokens for the next owner; this bucket must grant nothing afterwards.
+    pub fn handover(&mut self, now: Millis) -> (f64, f64) {
         self.refill(now);
         (self.level, self.outstanding)
     }
@@ -115,13 +164,14 @@
         if !self.settle(holder, ask) {
             return None;
         }
-        let count = ask.count.min(whole(self.level));
+        let free = self.level - self.guard;
+        let count = ask.count.min(whole(free));
         let mut given = count;
-        let spare = self.level - f64::from(count) - self.burst / 2.0;
+        let spare = free.min(self.level - self.burst / 2.0) - f64::from(count);
         if ask.count > 0 && count == ask.count && spare > 0.0 {
             given += ask.demand.min(whole(spare));
         }
-        let retry = if count < ask.count { self.retry(ask.count - count) } else { 0 };
+        let retry = if count < ask.count { self.retry(count, ask.count - count) } else { 0 };
         self.level -= f64::from(given);
         self.outstanding += f64::from(given);
         let until = now + TOKEN_HOLD;
@@ -150,8 +200,13 @@
         true
     }
 
-    /// Time until `missing` more tokens than now are there.
-    fn retry(&self, missing: u32) -> Millis {
+    /// Time until `missing` tokens are there besides the `count` that are granted now; 0 if an
+    /// ideal bucket might have some of them.
+    fn retry(&self, count: u32, missing: u32) -> Millis {
+        let doubt = if self.at < self.doubt.1 { self.doubt.0 } else { 0.0 };
+        if whole(self.level + doubt) > count {
+            return 0;
+        }
         let spare = self.level - self.level.floor();
         let wait = (f64::from(missing) - spare) / (self.rate * PER_MILLI);
         let frozen = if self.former.0 > 0.0 { self.former.1.saturating_sub(self.at) } else { 0 };
@@ -179,6 +234,7 @@
     fn grow(&mut self, to: Millis) {
         let span = to.saturating_sub(self.at) as f64;
         self.level = (self.level + span * self.rate * PER_MILLI).min(self.room());
+        self.doubt.0 = self.doubt.0.min(self.burst - self.level).max(0.0);
         self.at = self.at.max(to);
     }
 
