Release shards gracefully and hand token buckets over

A stopping instance dropped its links before its shards had moved, and requests of the control leader to release a shard were ignored. The owner now drains a group, closes it and proposes its assignment to nobody; a client account's bucket goes to the standby first. The traffic runtime outlasts the lease, so that late requests are refused as not run. The view is published before the lease that depends on it, which the standby relies on to tell copies from before its lease.

--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -167,6 +167,32 @@
         /// False if the receiver does not own the client account.
         owner: bool,
     },
+    /// A rate owner lets its standby keep a level of the bucket.
+    Keep {
+        /// Number of the message; later ones are greater.
+        id: u64,
+        /// Client account.
+        account: Name,
+        /// Epoch of the rate owner.
+        epoch: u64,
+        /// Index that the sender has applied.
+        index: Index,
+        /// Level to start from.
+        level: f64,
+        /// Most tokens of the sender that holders may have.
+        held: f64,
+    },
+    /// Answer to [`Traffic::Keep`].
+    Kept {
+        /// Number of the request.
+        id: u64,
+        /// Client account.
+        account: Name,
+        /// Epoch of the rate owner.
+        epoch: u64,
+        /// Instance that keeps it.
+        instance: Name,
+    },
     /// Copies a request id to the standby.
     Intent {
         /// Number chosen by the sender.
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -440,8 +440,6 @@
     }
 
     fn publish_view(&mut self) {
-        self.holder.applied(self.machine.index);
-        self.publish_lease();
         let machine = self.machine.clone();
         self.outputs.view.send_modify(|view| {
             let mut next = View::clone(view);
@@ -451,6 +449,9 @@
             next.machine = machine;
             *view = Arc::new(next);
         });
+        // The lease comes second: who sees it valid also sees the state that it depends on.
+        self.holder.applied(self.machine.index);
+        self.publish_lease();
     }
 
     fn publish_status(&mut self, now: Millis) {
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 
@@ -19,7 +19,7 @@
     route::Route,
     session::Positions,
 };
-use auburnlug_protocol::peer::Answer;
+use auburnlug_protocol::peer::{Answer, Block};
 use auburnlug_state::{self as state, GroupState, Millis, Name, Term};
 use tokio::{
     sync::{Notify, oneshot, watch},
@@ -65,8 +65,21 @@
     /// Wakes the failover task.
     pub wake: Notify,
     pub closed: watch::Sender<bool>,
-    /// Set while the instance drains: no new work is taken.
-    pub draining: Arc<AtomicBool>,
+    /// Set while the group drains: no new work is taken.
+    draining: AtomicBool,
+    /// Requests that were taken and are not answered.
+    taken: AtomicU32,
+}
+
+/// A request that was taken; the group drains only after its end.
+pub(crate) struct Work {
+    pub group: Arc<Group>,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.group.taken.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// Request ids of a group.
@@ -104,7 +117,6 @@
     pub servers: Arc<dyn Servers>,
     pub metrics: Arc<Metrics>,
     pub rates: Arc<Rates>,
-    pub draining: Arc<AtomicBool>,
     pub requests: SharedIds,
     pub route: Box<dyn Route + Sync>,
 }
@@ -117,7 +129,7 @@
         means: Means,
         view: &View,
     ) -> Arc<Group> {
-        let Means { control, servers, metrics, rates, draining, requests, route } = means;
+        let Means { control, servers, metrics, rates, requests, route } = means;
         let now = control.now();
         let recorded = view.machine.groups.get(&name).cloned().unwrap_or_default();
         let core = Mutex::new(Core::new(config.size, recorded.clone(), now));
@@ -135,7 +147,8 @@
             primary: watch::Sender::new((recorded.term, recorded.primary)),
             wake: Notify::new(),
             closed: watch::Sender::new(false),
-            draining,
+            draining: AtomicBool::new(false),
+            taken: AtomicU32::new(0),
         });
         tokio::spawn(crate::owner_failover::drive(group.clone()));
         group
@@ -155,14 +168,25 @@
         drop((queue, waiters));
     }
 
-    /// Whether new requests are refused.
-    pub(crate) fn drains(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+    /// Refuses new work from now on.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Takes a request; `None` if the group drains and the request belongs to no open transaction.
+    pub(crate) fn enter(self: &Arc<Self>, block: Block) -> Option<Work> {
+        // Counted before the look at the flag, so that a drain that finds nothing misses nothing.
+        self.taken.fetch_add(1, Ordering::SeqCst);
+        let work = Work { group: self.clone() };
+        let new = matches!(block, Block::Single | Block::Begin);
+        (!new || !self.draining.load(Ordering::SeqCst)).then_some(work)
     }
 
-    /// Statements and transactions that hold a connection.
-    pub(crate) fn running(&self) -> u32 {
-        lock(&self.core).members.values().map(|member| lock(&member.seen).running).sum()
+    /// Requests that were taken, and connections that open transactions hold.
+    pub(crate) fn working(&self) -> u32 {
+        let members = || lock(&self.core).members.values().cloned().collect::<Vec<_>>();
+        let running: u32 = members().iter().map(|member| lock(&member.seen).running).sum();
+        running + self.taken.load(Ordering::SeqCst)
     }
 
     /// Takes over servers, term and primary from the view.
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -73,7 +73,7 @@
     tokio::spawn(http::serve(http, state.clone()));
     let (links_out, links) = mpsc::channel(QUEUE);
     tokio::spawn(accept_traffic(sockets, identity.clone(), links_out));
-    let traffic = match callers {
+    let mut traffic = match callers {
         None => None,
         Some(listener) => {
             let config = TrafficConfig {
@@ -90,11 +90,14 @@
     let result = wait(failure).await;
     log(Event::Stopping, format_args!("{}", settings.name));
     state.set_stopping();
-    if let Some(mut traffic) = traffic {
+    if let Some(traffic) = &mut traffic {
         tokio::time::sleep(UNREADY).await;
         traffic.stop().await;
     }
+    // The traffic runtime outlasts the lease: requests on their way here are still refused as not
+    // run, which a closed link would leave unknown.
     stop_control(&control, &result).await;
+    drop(traffic);
     log(Event::Stopped, format_args!("{}", settings.name));
     result
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -33,6 +33,8 @@
 mod pool;
 mod rate;
 mod rate_owner;
+mod rate_standby;
+mod release;
 pub mod server;
 pub mod socket;
 mod status;
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -4,7 +4,7 @@
 //! instance's own included, send requests.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -12,13 +12,12 @@
     time::Duration,
 };
 
-use auburnlug_coordination::{limit::Ask, route::Balanced};
+use auburnlug_coordination::{floor::Keep, limit::Ask, route::Balanced};
 use auburnlug_protocol::peer::{Reason, Request, Traffic};
 use auburnlug_state::{Machine, Name, Shard};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
-    time::sleep,
 };
 
 use crate::{
@@ -33,18 +32,18 @@
     view::{Control, View},
 };
 
-/// Time between two looks at what still runs while the instance drains.
-const DRAIN_POLL: Duration = Duration::from_millis(5);
-
 /// Groups owned by this instance.
 pub(crate) struct Owner {
-    control: Arc<dyn Control>,
+    pub(crate) control: Arc<dyn Control>,
     servers: Arc<dyn Servers>,
     metrics: Arc<Metrics>,
     rates: Arc<Rates>,
-    buckets: RateOwner,
-    groups: Mutex<BTreeMap<Name, Arc<Group>>>,
-    draining: Arc<AtomicBool>,
+    pub(crate) buckets: Arc<RateOwner>,
+    pub(crate) groups: Mutex<BTreeMap<Name, Arc<Group>>>,
+    /// Set while the instance stops: groups that start take no work.
+    stopping: AtomicBool,
+    /// Shards that are being given up, with their epochs; they do not start again.
+    releasing: Mutex<BTreeSet<(Shard, u64)>>,
     /// Request ids by group and epoch. They outlast the lease: while the epoch is the same, no
     /// other instance has run requests.
     requests: Mutex<BTreeMap<Name, (u64, SharedIds)>>,
@@ -58,9 +57,9 @@
         servers: Arc<dyn Servers>,
         metrics: Arc<Metrics>,
         rates: Arc<Rates>,
+        buckets: Arc<RateOwner>,
     ) -> Owner {
-        let buckets = RateOwner::new(control.clone());
-        let (groups, draining) = (Mutex::default(), Arc::new(AtomicBool::new(false)));
+        let (groups, stopping) = (Mutex::default(), AtomicBool::new(false));
         let before = Mutex::new(control.view().borrow().machine.clone());
         Owner {
             control,
@@ -69,21 +68,31 @@
             rates,
             buckets,
             groups,
-            draining,
+            stopping,
+            releasing: Mutex::default(),
             requests: Mutex::default(),
             before,
         }
     }
 
-    /// Takes no new work and returns when nothing runs any more.
-    pub(crate) async fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
-        let running = || lock(&self.groups).values().map(|group| group.running()).sum::<u32>();
-        while running() > 0 {
-            sleep(DRAIN_POLL).await;
+    /// Lets no group take new work.
+    pub(crate) fn stopping(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        for group in lock(&self.groups).values() {
+            group.drain();
         }
     }
 
+    /// Notes that a shard is being given up; false if that was known.
+    pub(crate) fn begin_release(&self, shard: &Shard, epoch: u64) -> bool {
+        lock(&self.releasing).insert((shard.clone(), epoch))
+    }
+
+    /// Forgets a shard that was given up.
+    pub(crate) fn end_release(&self, shard: &Shard, epoch: u64) {
+        lock(&self.releasing).remove(&(shard.clone(), epoch));
+    }
+
     /// Takes links until the channel closes.
     pub(crate) async fn listen(self: Arc<Self>, mut inbound: mpsc::Receiver<Link<Traffic>>) {
         let mut tasks = JoinSet::new();
@@ -104,6 +113,7 @@
         loop {
             let current = view.borrow_and_update().clone();
             self.update(&current);
+            self.release(&current.release);
             tokio::select! {
                 changed = view.changed() => if changed.is_err() {
                     break;
@@ -147,10 +157,19 @@
         });
         for (name, config) in &view.machine.config.groups {
             let Some(epoch) = epoch(name) else { continue };
+            let shard = Shard::Group(name.clone());
+            if !groups.contains_key(name) && lock(&self.releasing).contains(&(shard.clone(), epoch))
+            {
+                continue;
+            }
             groups.entry(name.clone()).or_insert_with(|| {
-                let first = first(&before, view, &Shard::Group(name.clone()));
+                let first = first(&before, view, &shard);
                 let means = self.means(view, self.request_ids(name, epoch, first));
-                Group::start(name.clone(), config.clone(), epoch, means, view)
+                let group = Group::start(name.clone(), config.clone(), epoch, means, view);
+                if self.stopping.load(Ordering::SeqCst) {
+                    group.drain();
+                }
+                group
             });
         }
         for group in groups.values() {
@@ -186,7 +205,6 @@
             servers: self.servers.clone(),
             metrics: self.metrics.clone(),
             rates: self.rates.clone(),
-            draining: self.draining.clone(),
             requests,
             route: Box::new(Balanced::new(domain)),
         }
@@ -215,8 +233,10 @@
                     let state = streams.entry(stream).or_default().clone();
                     let (this, out) = (self.clone(), out.clone());
                     tokio::spawn(async move {
-                        let answer = match this.group(&request).await {
-                            Some(group) => group.run(&state, *request).await,
+                        let group = this.group(&request).await;
+                        let answer = match group.as_ref().map(|group| group.enter(request.block)) {
+                            Some(Some(work)) => work.group.run(&state, *request).await,
+                            Some(None) => refused(Reason::Stopping),
                             None => refused(Reason::Owner),
                         };
                         // Without the link, nobody waits for the answer.
@@ -236,12 +256,24 @@
                 Traffic::Take { id, account, count, demand, returned } => {
                     let ask = Ask { id, count, demand, returned };
                     self.catch_up();
-                    if let Some(tokens) = self.buckets.take(&peer, account, ask)
+                    let (tokens, due) = self.buckets.take(&peer, account, ask);
+                    for (name, message) in due {
+                        self.rates.tell(name, message);
+                    }
+                    if let Some(tokens) = tokens
                         && out.send(tokens).await.is_err()
                     {
                         break;
                     }
                 }
+                Traffic::Keep { id, account, epoch, index, level, held } => {
+                    let keep = Keep { id, level, held };
+                    if let Some(kept) = self.buckets.keep(account, epoch, index, keep)
+                        && out.send(kept).await.is_err()
+                    {
+                        break;
+                    }
+                }
                 _ => {}
             }
         }
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -147,9 +147,6 @@
         if self.control.now() >= self.control.lease() {
             return Err(Reason::Lease);
         }
-        if self.drains() && matches!(request.block, Block::Single | Block::Begin) {
-            return Err(Reason::Stopping);
-        }
         let view = self.control.view().borrow().clone();
         let holder = view.machine.shards.get(&Shard::Group(self.name.clone()));
         let owned =
--- a/crates/transport/src/rate.rs
+++ b/crates/transport/src/rate.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     forward::{Forwarder, lock},
+    rate_owner::RateOwner,
     view::Control,
 };
 
@@ -43,7 +44,7 @@
 struct Account {
     limit: Box<dyn Limit>,
     waiting: VecDeque<Waiter>,
-    /// Requests that wait on after a takeover of the rate, and when they are asked for again.
+    /// Requests that wait on although the bucket lacks a token, and when they are asked for again.
     later: VecDeque<Waiter>,
     again: Millis,
     next: u64,
@@ -149,8 +150,12 @@
         }
     }
 
-    /// Follows the answers of rate owners, and asks again when that is due.
-    pub(crate) async fn follow(self: Arc<Self>, mut answers: mpsc::Receiver<Traffic>) {
+    /// Follows the answers of rate owners and standbys, and sends again what is due.
+    pub(crate) async fn follow(
+        self: Arc<Self>,
+        mut answers: mpsc::Receiver<Traffic>,
+        buckets: Arc<RateOwner>,
+    ) {
         let mut tick = interval(TICK);
         loop {
             tokio::select! {
@@ -158,11 +163,23 @@
                     Some(Traffic::Tokens { id, account, count, retry, owner: true }) => {
                         self.granted(&account, id, Grant { count, retry });
                     }
-                    // Without an owner, the ask is repeated when it is overdue.
+                    Some(Traffic::Tokens { id, account, .. }) => {
+                        if let Some(state) = lock(&self.accounts).get_mut(&account) {
+                            state.limit.lost(id, self.control.now());
+                        }
+                    }
+                    Some(Traffic::Kept { id, account, epoch, instance }) => {
+                        buckets.kept(&account, epoch, &instance, id);
+                    }
                     Some(_) => {}
                     None => return,
                 },
-                _ = tick.tick() => self.tick(),
+                _ = tick.tick() => {
+                    self.tick();
+                    for (name, message) in buckets.tick() {
+                        self.tell(name, message);
+                    }
+                }
             }
         }
     }
@@ -214,14 +231,18 @@
         let holder = view.machine.shards.get(&Shard::Account(account.clone()));
         let Some(owner) = holder.and_then(|holder| holder.instance.clone()) else { return };
         let Ask { id, count, demand, returned } = ask;
-        let take = Traffic::Take { id, account, count, demand, returned };
-        if let Some(peer) = self.forwarder.current(&owner) {
-            return peer.tell(take);
+        self.tell(owner, Traffic::Take { id, account, count, demand, returned });
+    }
+
+    /// Sends a message to an instance; without a link it may be lost.
+    pub(crate) fn tell(&self, name: Name, message: Traffic) {
+        if let Some(peer) = self.forwarder.current(&name) {
+            return peer.tell(message);
         }
         let forwarder = self.forwarder.clone();
         tokio::spawn(async move {
-            if let Some(peer) = forwarder.peer(&owner).await {
-                peer.tell(take);
+            if let Some(peer) = forwarder.peer(&name).await {
+                peer.tell(message);
             }
         });
     }
--- a/crates/transport/src/traffic.rs
+++ b/crates/transport/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the traffic runtime of an instance.
 
-use std::{net::IpAddr, sync::Arc};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use auburnlug_protocol::peer::Traffic;
 use auburnlug_state::Millis;
@@ -8,6 +8,7 @@
     net::TcpListener,
     sync::{mpsc, watch},
     task::{AbortHandle, JoinHandle},
+    time::timeout,
 };
 
 use crate::{
@@ -17,6 +18,7 @@
     metrics::Metrics,
     owner::Owner,
     rate::Rates,
+    rate_owner::RateOwner,
     server::{Credentials, Servers, TcpServers},
     view::Control,
 };
@@ -24,6 +26,10 @@
 /// Longest wait of a request before it runs, in milliseconds, unless the settings say otherwise.
 pub const WAIT: Millis = 5000;
 
+/// Longest time that callers get to end their transactions when the instance stops. Together with
+/// the release of the shards it must stay below the 10 s after which a supervisor kills a process.
+const CALLERS: Duration = Duration::from_secs(4);
+
 /// Links to and from this instance itself that may wait to be taken.
 const LOCAL: usize = 4;
 
@@ -77,10 +83,13 @@
     let (others, answers) = mpsc::channel(OTHERS);
     let forwarder = Arc::new(Forwarder::new(control.clone(), dial, local, others, metrics.clone()));
     let rates = Arc::new(Rates::new(control.clone(), forwarder.clone()));
-    let owner = Arc::new(Owner::new(control.clone(), servers, metrics.clone(), rates.clone()));
+    let buckets = Arc::new(RateOwner::new(control.clone()));
+    let owner =
+        Owner::new(control.clone(), servers, metrics.clone(), rates.clone(), buckets.clone());
+    let owner = Arc::new(owner);
     let shared = Shared::new(control, forwarder, metrics, config.wait, stopping.subscribe());
     let tasks = vec![
-        tokio::spawn(rates.follow(answers)).abort_handle(),
+        tokio::spawn(rates.follow(answers, buckets)).abort_handle(),
         tokio::spawn(owner.clone().follow()).abort_handle(),
         tokio::spawn(owner.clone().listen(inbound)).abort_handle(),
         tokio::spawn(owner.clone().listen(links)).abort_handle(),
@@ -90,19 +99,20 @@
 }
 
 impl TrafficHandle {
-    /// Stops gracefully: accepts no callers, closes idle ones, and returns when all transactions
-    /// and statements have ended, those of other entries too. Release the shards afterwards and
-    /// then drop the handle, once other instances have had time to see it; until then, other
-    /// entries hold their requests for the next owner. Bound the time of this call: a transaction
-    /// that its caller leaves open ends only with the caller.
+    /// Stops gracefully: accepts no callers, closes idle ones, lets transactions and statements
+    /// end, those of other entries too, and releases all shards; entries hold their requests for
+    /// the next owner. Then give up the lease and drop the handle.
+    ///
+    /// The time is bounded: a transaction that its caller leaves open is rolled back at the end.
     pub async fn stop(&mut self) {
         self.stopping.send_replace(true);
-        if let Some(entry) = &mut self.entry {
+        if let Some(entry) = &mut self.entry
+            && timeout(CALLERS, entry).await.is_ok()
+        {
             // A panic of the entry ends its callers too.
-            let _ = entry.await;
             self.entry = None;
         }
-        self.owner.drain().await;
+        self.owner.release_all().await;
     }
 }
 
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -102,6 +102,9 @@
             Command::Primary { group, term, server, .. } => {
                 machine.groups.insert(group, GroupState { term, primary: Some(server) });
             }
+            Command::Assign { shard, instance, epoch } => {
+                machine.shards.insert(shard, Holder { instance, epoch: epoch + 1 });
+            }
             _ => {}
         });
         Box::pin(async { Some(Applied::Done) })
--- a/crates/transport/tests/remote.rs
+++ b/crates/transport/tests/remote.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use auburnlug_state::{Command, Holder, Shard};
+use auburnlug_transport::view::View;
 use common::{KEY, Rig, hash, name, until};
 use tokio_postgres::error::SqlState;
 
@@ -155,3 +157,37 @@
     second.await.unwrap().unwrap();
     assert_eq!(backends[0].ran(), ["insert into loans hangs", "insert into loans values (2)"]);
 }
+
+/// Guards against a release for the leader that cuts an open transaction, runs new work beside it,
+/// or starts the group again under the epoch that is given up.
+#[tokio::test]
+async fn released_group_lets_its_transaction_end() {
+    let (a, b, _wire) = Rig::pair().await;
+    let open = b.connect().await;
+    open.simple_query("begin").await.unwrap();
+    let shard = Shard::Group(name("loans"));
+    let release = BTreeMap::from([(shard.clone(), 1)]);
+    a.control.view.send_modify(|view| {
+        *view = Arc::new(View { release, ..View::clone(view) });
+    });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let held = b.connect().await;
+    let second =
+        tokio::spawn(async move { held.simple_query("insert into loans values (2)").await });
+    open.simple_query("insert into loans values (1)").await.unwrap();
+    assert!(!second.is_finished());
+    assert!(a.control.commands.lock().unwrap().is_empty());
+    open.simple_query("commit").await.unwrap();
+    until(|| !a.control.commands.lock().unwrap().is_empty()).await;
+    let given = Command::Assign { shard: shard.clone(), instance: None, epoch: 1 };
+    assert_eq!(*a.control.commands.lock().unwrap(), [given]);
+    b.control.change(|machine| {
+        let next = Holder { instance: Some(name("b")), epoch: 3 };
+        machine.shards.insert(shard, next);
+    });
+    // The token of the second request comes from `a`, which still owns the client account.
+    second.await.unwrap().unwrap();
+    let ran = a.backends[0].ran();
+    let writes: Vec<_> = ran.iter().filter(|sql| sql.starts_with("insert")).collect();
+    assert_eq!(writes, ["insert into loans values (1)", "insert into loans values (2)"]);
+}
