Run the baselines that the settings name

The policy in the settings was read and ignored, so that comparisons with a baseline measured the default. It is now one of default, primary-only, even-split, fifo and slow-failover, other names are refused with this list, and the traffic runtime chooses route, limit, queue and the delay of a promotion by it.

--- a/crates/coordination/src/allotment.rs
+++ b/crates/coordination/src/allotment.rs
@@ -63,6 +63,9 @@
     /// The ask `id` reached an instance that does not own the rate; it is repeated soon.
     fn lost(&mut self, id: u64, now: Millis);
 
+    /// Learns rate and burst of the client account, and the number of instances that admit.
+    fn share(&mut self, _rate: f64, _burst: f64, _instances: u32, _now: Millis) {}
+
     /// A waiting request gave up.
     fn leave(&mut self);
 
@@ -221,11 +224,17 @@
     }
 }
 
-impl Limit for EvenSplit {
-    fn admit(&mut self, now: Millis) -> Admit {
+impl EvenSplit {
+    fn refill(&mut self, now: Millis) {
         let span = now.saturating_sub(self.at) as f64;
         self.level = (self.level + span * self.rate / 1000.0).min(self.burst);
         self.at = self.at.max(now);
+    }
+}
+
+impl Limit for EvenSplit {
+    fn admit(&mut self, now: Millis) -> Admit {
+        self.refill(now);
         if self.level >= 1.0 {
             self.level -= 1.0;
             return Admit::Now;
@@ -240,6 +249,13 @@
 
     fn lost(&mut self, _id: u64, _now: Millis) {}
 
+    fn share(&mut self, rate: f64, burst: f64, instances: u32, now: Millis) {
+        self.refill(now);
+        let n = f64::from(instances.max(1));
+        (self.rate, self.burst) = (rate / n, burst / n);
+        self.level = self.level.min(self.burst);
+    }
+
     fn leave(&mut self) {}
 
     fn tick(&mut self, _now: Millis) -> Option<Ask> {
--- a/crates/coordination/src/failover.rs
+++ b/crates/coordination/src/failover.rs
@@ -49,6 +49,9 @@
 /// the first use were not acknowledged by a majority, so a majority may lack some.
 const FIRST_WAIT: Millis = 1000;
 
+/// Baseline: fixed time since the last answer of the primary after which another is promoted.
+pub const SLOW: Millis = 5000;
+
 /// Answer to a status poll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Status {
@@ -140,6 +143,8 @@
     /// Whether the group never had a primary.
     first: bool,
     hurry: bool,
+    /// Least time since the last answer of the primary before another is promoted.
+    delay: Millis,
     /// Last time at which a majority was reachable.
     majority: Millis,
     /// Server that claimed to be primary before the group was first used.
@@ -163,6 +168,7 @@
             since: now,
             first,
             hurry: false,
+            delay: 0,
             majority: now,
             claim: None,
             sent: BTreeMap::new(),
@@ -170,6 +176,11 @@
         }
     }
 
+    /// Promotes another server only `delay` after the last answer of the primary; see [`SLOW`].
+    pub fn delayed(self, delay: Millis) -> Failover {
+        Failover { delay, ..self }
+    }
+
     /// Replaces the servers of the group.
     pub fn servers(&mut self, servers: &[Name]) {
         self.peers.retain(|name, _| servers.contains(name));
@@ -375,7 +386,8 @@
             return self.begin(self.since, now, steps);
         };
         let heard = self.peers.get(&primary).and_then(|p| p.heard);
-        if self.lost(&primary, now) {
+        let waited = now.saturating_sub(heard.unwrap_or(0).max(self.since)) >= self.delay;
+        if waited && self.lost(&primary, now) {
             self.begin(heard.unwrap_or(self.since), now, steps);
         } else {
             self.follow(&primary, self.recorded.term, now, steps);
--- a/crates/coordination/tests/failover.rs
+++ b/crates/coordination/tests/failover.rs
@@ -3,7 +3,7 @@
 use auburnlug_coordination::{
     Position,
     acks::{Acks, Wait},
-    failover::{Failover, Status, Step},
+    failover::{Failover, SLOW, Status, Step},
 };
 use auburnlug_state::{GroupState, Millis, Name, Role, Term};
 
@@ -192,3 +192,21 @@
     assert_eq!(acks.reset(3), [3]);
     assert!(!acks.busy());
 }
+
+/// Guards against a slow baseline that promotes early or never.
+#[test]
+fn the_delayed_baseline_waits() {
+    let names: Vec<_> = (0..3).map(name).collect();
+    let recorded = GroupState { term: 1, primary: Some(name(0)) };
+    let mut owner = Failover::new(3, &names, recorded, 0).delayed(SLOW);
+    let begun = (10..=SLOW + 100).step_by(10).find(|&now| {
+        let upstream = Some(now);
+        for i in [1, 2] {
+            let status = Status { term: 1, role: Role::Replica, received: at(1, 5), upstream };
+            owner.status(&name(i), status, now);
+        }
+        owner.refused(&name(0));
+        owner.tick(now).iter().any(|step| matches!(step, Step::Term(_)))
+    });
+    assert_eq!(begun, Some(SLOW));
+}
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -107,8 +107,8 @@
 pub struct Traffic {
     /// Number of threads.
     pub threads: usize,
-    /// Policy to run; `default` or the name of a baseline.
-    pub policy: String,
+    /// Policy to run.
+    pub policy: Policy,
     /// Largest message of a caller, in bytes.
     pub message: usize,
     /// Largest answer, in bytes.
@@ -117,6 +117,33 @@
     pub wait: u64,
 }
 
+/// The default policies, or one of them replaced by a baseline for comparison.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    /// All default policies.
+    #[default]
+    Default,
+    /// Every statement runs on the primary.
+    PrimaryOnly,
+    /// Each entry admits an equal part of each rate.
+    EvenSplit,
+    /// Requests run in order of arrival.
+    Fifo,
+    /// Another server is promoted after a fixed 5 s.
+    SlowFailover,
+}
+
+impl Policy {
+    /// All policies and their names in the settings.
+    pub const ALL: [(&'static str, Policy); 5] = [
+        ("default", Policy::Default),
+        ("primary-only", Policy::PrimaryOnly),
+        ("even-split", Policy::EvenSplit),
+        ("fifo", Policy::Fifo),
+        ("slow-failover", Policy::SlowFailover),
+    ];
+}
+
 /// Settings of the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Log {
@@ -251,13 +278,21 @@
 fn traffic(section: &Section<'_>) -> Result<Traffic> {
     Ok(Traffic {
         threads: section.number("threads", 2, 1, 256)? as usize,
-        policy: section.get("policy").unwrap_or("default").into(),
+        policy: policy(section)?,
         message: section.number("max_message", 1 << 20, 1 << 10, 64 << 20)? as usize,
         answer: section.number("max_answer", 16 << 20, 1 << 10, 256 << 20)? as usize,
         wait: section.number("wait", 5_000, 10, 600_000)?,
     })
 }
 
+fn policy(section: &Section<'_>) -> Result<Policy> {
+    let Some(text) = section.get("policy") else { return Ok(Policy::default()) };
+    let found = Policy::ALL.into_iter().find(|(name, _)| *name == text);
+    let allowed = Policy::ALL.map(|(name, _)| name).join(", ");
+    let error = || section.error("policy", &format!("is {text:?}, allowed: {allowed}"));
+    found.map(|(_, policy)| policy).ok_or_else(error)
+}
+
 fn log(section: &Section<'_>) -> Result<Log> {
     let json = match section.get("format").unwrap_or("text") {
         "text" => false,
--- a/crates/transport/src/dispatch.rs
+++ b/crates/transport/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, collections::BTreeSet, sync::Arc, time::Duration};
 
 use auburnlug_coordination::{
-    queue::{Place, Queue},
+    queue::Place,
     route::{Candidate, Choice, Need},
 };
 use auburnlug_protocol::peer::Reason;
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -14,12 +14,15 @@
     dedup::Requests,
     failover::{self, Failover},
     freshness::Freshness,
-    queue::Fair,
+    queue::{Fair, Fifo, Queue},
     retry::Budget,
     route::Route,
     session::Positions,
 };
-use auburnlug_protocol::peer::{Answer, Block};
+use auburnlug_protocol::{
+    peer::{Answer, Block},
+    settings::Policy,
+};
 use auburnlug_state::{self as state, GroupState, Millis, Name, Term};
 use tokio::{
     sync::{Notify, oneshot, watch},
@@ -100,7 +103,7 @@
 /// What the tasks of a group share.
 pub(crate) struct Core {
     pub members: BTreeMap<Name, Arc<Member>>,
-    pub queue: Fair<Waiting>,
+    pub queue: Box<dyn Queue<Waiting>>,
     /// `None` until the primary has reported its position after the takeover.
     pub positions: Option<Positions>,
     pub freshness: Freshness,
@@ -119,6 +122,7 @@
     pub rates: Arc<Rates>,
     pub requests: SharedIds,
     pub route: Box<dyn Route + Sync>,
+    pub policy: Policy,
 }
 
 impl Group {
@@ -129,10 +133,10 @@
         means: Means,
         view: &View,
     ) -> Arc<Group> {
-        let Means { control, servers, metrics, rates, requests, route } = means;
+        let Means { control, servers, metrics, rates, requests, route, policy } = means;
         let now = control.now();
         let recorded = view.machine.groups.get(&name).cloned().unwrap_or_default();
-        let core = Mutex::new(Core::new(config.size, recorded.clone(), now));
+        let core = Mutex::new(Core::new(config.size, recorded.clone(), policy, now));
         let group = Arc::new(Group {
             name,
             config,
@@ -161,7 +165,7 @@
         }
         let mut core = lock(&self.core);
         // Dropped senders tell the waiting requests.
-        let queue = std::mem::replace(&mut core.queue, Fair::new(0));
+        let queue = std::mem::replace(&mut core.queue, Box::new(Fair::new(0)));
         let waiters = std::mem::take(&mut core.waiters);
         core.members.clear();
         drop(core);
@@ -320,15 +324,20 @@
 }
 
 impl Core {
-    fn new(size: u32, recorded: GroupState, now: Millis) -> Core {
+    fn new(size: u32, recorded: GroupState, policy: Policy, now: Millis) -> Core {
+        let delay = if policy == Policy::SlowFailover { failover::SLOW } else { 0 };
+        let queue: Box<dyn Queue<Waiting>> = match policy {
+            Policy::Fifo => Box::new(Fifo::new(MAX_QUEUE)),
+            _ => Box::new(Fair::new(MAX_QUEUE)),
+        };
         Core {
             members: BTreeMap::new(),
-            queue: Fair::new(MAX_QUEUE),
+            queue,
             positions: None,
             freshness: Freshness::new(),
             budget: Budget::new(now),
             acks: Acks::new(size, recorded.term),
-            failover: Failover::new(size, &[], recorded, now),
+            failover: Failover::new(size, &[], recorded, now).delayed(delay),
             waiters: HashMap::new(),
             next: 0,
         }
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -81,6 +81,7 @@
                 credentials: files.database,
                 source: settings.source,
                 wait: settings.traffic.wait,
+                policy: settings.traffic.policy,
             };
             let dial = Arc::new(Dialer::new(identity, Purpose::Traffic));
             Some(traffic::start(config, control.clone(), dial, links, metrics))
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -12,8 +12,15 @@
     time::Duration,
 };
 
-use auburnlug_coordination::{floor::Keep, limit::Ask, route::Balanced};
-use auburnlug_protocol::peer::{Reason, Request, Traffic};
+use auburnlug_coordination::{
+    floor::Keep,
+    limit::Ask,
+    route::{Balanced, PrimaryOnly},
+};
+use auburnlug_protocol::{
+    peer::{Reason, Request, Traffic},
+    settings::Policy,
+};
 use auburnlug_state::{Machine, Name, Shard};
 use tokio::{
     sync::{mpsc, watch},
@@ -39,6 +46,7 @@
     metrics: Arc<Metrics>,
     rates: Arc<Rates>,
     pub(crate) buckets: Arc<RateOwner>,
+    policy: Policy,
     pub(crate) groups: Mutex<BTreeMap<Name, Arc<Group>>>,
     /// Set while the instance stops: groups that start take no work.
     stopping: AtomicBool,
@@ -58,6 +66,7 @@
         metrics: Arc<Metrics>,
         rates: Arc<Rates>,
         buckets: Arc<RateOwner>,
+        policy: Policy,
     ) -> Owner {
         let (groups, stopping) = (Mutex::default(), AtomicBool::new(false));
         let before = Mutex::new(control.view().borrow().machine.clone());
@@ -67,6 +76,7 @@
             metrics,
             rates,
             buckets,
+            policy,
             groups,
             stopping,
             releasing: Mutex::default(),
@@ -206,7 +216,11 @@
             metrics: self.metrics.clone(),
             rates: self.rates.clone(),
             requests,
-            route: Box::new(Balanced::new(domain)),
+            route: match self.policy {
+                Policy::PrimaryOnly => Box::new(PrimaryOnly),
+                _ => Box::new(Balanced::new(domain)),
+            },
+            policy: self.policy,
         }
     }
 
--- a/crates/transport/src/rate.rs
+++ b/crates/transport/src/rate.rs
@@ -7,10 +7,13 @@
 };
 
 use auburnlug_coordination::{
-    allotment::{Admit, Allotment, Limit},
+    allotment::{Admit, Allotment, EvenSplit, Limit},
     limit::{Ask, Grant},
 };
-use auburnlug_protocol::peer::{Reason, Traffic};
+use auburnlug_protocol::{
+    peer::{Reason, Traffic},
+    settings::Policy,
+};
 use auburnlug_state::{Millis, Name, Shard};
 use tokio::{
     sync::{mpsc, oneshot},
@@ -39,6 +42,7 @@
     accounts: Mutex<BTreeMap<Name, Account>>,
     /// First id of asks; greater than those of the run before.
     first: u64,
+    policy: Policy,
 }
 
 struct Account {
@@ -78,9 +82,31 @@
 }
 
 impl Rates {
-    pub(crate) fn new(control: Arc<dyn Control>, forwarder: Arc<Forwarder>) -> Rates {
+    pub(crate) fn new(
+        control: Arc<dyn Control>,
+        forwarder: Arc<Forwarder>,
+        policy: Policy,
+    ) -> Rates {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Rates { control, forwarder, accounts: Mutex::default(), first: since.as_micros() as u64 }
+        let first = since.as_micros() as u64;
+        Rates { control, forwarder, accounts: Mutex::default(), first, policy }
+    }
+
+    fn limit(&self, account: &Name, now: Millis) -> Box<dyn Limit> {
+        if self.policy != Policy::EvenSplit {
+            return Box::new(Allotment::new(self.first));
+        }
+        let (rate, burst, instances) = self.shares(account);
+        Box::new(EvenSplit::new(rate, burst, instances, now))
+    }
+
+    /// Rate and burst of the client account, and the number of entries.
+    fn shares(&self, account: &Name) -> (f64, f64, u32) {
+        let view = self.control.view().borrow().clone();
+        let entries = view.machine.instances.values().filter(|instance| instance.entry);
+        let limits = view.machine.config.accounts.get(account);
+        let (rate, burst) = limits.map_or((0.0, 0.0), |limits| (limits.rate, limits.burst));
+        (rate, burst, entries.count() as u32)
     }
 
     /// Waits for a token of `account`.
@@ -116,7 +142,7 @@
         let now = self.control.now();
         let mut accounts = lock(&self.accounts);
         let state = accounts.entry(account.clone()).or_insert_with(|| Account {
-            limit: Box::new(Allotment::new(self.first)),
+            limit: self.limit(account, now),
             waiting: VecDeque::new(),
             later: VecDeque::new(),
             again: 0,
@@ -215,6 +241,10 @@
         let now = self.control.now();
         let mut due = Vec::new();
         for (account, state) in lock(&self.accounts).iter_mut() {
+            if self.policy == Policy::EvenSplit {
+                let (rate, burst, instances) = self.shares(account);
+                state.limit.share(rate, burst, instances, now);
+            }
             due.extend(state.limit.tick(now).map(|ask| (account.clone(), ask)));
             if now >= state.again {
                 due.extend(state.resume(now).map(|ask| (account.clone(), ask)));
--- a/crates/transport/src/traffic.rs
+++ b/crates/transport/src/traffic.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
-use auburnlug_protocol::peer::Traffic;
+use auburnlug_protocol::{peer::Traffic, settings::Policy};
 use auburnlug_state::Millis;
 use tokio::{
     net::TcpListener,
@@ -47,6 +47,8 @@
     pub source: Option<IpAddr>,
     /// Longest wait of a request before it runs, in milliseconds; see [`WAIT`].
     pub wait: Millis,
+    /// Policies to run.
+    pub policy: Policy,
 }
 
 /// A running traffic runtime; dropping it stops everything at once.
@@ -82,10 +84,16 @@
     let stopping = watch::Sender::new(false);
     let (others, answers) = mpsc::channel(OTHERS);
     let forwarder = Arc::new(Forwarder::new(control.clone(), dial, local, others, metrics.clone()));
-    let rates = Arc::new(Rates::new(control.clone(), forwarder.clone()));
+    let rates = Arc::new(Rates::new(control.clone(), forwarder.clone(), config.policy));
     let buckets = Arc::new(RateOwner::new(control.clone()));
-    let owner =
-        Owner::new(control.clone(), servers, metrics.clone(), rates.clone(), buckets.clone());
+    let owner = Owner::new(
+        control.clone(),
+        servers,
+        metrics.clone(),
+        rates.clone(),
+        buckets.clone(),
+        config.policy,
+    );
     let owner = Arc::new(owner);
     let shared = Shared::new(control, forwarder, metrics, config.wait, stopping.subscribe());
     let tasks = vec![
--- a/crates/transport/tests/common/mod.rs
+++ b/crates/transport/tests/common/mod.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use auburnlug_protocol::peer::Traffic;
+use auburnlug_protocol::{peer::Traffic, settings::Policy};
 use auburnlug_state::{
     Account, Applied, Class, Command, Group, GroupState, Holder, Index, Instance, Kind, Machine,
     Millis, Name, Role, Route, Server, Shard,
@@ -209,7 +209,8 @@
         let port = callers.local_addr().unwrap().port();
         let metrics = Arc::new(Metrics::default());
         let credentials = Credentials { user: "auburnlug".into(), password: Some("secret".into()) };
-        let config = TrafficConfig { callers, credentials, source: None, wait };
+        let config =
+            TrafficConfig { callers, credentials, source: None, wait, policy: Policy::Default };
         let (inbound, links) = mpsc::channel(4);
         // Shards are assigned after the start, as for an instance that joins.
         let shards = control.view.subscribe().borrow().machine.shards.clone();
