--- a/crates/coordination/src/allotment.rs
+++ b/crates/coordination/src/allotment.rs
@@ -8,6 +8,9 @@
 /// this is far above the time of a message between regions.
 const ASK_TIMEOUT: Millis = 250;
 
+/// Time after which an ask that found no rate owner is repeated.
+const LOST_AGAIN: Millis = 20;
+
 /// Time after which used tokens are reported. Tokens count against the burst until then.
 const REPORT_AFTER: Millis = 10;
 
@@ -57,6 +60,12 @@
     /// Takes the grant for the ask `id`.
     fn granted(&mut self, id: u64, grant: Grant, now: Millis) -> Granted;
 
+    /// The ask `id` reached an instance that does not own the rate; it is repeated soon.
+    fn lost(&mut self, id: u64, now: Millis);
+
+    /// Learns rate and burst of the client account, and the number of instances that admit.
+    fn share(&mut self, _rate: f64, _burst: f64, _instances: u32, _now: Millis) {}
+
     /// A waiting request gave up.
     fn leave(&mut self);
 
@@ -69,6 +78,8 @@
 struct Open {
     id: u64,
     sent: Millis,
+    /// When it is repeated.
+    again: Millis,
     count: u32,
 }
 
@@ -123,7 +134,8 @@
         let returned = std::mem::take(&mut self.unused) + std::mem::take(&mut self.tokens);
         let demand = if count > 0 { (self.demand.0 * AHEAD) as u32 } else { 0 };
         if count > 0 {
-            self.open = Some(Open { id: self.id, sent: now, count });
+            let again = now + ASK_TIMEOUT;
+            self.open = Some(Open { id: self.id, sent: now, again, count });
         }
         Ask { id: self.id, count, demand, returned }
     }
@@ -140,7 +152,7 @@
         }
         self.waiting += 1;
         match &self.open {
-            Some(open) if now.saturating_sub(open.sent) < ASK_TIMEOUT => Admit::Wait,
+            Some(open) if now < open.again => Admit::Wait,
             _ => Admit::Ask(self.ask(self.waiting, now)),
         }
     }
@@ -167,6 +179,12 @@
         Granted { admitted, refused, retry: grant.retry, ask }
     }
 
+    fn lost(&mut self, id: u64, now: Millis) {
+        if let Some(open) = self.open.as_mut().filter(|open| open.id == id) {
+            open.again = open.again.min(now + LOST_AGAIN);
+        }
+    }
+
     fn leave(&mut self) {
         self.waiting = self.waiting.saturating_sub(1);
     }
@@ -174,7 +192,7 @@
     fn tick(&mut self, now: Millis) -> Option<Ask> {
         self.expire(now);
         if let Some(open) = &self.open {
-            if now.saturating_sub(open.sent) < ASK_TIMEOUT {
+            if now < open.again {
                 return None;
             }
             self.open = None;
@@ -206,11 +224,17 @@
     }
 }
 
-impl Limit for EvenSplit {
-    fn admit(&mut self, now: Millis) -> Admit {
+impl EvenSplit {
+    fn refill(&mut self, now: Millis) {
         let span = now.saturating_sub(self.at) as f64;
         self.level = (self.level + span * self.rate / 1000.0).min(self.burst);
         self.at = self.at.max(now);
+    }
+}
+
+impl Limit for EvenSplit {
+    fn admit(&mut self, now: Millis) -> Admit {
+        self.refill(now);
         if self.level >= 1.0 {
             self.level -= 1.0;
             return Admit::Now;
@@ -223,6 +247,15 @@
         Granted::default()
     }
 
+    fn lost(&mut self, _id: u64, _now: Millis) {}
+
+    fn share(&mut self, rate: f64, burst: f64, instances: u32, now: Millis) {
+        self.refill(now);
+        let n = f64::from(instances.max(1));
+        (self.rate, self.burst) = (rate / n, burst / n);
+        self.level = self.level.min(self.burst);
+    }
+
     fn leave(&mut self) {}
 
     fn tick(&mut self, _now: Millis) -> Option<Ask> {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 pub mod failover;
 mod failover_step;
+pub mod floor;
 pub mod formation;
 pub mod freshness;
 pub mod lease;
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use auburnlug_protocol::{
     Category, Error, Settings,
-    settings::{Listener, Raw},
+    settings::{Listener, Policy, Raw},
 };
 use proptest::{
     prelude::*,
@@ -77,7 +77,7 @@
     let traffic = &settings.traffic;
     assert_eq!((traffic.threads, traffic.wait), (2, 5_000));
     assert_eq!((traffic.message, traffic.answer), (1 << 20, 16 << 20));
-    assert_eq!(traffic.policy, "default");
+    assert_eq!(traffic.policy, Policy::Default);
     assert_eq!((settings.log.json, settings.log.level.as_str()), (false, "info"));
 }
 
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -74,7 +74,7 @@
     tokio::spawn(http::serve(http, state.clone()));
     let (links_out, links) = mpsc::channel(QUEUE);
     tokio::spawn(accept_traffic(sockets, identity.clone(), links_out));
-    let traffic = match callers {
+    let mut traffic = match callers {
         None => None,
         Some(listener) => {
             let config = TrafficConfig {
@@ -82,6 +82,7 @@
                 credentials: files.database,
                 source: settings.source,
                 wait: settings.traffic.wait,
+                policy: settings.traffic.policy,
             };
             let dial = Arc::new(Dialer::new(identity, Purpose::Traffic));
             Some(traffic::start(config, control.clone(), dial, links, metrics))
@@ -91,11 +92,14 @@
     let result = wait(failure).await;
     log(Event::Stopping, format_args!("{}", settings.name));
     state.set_stopping();
-    if let Some(mut traffic) = traffic {
+    if let Some(traffic) = &mut traffic {
         tokio::time::sleep(UNREADY).await;
         traffic.stop().await;
     }
+    // The traffic runtime outlasts the lease: requests on their way here are still refused as not
+    // run, which a closed link would leave unknown.
     stop_control(&control, &result).await;
+    drop(traffic);
     log(Event::Stopped, format_args!("{}", settings.name));
     result
 }
--- a/crates/transport/src/rate.rs
+++ b/crates/transport/src/rate.rs
@@ -7,10 +7,13 @@
 };
 
 use auburnlug_coordination::{
-    allotment::{Admit, Allotment, Limit},
+    allotment::{Admit, Allotment, EvenSplit, Limit},
     limit::{Ask, Grant},
 };
-use auburnlug_protocol::peer::{Reason, Traffic};
+use auburnlug_protocol::{
+    peer::{Reason, Traffic},
+    settings::Policy,
+};
 use auburnlug_state::{Millis, Name, Shard};
 use tokio::{
     sync::{mpsc, oneshot},
@@ -19,6 +22,7 @@
 
 use crate::{
     forward::{Forwarder, lock},
+    rate_owner::RateOwner,
     view::Control,
 };
 
@@ -38,12 +42,13 @@
     accounts: Mutex<BTreeMap<Name, Account>>,
     /// First id of asks; greater than those of the run before.
     first: u64,
+    policy: Policy,
 }
 
 struct Account {
     limit: Box<dyn Limit>,
     waiting: VecDeque<Waiter>,
-    /// Requests that wait on after a takeover of the rate, and when they are asked for again.
+    /// Requests that wait on although the bucket lacks a token, and when they are asked for again.
     later: VecDeque<Waiter>,
     again: Millis,
     next: u64,
@@ -77,9 +82,31 @@
 }
 
 impl Rates {
-    pub(crate) fn new(control: Arc<dyn Control>, forwarder: Arc<Forwarder>) -> Rates {
+    pub(crate) fn new(
+        control: Arc<dyn Control>,
+        forwarder: Arc<Forwarder>,
+        policy: Policy,
+    ) -> Rates {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Rates { control, forwarder, accounts: Mutex::default(), first: since.as_micros() as u64 }
+        let first = since.as_micros() as u64;
+        Rates { control, forwarder, accounts: Mutex::default(), first, policy }
+    }
+
+    fn limit(&self, account: &Name, now: Millis) -> Box<dyn Limit> {
+        if self.policy != Policy::EvenSplit {
+            return Box::new(Allotment::new(self.first));
+        }
+        let (rate, burst, instances) = self.shares(account);
+        Box::new(EvenSplit::new(rate, burst, instances, now))
+    }
+
+    /// Rate and burst of the client account, and the number of entries.
+    fn shares(&self, account: &Name) -> (f64, f64, u32) {
+        let view = self.control.view().borrow().clone();
+        let entries = view.machine.instances.values().filter(|instance| instance.entry);
+        let limits = view.machine.config.accounts.get(account);
+        let (rate, burst) = limits.map_or((0.0, 0.0), |limits| (limits.rate, limits.burst));
+        (rate, burst, entries.count() as u32)
     }
 
     /// Waits for a token of `account`.
@@ -115,7 +142,7 @@
         let now = self.control.now();
         let mut accounts = lock(&self.accounts);
         let state = accounts.entry(account.clone()).or_insert_with(|| Account {
-            limit: Box::new(Allotment::new(self.first)),
+            limit: self.limit(account, now),
             waiting: VecDeque::new(),
             later: VecDeque::new(),
             again: 0,
@@ -149,8 +176,12 @@
         }
     }
 
-    /// Follows the answers of rate owners, and asks again when that is due.
-    pub(crate) async fn follow(self: Arc<Self>, mut answers: mpsc::Receiver<Traffic>) {
+    /// Follows the answers of rate owners and standbys, and sends again what is due.
+    pub(crate) async fn follow(
+        self: Arc<Self>,
+        mut answers: mpsc::Receiver<Traffic>,
+        buckets: Arc<RateOwner>,
+    ) {
         let mut tick = interval(TICK);
         loop {
             tokio::select! {
@@ -158,11 +189,23 @@
                     Some(Traffic::Tokens { id, account, count, retry, owner: true }) => {
                         self.granted(&account, id, Grant { count, retry });
                     }
-                    // Without an owner, the ask is repeated when it is overdue.
+                    Some(Traffic::Tokens { id, account, .. }) => {
+                        if let Some(state) = lock(&self.accounts).get_mut(&account) {
+                            state.limit.lost(id, self.control.now());
+                        }
+                    }
+                    Some(Traffic::Kept { id, account, epoch, instance }) => {
+                        buckets.kept(&account, epoch, &instance, id);
+                    }
                     Some(_) => {}
                     None => return,
                 },
-                _ = tick.tick() => self.tick(),
+                _ = tick.tick() => {
+                    self.tick();
+                    for (name, message) in buckets.tick() {
+                        self.tell(name, message);
+                    }
+                }
             }
         }
     }
@@ -198,6 +241,10 @@
         let now = self.control.now();
         let mut due = Vec::new();
         for (account, state) in lock(&self.accounts).iter_mut() {
+            if self.policy == Policy::EvenSplit {
+                let (rate, burst, instances) = self.shares(account);
+                state.limit.share(rate, burst, instances, now);
+            }
             due.extend(state.limit.tick(now).map(|ask| (account.clone(), ask)));
             if now >= state.again {
                 due.extend(state.resume(now).map(|ask| (account.clone(), ask)));
@@ -214,14 +261,18 @@
         let holder = view.machine.shards.get(&Shard::Account(account.clone()));
         let Some(owner) = holder.and_then(|holder| holder.instance.clone()) else { return };
         let Ask { id, count, demand, returned } = ask;
-        let take = Traffic::Take { id, account, count, demand, returned };
-        if let Some(peer) = self.forwarder.current(&owner) {
-            return peer.tell(take);
+        self.tell(owner, Traffic::Take { id, account, count, demand, returned });
+    }
+
+    /// Sends a message to an instance; without a link it may be lost.
+    pub(crate) fn tell(&self, name: Name, message: Traffic) {
+        if let Some(peer) = self.forwarder.current(&name) {
+            return peer.tell(message);
         }
         let forwarder = self.forwarder.clone();
         tokio::spawn(async move {
-            if let Some(peer) = forwarder.peer(&owner).await {
-                peer.tell(take);
+            if let Some(peer) = forwarder.peer(&name).await {
+                peer.tell(message);
             }
         });
     }
