Split the owner's link loop

Running a request and answering as rate owner or standby are functions of their own. No change of behaviour.

--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -267,17 +267,7 @@
             match message {
                 Traffic::Run { stream, request } => {
                     let state = streams.entry(stream).or_default().clone();
-                    let (this, out) = (self.clone(), out.clone());
-                    tokio::spawn(async move {
-                        let group = this.group(&request).await;
-                        let answer = match group.as_ref().map(|group| group.enter(request.block)) {
-                            Some(Some(work)) => work.group.run(&state, *request).await,
-                            Some(None) => refused(Reason::Stopping),
-                            None => refused(Reason::Owner),
-                        };
-                        // Without the link, nobody waits for the answer.
-                        let _ = out.send(Traffic::Answer { stream, answer }).await;
-                    });
+                    tokio::spawn(self.clone().run(stream, state, request, out.clone()));
                 }
                 Traffic::Cancel { stream } => {
                     if let Some(state) = streams.get(&stream) {
@@ -289,29 +279,8 @@
                         state.close(&self.servers);
                     }
                 }
-                Traffic::Take { id, account, count, demand, returned } => {
-                    let ask = Ask { id, count, demand, returned };
-                    self.catch_up();
-                    let (tokens, due) = self.buckets.take(&peer, account, ask);
-                    for (name, message) in due {
-                        self.rates.tell(name, message);
-                    }
-                    if let Some(tokens) = tokens
-                        && out.send(tokens).await.is_err()
-                    {
-                        break;
-                    }
-                }
-                Traffic::Keep { id, account, epoch, index, level, held } => {
-                    let keep = Keep { id, level, held };
-                    if let Some(kept) = self.buckets.keep(account, epoch, index, keep)
-                        && out.send(kept).await.is_err()
-                    {
-                        break;
-                    }
-                }
                 message => {
-                    if let Some(answer) = self.copies.take(&peer, message)
+                    if let Some(answer) = self.answer(&peer, message)
                         && out.send(answer).await.is_err()
                     {
                         break;
@@ -323,6 +292,43 @@
             state.close(&self.servers);
         }
     }
+
+    /// Runs a request and answers on `out`.
+    async fn run(
+        self: Arc<Self>,
+        stream: u64,
+        state: Arc<Stream>,
+        request: Box<Request>,
+        out: mpsc::Sender<Traffic>,
+    ) {
+        let group = self.group(&request).await;
+        let answer = match group.as_ref().map(|group| group.enter(request.block)) {
+            Some(Some(work)) => work.group.run(&state, *request).await,
+            Some(None) => refused(Reason::Stopping),
+            None => refused(Reason::Owner),
+        };
+        // Without the link, nobody waits for the answer.
+        let _ = out.send(Traffic::Answer { stream, answer }).await;
+    }
+
+    /// Answer of the rate owner or of the standby to a message of `peer`.
+    fn answer(&self, peer: &Name, message: Traffic) -> Option<Traffic> {
+        match message {
+            Traffic::Take { id, account, count, demand, returned } => {
+                let ask = Ask { id, count, demand, returned };
+                self.catch_up();
+                let (tokens, due) = self.buckets.take(peer, account, ask);
+                for (name, message) in due {
+                    self.rates.tell(name, message);
+                }
+                tokens
+            }
+            Traffic::Keep { id, account, epoch, index, level, held } => {
+                self.buckets.keep(account, epoch, index, Keep { id, level, held })
+            }
+            message => self.copies.take(peer, message),
+        }
+    }
 }
 
 /// Whether the shard certainly had no owner before the one in `view`.
