Do not let a rounded clock fill a full bucket early

Times are whole milliseconds, rounded down, so that a bucket that was full late in one millisecond grew by a whole one at the next. A bucket that may be full now grows only from the end of its millisecond on, which the head of limit.rs derives. Floors are raised only while the level is above half the burst: an account above its rate otherwise waited for acknowledgements instead of being refused.

--- a/crates/coordination/src/floor.rs
+++ b/crates/coordination/src/floor.rs
@@ -17,6 +17,10 @@
 /// A floor below this part of the level is raised, so that a standby starts with more.
 const LOW: f64 = 0.25;
 
+/// Part of the burst from which on a floor is raised. An account above its rate keeps its level
+/// near 0; raising its floor would make its requests wait for the next acknowledgement.
+const AMPLE: f64 = 0.5;
+
 /// Part of the level that a new floor takes.
 const PART: f64 = 0.5;
 
@@ -121,7 +125,7 @@
         }
         let floor = copy.levels.values().copied().fold(0.0, f64::max);
         let high = floor > 0.0 && floor > level * HIGH;
-        let low = (level * PART).floor() >= 1.0 && floor < level * LOW;
+        let low = level >= burst * AMPLE && floor < (level * PART).floor().min(level * LOW);
         (self.last.is_none() && (high || low)).then(|| self.target(level, burst))
     }
 
--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -36,6 +36,13 @@
 //! The pair also holds after a change of the burst: (level, held) limits O by `held` alone, and a
 //! smaller burst b makes the new owner start from `min(level, b - held)`.
 //!
+//! # Rounding of time
+//!
+//! Times are rounded down to whole milliseconds, so the time between two readings may be nearly
+//! 1 ms longer than it was. This does no harm while an ideal bucket is below the burst, because it
+//! has grown during the part of a millisecond that was cut off. A full one has not. So a bucket
+//! that may be full at its reading grows only from the end of that millisecond on.
+//!
 //! # Refusals after a change of owner
 //!
 //! A new owner may know less than V. It keeps the greatest possible difference, and while that may
@@ -100,6 +107,8 @@
     burst: f64,
     level: f64,
     at: Millis,
+    /// Time after `at` in which the level does not grow, in milliseconds; see the module's head.
+    pause: f64,
     holders: BTreeMap<Name, Held>,
     outstanding: f64,
     /// Tokens granted by the owner before this one, and when the last of them expires.
@@ -136,7 +145,19 @@
         let holders = BTreeMap::new();
         let doubt = (burst - level, now + SETTLE);
         let (at, outstanding, guard) = (now, former.0, 0.0);
-        Bucket { rate, burst, level, at, holders, outstanding, former, next, guard, doubt }
+        Bucket {
+            rate,
+            burst,
+            level,
+            at,
+            pause: 1.0,
+            holders,
+            outstanding,
+            former,
+            next,
+            guard,
+            doubt,
+        }
     }
 
     /// Sets the level that a standby may start from.
@@ -155,6 +176,7 @@
         self.refill(now);
         (self.rate, self.burst) = (rate, burst);
         self.level = self.level.min(self.room());
+        self.round();
     }
 
     /// Answers an ask of `holder`; `None` if it is doubled or came after a later one.
@@ -208,7 +230,7 @@
             return 0;
         }
         let spare = self.level - self.level.floor();
-        let wait = (f64::from(missing) - spare) / (self.rate * PER_MILLI);
+        let wait = (f64::from(missing) - spare) / (self.rate * PER_MILLI) + self.pause;
         let frozen = if self.former.0 > 0.0 { self.former.1.saturating_sub(self.at) } else { 0 };
         if wait.is_finite() {
             (wait.ceil() as Millis + frozen).clamp(1, RETRY_MAX)
@@ -233,11 +255,20 @@
     /// Adds the tokens of the time up to `to`, with a constant number outstanding.
     fn grow(&mut self, to: Millis) {
         let span = to.saturating_sub(self.at) as f64;
-        self.level = (self.level + span * self.rate * PER_MILLI).min(self.room());
+        let grown = (span - self.pause).max(0.0) * self.rate * PER_MILLI;
+        self.pause = (self.pause - span).max(0.0);
+        self.level = (self.level + grown).min(self.room());
+        self.round();
         self.doubt.0 = self.doubt.0.min(self.burst - self.level).max(0.0);
         self.at = self.at.max(to);
     }
 
+    /// Leaves out the growth of the rest of this millisecond that a full bucket would lose.
+    fn round(&mut self) {
+        let gap = self.room() - self.level;
+        self.pause = self.pause.max(1.0 - gap / (self.rate * PER_MILLI));
+    }
+
     /// Drops the outstanding tokens whose time is over at `self.at`.
     fn expire(&mut self) {
         let at = self.at;
