Write the catalogued traffic events, and close a server connection that answers twice

Cause: 12 events of the catalogue were never written, so that failovers, refused callers and withdrawn keys left no trace in the log. A late or doubled answer on a pinned connection would have been taken for the answer to the next request. Change: owner, failover, monitor, entry and start-up write their events; a connection with unread bytes before a request is closed (AL0501). A control thread that ends by a fault stops the instance, and a damaged data folder is logged as AL0201.

--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -34,7 +34,7 @@
     ),
     ("control", &["members", "trust_refused"]),
     ("secrets", &["cluster", "operator", "announce", "database_user", "database_password"]),
-    ("traffic", &["threads", "policy", "max_message", "max_answer", "wait"]),
+    ("traffic", &["threads", "policy", "wait"]),
     ("log", &["format", "level"]),
 ];
 
@@ -109,10 +109,6 @@
     pub threads: usize,
     /// Policy to run.
     pub policy: Policy,
-    /// Largest message of a caller, in bytes.
-    pub message: usize,
-    /// Largest answer, in bytes.
-    pub answer: usize,
     /// Longest time that a request waits, in milliseconds.
     pub wait: u64,
 }
@@ -279,8 +275,6 @@
     Ok(Traffic {
         threads: section.number("threads", 2, 1, 256)? as usize,
         policy: policy(section)?,
-        message: section.number("max_message", 1 << 20, 1 << 10, 64 << 20)? as usize,
-        answer: section.number("max_answer", 16 << 20, 1 << 10, 256 << 20)? as usize,
         wait: section.number("wait", 5_000, 10, 600_000)?,
     })
 }
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -76,7 +76,6 @@
     assert_eq!(secrets.user, "auburnlug");
     let traffic = &settings.traffic;
     assert_eq!((traffic.threads, traffic.wait), (2, 5_000));
-    assert_eq!((traffic.message, traffic.answer), (1 << 20, 16 << 20));
     assert_eq!(traffic.policy, Policy::Default);
     assert_eq!((settings.log.json, settings.log.level.as_str()), (false, "info"));
 }
@@ -154,8 +153,8 @@
     ("[traffic]\nthreads = 257", "s.ini [traffic] threads: is 257, expected a number from 1 to "),
     ("[traffic]\nthreads = two", "s.ini [traffic] threads: is \"two\", expected a number from 1"),
     ("[traffic]\nwait = 9", "s.ini [traffic] wait: is 9, expected a number from 10 to 600000"),
-    ("[traffic]\nmax_message = -1", "s.ini [traffic] max_message: is \"-1\", expected a number fr"),
-    ("[traffic]\nmax_answer = 1", "s.ini [traffic] max_answer: is 1, expected a number from 1024"),
+    ("[traffic]\nwait = -1", "s.ini [traffic] wait: is \"-1\", expected a number fr"),
+    ("[traffic]\nmax_answer = 1", "s.ini [traffic]: unknown key \"max_answer\""),
     ("[log]\nlevel = loud", "s.ini [log] level: allowed: error, warn, info, debug"),
     ("[log]\nformat = xml", "s.ini [log] format: allowed: text, json"),
 ];
--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -19,6 +19,7 @@
 use crate::{
     batch::{Forward, Plan, Prepared},
     entry::Shared,
+    event::{Event, log},
     forward::{Forwarded, Peer, Track},
     frame::{self, Frame},
     handshake::{Identity, holds},
@@ -115,6 +116,11 @@
             }
         };
         if let End::Close(fault) = end {
+            match fault.code {
+                "28000" => log(Event::KeyWithdrawn, format_args!("{}", self.who.account)),
+                "08P01" => log(Event::CallerMalformed, format_args!("{}", self.who.account)),
+                _ => {}
+            }
             let mut out = BytesMut::new();
             frame::put_fault(&mut out, "FATAL", &fault);
             // The caller may be gone already, or read nothing.
--- a/crates/transport/src/group.rs
+++ b/crates/transport/src/group.rs
@@ -32,6 +32,7 @@
 use crate::{
     copier::Copier,
     dispatch::Waiting,
+    event::{Event, log},
     forward::lock,
     member::Member,
     metrics::Metrics,
@@ -163,6 +164,7 @@
             draining: AtomicBool::new(false),
             taken: AtomicU32::new(0),
         });
+        log(Event::GroupOwned, format_args!("{} under epoch {epoch}", group.name));
         tokio::spawn(crate::owner_failover::drive(group.clone()));
         group
     }
@@ -172,6 +174,7 @@
         if self.closed.send_replace(true) {
             return;
         }
+        log(Event::GroupReleased, format_args!("{} under epoch {}", self.name, self.epoch));
         let mut core = lock(&self.core);
         // Dropped senders tell the waiting requests.
         let queue = std::mem::replace(&mut core.queue, Box::new(Fair::new(0)));
--- a/crates/transport/src/handshake.rs
+++ b/crates/transport/src/handshake.rs
@@ -17,7 +17,10 @@
     net::TcpStream,
 };
 
-use crate::{frame, view::Control};
+use crate::{
+    event::{Event, log},
+    {frame, view::Control},
+};
 
 /// Longest start-up packet, in bytes; the limit that PostgreSQL has.
 const MAX_STARTUP: usize = 10_000;
@@ -73,6 +76,7 @@
     }
     let startup = frame::decode::<Startup>(&mut packet);
     let Some(startup) = startup.filter(|startup| startup.protocol_number_major == 3) else {
+        log(Event::CallerMalformed, format_args!("start-up of {:?}", stream.peer_addr()));
         return reject(stream, &Fault::new("08P01", "unsupported start-up message")).await;
     };
     if startup.protocol_number_minor > 0 {
@@ -89,7 +93,10 @@
     let view = control.view().borrow().clone();
     match identify(&view.machine.config, &user, key, settings) {
         Ok(identity) => Ok(Opening::Caller(identity)),
-        Err(fault) => reject(stream, &fault).await,
+        Err(fault) => {
+            log(Event::CallerRefused, format_args!("user {user:?}: {}", fault.message));
+            reject(stream, &fault).await
+        }
     }
 }
 
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    Error, Result,
+    Category, Error, Result,
     clock::SystemClock,
     control::{self, Handle, Options},
     disk::{Disk, FileDisk},
@@ -68,8 +68,12 @@
     let callers = settings.callers.map(bind).transpose()?;
     let (sockets_out, sockets) = mpsc::channel(QUEUE);
     let (failed, failure) = oneshot::channel();
-    let options = options(settings, &identity, sockets_out)?;
-    let control = Arc::new(control::start(options, failed)?);
+    let started = options(settings, &identity, sockets_out).and_then(|o| control::start(o, failed));
+    let control = Arc::new(started.inspect_err(|e| {
+        if e.category() == Category::Disk {
+            log(Event::DiskFailed, format_args!("{e}"));
+        }
+    })?);
     let state = http::State::new(control.clone(), metrics.clone(), files.http);
     tokio::spawn(http::serve(http, state.clone()));
     let (links_out, links) = mpsc::channel(QUEUE);
@@ -117,7 +121,9 @@
     tokio::select! {
         _ = terminate.recv() => Ok(()),
         _ = interrupt.recv() => Ok(()),
-        Ok(reason) = failure => {
+        reason = failure => {
+            // Without a reason the thread ended by itself, which only a fault can cause.
+            let reason = reason.unwrap_or_else(|_| "the control thread ended".into());
             log(Event::DiskFailed, format_args!("{reason}"));
             Err(Error::stopped(reason))
         }
--- a/crates/transport/src/monitor.rs
+++ b/crates/transport/src/monitor.rs
@@ -6,6 +6,7 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
+    event::{Event, log},
     forward::lock,
     group::Group,
     member::Member,
@@ -43,6 +44,8 @@
 
 async fn serve(group: &Arc<Group>, member: &Arc<Member>, mut orders: mpsc::Receiver<Order>) {
     let mut connection = None;
+    // One line for each time that the server is lost, not for each attempt to reach it.
+    let mut reported = false;
     while let Some(order) = orders.recv().await {
         let result = timeout(SILENCE, carry_out(group, member, &mut connection, order)).await;
         let result = result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
@@ -50,10 +53,15 @@
             std::mem::replace(silent, result.is_err()) != result.is_err()
         });
         let Err(error) = result else {
+            reported = false;
             warm(member);
             continue;
         };
         connection = None;
+        if !reported {
+            log(Event::ServerConnectFailed, format_args!("{}: {error}", member.name));
+        }
+        reported = true;
         member.pool.clear();
         // Orders given before the failure are out of date; those that still matter come again.
         while orders.try_recv().is_ok() {}
--- a/crates/transport/src/owner_failover.rs
+++ b/crates/transport/src/owner_failover.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    event::{Event, log},
     forward::{lease_end, lock},
     group::Group,
     monitor::Order,
@@ -49,11 +50,14 @@
             }
         }
         Step::Term(term) => {
+            let (_, primary) = group.primary.borrow().clone();
+            log(Event::PrimarySuspected, format_args!("{}: {primary:?}", group.name));
             let command = Command::Term { group: group.name.clone(), term, epoch: group.epoch };
             let proposal = group.control.propose(command);
             let group = group.clone();
             tokio::spawn(async move {
                 if proposal.await == Some(Applied::Done) {
+                    log(Event::TermRecorded, format_args!("{} term {term}", group.name));
                     let now = group.control.now();
                     let mut core = lock(&group.core);
                     core.failover.agreed(term, now);
@@ -63,6 +67,7 @@
         }
         Step::Primary(server, term) => {
             let (name, epoch) = (group.name.clone(), group.epoch);
+            log(Event::PrimaryPromoted, format_args!("{name}: {server} in term {term}"));
             // The view shows the effect.
             tokio::spawn(group.control.propose(Command::Primary {
                 group: name,
@@ -82,6 +87,7 @@
             }));
         }
         Step::Resign => {
+            log(Event::GroupResigned, format_args!("{}", group.name));
             let shard = Shard::Group(group.name.clone());
             let command = Command::Assign { shard, instance: None, epoch: group.epoch };
             tokio::spawn(group.control.propose(command));
--- a/crates/transport/src/owner_run.rs
+++ b/crates/transport/src/owner_run.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    event::{Event, log},
     forward::{lease_end, lock, refused, unknown},
     frame,
     group::Group,
@@ -396,6 +397,7 @@
                 self.metrics.gap("agreement", gap.agreement);
                 self.metrics.gap("promotion", gap.promotion);
                 self.metrics.gap("first_write", gap.first);
+                log(Event::FailoverEnded, format_args!("{}: {gap:?} (ms)", self.name));
             }
         }
         self.control.now() < self.control.lease()
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -21,7 +21,10 @@
     net::{TcpSocket, TcpStream},
 };
 
-use crate::frame::{self, Frame, put};
+use crate::{
+    event::{Event, log},
+    frame::{self, Frame, put},
+};
 
 /// Longest answer that is collected, in bytes.
 pub const MAX_ANSWER: usize = 16 << 20;
@@ -196,6 +199,12 @@
     }
 
     async fn exchange(&mut self, messages: Bytes) -> Result<Reply> {
+        // A late or doubled answer would be taken for the answer to this request.
+        if !self.is_open() {
+            let address = self.stream.peer_addr();
+            log(Event::AnswerMismatched, format_args!("server {address:?} sent more than asked"));
+            return Err(Error::new(ErrorKind::InvalidData, "unexpected message of the server"));
+        }
         self.stream.write_all(&messages).await?;
         let mut reply = Reply::default();
         let mut out = BytesMut::new();
