--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -63,7 +63,7 @@
 /// use auburnlug_protocol::operator::Request;
 /// let body = br#"{"id": "c1", "operator": "ana", "base": 7,
 ///     "edit": {"kind": "withdraw", "account": "desk"}}"#;
-/// assert_eq!(Request::decode(body).unwrap().change().base, 7);
+/// assert_eq!(Request::decode(body).expect("valid request").change().base, 7);
 /// ```
 #[derive(Debug, Clone, PartialEq)]
 pub struct Request(Change);
