Move a shard only to its standby, and only while that evens out the load

Change: a shard is released only if its standby owns at least two shards less than the owner; the standby holds the request ids and the floor of the bucket. The standbys are looked up once for each change of the state, not in each plan.

--- a/crates/coordination/src/assign.rs
+++ b/crates/coordination/src/assign.rs
@@ -3,15 +3,21 @@
 //! The leader takes a shard only from an instance whose lease is surely over. From a live one it
 //! asks for it, and only to even out the load after an instance has joined.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
-use auburnlug_state::{Command, Instance, Machine, Millis, Name, Shard};
+use auburnlug_state::{Command, Index, Instance, Machine, Millis, Name, Shard};
 
 use crate::lease::Ledger;
 
 /// Interval between requests to release a shard, in milliseconds. Each one interrupts a group.
 pub const RELEASE: Millis = 1000;
 
+/// Shards that one plan considers for a move. Finding a standby looks at every instance.
+const MOVES: usize = 256;
+
 /// Instance that keeps a copy of what the owner of `shard` must not lose, and its next owner.
 ///
 /// Every instance derives the same one from the same state. It is in another failure domain than
@@ -61,6 +67,8 @@
     last: BTreeMap<Shard, Last>,
     /// Chosen holder of each shard and the epoch that the choice was made from.
     chosen: BTreeMap<Shard, (u64, Last)>,
+    /// Index of the state that `last` was taken from.
+    seen: Option<Index>,
     asked: Option<Millis>,
 }
 
@@ -103,6 +111,10 @@
 
     /// Remembers holders, so that a shard that one gave up goes to another.
     fn note(&mut self, machine: &Machine) {
+        // Finding the standbys of all shards looks at every instance for each of them.
+        if self.seen.replace(machine.index) == Some(machine.index) {
+            return;
+        }
         self.last.retain(|shard, _| machine.shards.contains_key(shard));
         self.chosen.retain(|shard, _| machine.shards.contains_key(shard));
         for (shard, holder) in &machine.shards {
@@ -195,27 +207,34 @@
         if near { 1 } else { 2 }
     }
 
-    /// A shard of the instance with the most, if another has at least two less; one that is
-    /// nearer to the other instance first.
+    /// A shard whose standby has at least two less than the owner, of the owner with the most.
+    ///
+    /// Only the standby holds what the owner must not lose, and it is the next owner, so a shard
+    /// moves nowhere else. Each move evens out the counts, so moves come to an end.
     fn release(&self) -> Option<Release> {
-        [&self.groups, &self.accounts].into_iter().find_map(|counts| {
-            let (least, low) = counts.iter().min_by_key(|(name, count)| (**count, *name))?;
-            let (most, high) = counts.iter().max_by_key(|(name, count)| (**count, *name))?;
-            if *high <= *low + 1 {
-                return None;
-            }
-            let (from, to) = (self.takers.get(most)?, self.takers.get(least)?);
-            let groups = std::ptr::eq(counts, &self.groups);
-            let held = self.machine.shards.iter().filter(|(shard, holder)| {
-                let kind = matches!(shard, Shard::Group(_)) == groups;
-                kind && holder.instance.as_ref() == Some(*most)
-            });
-            let cost = |shard: &Shard| {
-                i64::from(self.distance(shard, to)) - i64::from(self.distance(shard, from))
-            };
-            let (shard, holder) = held.min_by_key(|(shard, _)| (cost(shard), *shard))?;
-            let (instance, epoch) = (from.name.clone(), holder.epoch);
-            Some(Release { instance, shard: shard.clone(), epoch })
+        let groups = self.uneven(&self.groups, |shard| matches!(shard, Shard::Group(_)));
+        groups.or_else(|| self.uneven(&self.accounts, |shard| matches!(shard, Shard::Account(_))))
+    }
+
+    fn uneven(
+        &self,
+        counts: &BTreeMap<&'a Name, usize>,
+        kind: impl Fn(&Shard) -> bool,
+    ) -> Option<Release> {
+        let low = counts.values().min()?;
+        let owned = self.machine.shards.iter().filter(|(shard, _)| kind(shard));
+        let mut moves: Vec<_> = owned
+            .filter_map(|(shard, holder)| {
+                let owner = holder.instance.as_ref()?;
+                let count = counts.get(owner).filter(|count| **count > low + 1)?;
+                Some((Reverse(*count), shard, owner, holder.epoch))
+            })
+            .collect();
+        moves.sort();
+        moves.into_iter().take(MOVES).find_map(|(Reverse(count), shard, owner, epoch)| {
+            let copy = counts.get(standby(self.machine, shard)?)?;
+            let (instance, shard) = (owner.clone(), shard.clone());
+            (count > copy + 1).then_some(Release { instance, shard, epoch })
         })
     }
 }
--- a/crates/coordination/tests/assign.rs
+++ b/crates/coordination/tests/assign.rs
@@ -188,6 +188,33 @@
     assert_eq!(fleet.owner(&group("g0")), Some(owner.as_str()), "the only one left");
 }
 
+/// Guards against a shard that moves back and forth between two instances, which interrupted its
+/// group every second.
+#[test]
+fn moves_come_to_an_end() {
+    for (groups, count) in [(3, 4), (7, 5), (12, 3), (5, 7)] {
+        let (mut fleet, mut all) = fleet(groups, 0, count);
+        fleet.run(START);
+        fleet.ledger.refused(&all[0].name, 1, START);
+        fleet.run(START + 1);
+        all[0].incarnation = 2;
+        fleet.join(&all[0].clone(), START + 2);
+        let mut asked = 0;
+        for now in (START + 2..START + 40 * RELEASE).step_by(100) {
+            all.iter().for_each(|i| fleet.renew(i, now));
+            let Some(ask) = fleet.run(now).release else { continue };
+            asked += 1;
+            let before = fleet.counts()[ask.instance.as_str()].0;
+            let (shard, epoch) = (ask.shard.clone(), ask.epoch);
+            apply(&mut fleet.machine, &Command::Assign { shard, instance: None, epoch });
+            fleet.run(now);
+            let taker = fleet.owner(&ask.shard).unwrap();
+            assert!(fleet.counts()[taker].0 < before, "{groups} groups, {count} instances");
+        }
+        assert!(asked <= groups, "{asked} moves of {groups} groups on {count} instances");
+    }
+}
+
 /// A new instance is filled by requests, one a second, and never by taking.
 #[test]
 fn joined_instance_is_filled_slowly() {
