Give a new standby time before a shard is moved to it

Change: a shard is released only to an instance that has been its standby, in the same run and under the same owner, for 5 s. The tests of the assigner expect the first request after that time; fresh_standby_is_given_time is new.

--- a/crates/coordination/src/assign.rs
+++ b/crates/coordination/src/assign.rs
@@ -15,6 +15,11 @@
 /// Interval between requests to release a shard, in milliseconds. Each one interrupts a group.
 pub const RELEASE: Millis = 1000;
 
+/// Time for which an instance must have been a shard's standby before the shard is moved there,
+/// in milliseconds. It is filled within one; a shard that moved 20 ms after its standby had joined
+/// lost its request ids.
+pub const SETTLE: Millis = 5000;
+
 /// Shards that one plan considers for a move. Finding a standby looks at every instance.
 const MOVES: usize = 256;
 
@@ -58,6 +63,18 @@
     name: Name,
     incarnation: u64,
     standby: Option<Name>,
+    /// Incarnation of the standby.
+    copy: u64,
+    /// Time since which this instance is the standby of this owner.
+    since: Millis,
+}
+
+impl Last {
+    /// Whether owner and standby are the same runs.
+    fn same(&self, other: &Last) -> bool {
+        let runs = |l: &Last| (l.incarnation, l.copy);
+        self.name == other.name && self.standby == other.standby && runs(self) == runs(other)
+    }
 }
 
 /// Plans ownership; a new leader starts with a new one.
@@ -76,7 +93,7 @@
     /// Plans at time `now`. The same plan comes again until its commands are applied; each
     /// command is conditional, so that repeating it has no effect.
     pub fn plan(&mut self, machine: &Machine, ledger: &mut Ledger, now: Millis) -> Plan {
-        self.note(machine);
+        self.note(machine, now);
         if ledger.in_grace(now) {
             return Plan::default();
         }
@@ -94,7 +111,8 @@
                 let instance = Some(taker.name.clone());
                 let (shard, epoch) = (shard.clone(), holder.epoch);
                 let name = taker.name.clone();
-                let last = Last { name, incarnation: taker.incarnation, standby: None };
+                let incarnation = taker.incarnation;
+                let last = Last { name, incarnation, standby: None, copy: 0, since: now };
                 self.chosen.insert(shard.clone(), (epoch, last));
                 plan.commands.push(Command::Assign { shard, instance, epoch });
             }
@@ -103,14 +121,14 @@
         let remove = |(instance, incarnation)| Command::Remove { instance, incarnation };
         plan.commands.extend(ended.into_iter().map(remove));
         if settled && self.asked.is_none_or(|asked| now >= asked.saturating_add(RELEASE)) {
-            plan.release = load.release();
+            plan.release = load.release(&self.last, now);
             self.asked = plan.release.as_ref().map(|_| now).or(self.asked);
         }
         plan
     }
 
     /// Remembers holders, so that a shard that one gave up goes to another.
-    fn note(&mut self, machine: &Machine) {
+    fn note(&mut self, machine: &Machine, now: Millis) {
         // Finding the standbys of all shards looks at every instance for each of them.
         if self.seen.replace(machine.index) == Some(machine.index) {
             return;
@@ -127,7 +145,13 @@
             let holder = holder.instance.as_ref().and_then(|name| machine.instances.get(name));
             if let Some(Instance { name, incarnation, .. }) = holder {
                 let standby = standby(machine, shard).cloned();
-                let last = Last { name: name.clone(), incarnation: *incarnation, standby };
+                let copy = standby.as_ref().and_then(|name| machine.instances.get(name));
+                let copy = copy.map_or(0, |copy| copy.incarnation);
+                let (name, incarnation) = (name.clone(), *incarnation);
+                let mut last = Last { name, incarnation, standby, copy, since: now };
+                if let Some(old) = self.last.get(shard).filter(|old| old.same(&last)) {
+                    last.since = old.since;
+                }
                 self.last.insert(shard.clone(), last);
             }
         }
@@ -211,9 +235,13 @@
     ///
     /// Only the standby holds what the owner must not lose, and it is the next owner, so a shard
     /// moves nowhere else. Each move evens out the counts, so moves come to an end.
-    fn release(&self) -> Option<Release> {
-        let groups = self.uneven(&self.groups, |shard| matches!(shard, Shard::Group(_)));
-        groups.or_else(|| self.uneven(&self.accounts, |shard| matches!(shard, Shard::Account(_))))
+    fn release(&self, last: &BTreeMap<Shard, Last>, now: Millis) -> Option<Release> {
+        let settled = |shard: &Shard| {
+            last.get(shard).is_some_and(|last| now >= last.since.saturating_add(SETTLE))
+        };
+        let group = |shard: &Shard| matches!(shard, Shard::Group(_)) && settled(shard);
+        let account = |shard: &Shard| matches!(shard, Shard::Account(_)) && settled(shard);
+        self.uneven(&self.groups, group).or_else(|| self.uneven(&self.accounts, account))
     }
 
     fn uneven(
--- a/crates/coordination/tests/assign.rs
+++ b/crates/coordination/tests/assign.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use auburnlug_coordination::{
-    assign::{Assigner, Plan, RELEASE, standby},
+    assign::{Assigner, Plan, RELEASE, SETTLE, standby},
     lease::{LEASE, Ledger, MARGIN},
 };
 use auburnlug_state::{Command, Instance, Machine, Millis, Shard};
@@ -140,9 +140,15 @@
     }
     let counts = fleet.counts();
     let spread = counts.values().max().unwrap().0 - counts.values().min().unwrap().0;
-    let ask = fleet.assigner.plan(&fleet.machine, &mut fleet.ledger, START + 2).release;
+    let mut ask = None;
+    let settled = START + 1 + SETTLE;
+    for now in (START + 1..=settled).step_by(100) {
+        all[1..].iter().for_each(|i| fleet.renew(i, now));
+        let plan = fleet.assigner.plan(&fleet.machine, &mut fleet.ledger, now);
+        ask = ask.or(plan.release);
+    }
     assert_eq!(ask.is_some(), spread > 1, "an uneven rest is evened out by requests");
-    let end = START - 1 + LEASE + MARGIN;
+    let end = settled + LEASE + MARGIN;
     assert!(fleet.run(end - 1).commands.is_empty());
     assert_eq!(fleet.run(end).commands.len(), 2, "removed; nobody left to take the shards");
     assert!(fleet.machine.shards.values().all(|h| h.instance.is_none()));
@@ -215,6 +221,25 @@
     }
 }
 
+/// Guards against a move to a standby that has just joined and holds no copy yet.
+#[test]
+fn fresh_standby_is_given_time() {
+    let (mut fleet, mut all) = fleet(4, 0, 2);
+    fleet.run(START);
+    let joined = START + 10 * RELEASE;
+    for now in (START..joined + SETTLE).step_by(100) {
+        if now == joined {
+            all.push(instance("new", 1, "a3"));
+            fleet.join(&all[2].clone(), now);
+        }
+        all.iter().for_each(|i| fleet.renew(i, now));
+        assert_eq!(fleet.run(now).release, None, "{} ms after it joined", now - joined);
+    }
+    all.iter().for_each(|i| fleet.renew(i, joined + SETTLE));
+    let ask = fleet.run(joined + SETTLE).release.unwrap();
+    assert_eq!(standby(&fleet.machine, &ask.shard).unwrap(), &all[2].name);
+}
+
 /// A new instance is filled by requests, one a second, and never by taking.
 #[test]
 fn joined_instance_is_filled_slowly() {
@@ -240,7 +265,7 @@
             assert!(plan.commands.iter().all(free), "taken from a live instance");
         }
     }
-    assert_eq!(asked, vec![START, START + RELEASE]);
+    assert_eq!(asked, vec![START + SETTLE, START + SETTLE + RELEASE]);
     let counts = fleet.counts();
     assert!(counts.values().all(|c| (2..=3).contains(&c.0)), "{counts:?}");
 }
