--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -17,9 +17,7 @@
 
 use crate::{Result, error::Kind, raft_lead::Lead, raft_log::Log};
 
-pub use crate::raft_message::{
-    Entry, Members, Message, Now, Payload, Ready, Saved, Snapshot, Vote,
-};
+pub use crate::raft_message::{Entry, Members, Message, Payload, Ready, Saved, Snapshot, Vote};
 
 /// Intervals of the agreement, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -55,7 +55,7 @@
     /// Control membership at that entry.
     pub members: Members,
     /// Encoded machine.
-    #[serde(with = "bytes")]
+    #[serde(with = "auburnlug_state::bytes")]
     pub data: Vec<u8>,
 }
 
@@ -185,39 +185,3 @@
             || !self.append.is_empty()
     }
 }
-
-/// Writes bytes as one CBOR byte string; as a list they would take up to twice the space.
-mod bytes {
-    use std::fmt;
-
-    use serde::{Deserializer, Serializer, de};
-
-    struct Bytes;
-
-    pub(super) fn serialize<S: Serializer>(data: &[u8], out: S) -> Result<S::Ok, S::Error> {
-        out.serialize_bytes(data)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
-        input.deserialize_byte_buf(Bytes)
-    }
-
-    impl de::Visitor<'_> for Bytes {
-        type Value = Vec<u8>;
-
-        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-            f.write_str("a byte string")
-        }
-
-        fn visit_bytes<E: de::Error>(self, data: &[u8]) -> Result<Vec<u8>, E> {
-            Ok(data.to_vec())
-        }
-
-        fn visit_byte_buf<E: de::Error>(self, data: Vec<u8>) -> Result<Vec<u8>, E> {
-            Ok(data)
-        }
-    }
-}
-
-/// Time on the process clock, kept for signatures.
-pub type Now = Millis;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -2,8 +2,6 @@
 //!
 //! Control and traffic use separate connections, so that large answers never delay renewals.
 
-use std::net::SocketAddr;
-
 use auburnlug_coordination::{Position, dedup::Key, raft};
 use auburnlug_state::{
     Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard,
@@ -43,11 +41,6 @@
     Renew(Renew),
     /// The leader grants a lease.
     Grant(Grant),
-    /// The receiver does not lead; this member may.
-    Redirect {
-        /// Leader and the address of its peer listener.
-        leader: Option<(Name, SocketAddr)>,
-    },
     /// Committed commands that follow `after`.
     Update {
         /// Index that the receiver must have applied.
@@ -287,7 +280,7 @@
     /// Effect on the transaction state.
     pub block: Block,
     /// Frontend messages, up to and with `Query` or `Sync`.
-    #[serde(with = "bytes_field")]
+    #[serde(with = "auburnlug_state::bytes")]
     pub messages: Vec<u8>,
 }
 
@@ -312,7 +305,7 @@
     /// What became of it.
     pub outcome: Outcome,
     /// Backend messages up to `ReadyForQuery`; empty unless done or failed.
-    #[serde(with = "bytes_field")]
+    #[serde(with = "auburnlug_state::bytes")]
     pub messages: Vec<u8>,
     /// Whether a replica served it.
     pub replica: bool,
@@ -366,35 +359,3 @@
     /// The standby did not store its request id within the deadline.
     Standby,
 }
-
-mod bytes_field {
-    //! Byte strings as CBOR byte strings rather than lists of numbers.
-
-    use serde::{Deserializer, Serializer, de};
-
-    pub(super) fn serialize<S: Serializer>(bytes: &[u8], out: S) -> Result<S::Ok, S::Error> {
-        out.serialize_bytes(bytes)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
-        input.deserialize_byte_buf(Bytes)
-    }
-
-    struct Bytes;
-
-    impl de::Visitor<'_> for Bytes {
-        type Value = Vec<u8>;
-
-        fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-            f.write_str("a byte string")
-        }
-
-        fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
-            Ok(bytes.to_vec())
-        }
-
-        fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
-            Ok(bytes)
-        }
-    }
-}
--- a/crates/protocol/tests/auth.rs
+++ b/crates/protocol/tests/auth.rs
@@ -156,7 +156,7 @@
 fn control() -> Vec<Control> {
     vec![
         Control::Probe { identity: name("c1.member") },
-        Control::Redirect { leader: Some((name("c1"), "127.0.0.1:7100".parse().unwrap())) },
+        Control::Leave { incarnation: 6 },
         Control::Update { after: 4, until: 9, commands: Vec::new() },
         Control::Snapshot(Box::default()),
         Control::Leave { incarnation: 12 },
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O. Commands come from the agreed log, and every instance that applies the
 //! same commands in the same order holds the same [`Machine`].
 
+pub mod bytes;
 mod command;
 mod config;
 mod error;
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -213,7 +213,6 @@
         match message {
             Control::Renew(renew) => self.renew(link, &from, renew),
             Control::Grant(grant) => self.granted(from, &grant),
-            Control::Redirect { .. } => {}
             Control::Update { after, until, commands } => self.update(after, until, &commands),
             Control::Snapshot(machine) => self.copy(*machine),
             Control::Propose { id, command } => {
