--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -118,6 +118,7 @@
         if let End::Close(fault) = end {
             match fault.code {
                 "28000" => log(Event::KeyWithdrawn, format_args!("{}", self.who.account)),
+                "54000" => log(Event::CallerOversized, format_args!("{}", self.who.account)),
                 "08P01" => log(Event::CallerMalformed, format_args!("{}", self.who.account)),
                 _ => {}
             }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -72,6 +72,7 @@
     CallerRefused = 400, Warn, "caller refused at start-up";
     CallerMalformed = 401, Warn, "caller sent a malformed message";
     KeyWithdrawn = 402, Info, "connection closed: its key was withdrawn";
+    CallerOversized = 403, Warn, "caller sent a message above the size limit";
     ServerConnectFailed = 500, Warn, "connection to a database server failed";
     AnswerMismatched = 501, Error, "database server broke the order of answers; connection closed";
 }
