--- a/crates/auburnlug/src/main.rs
+++ b/crates/auburnlug/src/main.rs
@@ -1,6 +1,9 @@
 //! An instance of auburnlug.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use auburnlug_protocol::{Settings, settings::Raw};
 use auburnlug_transport::{event, instance};
@@ -13,6 +16,7 @@
 enum Action {
     Run(PathBuf),
     Check(PathBuf),
+    Serve(PathBuf),
 }
 
 fn main() -> ExitCode {
@@ -24,6 +28,7 @@
             }
             Err(code) => code,
         },
+        Action::Serve(file) => serve(&file),
         Action::Run(file) => match load(&file) {
             Ok(settings) => run(settings),
             Err(code) => code,
@@ -45,7 +50,14 @@
         .descr("Checks a settings file and exits with 0 or 2")
         .command("check")
         .help("Check a settings file");
-    let commands = construct!([run, check]);
+    let serve = positional::<PathBuf>("SETTINGS")
+        .help("INI file that the platform filled in")
+        .map(Action::Serve)
+        .to_options()
+        .descr("Runs an instance on the prepared platform until SIGTERM or SIGINT")
+        .command("serve")
+        .help("Run an instance on the prepared platform");
+    let commands = construct!([run, check, serve]);
     let unit = pure(());
     construct!(unit, commands)
         .map(|((), action)| action)
@@ -76,3 +88,13 @@
         }
     }
 }
+
+fn serve(file: &Path) -> ExitCode {
+    event::start_bounded();
+    let result = auburnlug_platform::run::run(file);
+    event::finish();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
--- a/crates/coordination/src/formation.rs
+++ b/crates/coordination/src/formation.rs
@@ -78,6 +78,14 @@
     Name::try_from(instance).ok()
 }
 
+/// Membership without the voter `lost`, whose place `joining` is about to take; `None` if the
+/// remaining voters would not be enough to add it.
+pub fn retire_step(members: &Members, joining: &Name, lost: &Name) -> Option<Members> {
+    let ready = members.learners.contains(joining.as_str()) && members.voters.len() > 2;
+    let mut next = members.clone();
+    (ready && next.voters.remove(lost.as_str())).then_some(next)
+}
+
 /// Next membership on the way of `joining` into the group; `None` while there is nothing to do.
 ///
 /// The member is filled as a learner first. Its instance's former identity leaves before it
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod floor;
 pub mod formation;
 pub mod freshness;
+pub mod holders;
 pub mod lease;
 pub mod limit;
 pub mod queue;
@@ -23,7 +24,10 @@
 mod raft_message;
 pub mod retry;
 pub mod route;
+pub mod samples;
 pub mod session;
+pub mod share;
+pub mod succession;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/coordination/src/raft_lead.rs
+++ b/crates/coordination/src/raft_lead.rs
@@ -57,12 +57,33 @@
         self.settled() && contact.is_some_and(|sent| now < sent + self.timing.lease)
     }
 
+    /// End of the lease by the contact so far; `None` unless this member leads.
+    pub fn lease_end(&self) -> Option<Millis> {
+        let Role::Leader(lead) = &self.role else { return None };
+        let contact = self.contact(lead, None, self.clock).filter(|_| self.settled());
+        contact.map(|sent| sent + self.timing.lease)
+    }
+
     /// Last entry that `name` is known to hold durably; `None` unless this member leads.
     pub fn matched(&self, name: &Name) -> Option<Index> {
         let Role::Leader(lead) = &self.role else { return None };
         lead.peers.get(name).map(|peer| peer.matched)
     }
 
+    /// A voter that has acknowledged nothing sent in the last `span` milliseconds; `None` unless
+    /// this member has led for that long.
+    pub fn silent_voter(&self, now: Millis, span: Millis) -> Option<Name> {
+        let Role::Leader(lead) = &self.role else { return None };
+        if now < lead.elected + span {
+            return None;
+        }
+        let silent = |name: &&Name| {
+            let contact = lead.peers.get(name.as_str()).and_then(|peer| peer.contact);
+            **name != self.me && contact.is_none_or(|sent| now >= sent + span)
+        };
+        self.log.members().voters.iter().find(silent).cloned()
+    }
+
     /// Appends a membership; returns its index. It is in force from the moment it is appended.
     ///
     /// One step is permitted at a time: add a learner, make a learner a voter once it has caught
--- /dev/null
+++ b/crates/coordination/src/share.rs
@@ -0,0 +1,250 @@
+//! Rates of client accounts, spread over the entries that admit their operations.
+//!
+//! The control leader gives each entry a share of an account's rate by its demand and keeps the
+//! rest, with the burst, in a pool. An entry admits operations from its share and asks for tokens
+//! of the pool when that is used up. Shares that an entry may still hold are counted until they
+//! end at the entry, also when it is frozen or cut off, so all shares together never exceed the
+//! rate.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use auburnlug_state::{Millis, Name};
+
+/// Part of a rate that is spread as shares. The rest fills the pool, from which an entry is served
+/// whose demand rises faster than its share.
+const SPREAD: f64 = 0.7;
+
+/// Time after the last grant at which a share ends at its entry, in milliseconds. Longer than an
+/// election and the cuts that an entry must serve through.
+pub const SHARE_SPAN: Millis = 15_000;
+
+/// Time after the last grant at which the leader gives the share to others, in milliseconds:
+/// exceeds [`SHARE_SPAN`] by the drift of two clocks and the way of the grant.
+const HELD: Millis = SHARE_SPAN + 1_000;
+
+/// Time that a bucket's depth covers, in seconds of its share.
+const DEPTH: f64 = 0.4;
+
+/// Share of a rate that each entry gets without demand, divided by the number of entries.
+const IDLE: f64 = 0.1;
+
+/// Operations that a bucket holds at least, so that a small share admits single operations.
+const LEAST: f64 = 1.0;
+
+/// Limits of a client account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Operations a second.
+    pub rate: f64,
+    /// Operations at once.
+    pub burst: f64,
+}
+
+/// What an entry asks for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ask {
+    /// Demand, in operations a second.
+    pub demand: f64,
+    /// Share that it holds, in operations a second.
+    pub share: f64,
+    /// Tokens that it lacks now.
+    pub wanted: f64,
+}
+
+/// What an entry gets.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Given {
+    /// Share, in operations a second.
+    pub share: f64,
+    /// Tokens.
+    pub tokens: f64,
+}
+
+/// Shares of all client accounts, as the control leader keeps them.
+#[derive(Debug)]
+pub struct Shares {
+    /// Start of this leadership; shares of the former one are unknown for a while.
+    since: Millis,
+    accounts: BTreeMap<Arc<str>, AccountShares>,
+}
+
+#[derive(Debug)]
+struct AccountShares {
+    pool: f64,
+    filled: Millis,
+    entries: BTreeMap<Name, EntryShare>,
+}
+
+#[derive(Debug)]
+struct EntryShare {
+    demand: f64,
+    share: f64,
+    until: Millis,
+}
+
+impl Shares {
+    /// Shares of a leader that took over at `now`; `fresh` if no leader was before it.
+    pub fn new(now: Millis, fresh: bool) -> Shares {
+        let since = if fresh { now.saturating_sub(HELD) } else { now };
+        Shares { since, accounts: BTreeMap::new() }
+    }
+
+    /// Answers what `entry` asked for at `now`; `count` entries are known.
+    pub fn renew(
+        &mut self,
+        entry: &Name,
+        account: &Arc<str>,
+        limit: Limit,
+        ask: Ask,
+        count: usize,
+        now: Millis,
+    ) -> Given {
+        let settled = now >= self.since + HELD;
+        let since = self.since;
+        let state = self.accounts.entry(account.clone()).or_insert_with(|| AccountShares {
+            pool: if settled { limit.burst } else { 0.0 },
+            filled: since.max(now.saturating_sub(1_000)),
+            entries: BTreeMap::new(),
+        });
+        state.entries.retain(|_, held| now < held.until);
+        state.fill(limit, now);
+        let known = state.entries.get(entry).map_or(ask.share, |held| held.share);
+        state.entries.insert(
+            entry.clone(),
+            EntryShare { demand: ask.demand, share: known.max(ask.share), until: now + HELD },
+        );
+        let idle = limit.rate * IDLE / count.max(1) as f64;
+        let total: f64 = state.entries.values().map(|held| held.demand + idle).sum();
+        let others: f64 =
+            state.entries.iter().filter(|(name, _)| *name != entry).map(|(_, e)| e.share).sum();
+        let fair = limit.rate * SPREAD * (ask.demand + idle) / total.max(f64::MIN_POSITIVE);
+        let mut share = fair.min((limit.rate * SPREAD - others).max(0.0));
+        if !settled {
+            // Entries that have not reported yet may hold the rest.
+            share = share.min(ask.share);
+        }
+        if let Some(held) = state.entries.get_mut(entry) {
+            held.share = share;
+        }
+        let tokens = ask.wanted.min(state.pool.floor()).max(0.0);
+        state.pool -= tokens;
+        Given { share, tokens }
+    }
+}
+
+impl AccountShares {
+    /// Adds what the shares leave of the rate.
+    fn fill(&mut self, limit: Limit, now: Millis) {
+        let spread: f64 = self.entries.values().map(|held| held.share).sum();
+        let rest = (limit.rate - spread).max(0.0);
+        let seconds = now.saturating_sub(self.filled) as f64 / 1e3;
+        self.pool = (self.pool + rest * seconds).min(limit.burst);
+        self.filled = now;
+    }
+}
+
+/// Share of one client account at an entry.
+#[derive(Debug)]
+pub struct Bucket {
+    share: f64,
+    level: f64,
+    at: Millis,
+    until: Millis,
+    /// Operations admitted or refused since the demand was last measured.
+    asked: u32,
+    lacking: u32,
+    demand: f64,
+    measured: Millis,
+}
+
+/// Weight of the newest measure of demand.
+const NEWEST: f64 = 0.5;
+
+/// Least time between two measures of demand, in milliseconds.
+const MEASURE: Millis = 250;
+
+impl Bucket {
+    /// An empty bucket.
+    pub fn new(now: Millis) -> Bucket {
+        Bucket {
+            share: 0.0,
+            level: 0.0,
+            at: now,
+            until: now,
+            asked: 0,
+            lacking: 0,
+            demand: 0.0,
+            measured: now,
+        }
+    }
+
+    /// Takes a token for one operation; false if there is none.
+    pub fn take(&mut self, now: Millis) -> bool {
+        self.fill(now);
+        if self.level < 1.0 {
+            return false;
+        }
+        self.level -= 1.0;
+        true
+    }
+
+    /// Notes that an operation asked for a token.
+    pub fn note(&mut self) {
+        self.asked += 1;
+    }
+
+    /// Notes that an operation found no token.
+    pub fn lack(&mut self) {
+        self.lacking += 1;
+    }
+
+    /// Whether an operation found no token since the last renewal.
+    pub fn lacks(&self) -> bool {
+        self.lacking > 0
+    }
+
+    /// What to ask the leader for.
+    pub fn ask(&mut self, now: Millis) -> Ask {
+        self.fill(now);
+        let passed = now.saturating_sub(self.measured);
+        if passed >= MEASURE {
+            let rate = f64::from(self.asked) * 1e3 / passed as f64;
+            self.demand += (rate - self.demand) * NEWEST;
+            self.asked = 0;
+            self.measured = now;
+        }
+        let wanted = f64::from(std::mem::take(&mut self.lacking)) - self.level.floor();
+        Ask { demand: self.demand, share: self.share, wanted: wanted.max(0.0) }
+    }
+
+    /// Takes the leader's answer to a renewal sent at `sent`.
+    pub fn give(&mut self, given: Given, sent: Millis, now: Millis) {
+        self.fill(now);
+        self.share = given.share;
+        self.until = sent + SHARE_SPAN;
+        self.level += given.tokens;
+    }
+
+    /// Reduces the share to a lower rate.
+    pub fn scale(&mut self, before: f64, after: f64) {
+        if after < before {
+            self.share *= after / before;
+            self.level = self.level.min(self.depth());
+        }
+    }
+
+    fn depth(&self) -> f64 {
+        (self.share * DEPTH).max(LEAST)
+    }
+
+    /// Tokens of the pool stay above the depth until they are used.
+    fn fill(&mut self, now: Millis) {
+        let end = now.min(self.until);
+        let seconds = end.saturating_sub(self.at) as f64 / 1e3;
+        let depth = self.depth();
+        if self.level < depth {
+            self.level = (self.level + self.share * seconds).min(depth);
+        }
+        self.at = self.at.max(now);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control_lead.rs
@@ -0,0 +1,365 @@
+//! Work of the control member that leads: entries, their leases and shares, and what they are sent.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use auburnlug_coordination::{
+    holders::{self, Holders, Place},
+    share::{Ask as ShareAsk, Limit, Shares},
+};
+use auburnlug_protocol::fleet::{
+    Demand, Evidence, FleetGrant, FleetMessage, HolderView, LeadView, Renewal, Share, Update,
+};
+use auburnlug_state::{Millis, Name, Term, fleet::{Fleet, Run}};
+use auburnlug_transport::event::{Event, log};
+
+use crate::{
+    control::Control,
+    control_handle::Heartbeat,
+    control_succession::{Monitor, Succession},
+};
+
+/// Length of an entry's lease, in milliseconds. A promotion waits that long for an entry that
+/// cannot be reached; an election and two lost renewals fit into it.
+pub(crate) const LEASE: Millis = 3_000;
+
+/// What a lease is counted longer here than at its entry, in milliseconds: the drift of two clocks.
+const DRIFT: Millis = 100;
+
+/// Time without a renewal after which an entry gets no connections, in milliseconds.
+const GONE: Millis = 3_500;
+
+/// Time between two heartbeats of a server after which it counts as silent, in milliseconds.
+const SILENT: Millis = 5_000;
+
+/// State of the leading control member.
+pub(crate) struct Leader {
+    /// Term of the agreement.
+    pub(crate) term: Term,
+    /// Start of the leadership.
+    pub(crate) since: Millis,
+    /// Whether no leader was before this one, so that no entry can hold another's lease.
+    pub(crate) first: bool,
+    pub(crate) entries: BTreeMap<Name, EntryState>,
+    pub(crate) heard: BTreeMap<Arc<str>, Heard>,
+    pub(crate) evidence: BTreeMap<(Arc<str>, Name), Witness>,
+    pub(crate) monitors: BTreeMap<Arc<str>, Monitor>,
+    pub(crate) successions: BTreeMap<Arc<str>, Succession>,
+    holders: BTreeMap<Arc<str>, Holders>,
+    members: BTreeSet<Name>,
+    shares: Shares,
+    /// Number of the newest update.
+    pub(crate) index: u64,
+    changed: Parts,
+    /// Update from which on entries know the present leader of each group.
+    pub(crate) published: BTreeMap<Arc<str>, u64>,
+}
+
+/// Number of the update in which each part of the view changed last.
+#[derive(Debug, Clone, Copy, Default)]
+struct Parts {
+    plan: u64,
+    backends: u64,
+    leads: u64,
+    holders: u64,
+    members: u64,
+}
+
+/// An entry that renews its lease here.
+pub(crate) struct EntryState {
+    link: u64,
+    run: u64,
+    place: Place,
+    /// End of the lease on this clock.
+    pub(crate) until: Millis,
+    /// Last update that it has put in force.
+    pub(crate) applied: u64,
+    /// Last update that it was sent on this link.
+    sent: u64,
+    renewed: Millis,
+}
+
+/// Last heartbeat of a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Heard {
+    run: Run,
+    sequence: u64,
+    /// Time at which it arrived.
+    pub(crate) at: Millis,
+    silent: bool,
+}
+
+/// What an entry last said of a primary.
+#[derive(Debug, Clone)]
+pub(crate) struct Witness {
+    pub(crate) server: Arc<str>,
+    /// Time of the primary's last answer to it, on this clock.
+    pub(crate) answered: Millis,
+    pub(crate) stalled: u32,
+    /// Time of the report.
+    pub(crate) at: Millis,
+}
+
+impl Leader {
+    /// Takes a heartbeat; false if a later one has arrived before.
+    pub(crate) fn heard(&mut self, beat: &Heartbeat, now: Millis) -> bool {
+        let (run, sequence) = (beat.backend.run, beat.sequence);
+        let known = self.heard.get(&beat.backend.id);
+        if known.is_some_and(|known| (known.run, known.sequence) >= (run, sequence)) {
+            return false;
+        }
+        let heard = Heard { run, sequence, at: now, silent: false };
+        self.heard.insert(beat.backend.id.clone(), heard);
+        true
+    }
+
+    /// Whether every entry has put an update in force or lost its lease.
+    pub(crate) fn in_force(&self, index: u64, now: Millis) -> bool {
+        let earlier = self.first || now >= self.since + LEASE + DRIFT;
+        earlier && self.entries.values().all(|e| e.applied >= index || now >= e.until)
+    }
+}
+
+impl Control {
+    pub(crate) fn take_over(&mut self) {
+        let now = self.now();
+        let term = self.member.term();
+        let first = self.fleet().plan.version == 0 && self.fleet().leads.is_empty();
+        log(Event::LeaderElected, format_args!("term={term} first={first}"));
+        let parts = Parts { plan: 1, backends: 1, leads: 1, holders: 1, members: 1 };
+        let published = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
+        self.leader = Some(Leader {
+            term,
+            since: now,
+            first,
+            entries: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            evidence: BTreeMap::new(),
+            monitors: BTreeMap::new(),
+            successions: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            members: self.member.instances(),
+            shares: Shares::new(now, first),
+            index: 1,
+            changed: parts,
+            published,
+        });
+        let links: Vec<u64> = self.accepted.keys().copied().collect();
+        for link in links {
+            self.send(link, FleetMessage::Leading);
+        }
+    }
+
+    /// Answers the renewal of an entry.
+    pub(crate) fn renewed(&mut self, link: u64, from: &Name, renewal: Renewal) {
+        let now = self.now();
+        let Some(leader) = &mut self.leader else { return };
+        let place = Place { region: renewal.region, domain: renewal.domain };
+        let known = leader.entries.get(from.as_str());
+        let applied_here = known.is_some_and(|e| e.link == link);
+        let joined = known.is_none_or(|e| e.run != renewal.run);
+        // What an entry applied of another leader's updates counts for nothing here.
+        let sent = known.filter(|e| e.link == link && e.run == renewal.run).map_or(0, |e| e.sent);
+        let applied = if applied_here { renewal.applied.min(sent) } else { 0 };
+        let until = now + LEASE + DRIFT;
+        let state =
+            EntryState { link, run: renewal.run, place, until, applied, sent, renewed: now };
+        leader.entries.insert(from.clone(), state);
+        self.witness(from, renewal.evidence, now);
+        if joined {
+            log(
+                Event::EntryChanged,
+                format_args!("entry={} run={} joined", from.as_str(), renewal.run),
+            );
+            self.place_holders();
+        }
+        self.update_entry(from);
+        let shares = self.share(from, &renewal.demand, now);
+        let Some(leader) = &self.leader else { return };
+        let grant = FleetGrant { sent: renewal.sent, span: LEASE, index: leader.index, shares };
+        self.send(link, FleetMessage::Grant(Box::new(grant)));
+    }
+
+    fn witness(&mut self, from: &Name, evidence: Vec<Evidence>, now: Millis) {
+        let Some(leader) = &mut self.leader else { return };
+        for seen in evidence {
+            let answered = seen.answered.map_or(0, |age| now.saturating_sub(age));
+            let witness =
+                Witness { server: seen.server, answered, stalled: seen.stalled, at: now };
+            leader.evidence.insert((seen.group, from.clone()), witness);
+        }
+    }
+
+    fn share(&mut self, from: &Name, demand: &[Demand], now: Millis) -> Vec<Share> {
+        let plan = self.machine.fleet.plan.clone();
+        let Some(leader) = &mut self.leader else { return Vec::new() };
+        let count = leader.entries.len();
+        let mut shares = Vec::with_capacity(demand.len());
+        for demand in demand {
+            let Some(account) = plan.accounts.get(&demand.account) else { continue };
+            let Some(rate) = account.rate else { continue };
+            let limit = Limit { rate, burst: account.burst };
+            let ask =
+                ShareAsk { demand: demand.rate, share: demand.share, wanted: demand.wanted };
+            let given = leader.shares.renew(from, &demand.account, limit, ask, count, now);
+            let share =
+                Share { account: demand.account.clone(), rate: given.share, tokens: given.tokens };
+            shares.push(share);
+        }
+        shares
+    }
+
+    pub(crate) fn entry_unlinked(&mut self, link: u64) {
+        let Some(leader) = &mut self.leader else { return };
+        // The lease still runs; only the updates sent on the link may be lost.
+        for entry in leader.entries.values_mut().filter(|entry| entry.link == link) {
+            entry.sent = 0;
+            entry.applied = 0;
+        }
+    }
+
+    pub(crate) fn entry_left(&mut self, name: &Name) {
+        let Some(leader) = &mut self.leader else { return };
+        if leader.entries.remove(name.as_str()).is_some() {
+            log(Event::EntryChanged, format_args!("entry={} left", name.as_str()));
+            self.place_holders();
+        }
+    }
+
+    /// Notes what committed changes altered in the view and sends it.
+    pub(crate) fn fleet_changed(&mut self, before: &Fleet) {
+        let after = self.machine.fleet.clone();
+        let Some(leader) = &mut self.leader else { return };
+        let next = leader.index + 1;
+        let mut changed = false;
+        if before.plan.version != after.plan.version {
+            leader.changed.plan = next;
+            changed = true;
+        }
+        if before.backends != after.backends {
+            leader.changed.backends = next;
+            changed = true;
+        }
+        if before.leads != after.leads {
+            leader.changed.leads = next;
+            changed = true;
+            for (group, lead) in &after.leads {
+                if before.leads.get(group) != Some(lead) {
+                    leader.published.insert(group.clone(), next);
+                }
+            }
+        }
+        if changed {
+            leader.index = next;
+            self.place_holders();
+            self.update_entries();
+        }
+    }
+
+    /// Chooses the holders of each group anew.
+    pub(crate) fn place_holders(&mut self) {
+        let plan = self.machine.fleet.plan.clone();
+        let Some(leader) = &mut self.leader else { return };
+        let places: BTreeMap<Name, Place> =
+            leader.entries.iter().map(|(name, e)| (name.clone(), e.place.clone())).collect();
+        let mut all = BTreeMap::new();
+        for (spread, (name, group)) in plan.groups.iter().enumerate() {
+            let current = leader.holders.get(name).cloned().unwrap_or_default();
+            let chosen = holders::choose(&places, &current, group.connections, spread);
+            if chosen != current {
+                log(Event::HoldersChanged, format_args!("group={name} holders={chosen:?}"));
+            }
+            all.insert(name.clone(), chosen);
+        }
+        if all != leader.holders {
+            leader.holders = all;
+            leader.index += 1;
+            leader.changed.holders = leader.index;
+            self.update_entries();
+        }
+    }
+
+    fn update_entries(&mut self) {
+        let Some(leader) = &self.leader else { return };
+        let names: Vec<Name> = leader.entries.keys().cloned().collect();
+        for name in names {
+            self.update_entry(&name);
+        }
+    }
+
+    /// Sends an entry what changed since its last update.
+    fn update_entry(&mut self, name: &Name) {
+        let fleet = &self.machine.fleet;
+        let Some(leader) = &mut self.leader else { return };
+        let Some(entry) = leader.entries.get_mut(name.as_str()) else { return };
+        let (sent, parts) = (entry.sent, leader.changed);
+        if sent >= leader.index {
+            return;
+        }
+        entry.sent = leader.index;
+        let link = entry.link;
+        let update = Update {
+            index: leader.index,
+            term: leader.term,
+            plan: (parts.plan > sent).then(|| fleet.plan.clone()),
+            backends: (parts.backends > sent)
+                .then(|| fleet.backends.values().cloned().collect()),
+            leads: (parts.leads > sent).then(|| lead_views(fleet)),
+            holders: (parts.holders > sent).then(|| holder_views(leader)),
+            members: (parts.members > sent).then(|| leader.members.iter().cloned().collect()),
+        };
+        self.send(link, FleetMessage::Update(Box::new(update)));
+    }
+
+    pub(crate) fn lead_periodic(&mut self, now: Millis) {
+        let instances = self.member.instances();
+        let Some(leader) = &mut self.leader else { return };
+        if leader.members != instances {
+            leader.members = instances;
+            leader.index += 1;
+            leader.changed.members = leader.index;
+            self.update_entries();
+        }
+        let Some(leader) = &mut self.leader else { return };
+        let before = leader.entries.len();
+        leader.entries.retain(|_, entry| now < entry.renewed + GONE || now < entry.until);
+        for (id, heard) in &mut leader.heard {
+            if !heard.silent && now >= heard.at + SILENT {
+                heard.silent = true;
+                log(Event::BackendSilent, format_args!("server={id} seq={}", heard.sequence));
+            }
+        }
+        if leader.entries.len() != before {
+            log(Event::EntryChanged, format_args!("entries={} some_lost", leader.entries.len()));
+            self.place_holders();
+        }
+        self.watch_groups(now);
+    }
+}
+
+fn lead_views(fleet: &Fleet) -> BTreeMap<Arc<str>, LeadView> {
+    let view = |lead: &auburnlug_state::fleet::Lead| LeadView {
+        term: lead.term,
+        primary: lead.primary.clone(),
+    };
+    fleet.leads.iter().map(|(group, lead)| (group.clone(), view(lead))).collect()
+}
+
+fn holder_views(leader: &Leader) -> BTreeMap<Arc<str>, Vec<HolderView>> {
+    let mut views = BTreeMap::new();
+    for (group, holders) in &leader.holders {
+        let known = holders.iter().filter_map(|(entry, connections)| {
+            let place = &leader.entries.get(entry.as_str())?.place;
+            Some(HolderView {
+                entry: entry.clone(),
+                domain: place.domain.clone(),
+                region: place.region.clone(),
+                connections: *connections,
+            })
+        });
+        views.insert(group.clone(), known.collect());
+    }
+    views
+}
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,395 @@
+//! An entry: takes callers, holds connections to servers, follows the control leader.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::TcpListener,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use auburnlug_protocol::{
+    auth::Purpose,
+    fleet::{FleetMessage, Forward},
+};
+use auburnlug_state::{Millis, Name};
+use auburnlug_transport::{
+    clock::Clock,
+    event::{Event, log},
+    link::{Dial, Link},
+    socket::{self, Dialer, Identity},
+};
+use tokio::{
+    sync::mpsc,
+    task::{spawn_local, yield_now},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    executor::Executor,
+    local::{Local, Me},
+    metrics::GatewayMetrics,
+    pool::Pool,
+    relay::Relay,
+    session::{self, Sessions},
+    stop::Stop,
+    wire::{CallerWire, Ports, ServerWire, address_of},
+};
+
+/// Time between two renewals of the lease, in milliseconds: six fit into a lease.
+const RENEWAL: Duration = Duration::from_millis(500);
+
+/// Least time between two renewals, in milliseconds, also when tokens are needed.
+const URGENT: Duration = Duration::from_millis(30);
+
+/// Pause before a control member is dialed again, in milliseconds.
+const REDIAL: Duration = Duration::from_millis(200);
+
+/// Time after which a granter that did not answer is not relied on, in milliseconds.
+const UNANSWERED: Millis = 1_200;
+
+/// Time without a lease after which the entry reports that it is not ready, in milliseconds. A
+/// shorter one would take all entries out of rotation while the control members elect a leader.
+const LOST: Millis = 10_000;
+
+/// Connections waiting to be accepted or sorted.
+const QUEUE: usize = 256;
+
+/// Needs of an entry.
+pub struct EntryOptions {
+    /// This instance.
+    pub me: Me,
+    /// Ports of all instances.
+    pub ports: Ports,
+    /// Listener for callers.
+    pub callers: TcpListener,
+    /// Listener for links of other entries.
+    pub traffic: TcpListener,
+    /// Control members that are known at the start.
+    pub seeds: BTreeSet<Name>,
+    /// Time from the request to stop until the process is killed.
+    pub grace: Duration,
+    /// Credentials of links.
+    pub identity: Arc<Identity>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Wire protocol of callers.
+    pub caller_wire: Arc<dyn CallerWire>,
+    /// Wire protocol of servers.
+    pub server_wire: Arc<dyn ServerWire>,
+    /// Metrics.
+    pub metrics: Arc<GatewayMetrics>,
+}
+
+/// What other threads and the adapter see of an entry.
+#[derive(Debug, Default)]
+pub struct EntryStatus {
+    ready: AtomicBool,
+}
+
+impl EntryStatus {
+    /// Whether the entry takes callers.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+}
+
+/// A request to a running entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntryOrder {
+    /// Take these control members into account.
+    Seeds(BTreeSet<Name>),
+    /// Stop gracefully.
+    Stop,
+}
+
+/// Runs an entry until it has stopped.
+///
+/// # Errors
+///
+/// A listener cannot be used.
+pub async fn run(
+    options: EntryOptions,
+    status: Arc<EntryStatus>,
+    mut orders: mpsc::Receiver<EntryOrder>,
+) -> std::io::Result<()> {
+    let local = Rc::new(Local::new(options.me, options.clock, options.metrics));
+    let pool = Pool::new(local.clone());
+    let executor = Rc::new(Executor::new(local.clone(), pool.clone(), options.server_wire));
+    let dial: Arc<dyn Dial<Forward>> =
+        Arc::new(Dialer::new(options.identity.clone(), Purpose::Traffic));
+    let relay = Relay::new(local.clone(), executor, pool.clone(), dial, options.ports.traffic);
+    let stop = Rc::new(Stop::default());
+    let sessions = Rc::new(Sessions {
+        local: local.clone(),
+        relay: relay.clone(),
+        wire: options.caller_wire,
+        stop: stop.clone(),
+    });
+    accept_links(options.traffic, options.identity.clone(), relay.clone())?;
+    spawn_local(accept_callers(options.callers, sessions.clone()));
+    let seeds = Rc::new(RefCell::new(options.seeds));
+    let follower = Follower {
+        local: local.clone(),
+        pool,
+        relay,
+        status: status.clone(),
+        stop: stop.clone(),
+        dial: Arc::new(Dialer::new(options.identity, Purpose::Control)),
+        port: options.ports.control,
+        seeds: seeds.clone(),
+        links: BTreeMap::new(),
+        granter: None,
+        answered: 0,
+    };
+    spawn_local(follower.run());
+    while let Some(order) = orders.recv().await {
+        match order {
+            EntryOrder::Seeds(names) => *seeds.borrow_mut() = names,
+            EntryOrder::Stop => break,
+        }
+    }
+    status.ready.store(false, Ordering::Release);
+    stop.start(options.grace);
+    local.renew.notify_one();
+    tokio::select! {
+        () = stop.end() => {}
+        () = sessions_ended(&local, &stop) => {}
+    }
+    Ok(())
+}
+
+/// Waits until no session is open, and the balancer sends no new ones.
+async fn sessions_ended(local: &Local, stop: &Stop) {
+    stop.idle_sessions_end().await;
+    // The tasks of the sessions take notice first.
+    sleep(Duration::from_millis(100)).await;
+    while local.metrics.sessions.get() > 0 {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn accept_links(
+    listener: TcpListener,
+    identity: Arc<Identity>,
+    relay: Rc<Relay>,
+) -> std::io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let (control, _control) = mpsc::channel(1);
+    let (traffic, mut sockets) = mpsc::channel(QUEUE);
+    tokio::spawn(socket::listen(listener, identity.clone(), control, traffic));
+    spawn_local(async move {
+        // Keeps the channel of control links open; an entry takes none.
+        let _unused = _control;
+        while let Some(socket) = sockets.recv().await {
+            let (identity, relay) = (identity.clone(), relay.clone());
+            spawn_local(async move {
+                if let Ok(accepted) = socket::accept_traffic(socket, &identity).await {
+                    relay.serve(accepted.link()).await;
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+async fn accept_callers(listener: TcpListener, sessions: Rc<Sessions>) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(session::serve(sessions.clone(), stream));
+            }
+            Err(e) => {
+                log(Event::ListenFailed, format_args!("accept: {e}"));
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Follows the control leader: lease, view, shares.
+struct Follower {
+    local: Rc<Local>,
+    pool: Rc<Pool>,
+    relay: Rc<Relay>,
+    status: Arc<EntryStatus>,
+    stop: Rc<Stop>,
+    dial: Arc<dyn Dial<FleetMessage>>,
+    port: u16,
+    seeds: Rc<RefCell<BTreeSet<Name>>>,
+    /// Links to control members; `None` while one is dialed.
+    links: BTreeMap<Name, Option<mpsc::Sender<FleetMessage>>>,
+    granter: Option<Name>,
+    /// Sending time of the last renewal that was granted.
+    answered: Millis,
+}
+
+/// What a link yields.
+enum Input {
+    Open(Name, mpsc::Sender<FleetMessage>),
+    Message(Name, FleetMessage),
+    Closed(Name),
+}
+
+impl Follower {
+    async fn run(mut self) {
+        let (input, mut inputs) = mpsc::channel(QUEUE);
+        loop {
+            self.dial_members(&input);
+            let renewed = self.local.now();
+            self.renew();
+            if self.stop.started() {
+                // The lease is given back; the last messages have their way.
+                sleep(RENEWAL).await;
+            }
+            // Serves inputs until the next renewal is due.
+            loop {
+                let passed = Duration::from_millis(self.local.now().saturating_sub(renewed));
+                let left = RENEWAL.saturating_sub(passed);
+                let urgent = URGENT.saturating_sub(passed);
+                let local = self.local.clone();
+                tokio::select! {
+                    biased;
+                    next = inputs.recv() => match next {
+                        Some(next) => {
+                            let at_once = self.handle(next);
+                            if at_once {
+                                break;
+                            }
+                        }
+                        None => return,
+                    },
+                    () = sleep(left) => break,
+                    () = async { local.renew.notified().await; sleep(urgent).await } => break,
+                }
+                yield_now().await;
+            }
+        }
+    }
+
+    /// Handles an input; true if a renewal is due at once.
+    fn handle(&mut self, input: Input) -> bool {
+        match input {
+            Input::Open(name, out) => {
+                self.links.insert(name, Some(out));
+                return !self.local.leased();
+            }
+            Input::Closed(name) => {
+                self.links.remove(name.as_str());
+                if self.granter.as_ref() == Some(&name) {
+                    self.granter = None;
+                    log(Event::LeaderMissing, format_args!("member={}", name.as_str()));
+                    return true;
+                }
+            }
+            Input::Message(name, message) => return self.receive(name, message),
+        }
+        false
+    }
+
+    fn receive(&mut self, name: Name, message: FleetMessage) -> bool {
+        match message {
+            FleetMessage::Grant(grant) => {
+                if self.granter.as_ref() != Some(&name) {
+                    log(Event::LeaderFound, format_args!("member={}", name.as_str()));
+                }
+                self.granter = Some(name);
+                self.answered = self.answered.max(grant.sent);
+                self.local.grant(&grant);
+                self.pool.dispatch_all();
+                self.publish();
+            }
+            FleetMessage::Update(update) => {
+                let leads = update.leads.is_some();
+                if self.local.update(*update) {
+                    let view = self.local.view();
+                    self.local.metrics.version.set(view.plan.version);
+                    self.pool.refresh(&view);
+                    self.relay.prepare();
+                    self.publish();
+                    return leads;
+                }
+            }
+            FleetMessage::Leading => {
+                self.granter = Some(name);
+                return true;
+            }
+            FleetMessage::NotLeader => {
+                if self.granter.as_ref() == Some(&name) {
+                    self.granter = None;
+                    return true;
+                }
+            }
+            FleetMessage::Member(_) | FleetMessage::Renew(_) | FleetMessage::Leave => {}
+        }
+        false
+    }
+
+    fn publish(&self) {
+        let now = self.local.now();
+        let ready = self.local.view().plan.version > 0
+            && now < self.answered + LOST
+            && !self.stop.started();
+        self.status.ready.store(ready, Ordering::Release);
+    }
+
+    /// Renews with the member that granted last; with all once that one fails to answer.
+    fn renew(&mut self) {
+        self.publish();
+        let message = if self.stop.started() {
+            FleetMessage::Leave
+        } else {
+            FleetMessage::Renew(Box::new(self.local.renewal()))
+        };
+        let recent = self.local.now() < self.answered + UNANSWERED;
+        let granter = self.granter.as_ref().filter(|_| recent);
+        let granter = granter.and_then(|name| self.links.get(name.as_str())).cloned().flatten();
+        let targets: Vec<_> = match granter {
+            Some(out) => vec![out],
+            None => self.links.values().flatten().cloned().collect(),
+        };
+        for out in targets {
+            // A link that does not drain ends by itself.
+            let _ = out.try_send(message.clone());
+        }
+    }
+
+    fn dial_members(&mut self, input: &mpsc::Sender<Input>) {
+        let mut names = self.seeds.borrow().clone();
+        names.extend(self.local.view().members.iter().cloned());
+        for name in names {
+            if self.links.contains_key(name.as_str()) {
+                continue;
+            }
+            let Some(address) = address_of(name.as_str(), self.port) else { continue };
+            self.links.insert(name.clone(), None);
+            let dialing = self.dial.dial(name.clone(), address);
+            let input = input.clone();
+            tokio::spawn(async move {
+                match timeout(RENEWAL * 4, dialing).await.ok().flatten() {
+                    Some(link) => pump(name, link, input).await,
+                    None => {
+                        sleep(REDIAL).await;
+                        let _ = input.send(Input::Closed(name)).await;
+                    }
+                }
+            });
+        }
+    }
+}
+
+async fn pump(name: Name, link: Link<FleetMessage>, input: mpsc::Sender<Input>) {
+    let Link { out, mut inbox, .. } = link;
+    let _ = input.send(Input::Open(name.clone(), out)).await;
+    while let Some(message) = inbox.recv().await {
+        if input.send(Input::Message(name.clone(), message)).await.is_err() {
+            return;
+        }
+    }
+    let _ = input.send(Input::Closed(name)).await;
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! Runs statements of callers on servers that announce themselves, behind wire protocols that an
+//! adapter supplies.
+//!
+//! Entries take callers and hold connections to servers; control members agree on configuration,
+//! servers and primaries. One thread serves an instance.
+
+pub mod conn;
+pub mod control;
+pub mod control_handle;
+mod control_lead;
+mod control_succession;
+pub mod entry;
+pub mod executor;
+pub mod local;
+pub mod metrics;
+pub mod pool;
+pub mod relay;
+pub mod session;
+pub mod stop;
+pub mod wire;
--- /dev/null
+++ b/crates/gateway/src/local.rs
@@ -0,0 +1,338 @@
+//! What an entry believes: view of the fleet, lease, shares of rates, evidence on primaries.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration,
+};
+
+use auburnlug_coordination::share::{Bucket, Given};
+use auburnlug_protocol::fleet::{
+    Demand, Evidence, FleetGrant, HolderView, LeadView, Renewal, Update,
+};
+use auburnlug_state::{
+    Millis, Name, Term,
+    fleet::{Backend, Plan},
+};
+use auburnlug_transport::{
+    clock::Clock,
+    event::{Event, log},
+};
+use tokio::{sync::Notify, time::timeout};
+
+use crate::metrics::GatewayMetrics;
+
+/// Longest time that an operation waits for a token of its client account, in milliseconds: the
+/// control leader's answer from another region, with a renewal that is just being answered.
+const TOKEN_WAIT: Duration = Duration::from_millis(150);
+
+/// Operations that may wait for tokens of one client account; later ones are refused at once.
+const TOKEN_QUEUE: u32 = 8;
+
+/// View of the fleet, as the control leader sent it.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Term of the control leader that sent it.
+    pub term: Term,
+    /// Number of the last update.
+    pub index: u64,
+    /// Configuration in force.
+    pub plan: Arc<Plan>,
+    /// Servers.
+    pub backends: BTreeMap<Arc<str>, Backend>,
+    /// Leaders of groups.
+    pub leads: BTreeMap<Arc<str>, LeadView>,
+    /// Entries with connections.
+    pub holders: BTreeMap<Arc<str>, Vec<HolderView>>,
+    /// Control members.
+    pub members: Vec<Name>,
+}
+
+/// Place and identity of this instance.
+#[derive(Debug, Clone)]
+pub struct Me {
+    /// Name: its IP address.
+    pub name: Name,
+    /// Name in the platform's settings, for logs.
+    pub label: String,
+    /// Region.
+    pub region: Arc<str>,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Number of this run of the process.
+    pub run: u64,
+}
+
+/// State of an entry, shared by its tasks.
+pub struct Local {
+    /// This instance.
+    pub me: Me,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Counters and histograms.
+    pub metrics: Arc<GatewayMetrics>,
+    /// Wakes the task that renews the lease.
+    pub renew: Notify,
+    /// Wakes those that wait for a token.
+    granted: Notify,
+    view: RefCell<Arc<View>>,
+    /// End of the lease and the update that it requires.
+    lease: Cell<(Millis, u64)>,
+    buckets: RefCell<BTreeMap<Arc<str>, Bucket>>,
+    waiting: RefCell<BTreeMap<Arc<str>, u32>>,
+    evidence: RefCell<BTreeMap<Arc<str>, Seen>>,
+}
+
+/// What this entry saw of a primary.
+#[derive(Debug, Clone, Default)]
+struct Seen {
+    server: Arc<str>,
+    answered: Option<Millis>,
+    stalled: u32,
+}
+
+impl Local {
+    /// State of an entry that has just started.
+    pub fn new(me: Me, clock: Arc<dyn Clock>, metrics: Arc<GatewayMetrics>) -> Local {
+        Local {
+            me,
+            clock,
+            metrics,
+            renew: Notify::new(),
+            granted: Notify::new(),
+            view: RefCell::default(),
+            lease: Cell::default(),
+            buckets: RefCell::default(),
+            waiting: RefCell::default(),
+            evidence: RefCell::default(),
+        }
+    }
+
+    /// Current time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// View in force.
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Whether primaries may be used.
+    pub fn leased(&self) -> bool {
+        let (until, index) = self.lease.get();
+        self.now() < until && self.view.borrow().index >= index
+    }
+
+    /// Puts an update in force; false if it is older than the view.
+    pub fn update(&self, update: Update) -> bool {
+        let before = self.view();
+        if (update.term, update.index) <= (before.term, before.index) {
+            return false;
+        }
+        let mut view = View::clone(&before);
+        if update.term > view.term {
+            // The lease of the former leader does not cover what this one decides.
+            self.lease.set((0, 0));
+        }
+        view.term = update.term;
+        view.index = update.index;
+        // A control leader may not have applied what an earlier one had sent already.
+        if let Some(plan) = update.plan.filter(|plan| plan.version > view.plan.version) {
+            self.rescale(&view.plan, &plan);
+            view.plan = plan;
+        }
+        if let Some(backends) = update.backends {
+            view.backends = backends.into_iter().map(|b| (b.id.clone(), b)).collect();
+        }
+        if let Some(leads) = update.leads {
+            view.leads = leads;
+        }
+        if let Some(holders) = update.holders {
+            view.holders = holders;
+        }
+        if let Some(members) = update.members {
+            view.members = members;
+        }
+        log_changes(&before, &view);
+        *self.view.borrow_mut() = Arc::new(view);
+        true
+    }
+
+    fn rescale(&self, before: &Plan, after: &Plan) {
+        let rate = |plan: &Plan, name: &str| plan.accounts.get(name).and_then(|a| a.rate);
+        for (name, bucket) in self.buckets.borrow_mut().iter_mut() {
+            if let (Some(before), Some(after)) = (rate(before, name), rate(after, name)) {
+                bucket.scale(before, after);
+            }
+        }
+    }
+
+    /// Takes a lease and shares.
+    pub fn grant(&self, grant: &FleetGrant) {
+        self.lease.set((grant.sent + grant.span, grant.index));
+        let now = self.now();
+        let mut buckets = self.buckets.borrow_mut();
+        for share in &grant.shares {
+            if let Some(bucket) = buckets.get_mut(&share.account) {
+                let given = Given { share: share.rate, tokens: share.tokens };
+                bucket.give(given, grant.sent, now);
+            }
+        }
+        drop(buckets);
+        self.granted.notify_waiters();
+    }
+
+    /// Request for the next lease.
+    pub fn renewal(&self) -> Renewal {
+        let now = self.now();
+        let mut buckets = self.buckets.borrow_mut();
+        let demand = buckets.iter_mut().map(|(account, bucket)| {
+            let ask = bucket.ask(now);
+            Demand {
+                account: account.clone(),
+                rate: ask.demand,
+                share: ask.share,
+                wanted: ask.wanted,
+            }
+        });
+        let evidence = self.evidence.borrow();
+        let evidence = evidence.iter().map(|(group, seen)| Evidence {
+            group: group.clone(),
+            server: seen.server.clone(),
+            answered: seen.answered.map(|at| now.saturating_sub(at)),
+            stalled: seen.stalled,
+        });
+        Renewal {
+            sent: now,
+            run: self.me.run,
+            region: self.me.region.clone(),
+            domain: self.me.domain.clone(),
+            applied: self.view.borrow().index,
+            demand: demand.collect(),
+            evidence: evidence.collect(),
+        }
+    }
+
+    /// Admits one operation of a client account by its rate. A short wait bridges the way to the
+    /// control leader; what the account's rate does not cover is refused.
+    pub async fn admit(&self, account: &str) -> bool {
+        if self.view.borrow().plan.accounts.get(account).is_none_or(|a| a.rate.is_none()) {
+            return true;
+        }
+        if self.take(account, true) {
+            return true;
+        }
+        let account: Arc<str> = account.into();
+        {
+            let mut waiting = self.waiting.borrow_mut();
+            let count = waiting.entry(account.clone()).or_default();
+            if *count >= TOKEN_QUEUE {
+                return false;
+            }
+            *count += 1;
+        }
+        let admitted = timeout(TOKEN_WAIT, self.wait_token(&account)).await.is_ok();
+        if let Some(count) = self.waiting.borrow_mut().get_mut(&account) {
+            *count -= 1;
+        }
+        admitted
+    }
+
+    async fn wait_token(&self, account: &str) {
+        loop {
+            let granted = self.granted.notified();
+            if let Some(bucket) = self.buckets.borrow_mut().get_mut(account) {
+                bucket.lack();
+            }
+            self.renew.notify_one();
+            let _ = timeout(TOKEN_WAIT / 3, granted).await;
+            if self.take(account, false) {
+                return;
+            }
+        }
+    }
+
+    fn take(&self, account: &str, first: bool) -> bool {
+        let now = self.now();
+        let mut buckets = self.buckets.borrow_mut();
+        let bucket = buckets.entry(account.into()).or_insert_with(|| Bucket::new(now));
+        if first {
+            bucket.note();
+        }
+        bucket.take(now)
+    }
+
+    /// Notes that the primary of a group answered.
+    pub fn answered(&self, group: &Arc<str>, server: &Arc<str>, commit: bool) {
+        let now = self.now();
+        let mut evidence = self.evidence.borrow_mut();
+        let seen = seen(&mut evidence, group, server);
+        seen.answered = Some(now);
+        if commit {
+            seen.stalled = 0;
+        }
+    }
+
+    /// Notes that the primary of a group left a commit unanswered.
+    pub fn stalled(&self, group: &Arc<str>, server: &Arc<str>) {
+        let mut evidence = self.evidence.borrow_mut();
+        seen(&mut evidence, group, server).stalled += 1;
+    }
+}
+
+fn seen<'a>(
+    evidence: &'a mut BTreeMap<Arc<str>, Seen>,
+    group: &Arc<str>,
+    server: &Arc<str>,
+) -> &'a mut Seen {
+    let seen = evidence.entry(group.clone()).or_default();
+    if seen.server != *server {
+        *seen = Seen { server: server.clone(), ..Seen::default() };
+    }
+    seen
+}
+
+fn log_changes(before: &View, after: &View) {
+    if before.plan.version != after.plan.version {
+        log(
+            Event::ViewChanged,
+            format_args!(
+                "what=configuration version={} before={} index={} term={}",
+                after.plan.version, before.plan.version, after.index, after.term
+            ),
+        );
+    }
+    for (group, lead) in &after.leads {
+        if before.leads.get(group) != Some(lead) {
+            log(
+                Event::ViewChanged,
+                format_args!(
+                    "what=primary group={group} group_term={} primary={} index={} term={}",
+                    lead.term,
+                    lead.primary.as_deref().unwrap_or("none"),
+                    after.index,
+                    after.term
+                ),
+            );
+        }
+    }
+    for (id, backend) in &after.backends {
+        if before.backends.get(id) != Some(backend) {
+            log(
+                Event::ViewChanged,
+                format_args!(
+                    "what=server server={id} group={} draining={} index={} term={}",
+                    backend.group, backend.draining, after.index, after.term
+                ),
+            );
+        }
+    }
+    for id in before.backends.keys().filter(|id| !after.backends.contains_key(*id)) {
+        log(
+            Event::ViewChanged,
+            format_args!("what=server server={id} removed index={}", after.index),
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,96 @@
+//! Counters and histograms of entries and control members.
+
+use std::sync::atomic::AtomicU64;
+
+use auburnlug_protocol::job::Code;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Upper bounds of latencies, in seconds.
+const LATENCIES: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5.0];
+
+/// Label of a counter that is kept by reason.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Reason {
+    /// Reason.
+    pub reason: &'static str,
+}
+
+/// Metrics of an instance.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests answered with success.
+    pub served: Counter,
+    /// Requests that ended with an error, by its code.
+    pub errors: Family<Reason, Counter>,
+    /// Jobs sent again, by the reason.
+    pub retries: Family<Reason, Counter>,
+    /// Reads answered by a replica.
+    pub replica_reads: Counter,
+    /// Connections opened to servers.
+    pub connects: Counter,
+    /// Open sessions.
+    pub sessions: Gauge,
+    /// Seconds from the arrival of a request to its answer.
+    pub latency: Histogram,
+    /// Seconds that jobs waited for a connection.
+    pub waited: Histogram,
+    /// Orders of promotion.
+    pub promotions: Counter,
+    /// Version of the configuration in force.
+    pub version: Gauge<u64, AtomicU64>,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> GatewayMetrics {
+        let mut registry = Registry::with_prefix("auburnlug");
+        let metrics = GatewayMetrics {
+            served: Counter::default(),
+            errors: Family::default(),
+            retries: Family::default(),
+            replica_reads: Counter::default(),
+            connects: Counter::default(),
+            sessions: Gauge::default(),
+            latency: Histogram::new(LATENCIES),
+            waited: Histogram::new(LATENCIES),
+            promotions: Counter::default(),
+            version: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register("requests_served", "Requests answered", metrics.served.clone());
+        registry.register("request_errors", "Requests by error", metrics.errors.clone());
+        registry.register("job_retries", "Jobs sent again", metrics.retries.clone());
+        registry.register("replica_reads", "Reads at replicas", metrics.replica_reads.clone());
+        registry.register("server_connects", "Connections opened", metrics.connects.clone());
+        registry.register("sessions", "Open sessions", metrics.sessions.clone());
+        registry.register("request_seconds", "Latency of requests", metrics.latency.clone());
+        registry.register("wait_seconds", "Wait for a connection", metrics.waited.clone());
+        registry.register("promotions", "Orders of promotion", metrics.promotions.clone());
+        registry.register("config_version", "Configuration", metrics.version.clone());
+        GatewayMetrics { registry, ..metrics }
+    }
+}
+
+impl GatewayMetrics {
+    /// Counts an error.
+    pub fn error(&self, code: Code) {
+        self.errors.get_or_create(&Reason { reason: code.label() }).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retry(&self, reason: &'static str) {
+        self.retries.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/session.rs
@@ -0,0 +1,589 @@
+//! Sessions of callers: one connection, its values, prepared statements and transaction.
+
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use auburnlug_coordination::Position;
+use auburnlug_protocol::job::{
+    Answer, Code, End, Job, Need, Opening, Reply, Request, SessionState, Shape, Statement, Step,
+    Text, Values,
+};
+use auburnlug_state::{
+    Millis,
+    fleet::{Database, Freshness, KeyHash},
+};
+use auburnlug_transport::event::{Event, log};
+use bytes::BytesMut;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::{
+    local::Local,
+    relay::{Place, Relay},
+    stop::Stop,
+    wire::{Broken, CallerWire},
+};
+
+/// Longest time from the connect of a caller to its opening, in milliseconds.
+const OPENING: Duration = Duration::from_millis(10_000);
+
+/// Bytes read at once.
+const READ: usize = 4 << 10;
+
+/// Prepared statements and values of one session.
+const NAMES: usize = 256;
+
+/// What sessions share.
+pub struct Sessions {
+    /// State of the entry.
+    pub local: Rc<Local>,
+    /// Runs jobs here or at another entry.
+    pub relay: Rc<Relay>,
+    /// Wire protocol of callers.
+    pub wire: Arc<dyn CallerWire>,
+    /// Progress of a shutdown.
+    pub stop: Rc<Stop>,
+}
+
+/// Why a session ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// The caller left.
+    Caller,
+    /// The caller sent what cannot be read.
+    Unreadable,
+    /// The opening was refused.
+    Refused,
+    /// The key was withdrawn.
+    KeyWithdrawn,
+    /// The instance stops.
+    Stopping,
+}
+
+struct Session {
+    shared: Rc<Sessions>,
+    stream: TcpStream,
+    inbound: BytesMut,
+    outbound: BytesMut,
+    database: Arc<str>,
+    /// Client account; empty for callers without a key.
+    account: Arc<str>,
+    key: Option<KeyHash>,
+    values: Values,
+    prepared: BTreeMap<Arc<str>, Shape>,
+    /// Position of the last commit of this session.
+    position: Option<Position>,
+    transaction: Option<Transaction>,
+}
+
+struct Transaction {
+    state: SessionState,
+    read_only: bool,
+    database: Database,
+    /// Arrival of its first request.
+    arrival: Millis,
+    /// Where its statements run; `None` before the first.
+    place: Option<Place>,
+    wrote: bool,
+}
+
+/// Serves a caller's connection until it ends.
+pub async fn serve(shared: Rc<Sessions>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let metrics = shared.local.metrics.clone();
+    metrics.sessions.inc();
+    let mut session = Session {
+        shared,
+        stream,
+        inbound: BytesMut::with_capacity(READ),
+        outbound: BytesMut::new(),
+        database: "".into(),
+        account: "".into(),
+        key: None,
+        values: Values::new(),
+        prepared: BTreeMap::new(),
+        position: None,
+        transaction: None,
+    };
+    let ending = session.run().await;
+    session.drop_transaction();
+    metrics.sessions.dec();
+    if ending != Ending::Caller {
+        log(
+            Event::SessionEnded,
+            format_args!(
+                "account={} database={} reason={ending:?}",
+                session.account, session.database
+            ),
+        );
+    }
+}
+
+impl Session {
+    async fn run(&mut self) -> Ending {
+        let opening = match timeout(OPENING, self.read()).await {
+            Ok(Ok(Some(Request::Open(opening)))) => opening,
+            Ok(Ok(None)) | Err(_) => return Ending::Caller,
+            Ok(Ok(Some(_))) => {
+                return self.unreadable(Code::Malformed, "the session is not open").await;
+            }
+            Ok(Err(broken)) => return self.broken(broken).await,
+        };
+        if let Err(answer) = self.open(&opening) {
+            self.refuse(answer).await;
+            return Ending::Refused;
+        }
+        if self.send(None, Some(SessionState::Idle)).await.is_err() {
+            return Ending::Caller;
+        }
+        loop {
+            let request = match self.next().await {
+                Ok(Some(request)) => request,
+                Ok(None) => return Ending::Caller,
+                Err(ending) => return ending,
+            };
+            let served = match request {
+                Request::Run { id, statement } => self.serve(id, statement).await,
+                Request::Close => return Ending::Caller,
+                Request::Open(_) => {
+                    self.reject("", "the session is open already").await
+                }
+                Request::Malformed { id, reason } => self.reject(&id, reason).await,
+            };
+            match served {
+                Ok(()) => {}
+                Err(ending) => return ending,
+            }
+        }
+    }
+
+    /// Next request. A session without a transaction ends here when the instance stops.
+    async fn next(&mut self) -> Result<Option<Request>, Ending> {
+        let shared = self.shared.clone();
+        let idle = self.idle_limit();
+        let open = self.transaction.is_some();
+        tokio::select! {
+            biased;
+            request = self.read() => match request {
+                Ok(request) => return Ok(request),
+                Err(broken) => return Err(self.broken(broken).await),
+            },
+            () = shared.stop.idle_sessions_end(), if !open => return Err(Ending::Stopping),
+            () = shared.stop.transactions_end(), if open => {}
+            () = tokio::time::sleep(idle), if open => {}
+        }
+        // The transaction has rested for too long: its connection goes to others.
+        if let Some(transaction) = &mut self.transaction
+            && transaction.state != SessionState::Failed
+        {
+            transaction.state = SessionState::Failed;
+            log(
+                Event::TransactionAborted,
+                format_args!(
+                    "account={} database={} idle_ms={}",
+                    self.account,
+                    self.database,
+                    idle.as_millis()
+                ),
+            );
+        }
+        if let Some(place) = self.transaction.as_mut().and_then(|t| t.place.take()) {
+            self.shared.relay.end(place);
+        }
+        match self.read().await {
+            Ok(request) => Ok(request),
+            Err(broken) => Err(self.broken(broken).await),
+        }
+    }
+
+    fn idle_limit(&self) -> Duration {
+        let idle = self.shared.local.view().plan.idle;
+        Duration::from_millis(if idle == 0 { DEFAULT_IDLE } else { idle })
+    }
+
+    /// Reads the next request; safe to drop while it waits.
+    async fn read(&mut self) -> Result<Option<Request>, Broken> {
+        loop {
+            if let Some(request) = self.shared.wire.decode(&mut self.inbound)? {
+                return Ok(Some(request));
+            }
+            self.inbound.reserve(READ);
+            match self.stream.read_buf(&mut self.inbound).await {
+                Ok(0) | Err(_) => return Ok(None),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    fn open(&mut self, opening: &Opening) -> Result<(), Answer> {
+        let view = self.shared.local.view();
+        self.database = opening.database.clone();
+        self.key = opening.key.as_deref().map(KeyHash::from);
+        let refusal = match view.plan.databases.get(&opening.database) {
+            None => Some((Code::UnknownDatabase, "no database of this name")),
+            Some(database) => {
+                let account = self.key.as_ref().and_then(|key| view.plan.account_of(key));
+                match account {
+                    Some(account) => {
+                        self.account = account.clone();
+                        None
+                    }
+                    None if database.open => None,
+                    None => Some((Code::UnknownKey, "no client account has this key")),
+                }
+            }
+        };
+        let Some((code, reason)) = refusal else { return Ok(()) };
+        self.shared.local.metrics.error(code);
+        log(
+            Event::SessionRefused,
+            format_args!(
+                "database={} code={code} reason={reason:?} config_version={}",
+                opening.database.escape_debug(),
+                view.plan.version
+            ),
+        );
+        Err(Answer::error(code, reason))
+    }
+
+    /// Checks database and key again: both may have been withdrawn.
+    fn check(&self) -> Result<Database, (Code, &'static str)> {
+        let view = self.shared.local.view();
+        let Some(database) = view.plan.databases.get(&self.database) else {
+            return Err((Code::UnknownDatabase, "no database of this name"));
+        };
+        let holds = |key: &KeyHash| view.plan.account_of(key) == Some(&self.account);
+        if !self.account.is_empty() && !self.key.as_ref().is_some_and(holds) {
+            return Err((Code::UnknownKey, "the key was withdrawn"));
+        }
+        if self.account.is_empty() && !database.open {
+            return Err((Code::UnknownKey, "the database needs a key"));
+        }
+        Ok(database.clone())
+    }
+
+    async fn serve(&mut self, id: Arc<str>, statement: Statement) -> Result<(), Ending> {
+        let arrival = self.shared.local.now();
+        let database = match self.check() {
+            Ok(database) => database,
+            Err((code, reason)) => return self.withdraw(&id, code, reason).await,
+        };
+        let state = self.transaction.as_ref().map_or(SessionState::Idle, |t| t.state);
+        let (answer, state) = match statement {
+            Statement::Commit(_) | Statement::Rollback if state == SessionState::Failed => {
+                self.drop_transaction();
+                (ended(&statement), SessionState::Idle)
+            }
+            _ if state == SessionState::Failed => {
+                (Answer::error(Code::Malformed, "the transaction failed"), state)
+            }
+            Statement::Begin { read_only } => {
+                if state == SessionState::Open {
+                    (Answer::error(Code::Malformed, "a transaction is open"), state)
+                } else {
+                    self.begin(database, read_only, arrival);
+                    (Answer::local(), SessionState::Open)
+                }
+            }
+            Statement::Rollback => {
+                self.drop_transaction();
+                (Answer::local(), SessionState::Idle)
+            }
+            Statement::Set { name, value } => (self.set(name, value), state),
+            Statement::Prepare { name, shape } => (self.prepare(name, shape), state),
+            Statement::Deallocate { name } => match self.prepared.remove(&name) {
+                Some(_) => (Answer::local(), state),
+                None => (Answer::error(Code::UnknownStatement, name), state),
+            },
+            Statement::Read(text) => self.run_text(&id, arrival, database, text, false).await,
+            Statement::Write(text) => self.run_text(&id, arrival, database, text, true).await,
+            Statement::Commit(text) => self.commit(&id, arrival, text).await,
+            Statement::Execute { name, arguments } => match self.prepared.get(&name).cloned() {
+                Some(shape) => {
+                    let writes = shape.writes;
+                    let text = Text::Prepared { shape, arguments };
+                    self.run_statement(&id, arrival, database, text, writes).await
+                }
+                None => (Answer::error(Code::UnknownStatement, name), state),
+            },
+        };
+        self.log_answer(&id, arrival, &answer);
+        self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
+    }
+
+    fn begin(&mut self, database: Database, read_only: bool, arrival: Millis) {
+        self.transaction = Some(Transaction {
+            state: SessionState::Open,
+            read_only,
+            database,
+            arrival,
+            place: None,
+            wrote: false,
+        });
+    }
+
+    fn set(&mut self, name: Arc<str>, value: Arc<str>) -> Answer {
+        if self.values.len() >= NAMES && !self.values.contains_key(&name) {
+            return Answer::error(Code::Failed, "too many session values");
+        }
+        self.values.insert(name, value);
+        Answer::local()
+    }
+
+    fn prepare(&mut self, name: Arc<str>, shape: Shape) -> Answer {
+        if self.prepared.len() >= NAMES && !self.prepared.contains_key(&name) {
+            return Answer::error(Code::Failed, "too many prepared statements");
+        }
+        self.prepared.insert(name, shape);
+        Answer::local()
+    }
+
+    async fn run_text(
+        &mut self,
+        id: &Arc<str>,
+        arrival: Millis,
+        database: Database,
+        text: Arc<str>,
+        writes: bool,
+    ) -> (Answer, SessionState) {
+        self.run_statement(id, arrival, database, Text::Plain(text), writes).await
+    }
+
+    async fn run_statement(
+        &mut self,
+        id: &Arc<str>,
+        arrival: Millis,
+        database: Database,
+        text: Text,
+        writes: bool,
+    ) -> (Answer, SessionState) {
+        if self.transaction.is_some() {
+            return self.run_in_transaction(id, arrival, text, writes, false).await;
+        }
+        let job = self.job(id, &database, Step::Single, text, writes, arrival);
+        let (answer, place) = self.shared.relay.start(job).await;
+        if let Some(place) = place {
+            self.shared.relay.end(place);
+        }
+        if writes && answer.code().is_none() {
+            self.position = self.position.max(answer.position);
+        }
+        (answer, SessionState::Idle)
+    }
+
+    async fn run_in_transaction(
+        &mut self,
+        id: &Arc<str>,
+        arrival: Millis,
+        text: Text,
+        writes: bool,
+        commits: bool,
+    ) -> (Answer, SessionState) {
+        let Some(mut transaction) = self.transaction.take() else {
+            return (Answer::error(Code::Malformed, "no transaction is open"), SessionState::Idle);
+        };
+        let place = transaction.place.take();
+        let step = match place {
+            Some(_) => Step::Next,
+            None => Step::First { read_only: transaction.read_only },
+        };
+        let begun = if place.is_some() { arrival } else { transaction.arrival };
+        let mut job = self.job(id, &transaction.database, step, text, writes || commits, begun);
+        job.commits = commits;
+        transaction.wrote |= writes;
+        let (answer, place) = match place {
+            Some(place) => self.shared.relay.next(place, job).await,
+            None => self.shared.relay.start(job).await,
+        };
+        if commits {
+            if let Some(place) = place {
+                self.shared.relay.end(place);
+            }
+            if answer.code().is_none() && transaction.wrote {
+                self.position = self.position.max(answer.position);
+            }
+            return (answer, SessionState::Idle);
+        }
+        let failed = answer.code().is_some() || place.is_none();
+        if failed {
+            if let Some(place) = place {
+                self.shared.relay.end(place);
+            }
+            transaction.state = SessionState::Failed;
+        } else {
+            transaction.place = place;
+        }
+        let state = transaction.state;
+        self.transaction = Some(transaction);
+        (answer, state)
+    }
+
+    async fn commit(
+        &mut self,
+        id: &Arc<str>,
+        arrival: Millis,
+        text: Arc<str>,
+    ) -> (Answer, SessionState) {
+        self.run_in_transaction(id, arrival, Text::Plain(text), false, true).await
+    }
+
+    fn job(
+        &self,
+        id: &Arc<str>,
+        database: &Database,
+        step: Step,
+        text: Text,
+        once: bool,
+        arrival: Millis,
+    ) -> Job {
+        let need = match database.freshness {
+            Freshness::Newest => Need::Primary,
+            Freshness::Bounded(age) => Need::Recent { age, after: None },
+            Freshness::Session(age) => Need::Recent { age, after: self.position },
+        };
+        Job {
+            id: id.clone(),
+            account: self.account.clone(),
+            group: database.group.clone(),
+            need,
+            step,
+            once,
+            commits: false,
+            text,
+            values: self.values.clone(),
+            waited: self.shared.local.now().saturating_sub(arrival),
+            left: database.timeout,
+            priority: database.priority,
+            objective: database.objective,
+        }
+    }
+
+    fn drop_transaction(&mut self) {
+        if let Some(place) = self.transaction.take().and_then(|mut t| t.place.take()) {
+            self.shared.relay.end(place);
+        }
+    }
+
+    /// Refuses a request whose database or key is gone.
+    async fn withdraw(
+        &mut self,
+        id: &Arc<str>,
+        code: Code,
+        reason: &'static str,
+    ) -> Result<(), Ending> {
+        self.drop_transaction();
+        let answer = Answer::error(code, reason);
+        self.log_answer(id, self.shared.local.now(), &answer);
+        let sent = self.send(Some(answer), Some(SessionState::Idle)).await;
+        match code {
+            Code::UnknownKey => Err(Ending::KeyWithdrawn),
+            _ => sent.map_err(|()| Ending::Caller),
+        }
+    }
+
+    /// Refuses a request that cannot be understood.
+    async fn reject(&mut self, id: &str, reason: &'static str) -> Result<(), Ending> {
+        self.shared.local.metrics.error(Code::Malformed);
+        log(
+            Event::MessageMalformed,
+            format_args!("id={} account={} reason={reason:?}", id.escape_debug(), self.account),
+        );
+        let state = match &mut self.transaction {
+            None => SessionState::Idle,
+            Some(transaction) => {
+                transaction.state = SessionState::Failed;
+                let place = transaction.place.take();
+                if let Some(place) = place {
+                    self.shared.relay.end(place);
+                }
+                SessionState::Failed
+            }
+        };
+        let answer = Answer::error(Code::Malformed, reason);
+        self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
+    }
+
+    async fn broken(&mut self, broken: Broken) -> Ending {
+        match broken {
+            Broken::TooLarge => self.unreadable(Code::TooLarge, "the message is too large").await,
+            Broken::Malformed => self.unreadable(Code::Malformed, "not a message").await,
+        }
+    }
+
+    async fn unreadable(&mut self, code: Code, reason: &'static str) -> Ending {
+        self.shared.local.metrics.error(code);
+        log(
+            Event::MessageMalformed,
+            format_args!("account={} code={code} reason={reason:?}", self.account),
+        );
+        self.refuse(Answer::error(code, reason)).await;
+        Ending::Unreadable
+    }
+
+    /// Sends the last answer of a session.
+    async fn refuse(&mut self, answer: Answer) {
+        // The session ends in any case.
+        let _ = self.send(Some(answer), None).await;
+    }
+
+    async fn send(
+        &mut self,
+        answer: Option<Answer>,
+        state: Option<SessionState>,
+    ) -> Result<(), ()> {
+        self.shared.wire.encode(&Reply { answer, state }, &mut self.outbound);
+        let outbound = self.outbound.split();
+        self.stream.write_all(&outbound).await.map_err(|_| ())
+    }
+
+    fn log_answer(&self, id: &str, arrival: Millis, answer: &Answer) {
+        let local = &self.shared.local;
+        let took = local.now().saturating_sub(arrival);
+        let server = answer.server.as_deref().unwrap_or("none");
+        let version = local.view().plan.version;
+        match &answer.end {
+            End::Done(None) => {}
+            End::Done(Some(_)) => {
+                local.metrics.served.inc();
+                local.metrics.latency.observe(took as f64 / 1e3);
+                log(
+                    Event::RequestServed,
+                    format_args!(
+                        "id={id} account={} database={} server={server} ms={took}",
+                        self.account, self.database
+                    ),
+                );
+            }
+            End::Error(code, reason) => {
+                local.metrics.error(*code);
+                let ran = matches!(code, Code::Failed | Code::Timeout | Code::Unknown);
+                let event = if ran { Event::RequestFailed } else { Event::RequestRefused };
+                log(
+                    event,
+                    format_args!(
+                        "id={id} account={} database={} server={server} ms={took} code={code} reason={:?} config_version={version}",
+                        self.account, self.database, &**reason
+                    ),
+                );
+            }
+        }
+    }
+}
+
+/// Idle time of transactions before a configuration sets one, in milliseconds.
+const DEFAULT_IDLE: u64 = 3_000;
+
+/// Answer to the end of a failed transaction.
+fn ended(statement: &Statement) -> Answer {
+    match statement {
+        Statement::Commit(_) => Answer::error(Code::Aborted, "the transaction was rolled back"),
+        _ => Answer::local(),
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/fleet.rs
@@ -0,0 +1,167 @@
+//! Messages between entries and control members of a fleet, and between entries.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use auburnlug_state::{
+    Millis, Name, Term,
+    fleet::{Backend, Plan},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    job::{Answer, Job},
+    peer::Control,
+};
+
+/// A message on a control link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FleetMessage {
+    /// Agreement between control members.
+    Member(Control),
+    /// An entry renews its lease.
+    Renew(Box<Renewal>),
+    /// The leader grants a lease.
+    Grant(Box<FleetGrant>),
+    /// The sender does not lead.
+    NotLeader,
+    /// The sender has become leader.
+    Leading,
+    /// What changed in the view of the fleet.
+    Update(Box<Update>),
+    /// The sender stops: its lease ends now.
+    Leave,
+}
+
+/// Request for a lease.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// Time of sending on the entry's clock; the grant returns it.
+    pub sent: Millis,
+    /// Run of the entry's process.
+    pub run: u64,
+    /// Region of the entry.
+    pub region: Arc<str>,
+    /// Failure domain of the entry.
+    pub domain: Arc<str>,
+    /// Last update that the entry has put in force.
+    pub applied: u64,
+    /// Use of client accounts since the last renewal.
+    pub demand: Vec<Demand>,
+    /// What the entry saw of primaries since the last renewal.
+    pub evidence: Vec<Evidence>,
+}
+
+/// Use of a client account by one entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Client account.
+    pub account: Arc<str>,
+    /// Operations a second, smoothed.
+    pub rate: f64,
+    /// Share that the entry holds, in operations a second.
+    pub share: f64,
+    /// Tokens asked for at once.
+    pub wanted: f64,
+}
+
+/// What an entry saw of the primary of a group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Database group.
+    pub group: Arc<str>,
+    /// Server that the entry took for the primary.
+    pub server: Arc<str>,
+    /// Time since it last answered, in milliseconds; `None` if it never did.
+    pub answered: Option<Millis>,
+    /// Commits in a row that it did not answer in time.
+    pub stalled: u32,
+}
+
+/// Lease of an entry and its shares of the client accounts' rates.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetGrant {
+    /// Time of sending of the renewal.
+    pub sent: Millis,
+    /// Length of the lease from then on, in milliseconds.
+    pub span: Millis,
+    /// Update that must be in force for the lease to count.
+    pub index: u64,
+    /// Shares.
+    pub shares: Vec<Share>,
+}
+
+/// Part of a client account's rate for one entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    /// Client account.
+    pub account: Arc<str>,
+    /// Operations a second.
+    pub rate: f64,
+    /// Operations that the entry may admit at once besides.
+    pub tokens: f64,
+}
+
+/// Parts of the view that changed; absent parts stay as they are.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// Number of the update; grows within the term of a control leader.
+    pub index: u64,
+    /// Term of the control leader.
+    pub term: Term,
+    /// Configuration.
+    pub plan: Option<Arc<Plan>>,
+    /// Servers.
+    pub backends: Option<Vec<Backend>>,
+    /// Leaders of groups.
+    pub leads: Option<BTreeMap<Arc<str>, LeadView>>,
+    /// Entries that hold connections to the servers of a group.
+    pub holders: Option<BTreeMap<Arc<str>, Vec<HolderView>>>,
+    /// Control members.
+    pub members: Option<Vec<Name>>,
+}
+
+/// Leader of a group as entries see it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LeadView {
+    /// Term.
+    pub term: Term,
+    /// Server that leads the term; `None` while it is being replaced.
+    pub primary: Option<Arc<str>>,
+}
+
+/// An entry that holds connections to the servers of a group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HolderView {
+    /// Instance.
+    pub entry: Name,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// Connections to each server.
+    pub connections: u32,
+}
+
+/// A message on a link between entries.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Forward {
+    /// Runs a job. Jobs with the same number belong to one transaction.
+    Job {
+        /// Number chosen by the sender.
+        number: u64,
+        /// Job.
+        job: Box<Job>,
+    },
+    /// Ends the transaction without keeping its writes; not answered.
+    Drop {
+        /// Number of the jobs.
+        number: u64,
+    },
+    /// Answer to a job.
+    Answer {
+        /// Number of the job.
+        number: u64,
+        /// Answer.
+        answer: Box<Answer>,
+    },
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod auth;
 mod codec;
 mod error;
+pub mod fleet;
+pub mod job;
 pub mod operator;
 pub mod outcome;
 pub mod peer;
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Index, Name, Term};
+use crate::{Index, Name, Term, fleet::FleetChange};
 
 /// A change of the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -68,6 +68,8 @@
         /// Epoch of the group's owner.
         epoch: u64,
     },
+    /// Changes the state of a deployment that another authority runs.
+    Fleet(FleetChange),
 }
 
 /// A conditional change of the configuration.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,7 @@
 mod command;
 mod config;
 mod error;
+pub mod fleet;
 mod machine;
 mod machine_config;
 mod name;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Command, Config, History, Holder, Index, Instance, Name, Role, Server, Shard, Term};
+use crate::{
+    Command, Config, History, Holder, Index, Instance, Name, Role, Server, Shard, Term,
+    fleet::Fleet,
+};
 
 /// State that every instance derives from the agreed log.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -31,6 +34,9 @@
     pub filling: BTreeMap<Name, BTreeSet<Name>>,
     /// What outlasts a change of the configuration.
     pub history: History,
+    /// State of a deployment that another authority runs.
+    #[serde(default)]
+    pub fleet: Fleet,
 }
 
 /// Term and primary of a database group.
@@ -74,6 +80,7 @@
         self.index = index;
         match command {
             Command::Configure(change) => return self.configure(index, change),
+            Command::Fleet(change) => return self.fleet.apply(change),
             Command::Register(instance) => self.register(instance),
             Command::Remove { instance, incarnation } => self.remove(instance, *incarnation),
             Command::Assign { shard, instance, epoch } => self.assign(shard, instance, *epoch),
--- a/crates/transport/src/clock.rs
+++ b/crates/transport/src/clock.rs
@@ -1,8 +1,7 @@
 //! Monotonic time of the process.
 
-use std::time::Instant;
-
 use auburnlug_state::Millis;
+use rustix::time::{ClockId, Timespec, clock_gettime};
 
 /// Source of time for the whole process.
 pub trait Clock: Send + Sync {
@@ -11,20 +10,25 @@
 }
 
 /// Clock of the operating system.
+///
+/// It counts the time in which the machine was suspended, so a lease does not outlive it.
 #[derive(Debug)]
 pub struct SystemClock {
-    start: Instant,
+    start: Timespec,
 }
 
 impl SystemClock {
     /// A clock that starts at 1, so that 0 can stand for "never".
     pub fn start() -> SystemClock {
-        SystemClock { start: Instant::now() }
+        SystemClock { start: clock_gettime(ClockId::Boottime) }
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        self.start.elapsed().as_millis() as Millis + 1
+        let now = clock_gettime(ClockId::Boottime);
+        let seconds = now.tv_sec - self.start.tv_sec;
+        let nanos = now.tv_nsec - self.start.tv_nsec;
+        Millis::try_from(seconds * 1_000 + nanos.div_euclid(1_000_000)).unwrap_or(0) + 1
     }
 }
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -97,7 +97,7 @@
         if let Some(disk) = options.disk {
             let configured = options.members.keys().cloned().collect();
             let seed = rand::rng().random();
-            let opened = Member::open(options.instance.name.clone(), configured, disk, seed, now)?;
+            let opened = Member::open(options.instance.name.clone(), configured, disk, true, seed, now)?;
             member = Some(opened.0);
             machine = opened.1;
         }
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use auburnlug_coordination::{
-    formation::{Decision, Formation, instance_of, join_step},
+    formation::{Decision, Formation, instance_of, join_step, retire_step},
     raft::{Entry, Members, Message, Raft, Ready, Saved, Snapshot, Timing},
 };
 use auburnlug_protocol::{decode, encode, peer::Control};
@@ -22,8 +22,12 @@
 /// 200 ms; one that lost its disk again comes back under another identity and never asks again.
 const JOIN_LIMIT: Millis = 2_000;
 
+/// A voter that has not answered for this long is given up once its successor is filled, in
+/// milliseconds. Longer than an election and a restart of its process.
+const LOST: Millis = 3_000;
+
 /// Control member of this instance.
-pub(crate) struct Member {
+pub struct Member {
     instance: Name,
     identity: Name,
     configured: BTreeSet<Name>,
@@ -33,6 +37,8 @@
     joining: BTreeMap<Name, Joining>,
     covered: Index,
     seed: u64,
+    /// Whether this member may found the group.
+    founds: bool,
 }
 
 /// A member that asks to join.
@@ -51,21 +57,27 @@
 
 /// What a step of the member asks its caller to do.
 #[derive(Debug, Default)]
-pub(crate) struct Work {
+pub struct Work {
     /// Replaces the machine.
-    pub(crate) machine: Option<Machine>,
+    pub machine: Option<Machine>,
     /// Applies these entries.
-    pub(crate) committed: Vec<Entry>,
+    pub committed: Vec<Entry>,
     /// Sends these messages to members, by instance.
-    pub(crate) messages: Vec<(Name, Control)>,
+    pub messages: Vec<(Name, Control)>,
 }
 
 impl Member {
-    /// Opens the member's disk; the machine is that of its snapshot.
-    pub(crate) fn open(
+    /// Opens the member's disk; the machine is that of its snapshot. A member that is known to
+    /// have had a group before, by `founds`, never founds another.
+    ///
+    /// # Errors
+    ///
+    /// The disk cannot be read.
+    pub fn open(
         instance: Name,
         configured: BTreeSet<Name>,
         mut disk: Box<dyn Disk>,
+        founds: bool,
         seed: u64,
         now: Millis,
     ) -> Result<(Member, Machine)> {
@@ -93,8 +105,9 @@
             format_args!("identity {identity}, {count} entries after index {covered}"),
         );
         let joining = BTreeMap::new();
+        let founds = founds && configured.contains(&instance);
         let mut member =
-            Member { instance, identity, configured, disk, state, joining, covered, seed };
+            Member { instance, identity, configured, disk, state, joining, covered, seed, founds };
         if let State::Searching(formation) = &member.state {
             let decision = formation.start();
             member.decided(decision, now)?;
@@ -103,34 +116,48 @@
     }
 
     /// Whether this member leads and may act for the group at `now`.
-    pub(crate) fn leads(&self, now: Millis) -> bool {
+    pub fn leads(&self, now: Millis) -> bool {
         self.raft().is_some_and(|raft| raft.lease_valid(now))
     }
 
+    /// End of the leader lease on the clock of the member; `None` unless this member leads.
+    pub fn lease(&self) -> Option<Millis> {
+        self.raft().and_then(Raft::lease_end)
+    }
+
+    /// Whether this member leads its term, with or without a valid lease.
+    pub fn leading(&self) -> bool {
+        self.raft().is_some_and(Raft::leads)
+    }
+
     /// Whether the member takes part in the agreement, so that it applies its own log.
-    pub(crate) fn agrees(&self) -> bool {
+    pub fn agrees(&self) -> bool {
         self.raft().is_some_and(|raft| raft.members().all().any(|id| *id == self.identity))
     }
 
     /// Instance that leads, as far as known.
-    pub(crate) fn leader(&self) -> Option<Name> {
+    pub fn leader(&self) -> Option<Name> {
         instance_of(self.raft()?.leader()?)
     }
 
     /// Term of the agreement.
-    pub(crate) fn term(&self) -> u64 {
+    pub fn term(&self) -> u64 {
         self.raft().map_or(0, Raft::term)
     }
 
     /// Proposes a command; `None` if this member does not lead.
-    pub(crate) fn propose(&mut self, command: Command, now: Millis) -> Option<(u64, Index)> {
+    pub fn propose(&mut self, command: Command, now: Millis) -> Option<(u64, Index)> {
         let State::Member(raft, _) = &mut self.state else { return None };
         let index = raft.propose(command, now).ok()?;
         Some((raft.term(), index))
     }
 
     /// Handles a message from the instance `from`; returns an answer to be sent back to it.
-    pub(crate) fn receive(
+    ///
+    /// # Errors
+    ///
+    /// The disk failed.
+    pub fn receive(
         &mut self,
         from: &Name,
         message: Control,
@@ -158,8 +185,19 @@
         Ok(None)
     }
 
+    /// Instances that the membership in force names.
+    pub fn instances(&self) -> BTreeSet<Name> {
+        let members = self.raft().map(|raft| raft.members().all().filter_map(instance_of));
+        members.map(Iterator::collect).unwrap_or_default()
+    }
+
+    /// Takes over the configured members.
+    pub fn configure(&mut self, configured: BTreeSet<Name>) {
+        self.configured = configured;
+    }
+
     /// Asks the other members, while this one has no place in the group.
-    pub(crate) fn search(&self) -> Vec<(Name, Control)> {
+    pub fn search(&self) -> Vec<(Name, Control)> {
         let message = match &self.state {
             State::Searching(_) => Control::Probe { identity: self.identity.clone() },
             State::Member(_, true) => Control::Join { identity: self.identity.clone() },
@@ -170,7 +208,11 @@
     }
 
     /// Does what is due at `now`: agreement, steps of joining members, durable writes.
-    pub(crate) fn step(&mut self, now: Millis) -> Result<Work> {
+    ///
+    /// # Errors
+    ///
+    /// The disk failed.
+    pub fn step(&mut self, now: Millis) -> Result<Work> {
         self.promote(now);
         let mut work = Work::default();
         loop {
@@ -185,7 +227,11 @@
     }
 
     /// Replaces old entries by a snapshot of `machine` when enough have gathered.
-    pub(crate) fn compact(&mut self, machine: &Machine) -> Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// The disk failed.
+    pub fn compact(&mut self, machine: &Machine) -> Result<()> {
         let State::Member(raft, _) = &mut self.state else { return Ok(()) };
         if machine.index < self.covered + SNAPSHOT_ENTRIES {
             return Ok(());
@@ -213,6 +259,7 @@
     fn decided(&mut self, decision: Decision, now: Millis) -> Result<()> {
         let members = match decision {
             Decision::Wait => return Ok(()),
+            Decision::Found(_) if !self.founds => return Ok(()),
             Decision::Found(members) => {
                 log(Event::Formed, format_args!("{} members", members.voters.len()));
                 members
@@ -261,7 +308,9 @@
             self.joining.remove(identity.as_str());
             return;
         }
-        if let Some(next) = join_step(raft.members(), &identity, filled) {
+        let lost = raft.silent_voter(now, LOST).filter(|_| filled);
+        let step = lost.and_then(|lost| retire_step(raft.members(), &identity, &lost));
+        if let Some(next) = step.or_else(|| join_step(raft.members(), &identity, filled)) {
             // Refused while an earlier change is open; the next step tries again.
             let _ = raft.propose_members(next, now);
         }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -3,14 +3,19 @@
 //! Every line of the log belongs to one [`Event`]; its code and meaning are listed in
 //! `docs/events.md`, which a test compares with [`Event::ALL`].
 
-use std::{fmt, sync::Arc};
+use std::{
+    fmt,
+    sync::{Arc, OnceLock},
+};
 
 use spdlog::{
     Level, LevelFilter, Logger,
     formatter::{FullFormatter, JsonFormatter},
-    sink::StdStreamSink,
+    sink::{StdStreamSink, WriteSink},
 };
 
+use crate::log_writer::LogWriter;
+
 macro_rules! events {
     ($($name:ident = $code:literal, $level:ident, $text:literal;)*) => {
         /// A kind of log line.
@@ -75,6 +80,36 @@
     CallerOversized = 403, Warn, "caller sent a message above the size limit";
     ServerConnectFailed = 500, Warn, "connection to a database server failed";
     AnswerMismatched = 501, Error, "database server broke the order of answers; connection closed";
+    RequestServed = 600, Info, "request answered by a server";
+    RequestRefused = 601, Info, "request refused without being run";
+    RequestFailed = 602, Warn, "request ended with an error of the server or an unknown outcome";
+    RequestRetried = 603, Info, "request sent to another server";
+    SessionRefused = 604, Info, "session refused at its opening";
+    SessionEnded = 605, Info, "session ended by this instance";
+    TransactionAborted = 606, Info, "transaction rolled back by this instance";
+    MessageMalformed = 607, Warn, "message that cannot be decoded refused";
+    ServerLost = 610, Warn, "connections to a server fail";
+    ServerRegained = 611, Info, "server answers again";
+    HolderLost = 612, Warn, "link to an entry that holds connections is lost";
+    HolderRegained = 613, Info, "link to an entry that holds connections is open";
+    ViewChanged = 620, Info, "view of the fleet changed";
+    LeaderFound = 621, Info, "control leader found";
+    LeaderMissing = 622, Warn, "no control leader answers";
+    SettingsReloaded = 630, Info, "settings read again";
+    DeploymentAccepted = 700, Info, "configuration accepted";
+    DeploymentRefused = 701, Warn, "configuration refused";
+    HeartbeatRefused = 702, Warn, "server heartbeat refused";
+    BackendChanged = 703, Info, "server recorded";
+    BackendForgotten = 704, Info, "server removed";
+    BackendSilent = 705, Warn, "server sends no heartbeats";
+    EntryChanged = 706, Info, "entry joined or left";
+    HoldersChanged = 707, Info, "holders of a group changed";
+    SuccessionStarted = 710, Warn, "primary is to be replaced";
+    SuccessionStep = 711, Info, "step of a replacement";
+    PromotionAnswered = 712, Info, "order of promotion answered";
+    LeadChanged = 713, Info, "leader of a group recorded";
+    MemberLinkLost = 720, Warn, "link to a control member is lost";
+    MemberLinkOpen = 721, Info, "link to a control member is open";
 }
 
 impl Event {
@@ -89,6 +124,29 @@
     spdlog::log!(event.level(), "AL{:04} {}: {}", event.code(), event.text(), detail);
 }
 
+/// Writer behind the log of [`start_bounded`].
+static WRITER: OnceLock<LogWriter> = OnceLock::new();
+
+/// Sends the log to standard output without ever waiting for it.
+///
+/// A logger that cannot be built leaves the default one in place.
+pub fn start_bounded() {
+    let Ok(writer) = LogWriter::start() else { return };
+    let _ = WRITER.set(writer.clone());
+    let Ok(sink) = WriteSink::builder().target(writer).build_arc() else { return };
+    let filter = LevelFilter::MoreSevereEqual(Level::Info);
+    if let Ok(logger) = Logger::builder().sink(sink).level_filter(filter).build() {
+        spdlog::set_default_logger(Arc::new(logger));
+    }
+}
+
+/// Writes what [`start_bounded`] holds back; called before the process ends.
+pub fn finish() {
+    if let Some(writer) = WRITER.get() {
+        writer.drain();
+    }
+}
+
 /// Sends the log to standard error, as text or as JSON lines.
 ///
 /// A logger that cannot be built leaves the default one in place.
