--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -71,7 +71,7 @@
     /// The server cannot be reached or refused.
     pub async fn open(
         wire: Arc<dyn ServerWire>,
-        target: &Target,
+        target: Target,
         account: Arc<str>,
     ) -> Result<Connection, Fault> {
         let stream = match timeout(CONNECT, socket::connect(None, target.address)).await {
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -448,7 +448,7 @@
     };
     let mut connection = match connection {
         Some(connection) => connection,
-        None => match Connection::open(wire.clone(), &target, name).await {
+        None => match Connection::open(wire.clone(), target.clone(), name).await {
             Ok(connection) => connection,
             // The process answered, so it runs.
             Err(Fault::Opening(code)) => {
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -2,10 +2,13 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use auburnlug_protocol::job::{Answer, Code, Job, Need, Step, Text};
+use auburnlug_protocol::job::{Answer, Code, End, Job, Need, Step, Text};
 use auburnlug_state::Millis;
 use auburnlug_transport::event::{Event, log};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::{
+    task::{JoinHandle, spawn_local},
+    time::{Instant, timeout, timeout_at},
+};
 
 use crate::{
     conn::{Connection, Fault, not_run, reusable},
@@ -52,6 +55,10 @@
     NotSent(Fault),
     /// The statement was not sent: the server is no longer known to lead.
     Stale,
+    /// The time of the statement ended before it was sent.
+    OutOfTime,
+    /// The time of the statement ended while the connection was being opened.
+    Opening(JoinHandle<Result<Connection, Fault>>),
     /// The connection broke after the statement was sent.
     Broken,
     /// The time of the statement ended after it was sent.
@@ -79,6 +86,9 @@
                 return (answer, None);
             }
             let Some(mut seat) = self.seat(job, arrival, exclude.take(), until).await else {
+                if let End::Error(_, reason) = &mut last.end {
+                    *reason = format!("{reason}: {}", self.pool.describe(&job.group)).into();
+                }
                 return (last, None);
             };
             if !admitted && !job.account.is_empty() {
@@ -108,6 +118,14 @@
                     Answer::error(Code::Busy, format!("{} cannot be reached", seat.target.server))
                 }
                 Tried::Stale => Answer::error(Code::ReadOnly, "no primary is known"),
+                Tried::OutOfTime => {
+                    seat.close();
+                    return (Answer::error(Code::Busy, "the server was slow"), None);
+                }
+                Tried::Opening(opening) => {
+                    keep_opening(seat, opening);
+                    return (Answer::error(Code::Busy, "no connection in time"), None);
+                }
                 Tried::Broken => {
                     seat.close();
                     seat.failed(&Fault::Broken);
@@ -154,7 +172,7 @@
                 seat.failed(&fault);
                 (lost(), None)
             }
-            Tried::Stale => {
+            Tried::Stale | Tried::OutOfTime | Tried::Opening(_) => {
                 seat.close();
                 (lost(), None)
             }
@@ -179,7 +197,7 @@
     /// Rolls a transaction back and gives its connection back.
     pub fn roll_back(&self, mut pin: Pin) {
         let Some(mut seat) = pin.seat.take() else { return };
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             let Some(mut connection) = seat.connection.take() else { return };
             let reply = timeout(ROLL_BACK, connection.call(&Call::Rollback)).await;
             if matches!(reply, Ok(Ok(reply)) if reusable(&reply)) {
@@ -216,6 +234,7 @@
             floor: self.floor(job, arrival),
             exclude,
             priority: job.priority,
+            until: arrival + job.waited + job.left,
         };
         let seat = timeout_at(until, self.pool.seat(want)).await.ok().flatten();
         self.local.metrics.waited.observe(started.elapsed().as_secs_f64());
@@ -244,11 +263,13 @@
             None => {
                 self.local.metrics.connects.inc();
                 let opening =
-                    Connection::open(self.wire.clone(), &seat.target, job.account.clone());
-                match timeout_at(until, opening).await {
-                    Ok(Ok(connection)) => connection,
-                    Ok(Err(fault)) => return Tried::NotSent(fault),
-                    Err(_) => return Tried::NotSent(Fault::Unanswered),
+                    Connection::open(self.wire.clone(), seat.target.clone(), job.account.clone());
+                let mut opening = spawn_local(opening);
+                match timeout_at(until, &mut opening).await {
+                    Ok(Ok(Ok(connection))) => connection,
+                    Ok(Ok(Err(fault))) => return Tried::NotSent(fault),
+                    Ok(Err(_)) => return Tried::NotSent(Fault::Broken),
+                    Err(_) => return Tried::Opening(opening),
                 }
             }
         };
@@ -265,7 +286,7 @@
         let name = match timeout_at(until, connection.adopt(&job.values, shape, open)).await {
             Ok(Ok(name)) => name,
             Ok(Err(fault)) => return Tried::NotSent(fault),
-            Err(_) => return Tried::NotSent(Fault::Broken),
+            Err(_) => return Tried::OutOfTime,
         };
         // A primary under the lease has all that was acknowledged.
         let mut after = floor.filter(|_| !seat.primary);
@@ -275,7 +296,7 @@
                 Ok(Ok(reply)) if reply.answer.code().is_some() => return Tried::Answered(reply),
                 Ok(Ok(_)) => {}
                 Ok(Err(fault)) => return Tried::NotSent(fault),
-                Err(_) => return Tried::NotSent(Fault::Broken),
+                Err(_) => return Tried::OutOfTime,
             }
         }
         let call = match (&job.text, &name) {
@@ -365,6 +386,18 @@
     answer
 }
 
+/// Lets a connection be opened for the next job.
+fn keep_opening(mut seat: Seat, opening: JoinHandle<Result<Connection, Fault>>) {
+    spawn_local(async move {
+        match opening.await {
+            Ok(Ok(connection)) => seat.connection = Some(connection),
+            Ok(Err(fault)) => seat.failed(&fault),
+            Err(_) => {}
+        }
+        drop(seat);
+    });
+}
+
 /// Keeps the connection for the transaction, or gives it back.
 fn keep(mut seat: Seat, job: &Job, reply: &ServerReply) -> Option<Pin> {
     use auburnlug_protocol::job::SessionState;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -33,9 +33,20 @@
 const LONGEST_PAUSE: Millis = 1_000;
 
 /// Time for which a replica is passed over that lacked a position, in milliseconds: half of the
-/// usual lag.
+/// usual lag. It doubles up to [`LONGEST_BEHIND`] while the replica stays behind.
 const BEHIND: Millis = 30;
 
+/// Longest time for which a replica is passed over that lacked a position, in milliseconds.
+const LONGEST_BEHIND: Millis = 480;
+
+/// Time that a job must have left to be sent, in milliseconds: the way to a server in another
+/// region and back. With less it would only take a slot from one that can still succeed.
+const LEAST_TIME: Millis = 30;
+
+/// What a new connection adds to the expected latency, in milliseconds: it takes a slot and two
+/// ways to the server.
+const CONNECT_COST: f64 = 40.0;
+
 /// Time after which a server that was announced as leaving gets no new work, in milliseconds. A
 /// primary works on until its successor leads, but not longer.
 const LEAVING: Millis = 4_000;
@@ -61,6 +72,8 @@
     pub exclude: Option<Arc<str>>,
     /// Priority; 0 goes first.
     pub priority: u32,
+    /// End of the job's time.
+    pub until: Millis,
 }
 
 /// Servers of all groups.
@@ -96,6 +109,7 @@
     latency: Option<f64>,
     answered: Millis,
     behind: Millis,
+    behinds: u32,
     paused: Millis,
     failures: u32,
 }
@@ -203,6 +217,27 @@
         (group.waiters.len(), slots)
     }
 
+    /// State of a group's servers, for the log line of a refusal.
+    pub fn describe(&self, group: &str) -> String {
+        let now = self.local.now();
+        let groups = self.groups.borrow();
+        let Some(group) = groups.get(group) else { return "no servers are known".into() };
+        let mut text = format!("waiting {}", group.waiters.len());
+        for (id, server) in &group.servers {
+            let paused = server.paused.saturating_sub(now);
+            let behind = server.behind.saturating_sub(now);
+            text.push_str(&format!(
+                "; {id} running {}/{} open {}/{} idle {} paused {paused} behind {behind}",
+                server.running,
+                server.slots,
+                server.open,
+                server.share,
+                server.idle.len(),
+            ));
+        }
+        text
+    }
+
     /// Position that reads must include to see all that was acknowledged before `time`.
     pub fn floor(&self, group: &str, time: Millis) -> Option<Position> {
         self.groups.borrow().get(group)?.samples.floor(time)
@@ -224,8 +259,8 @@
             let given = {
                 let mut groups = self.groups.borrow_mut();
                 let Some(group) = groups.get_mut(name) else { return };
-                group.waiters.retain(|waiter| !waiter.seat.is_closed());
                 let now = self.local.now();
+                group.waiters.retain(|w| !w.seat.is_closed() && now + LEAST_TIME < w.want.until);
                 let Group { waiters, servers, .. } = group;
                 let found = waiters.iter().enumerate().find_map(|(at, waiter)| {
                     let id = choose(servers, &waiter.want, primary.as_ref(), now)?;
@@ -272,6 +307,7 @@
             latency: None,
             answered: 0,
             behind: 0,
+            behinds: 0,
             paused: 0,
             failures: 0,
         }
@@ -286,10 +322,13 @@
                 || (!self.idle.is_empty() && self.open <= self.share))
     }
 
-    fn expected(&self, now: Millis) -> f64 {
+    /// Expected latency of a job of `account`, in milliseconds.
+    fn expected(&self, account: &str, now: Millis) -> f64 {
         let recent = now < self.answered + FORGET;
         let latency = self.latency.filter(|_| recent).unwrap_or(UNKNOWN_LATENCY);
-        latency * (1.0 + f64::from(self.running) / f64::from(self.slots))
+        let warm = self.idle.iter().any(|c| &*c.account == account);
+        let connect = if warm { 0.0 } else { CONNECT_COST };
+        connect + latency * (1.0 + f64::from(self.running) / f64::from(self.slots))
     }
 
     /// Takes an idle connection of the account, or makes room for a new one.
@@ -339,7 +378,8 @@
         .filter(|(id, s)| !leaves(s) && !excluded(id) && s.free(&want.account, now))
         .filter(|(id, s)| now >= s.behind || primary == Some(*id))
         .min_by(|(a, x), (b, y)| {
-            (x.expected(now) * weight(a)).total_cmp(&(y.expected(now) * weight(b)))
+            let cost = |id, server: &Server| server.expected(&want.account, now) * weight(id);
+            cost(a, x).total_cmp(&cost(b, y))
         })
         .map(|(id, _)| id.clone())
 }
@@ -354,6 +394,7 @@
             server.latency = Some(old.map_or(newest, |old| old + (newest - old) * NEWEST));
             server.answered = now;
             server.paused = 0;
+            server.behinds = 0;
             std::mem::take(&mut server.failures)
         });
         if failures.unwrap_or(0) > 0 {
@@ -364,7 +405,10 @@
     /// Notes that the server lacked a position.
     pub fn behind(&self) {
         let now = self.pool.local.now();
-        self.pool.with(self, |server| server.behind = now + BEHIND);
+        self.pool.with(self, |server| {
+            server.behind = now + (BEHIND << server.behinds.min(4)).min(LONGEST_BEHIND);
+            server.behinds += 1;
+        });
     }
 
     /// Notes that the server cannot be used for a while.
