Give each server one holder near it that queues for its slots

A replica that lagged for seconds was asked again and again, and a connection that opened late counted as a failure of its server, which then was not used at all. Now each server has one holder in its own failure domain with most of its connections, and a second one with the rest; entries choose the server and forward to its holder.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod holders;
 pub mod lease;
 pub mod limit;
+pub mod pick;
 pub mod queue;
 pub mod raft;
 mod raft_lead;
--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use auburnlug_protocol::job::{Answer, Code, End, SessionState, Shape, Values};
+use auburnlug_protocol::job::{Code, End, SessionState, Shape, Values};
 use auburnlug_transport::socket;
 use bytes::BytesMut;
 use tokio::{
@@ -184,18 +184,3 @@
 pub fn reusable(reply: &ServerReply) -> bool {
     reply.state == SessionState::Idle
 }
-
-/// Whether an answer says that the statement did not run.
-pub fn not_run(answer: &Answer) -> bool {
-    matches!(
-        answer.code(),
-        Some(
-            Code::Busy
-                | Code::Behind
-                | Code::ReadOnly
-                | Code::UnknownStatement
-                | Code::WrongServer
-                | Code::ConnectionLimit
-        )
-    )
-}
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -6,7 +6,7 @@
 };
 
 use auburnlug_coordination::{
-    holders::{self, Holders, Place},
+    holders::{self, Holders, Needy, Place},
     share::{Ask as ShareAsk, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
@@ -28,9 +28,17 @@
 /// What a lease is counted longer here than at its entry, in milliseconds: the drift of two clocks.
 const DRIFT: Millis = 100;
 
-/// Time without a renewal after which an entry gets no connections, in milliseconds.
+/// Time without a renewal after which an entry is forgotten, in milliseconds.
 const GONE: Millis = 3_500;
 
+/// Time without a renewal after which an entry gets no connections, in milliseconds: three are
+/// missing.
+const MISSING: Millis = 1_500;
+
+/// Time without a link after which an entry gets no connections, in milliseconds: its process has
+/// ended, or it would have dialed again.
+const UNLINKED: Millis = 400;
+
 /// Time between two heartbeats of a server after which it counts as silent, in milliseconds.
 const SILENT: Millis = 5_000;
 
@@ -48,7 +56,11 @@
     pub(crate) monitors: BTreeMap<Arc<str>, Monitor>,
     pub(crate) successions: BTreeMap<Arc<str>, Succession>,
     holders: BTreeMap<Arc<str>, Holders>,
+    /// Region of each failure domain.
+    regions: BTreeMap<Arc<str>, Arc<str>>,
     members: BTreeSet<Name>,
+    /// Entries that may hold connections.
+    healthy: usize,
     shares: Shares,
     /// Number of the newest update.
     pub(crate) index: u64,
@@ -79,6 +91,15 @@
     /// Last update that it was sent on this link.
     sent: u64,
     renewed: Millis,
+    /// Time since which it has no link here.
+    unlinked: Option<Millis>,
+}
+
+impl EntryState {
+    /// Whether it may hold connections.
+    fn healthy(&self, now: Millis) -> bool {
+        now < self.renewed + MISSING && self.unlinked.is_none_or(|since| now < since + UNLINKED)
+    }
 }
 
 /// Last heartbeat of a server.
@@ -140,7 +161,9 @@
             monitors: BTreeMap::new(),
             successions: BTreeMap::new(),
             holders: BTreeMap::new(),
+            regions: BTreeMap::new(),
             members: self.member.instances(),
+            healthy: 0,
             shares: Shares::new(now, first),
             index: 1,
             changed: parts,
@@ -164,8 +187,16 @@
         let sent = known.filter(|e| e.link == link && e.run == renewal.run).map_or(0, |e| e.sent);
         let applied = if applied_here { renewal.applied.min(sent) } else { 0 };
         let until = now + LEASE + DRIFT;
-        let state =
-            EntryState { link, run: renewal.run, place, until, applied, sent, renewed: now };
+        let state = EntryState {
+            link,
+            run: renewal.run,
+            place,
+            until,
+            applied,
+            sent,
+            renewed: now,
+            unlinked: None,
+        };
         leader.entries.insert(from.clone(), state);
         self.witness(from, renewal.evidence, now);
         if joined {
@@ -178,7 +209,9 @@
         self.update_entry(from);
         let shares = self.share(from, &renewal.demand, now);
         let Some(leader) = &self.leader else { return };
-        let grant = FleetGrant { sent: renewal.sent, span: LEASE, index: leader.index, shares };
+        let positions = self.positions(now);
+        let index = leader.index;
+        let grant = FleetGrant { sent: renewal.sent, span: LEASE, index, shares, positions };
         self.send(link, FleetMessage::Grant(Box::new(grant)));
     }
 
@@ -217,6 +250,7 @@
         for entry in leader.entries.values_mut().filter(|entry| entry.link == link) {
             entry.sent = 0;
             entry.applied = 0;
+            entry.unlinked = Some(self.clock.now());
         }
     }
 
@@ -258,23 +292,37 @@
         }
     }
 
-    /// Chooses the holders of each group anew.
+    /// Chooses the holders of each server anew.
     pub(crate) fn place_holders(&mut self) {
-        let plan = self.machine.fleet.plan.clone();
+        let fleet = &self.machine.fleet;
+        let limit = |group: &str| fleet.plan.groups.get(group).map(|plan| plan.connections);
+        let servers: BTreeMap<Arc<str>, Needy> = fleet
+            .backends
+            .values()
+            .filter_map(|b| {
+                let needy = Needy { domain: b.domain.clone(), limit: limit(&b.group)? };
+                Some((b.id.clone(), needy))
+            })
+            .collect();
+        let now = self.clock.now();
         let Some(leader) = &mut self.leader else { return };
-        let places: BTreeMap<Name, Place> =
-            leader.entries.iter().map(|(name, e)| (name.clone(), e.place.clone())).collect();
-        let mut all = BTreeMap::new();
-        for (spread, (name, group)) in plan.groups.iter().enumerate() {
-            let current = leader.holders.get(name).cloned().unwrap_or_default();
-            let chosen = holders::choose(&places, &current, group.connections, spread);
-            if chosen != current {
-                log(Event::HoldersChanged, format_args!("group={name} holders={chosen:?}"));
+        for entry in leader.entries.values() {
+            leader.regions.insert(entry.place.domain.clone(), entry.place.region.clone());
+        }
+        let places: BTreeMap<Name, Place> = leader
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.healthy(now))
+            .map(|(name, entry)| (name.clone(), entry.place.clone()))
+            .collect();
+        let chosen = holders::choose(&places, &servers, &leader.regions, &leader.holders);
+        for (server, holders) in &chosen {
+            if leader.holders.get(server) != Some(holders) {
+                log(Event::HoldersChanged, format_args!("server={server} holders={holders:?}"));
             }
-            all.insert(name.clone(), chosen);
         }
-        if all != leader.holders {
-            leader.holders = all;
+        if chosen != leader.holders {
+            leader.holders = chosen;
             leader.index += 1;
             leader.changed.holders = leader.index;
             self.update_entries();
@@ -323,7 +371,7 @@
             self.update_entries();
         }
         let Some(leader) = &mut self.leader else { return };
-        let before = leader.entries.len();
+        let before = leader.healthy;
         leader.entries.retain(|_, entry| now < entry.renewed + GONE || now < entry.until);
         for (id, heard) in &mut leader.heard {
             if !heard.silent && now >= heard.at + SILENT {
@@ -331,8 +379,9 @@
                 log(Event::BackendSilent, format_args!("server={id} seq={}", heard.sequence));
             }
         }
-        if leader.entries.len() != before {
-            log(Event::EntryChanged, format_args!("entries={} some_lost", leader.entries.len()));
+        leader.healthy = leader.entries.values().filter(|entry| entry.healthy(now)).count();
+        if leader.healthy != before {
+            log(Event::EntryChanged, format_args!("healthy={} before={before}", leader.healthy));
             self.place_holders();
         }
         self.watch_groups(now);
@@ -349,7 +398,7 @@
 
 fn holder_views(leader: &Leader) -> BTreeMap<Arc<str>, Vec<HolderView>> {
     let mut views = BTreeMap::new();
-    for (group, holders) in &leader.holders {
+    for (server, holders) in &leader.holders {
         let known = holders.iter().filter_map(|(entry, connections)| {
             let place = &leader.entries.get(entry.as_str())?.place;
             Some(HolderView {
@@ -359,7 +408,7 @@
                 connections: *connections,
             })
         });
-        views.insert(group.clone(), known.collect());
+        views.insert(server.clone(), known.collect());
     }
     views
 }
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -9,7 +9,7 @@
 use auburnlug_coordination::succession::{
     Cause, Facts, Member, Status, Step, Watch, next_step, suspect,
 };
-use auburnlug_protocol::job::Code;
+use auburnlug_protocol::{fleet::PositionSample, job::Code};
 use auburnlug_state::{
     Millis, Term,
     fleet::{Backend, FleetChange, Lead},
@@ -53,6 +53,7 @@
     answered: Millis,
     refused: u32,
     unanswered: u32,
+    /// Last status with the time of the question.
     status: Option<(Status, Millis)>,
     /// Term up to which it was paused or demoted.
     fenced: Term,
@@ -162,6 +163,23 @@
         }
     }
 
+    /// Positions that the primaries in force reported, with their age.
+    pub(crate) fn positions(&self, now: Millis) -> Vec<PositionSample> {
+        let Some(leader) = &self.leader else { return Vec::new() };
+        let leads = self.fleet().leads.iter();
+        let sample = |(group, lead): (&Arc<str>, &Lead)| {
+            let monitor = leader.monitors.get(lead.primary.as_ref()?)?;
+            let (status, asked) = monitor.status?;
+            let leads = status.leads && status.term == lead.term;
+            leads.then(|| PositionSample {
+                group: group.clone(),
+                age: now.saturating_sub(asked),
+                position: status.received,
+            })
+        };
+        leads.filter_map(sample).collect()
+    }
+
     /// Resumes paused servers and demotes former primaries once a successor leads.
     fn tidy(&mut self, group: &Arc<str>, lead: &Lead, now: Millis) {
         let ids: Vec<_> = self.fleet().backends_of(group).map(|b| b.id.clone()).collect();
@@ -397,7 +415,7 @@
         monitor.refused = 0;
         monitor.unanswered = 0;
         if let Some(status) = status {
-            monitor.status = Some((status, now));
+            monitor.status = Some((status, monitor.asked));
         }
         if refused.is_none() {
             match action {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -35,6 +35,7 @@
     metrics::GatewayMetrics,
     pool::Pool,
     relay::Relay,
+    router::Router,
     session::{self, Sessions},
     stop::Stop,
     wire::{CallerWire, Ports, ServerWire, address_of},
@@ -122,11 +123,12 @@
     let executor = Rc::new(Executor::new(local.clone(), pool.clone(), options.server_wire));
     let dial: Arc<dyn Dial<Forward>> =
         Arc::new(Dialer::new(options.identity.clone(), Purpose::Traffic));
-    let relay = Relay::new(local.clone(), executor, pool.clone(), dial, options.ports.traffic);
+    let relay = Relay::new(local.clone(), executor, dial, options.ports.traffic);
+    let router = Router::new(local.clone(), relay.clone());
     let stop = Rc::new(Stop::default());
     let sessions = Rc::new(Sessions {
         local: local.clone(),
-        relay: relay.clone(),
+        router: router.clone(),
         wire: options.caller_wire,
         stop: stop.clone(),
     });
@@ -137,6 +139,7 @@
         local: local.clone(),
         pool,
         relay,
+        router,
         status: status.clone(),
         stop: stop.clone(),
         dial: Arc::new(Dialer::new(options.identity, Purpose::Control)),
@@ -217,6 +220,7 @@
     local: Rc<Local>,
     pool: Rc<Pool>,
     relay: Rc<Relay>,
+    router: Rc<Router>,
     status: Arc<EntryStatus>,
     stop: Rc<Stop>,
     dial: Arc<dyn Dial<FleetMessage>>,
@@ -301,7 +305,7 @@
                 self.granter = Some(name);
                 self.answered = self.answered.max(grant.sent);
                 self.local.grant(&grant);
-                self.pool.dispatch_all();
+                self.router.learn(&grant.positions, grant.sent);
                 self.publish();
             }
             FleetMessage::Update(update) => {
@@ -311,6 +315,7 @@
                     self.local.metrics.version.set(view.plan.version);
                     self.pool.refresh(&view);
                     self.relay.prepare();
+                    self.router.refresh(&view);
                     self.publish();
                     return leads;
                 }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -1,8 +1,8 @@
-//! Runs jobs on servers: choice of the server, floors of reads, retries.
+//! Runs jobs on this entry's connections.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use auburnlug_protocol::job::{Answer, Code, End, Job, Need, Step, Text};
+use auburnlug_protocol::job::{Answer, Code, Job, SessionState, Step, Text};
 use auburnlug_state::Millis;
 use auburnlug_transport::event::{Event, log};
 use tokio::{
@@ -11,22 +11,16 @@
 };
 
 use crate::{
-    conn::{Connection, Fault, not_run, reusable},
+    conn::{Connection, Fault, reusable},
     local::Local,
-    pool::{Pool, Seat, Want},
+    pool::{NoSeat, Pool, Seat, Want},
     wire::{Call, ServerReply, ServerWire},
 };
 
-/// Tries of one job.
-const TRIES: u32 = 4;
-
 /// Longest time for rolling back a transaction that its caller gave up, in milliseconds.
 const ROLL_BACK: Duration = Duration::from_millis(1_000);
 
-/// Part of a statement's time that is kept for its answer to travel, in milliseconds.
-const MARGIN: Millis = 10;
-
-/// Runs jobs on the connections of this instance.
+/// Runs jobs on the connections of this entry.
 pub struct Executor {
     local: Rc<Local>,
     pool: Rc<Pool>,
@@ -53,8 +47,6 @@
     Answered(ServerReply),
     /// The statement was not sent.
     NotSent(Fault),
-    /// The statement was not sent: the server is no longer known to lead.
-    Stale,
     /// The time of the statement ended before it was sent.
     OutOfTime,
     /// The time of the statement ended while the connection was being opened.
@@ -74,97 +66,54 @@
     /// Runs a single statement, or the first one of a transaction; the transaction's connection is
     /// returned while it is open.
     pub async fn start(&self, job: &Job) -> (Answer, Option<Pin>) {
-        let now = self.local.now();
-        let arrival = now.saturating_sub(job.waited);
-        let left = job.left.saturating_sub(MARGIN);
-        let until = Instant::now() + Duration::from_millis(left);
-        let mut exclude = None;
-        let mut admitted = false;
-        let mut last = Answer::error(Code::Busy, "no server was free in time");
-        for _ in 0..TRIES {
-            if let Some(answer) = self.hopeless(job, until) {
-                return (answer, None);
+        let until = Instant::now() + Duration::from_millis(job.left);
+        let mut seat = match self.seat(job, until).await {
+            Ok(seat) => seat,
+            Err(none) => return (refusal(job, none), None),
+        };
+        let sent = self.local.now();
+        match self.attempt(&mut seat, job, until).await {
+            Tried::Answered(reply) => {
+                note(&seat, &reply, self.local.now().saturating_sub(sent));
+                let answer = named(reply.answer.clone(), job);
+                (answer, keep(seat, job, &reply))
             }
-            let Some(mut seat) = self.seat(job, arrival, exclude.take(), until).await else {
-                if let End::Error(_, reason) = &mut last.end {
-                    *reason = format!("{reason}: {}", self.pool.describe(&job.group)).into();
-                }
-                return (last, None);
-            };
-            if !admitted && !job.account.is_empty() {
-                if !self.local.admit(&job.account).await {
-                    return (Answer::error(Code::Busy, "rate of the client account"), None);
-                }
-                admitted = true;
+            Tried::NotSent(fault) => {
+                seat.close();
+                seat.failed(&fault);
+                (unreachable(job, &fault), None)
             }
-            let sent = self.local.now();
-            let floor = self.floor(job, arrival);
-            let tried = self.attempt(&mut seat, job, floor, until).await;
-            let answer = match tried {
-                Tried::Answered(reply) => {
-                    self.note(&seat, job, &reply, sent);
-                    let answer = named(reply.answer.clone(), &seat);
-                    if !not_run(&answer) && !(answer.code() == Some(Code::Failed) && !job.once) {
-                        return (answer, keep(seat, job, &reply));
-                    }
-                    if !reusable(&reply) {
-                        seat.close();
-                    }
-                    answer
-                }
-                Tried::NotSent(fault) => {
-                    seat.close();
-                    seat.failed(&fault);
-                    Answer::error(Code::Busy, format!("{} cannot be reached", seat.target.server))
-                }
-                Tried::Stale => Answer::error(Code::ReadOnly, "no primary is known"),
-                Tried::OutOfTime => {
-                    seat.close();
-                    return (Answer::error(Code::Busy, "the server was slow"), None);
-                }
-                Tried::Opening(opening) => {
-                    keep_opening(seat, opening);
-                    return (Answer::error(Code::Busy, "no connection in time"), None);
-                }
-                Tried::Broken => {
-                    seat.close();
-                    seat.failed(&Fault::Broken);
-                    if job.once {
-                        return (self.unknown(job, &seat, Code::Unknown), None);
-                    }
-                    Answer::error(Code::Aborted, "the server broke off")
-                }
-                Tried::Late => {
-                    seat.close();
-                    if job.once {
-                        self.local.stalled(&job.group, &seat.target.server);
-                    }
-                    return (self.unknown(job, &seat, Code::Timeout), None);
-                }
-            };
-            self.retried(job, &seat, &answer);
-            if answer.code() == Some(Code::ReadOnly) {
-                // The view is behind; the successor is known soon.
-                self.wait_view(until).await;
+            Tried::OutOfTime => {
+                seat.close();
+                (named(Answer::error(Code::Busy, "the server was slow"), job), None)
+            }
+            Tried::Opening(opening) => {
+                keep_opening(seat, opening);
+                (named(Answer::error(Code::Busy, "no connection in time"), job), None)
+            }
+            Tried::Broken => {
+                seat.close();
+                seat.failed(&Fault::Broken);
+                (named(Answer::error(Code::Unknown, "the server broke off"), job), None)
+            }
+            Tried::Late => {
+                seat.close();
+                (named(Answer::error(Code::Timeout, "no answer in time"), job), None)
             }
-            exclude = Some(seat.target.server.clone());
-            last = answer;
         }
-        (last, None)
     }
 
     /// Runs a later statement of a transaction.
     pub async fn next(&self, mut pin: Pin, job: &Job) -> (Answer, Option<Pin>) {
-        let lost = || Answer::error(Code::Aborted, "the transaction's connection was lost");
+        let lost = || named(Answer::error(Code::Aborted, "the connection was lost"), job);
         let Some(mut seat) = pin.seat.take() else { return (lost(), None) };
-        let left = job.left.saturating_sub(MARGIN);
-        let until = Instant::now() + Duration::from_millis(left);
+        let until = Instant::now() + Duration::from_millis(job.left);
         seat.resume();
         let sent = self.local.now();
-        match self.attempt(&mut seat, job, None, until).await {
+        match self.attempt(&mut seat, job, until).await {
             Tried::Answered(reply) => {
-                self.note(&seat, job, &reply, sent);
-                let answer = named(reply.answer.clone(), &seat);
+                note(&seat, &reply, self.local.now().saturating_sub(sent));
+                let answer = named(reply.answer.clone(), job);
                 (answer, keep(seat, job, &reply))
             }
             Tried::NotSent(fault) => {
@@ -172,24 +121,19 @@
                 seat.failed(&fault);
                 (lost(), None)
             }
-            Tried::Stale | Tried::OutOfTime | Tried::Opening(_) => {
+            Tried::OutOfTime | Tried::Opening(_) => {
                 seat.close();
                 (lost(), None)
             }
             Tried::Broken => {
                 seat.close();
                 seat.failed(&Fault::Broken);
-                if job.commits {
-                    return (self.unknown(job, &seat, Code::Unknown), None);
-                }
-                (lost(), None)
+                let code = if job.commits { Code::Unknown } else { Code::Aborted };
+                (named(Answer::error(code, "the server broke off"), job), None)
             }
             Tried::Late => {
                 seat.close();
-                if job.commits {
-                    self.local.stalled(&job.group, &seat.target.server);
-                }
-                (self.unknown(job, &seat, Code::Timeout), None)
+                (named(Answer::error(Code::Timeout, "no answer in time"), job), None)
             }
         }
     }
@@ -207,64 +151,28 @@
         });
     }
 
-    /// A refusal, if so many jobs wait that this one cannot be reached in time.
-    fn hopeless(&self, job: &Job, until: Instant) -> Option<Answer> {
-        let (waiting, slots) = self.pool.load(&job.group);
-        let left = until.saturating_duration_since(Instant::now()).as_millis() as Millis;
-        // Each slot ends a statement in this time or less on an average day.
-        let expected = waiting as u64 * SERVICE / u64::from(slots.max(1));
-        if expected <= left {
-            return None;
-        }
-        Some(Answer::error(Code::Busy, format!("{waiting} requests wait")))
-    }
-
-    async fn seat(
-        &self,
-        job: &Job,
-        arrival: Millis,
-        exclude: Option<Arc<str>>,
-        until: Instant,
-    ) -> Option<Seat> {
+    async fn seat(&self, job: &Job, until: Instant) -> Result<Seat, NoSeat> {
         let started = Instant::now();
         let want = Want {
-            group: job.group.clone(),
+            server: job.server.clone(),
             account: job.account.clone(),
             values: job.values.clone(),
-            floor: self.floor(job, arrival),
-            exclude,
             priority: job.priority,
-            until: arrival + job.waited + job.left,
+            until: self.local.now() + job.left,
         };
-        let seat = timeout_at(until, self.pool.seat(want)).await.ok().flatten();
+        let seat = timeout_at(until, self.pool.seat(want)).await;
         self.local.metrics.waited.observe(started.elapsed().as_secs_f64());
-        seat
-    }
-
-    /// Position that a replica must include; `None` if only the primary will do.
-    fn floor(&self, job: &Job, arrival: Millis) -> Option<auburnlug_coordination::Position> {
-        let Need::Recent { age, after } = job.need else { return None };
-        if matches!(job.step, Step::First { read_only: false }) || job.once {
-            return None;
-        }
-        let floor = self.pool.floor(&job.group, arrival.saturating_sub(age))?;
-        Some(after.map_or(floor, |after| after.max(floor)))
+        seat.unwrap_or_else(|_| Err(NoSeat::Late(self.pool.describe(&job.server))))
     }
 
-    async fn attempt(
-        &self,
-        seat: &mut Seat,
-        job: &Job,
-        floor: Option<auburnlug_coordination::Position>,
-        until: Instant,
-    ) -> Tried {
+    async fn attempt(&self, seat: &mut Seat, job: &Job, until: Instant) -> Tried {
         let connection = match seat.connection.take() {
             Some(connection) => connection,
             None => {
                 self.local.metrics.connects.inc();
-                let opening =
-                    Connection::open(self.wire.clone(), seat.target.clone(), job.account.clone());
-                let mut opening = spawn_local(opening);
+                let (target, account) = (seat.target.clone(), job.account.clone());
+                let mut opening =
+                    spawn_local(Connection::open(self.wire.clone(), target, account));
                 match timeout_at(until, &mut opening).await {
                     Ok(Ok(Ok(connection))) => connection,
                     Ok(Ok(Err(fault))) => return Tried::NotSent(fault),
@@ -273,11 +181,7 @@
                 }
             }
         };
-        seat.connection = Some(connection);
-        let leads = !seat.primary || job.step == Step::Next || self.leads(seat);
-        let Some(connection) = seat.connection.as_mut().filter(|_| leads) else {
-            return Tried::Stale;
-        };
+        let connection = seat.connection.insert(connection);
         let shape = match &job.text {
             Text::Plain(_) => None,
             Text::Prepared { shape, .. } => Some(shape),
@@ -288,8 +192,7 @@
             Ok(Err(fault)) => return Tried::NotSent(fault),
             Err(_) => return Tried::OutOfTime,
         };
-        // A primary under the lease has all that was acknowledged.
-        let mut after = floor.filter(|_| !seat.primary);
+        let mut after = job.after;
         if let Step::First { read_only } = job.step {
             let begin = Call::Begin { after: after.take(), read_only };
             match timeout_at(until, connection.call(&begin)).await {
@@ -313,76 +216,44 @@
             Err(_) => Tried::Late,
         }
     }
+}
 
-    /// Whether the server of the seat still leads its group.
-    fn leads(&self, seat: &Seat) -> bool {
-        let view = self.local.view();
-        let primary = view.leads.get(&seat.target.group).and_then(|lead| lead.primary.as_ref());
-        self.local.leased() && primary == Some(&seat.target.server)
-    }
-
-    /// Learns from an answer.
-    fn note(&self, seat: &Seat, job: &Job, reply: &ServerReply, sent: Millis) {
-        let now = self.local.now();
-        match reply.answer.code() {
-            Some(Code::Behind) => seat.behind(),
-            Some(Code::ConnectionLimit | Code::WrongServer) => {
-                seat.failed(&Fault::Opening(reply.answer.code().unwrap_or(Code::Busy)));
-            }
-            _ => seat.answered(now.saturating_sub(sent)),
-        }
-        if !seat.primary {
-            return;
-        }
-        let commit = job.once && reply.answer.code().is_none();
-        self.local.answered(&job.group, &seat.target.server, commit);
-        // The lease must still hold: otherwise another primary may have been promoted meanwhile.
-        let leads = reply.answer.code() != Some(Code::ReadOnly);
-        if let Some(position) = reply.answer.position.filter(|_| leads && self.local.leased()) {
-            self.pool.sample(&job.group, sent, position);
+/// Learns from an answer that took `duration` milliseconds.
+fn note(seat: &Seat, reply: &ServerReply, duration: Millis) {
+    match reply.answer.code() {
+        Some(code @ (Code::ConnectionLimit | Code::WrongServer)) => {
+            seat.failed(&Fault::Opening(code));
         }
-    }
-
-    fn unknown(&self, job: &Job, seat: &Seat, code: Code) -> Answer {
-        let reason = if code == Code::Timeout { "no answer in time" } else { "the server broke off" };
-        log(
-            Event::RequestRetried,
-            format_args!(
-                "id={} group={} server={} outcome={code} again=no",
-                job.id, job.group, seat.target.server
-            ),
-        );
-        named(Answer::error(code, reason), seat)
-    }
-
-    fn retried(&self, job: &Job, seat: &Seat, answer: &Answer) {
-        let code = answer.code().unwrap_or(Code::Busy);
-        self.local.metrics.retry(code.label());
-        log(
-            Event::RequestRetried,
-            format_args!(
-                "id={} group={} server={} primary={} reason={code}",
-                job.id, job.group, seat.target.server, seat.primary
-            ),
-        );
-    }
-
-    /// Waits for a short time for another view.
-    async fn wait_view(&self, until: Instant) {
-        let pause = Instant::now() + VIEW_WAIT;
-        tokio::time::sleep_until(until.min(pause)).await;
+        Some(code) if code.not_run() => {}
+        _ => seat.answered(duration),
     }
 }
 
-/// Time that a statement takes a slot at most on average, in milliseconds; deliberately high, as a
-/// refusal is final while a wait is not.
-const SERVICE: u64 = 40;
+fn refusal(job: &Job, none: NoSeat) -> Answer {
+    let answer = match none {
+        NoSeat::Unreachable => {
+            Answer::error(Code::Unreachable, format!("{} cannot be reached", job.server))
+        }
+        NoSeat::Full(queue) => Answer::error(Code::Busy, format!("too many wait: {queue}")),
+        NoSeat::Late(queue) => Answer::error(Code::Busy, format!("no slot in time: {queue}")),
+    };
+    named(answer, job)
+}
 
-/// Time that a new primary takes to be known everywhere, in milliseconds.
-const VIEW_WAIT: Duration = Duration::from_millis(100);
+fn unreachable(job: &Job, fault: &Fault) -> Answer {
+    log(
+        Event::RequestRetried,
+        format_args!("id={} server={} fault={fault:?} outcome=not_sent", job.id, job.server),
+    );
+    let code = match fault {
+        Fault::Opening(code) if code.not_run() => *code,
+        _ => Code::Unreachable,
+    };
+    named(Answer::error(code, format!("{} cannot be reached", job.server)), job)
+}
 
-fn named(mut answer: Answer, seat: &Seat) -> Answer {
-    answer.server = Some(seat.target.server.clone());
+fn named(mut answer: Answer, job: &Job) -> Answer {
+    answer.server = Some(job.server.clone());
     answer
 }
 
@@ -400,20 +271,13 @@
 
 /// Keeps the connection for the transaction, or gives it back.
 fn keep(mut seat: Seat, job: &Job, reply: &ServerReply) -> Option<Pin> {
-    use auburnlug_protocol::job::SessionState;
-    match reply.state {
-        SessionState::Idle => None,
-        SessionState::Open if job.step != Step::Single => {
-            seat.rest();
-            Some(Pin { seat: Some(seat) })
-        }
-        SessionState::Failed if job.step != Step::Single => {
-            seat.rest();
-            Some(Pin { seat: Some(seat) })
-        }
-        _ => {
-            seat.close();
-            None
-        }
+    if reply.state == SessionState::Idle {
+        return None;
+    }
+    if job.step == Step::Single {
+        seat.close();
+        return None;
     }
+    seat.rest();
+    Some(Pin { seat: Some(seat) })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod pool;
 pub mod relay;
+pub mod router;
 pub mod session;
 pub mod stop;
 pub mod wire;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,14 +2,14 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
 use auburnlug_protocol::{
-    fleet::{Forward, HolderView},
+    fleet::Forward,
     job::{Answer, Code, Job, Step},
 };
 use auburnlug_state::{Millis, Name};
@@ -25,7 +25,6 @@
 use crate::{
     executor::{Executor, Pin},
     local::Local,
-    pool::Pool,
     wire::address_of,
 };
 
@@ -35,22 +34,34 @@
 /// Pause before a failed link is dialed again, in milliseconds.
 const REDIAL: Duration = Duration::from_millis(200);
 
-/// Holders of a group to which links are kept: the nearest and the one to turn to.
-const LINKS: usize = 2;
+/// Longest wait for a link that is being opened, in milliseconds; another holder is there.
+const LINK_WAIT: Duration = Duration::from_millis(150);
+
+/// Time for which an entry is passed over that did not answer, in milliseconds; a link without
+/// answers ends after two seconds.
+const AVOIDED: Millis = 1_000;
 
 /// Where the statements of a transaction run.
 pub enum Place {
-    /// On a connection of this entry.
-    Here(Pin),
-    /// At another entry, under a number.
-    There(Name, u64),
+    /// On a connection of this entry to the server.
+    Here(Arc<str>, Pin),
+    /// At another entry, under a number, on a connection to the server.
+    There(Arc<str>, Name, u64),
+}
+
+impl Place {
+    /// Server of the connection.
+    pub fn server(&self) -> &Arc<str> {
+        match self {
+            Place::Here(server, _) | Place::There(server, ..) => server,
+        }
+    }
 }
 
 /// Runs jobs here or at another entry.
 pub struct Relay {
     local: Rc<Local>,
     executor: Rc<Executor>,
-    pool: Rc<Pool>,
     dial: Arc<dyn Dial<Forward>>,
     port: u16,
     peers: RefCell<BTreeMap<Name, Rc<Peer>>>,
@@ -64,6 +75,10 @@
     pending: RefCell<BTreeMap<u64, oneshot::Sender<Answer>>>,
     opened: Notify,
     dialing: Cell<bool>,
+    /// Time until which others are preferred.
+    avoided: Cell<Millis>,
+    /// Time of the last answer.
+    heard: Cell<Millis>,
 }
 
 impl Relay {
@@ -71,65 +86,60 @@
     pub fn new(
         local: Rc<Local>,
         executor: Rc<Executor>,
-        pool: Rc<Pool>,
         dial: Arc<dyn Dial<Forward>>,
         port: u16,
     ) -> Rc<Relay> {
         let (peers, next) = (RefCell::default(), Cell::new(1));
-        Rc::new(Relay { local, executor, pool, dial, port, peers, next })
+        Rc::new(Relay { local, executor, dial, port, peers, next })
     }
 
-    /// Runs a single statement, or the first one of a transaction.
+    /// Runs a single statement, or the first one of a transaction, at its server.
     pub async fn start(self: &Rc<Self>, job: Job) -> (Answer, Option<Place>) {
-        let here = self.pool.holds(&job.group);
-        let holders = self.holders(&job.group);
-        if (here && self.local.leased()) || holders.is_empty() {
-            let (answer, pin) = self.executor.start(&job).await;
-            return (answer, pin.map(Place::Here));
-        }
         let started = self.local.now();
-        let mut last = Answer::error(Code::Busy, "no entry with connections can be reached");
-        for holder in holders {
+        let mut last = Answer::error(Code::Unreachable, "no entry holds connections to the server");
+        for holder in self.holders(&job.server) {
             let passed = self.local.now().saturating_sub(started);
             if passed >= job.left {
                 break;
             }
             let mut job = job.clone();
-            job.waited += passed;
             job.left -= passed;
+            let server = job.server.clone();
+            if holder == self.local.me.name {
+                let (answer, pin) = self.executor.start(&job).await;
+                return (answer, pin.map(|pin| Place::Here(server, pin)));
+            }
             let number = self.next.get();
             self.next.set(number + 1);
             let (transaction, once) = (job.step != Step::Single && !job.commits, job.once);
-            match self.forward(&holder.entry, number, job).await {
+            match self.forward(&holder, number, job).await {
                 Ok(answer) => {
-                    let place = transaction.then(|| Place::There(holder.entry.clone(), number));
+                    let place = transaction.then_some(Place::There(server, holder, number));
                     return (answer, place);
                 }
                 Err(true) if once => {
-                    let reason = format!("the link to {} broke", holder.entry.as_str());
+                    let reason = format!("the link to {} broke", holder.as_str());
                     return (Answer::error(Code::Unknown, reason), None);
                 }
-                Err(_) => last = Answer::error(Code::Busy, "the entry with connections is lost"),
+                Err(_) => last = Answer::error(Code::Unreachable, "the holder is lost"),
             }
         }
-        if here {
-            let (answer, pin) = self.executor.start(&job).await;
-            return (answer, pin.map(Place::Here));
-        }
         (last, None)
     }
 
     /// Runs a later statement of a transaction.
     pub async fn next(self: &Rc<Self>, place: Place, job: Job) -> (Answer, Option<Place>) {
         match place {
-            Place::Here(pin) => {
+            Place::Here(server, pin) => {
                 let (answer, pin) = self.executor.next(pin, &job).await;
-                (answer, pin.map(Place::Here))
+                (answer, pin.map(|pin| Place::Here(server, pin)))
             }
-            Place::There(holder, number) => {
+            Place::There(server, holder, number) => {
                 let commits = job.commits;
                 match self.forward(&holder, number, job).await {
-                    Ok(answer) => (answer, (!commits).then_some(Place::There(holder, number))),
+                    Ok(answer) => {
+                        (answer, (!commits).then_some(Place::There(server, holder, number)))
+                    }
                     Err(true) if commits => {
                         (Answer::error(Code::Unknown, "the link to the holder broke"), None)
                     }
@@ -142,8 +152,8 @@
     /// Gives a place back; an open transaction is rolled back.
     pub fn end(&self, place: Place) {
         match place {
-            Place::Here(pin) => self.executor.roll_back(pin),
-            Place::There(holder, number) => {
+            Place::Here(_, pin) => self.executor.roll_back(pin),
+            Place::There(_, holder, number) => {
                 let peer = self.peers.borrow().get(holder.as_str()).cloned();
                 let out = peer.and_then(|peer| peer.out.borrow().clone());
                 if let Some(out) = out {
@@ -157,28 +167,37 @@
     /// Opens the links that jobs are likely to need.
     pub fn prepare(self: &Rc<Self>) {
         let view = self.local.view();
-        for group in view.holders.keys().filter(|group| !self.pool.holds(group)) {
-            for holder in self.holders(group).into_iter().take(LINKS) {
-                self.peer(&holder.entry);
+        let names = view.holders.values().flatten().map(|holder| holder.entry.clone());
+        for name in names.collect::<BTreeSet<_>>() {
+            if name != self.local.me.name {
+                self.peer(&name);
             }
         }
     }
 
-    /// Other entries with connections to the group, nearest first.
-    fn holders(&self, group: &str) -> Vec<HolderView> {
+    /// Entries with connections to the server, the preferred one first.
+    fn holders(&self, server: &str) -> Vec<Name> {
         let view = self.local.view();
-        let me = &self.local.me;
-        let known = view.holders.get(group).into_iter().flatten();
-        let mut holders: Vec<_> = known.filter(|holder| holder.entry != me.name).cloned().collect();
-        holders.sort_by_key(|h| (h.domain != me.domain, h.region != me.region));
-        holders
+        let now = self.local.now();
+        let names = view.holders.get(server).into_iter().flatten().map(|h| h.entry.clone());
+        let mut names: Vec<Name> = names.collect();
+        let peers = self.peers.borrow();
+        names.sort_by_key(|name| {
+            peers.get(name.as_str()).is_some_and(|peer| now < peer.avoided.get())
+        });
+        names
     }
 
     /// Sends a job; the error tells whether it may have run.
     async fn forward(self: &Rc<Self>, to: &Name, number: u64, job: Job) -> Result<Answer, bool> {
         let left = Duration::from_millis(job.left + TRAVEL);
         let peer = self.peer(to);
-        let Some(out) = timeout(left, peer.link()).await.ok().flatten() else { return Err(false) };
+        let sent = self.local.now();
+        let link = timeout(left.min(LINK_WAIT), peer.link()).await.ok().flatten();
+        let Some(out) = link else {
+            peer.avoided.set(sent + AVOIDED);
+            return Err(false);
+        };
         let (sender, receiver) = oneshot::channel();
         peer.pending.borrow_mut().insert(number, sender);
         if out.try_send(Forward::Job { number, job: Box::new(job) }).is_err() {
@@ -189,6 +208,9 @@
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) => Err(true),
             Err(_) => {
+                if peer.heard.get() < sent {
+                    peer.avoided.set(self.local.now() + AVOIDED);
+                }
                 peer.pending.borrow_mut().remove(&number);
                 let _ = out.try_send(Forward::Drop { number });
                 Ok(Answer::error(Code::Timeout, "the holder did not answer in time"))
@@ -215,6 +237,7 @@
                 *peer.out.borrow_mut() = Some(out);
                 peer.opened.notify_waiters();
                 while let Some(message) = inbox.recv().await {
+                    peer.heard.set(self.local.now());
                     if let Forward::Answer { number, answer } = message
                         && let Some(waiter) = peer.pending.borrow_mut().remove(&number)
                     {
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -26,7 +26,8 @@
 
 use crate::{
     local::Local,
-    relay::{Place, Relay},
+    relay::Place,
+    router::{Router, Task},
     stop::Stop,
     wire::{Broken, CallerWire},
 };
@@ -44,8 +45,8 @@
 pub struct Sessions {
     /// State of the entry.
     pub local: Rc<Local>,
-    /// Runs jobs here or at another entry.
-    pub relay: Rc<Relay>,
+    /// Runs statements on servers.
+    pub router: Rc<Router>,
     /// Wire protocol of callers.
     pub wire: Arc<dyn CallerWire>,
     /// Progress of a shutdown.
@@ -195,7 +196,7 @@
             );
         }
         if let Some(place) = self.transaction.as_mut().and_then(|t| t.place.take()) {
-            self.shared.relay.end(place);
+            self.shared.router.end(place);
         }
         match self.read().await {
             Ok(request) => Ok(request),
@@ -367,10 +368,13 @@
         if self.transaction.is_some() {
             return self.run_in_transaction(id, arrival, text, writes, false).await;
         }
-        let job = self.job(id, &database, Step::Single, text, writes, arrival);
-        let (answer, place) = self.shared.relay.start(job).await;
+        if let Some(refused) = self.admit().await {
+            return (refused, SessionState::Idle);
+        }
+        let task = self.task(id, &database, Step::Single, text, writes, arrival);
+        let (answer, place) = self.shared.router.start(task).await;
         if let Some(place) = place {
-            self.shared.relay.end(place);
+            self.shared.router.end(place);
         }
         if writes && answer.code().is_none() {
             self.position = self.position.max(answer.position);
@@ -394,17 +398,27 @@
             Some(_) => Step::Next,
             None => Step::First { read_only: transaction.read_only },
         };
+        if place.is_none()
+            && let Some(refused) = self.admit().await
+        {
+            if commits {
+                return (refused, SessionState::Idle);
+            }
+            transaction.state = SessionState::Failed;
+            self.transaction = Some(transaction);
+            return (refused, SessionState::Failed);
+        }
         let begun = if place.is_some() { arrival } else { transaction.arrival };
-        let mut job = self.job(id, &transaction.database, step, text, writes || commits, begun);
-        job.commits = commits;
+        let mut task = self.task(id, &transaction.database, step, text, writes || commits, begun);
+        task.job.commits = commits;
         transaction.wrote |= writes;
         let (answer, place) = match place {
-            Some(place) => self.shared.relay.next(place, job).await,
-            None => self.shared.relay.start(job).await,
+            Some(place) => self.shared.router.next(place, task).await,
+            None => self.shared.router.start(task).await,
         };
         if commits {
             if let Some(place) = place {
-                self.shared.relay.end(place);
+                self.shared.router.end(place);
             }
             if answer.code().is_none() && transaction.wrote {
                 self.position = self.position.max(answer.position);
@@ -414,7 +428,7 @@
         let failed = answer.code().is_some() || place.is_none();
         if failed {
             if let Some(place) = place {
-                self.shared.relay.end(place);
+                self.shared.router.end(place);
             }
             transaction.state = SessionState::Failed;
         } else {
@@ -434,7 +448,15 @@
         self.run_in_transaction(id, arrival, Text::Plain(text), false, true).await
     }
 
-    fn job(
+    /// A refusal, if the rate of the client account does not cover another operation.
+    async fn admit(&self) -> Option<Answer> {
+        if self.account.is_empty() || self.shared.local.admit(&self.account).await {
+            return None;
+        }
+        Some(Answer::error(Code::Busy, "rate of the client account"))
+    }
+
+    fn task(
         &self,
         id: &Arc<str>,
         database: &Database,
@@ -442,32 +464,32 @@
         text: Text,
         once: bool,
         arrival: Millis,
-    ) -> Job {
+    ) -> Task {
         let need = match database.freshness {
             Freshness::Newest => Need::Primary,
             Freshness::Bounded(age) => Need::Recent { age, after: None },
             Freshness::Session(age) => Need::Recent { age, after: self.position },
         };
-        Job {
+        let job = Job {
             id: id.clone(),
             account: self.account.clone(),
             group: database.group.clone(),
-            need,
+            server: "".into(),
+            after: None,
             step,
             once,
             commits: false,
             text,
             values: self.values.clone(),
-            waited: self.shared.local.now().saturating_sub(arrival),
             left: database.timeout,
             priority: database.priority,
-            objective: database.objective,
-        }
+        };
+        Task { job, need, arrival }
     }
 
     fn drop_transaction(&mut self) {
         if let Some(place) = self.transaction.take().and_then(|mut t| t.place.take()) {
-            self.shared.relay.end(place);
+            self.shared.router.end(place);
         }
     }
 
@@ -501,7 +523,7 @@
                 transaction.state = SessionState::Failed;
                 let place = transaction.place.take();
                 if let Some(place) = place {
-                    self.shared.relay.end(place);
+                    self.shared.router.end(place);
                 }
                 SessionState::Failed
             }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use auburnlug_coordination::Position;
 use auburnlug_state::{
     Millis, Name, Term,
     fleet::{Backend, Plan},
@@ -88,6 +89,19 @@
     pub index: u64,
     /// Shares.
     pub shares: Vec<Share>,
+    /// Positions of primaries, by group.
+    pub positions: Vec<PositionSample>,
+}
+
+/// Position that a primary reported.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PositionSample {
+    /// Database group.
+    pub group: Arc<str>,
+    /// Time between the question and the arrival of the renewal that is answered, in milliseconds.
+    pub age: Millis,
+    /// Position.
+    pub position: Position,
 }
 
 /// Part of a client account's rate for one entry.
@@ -114,7 +128,7 @@
     pub backends: Option<Vec<Backend>>,
     /// Leaders of groups.
     pub leads: Option<BTreeMap<Arc<str>, LeadView>>,
-    /// Entries that hold connections to the servers of a group.
+    /// Entries that hold connections to each server, the first holder first.
     pub holders: Option<BTreeMap<Arc<str>, Vec<HolderView>>>,
     /// Control members.
     pub members: Option<Vec<Name>>,
@@ -129,7 +143,7 @@
     pub primary: Option<Arc<str>>,
 }
 
-/// An entry that holds connections to the servers of a group.
+/// An entry that holds connections to a server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HolderView {
     /// Instance.
@@ -138,7 +152,7 @@
     pub domain: Arc<str>,
     /// Region.
     pub region: Arc<str>,
-    /// Connections to each server.
+    /// Connections.
     pub connections: u32,
 }
 
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -111,8 +111,8 @@
     },
 }
 
-/// Data that a job must see.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Data that a statement must see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Need {
     /// Runs at the primary.
     Primary,
@@ -148,8 +148,10 @@
     pub account: Arc<str>,
     /// Database group.
     pub group: Arc<str>,
-    /// Data that it must see.
-    pub need: Need,
+    /// Server that runs it.
+    pub server: Arc<str>,
+    /// Position that the server's log must include; `None` at the primary.
+    pub after: Option<Position>,
     /// Place in a transaction.
     pub step: Step,
     /// Whether it writes or commits, so that it must not run twice.
@@ -160,14 +162,10 @@
     pub text: Text,
     /// Values of the session.
     pub values: Values,
-    /// Time since the caller sent the request, or the first one of its transaction, in milliseconds.
-    pub waited: Millis,
     /// Time left for the statement, in milliseconds.
     pub left: Millis,
     /// Priority; 0 goes first.
     pub priority: u32,
-    /// Latency objective, in milliseconds.
-    pub objective: Millis,
 }
 
 /// Reason of an error.
@@ -185,6 +183,8 @@
     ConnectionLimit,
     /// Not run: the server does not know the prepared statement.
     UnknownStatement,
+    /// Not run: the server cannot be reached.
+    Unreachable,
     /// Nothing is kept: the transaction was rolled back.
     Aborted,
     /// It ran and failed.
@@ -213,6 +213,7 @@
             Code::WrongServer => "wrong_server",
             Code::ConnectionLimit => "connection_limit",
             Code::UnknownStatement => "unknown_statement",
+            Code::Unreachable => "unreachable",
             Code::Aborted => "aborted",
             Code::Failed => "failed",
             Code::Timeout => "timeout",
@@ -225,6 +226,21 @@
     }
 }
 
+impl Code {
+    /// Whether the statement did not run, and can be sent to another server.
+    pub fn not_run(self) -> bool {
+        matches!(
+            self,
+            Code::Busy
+                | Code::Behind
+                | Code::ReadOnly
+                | Code::WrongServer
+                | Code::ConnectionLimit
+                | Code::Unreachable
+        )
+    }
+}
+
 impl fmt::Display for Code {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.label())
