--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -188,6 +188,11 @@
         true
     }
 
+    /// Share, in operations a second, and tokens at hand.
+    pub fn held(&self) -> (f64, f64) {
+        (self.share, self.level)
+    }
+
     /// Notes that an operation asked for a token.
     pub fn note(&mut self) {
         self.asked += 1;
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -264,6 +264,14 @@
         bucket.take(now)
     }
 
+    /// Rate of a client account and what this entry holds of it, for the log line of a refusal.
+    pub fn describe(&self, account: &str) -> String {
+        let rate = self.view().plan.accounts.get(account).and_then(|plan| plan.rate);
+        let buckets = self.buckets.borrow();
+        let held = buckets.get(account).map(Bucket::held).unwrap_or_default();
+        format!("rate {:.1} share {:.1} level {:.1}", rate.unwrap_or(0.0), held.0, held.1)
+    }
+
     /// Notes that the primary of a group answered.
     pub fn answered(&self, group: &Arc<str>, server: &Arc<str>, commit: bool) {
         let now = self.now();
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -453,7 +453,8 @@
         if self.account.is_empty() || self.shared.local.admit(&self.account).await {
             return None;
         }
-        Some(Answer::error(Code::Busy, "rate of the client account"))
+        let held = self.shared.local.describe(&self.account);
+        Some(Answer::error(Code::Busy, format!("rate of the client account: {held}")))
     }
 
     fn task(
