--- a/crates/coordination/src/formation.rs
+++ b/crates/coordination/src/formation.rs
@@ -78,12 +78,37 @@
     Name::try_from(instance).ok()
 }
 
-/// Membership without the voter `lost`, whose place `joining` is about to take; `None` if the
-/// remaining voters would not be enough to add it.
-pub fn retire_step(members: &Members, joining: &Name, lost: &Name) -> Option<Members> {
-    let ready = members.learners.contains(joining.as_str()) && members.voters.len() > 2;
-    let mut next = members.clone();
-    (ready && next.voters.remove(lost.as_str())).then_some(next)
+/// Voters that a group keeps: with fewer, the loss of one would stop it.
+const LEAST_VOTERS: usize = 3;
+
+/// Next membership, if it should change.
+///
+/// `joining` asks to join, and tells whether it holds all that was committed when it asked; `lost`
+/// is a voter that has been silent for long; `present` tells whether all voters have answered
+/// lately. A lost voter leaves as soon as enough others are there, and before its successor votes:
+/// counted in, it would only make majorities harder to reach. While it is not known whether a
+/// silent voter is lost, no other is added.
+pub fn membership_step(
+    members: &Members,
+    joining: Option<&(Name, bool)>,
+    lost: Option<&Name>,
+    present: bool,
+) -> Option<Members> {
+    let without = |lost: &Name| {
+        let mut next = members.clone();
+        next.voters.remove(lost.as_str()).then_some(next)
+    };
+    if let Some(lost) = lost.filter(|_| members.voters.len() > LEAST_VOTERS) {
+        return without(lost);
+    }
+    let (name, filled) = joining?;
+    let instance = instance_of(name);
+    let former = members.voters.iter().any(|id| instance.is_some() && instance_of(id) == instance);
+    let learns = members.learners.contains(name.as_str());
+    if *filled && learns && !former && !present {
+        return lost.filter(|_| members.voters.len() == LEAST_VOTERS).and_then(without);
+    }
+    join_step(members, name, *filled)
 }
 
 /// Next membership on the way of `joining` into the group; `None` while there is nothing to do.
--- a/crates/coordination/src/raft_lead.rs
+++ b/crates/coordination/src/raft_lead.rs
@@ -84,6 +84,16 @@
         self.log.members().voters.iter().find(silent).cloned()
     }
 
+    /// Whether every other voter has acknowledged something sent in the last `span` milliseconds.
+    pub fn answering(&self, now: Millis, span: Millis) -> bool {
+        let Role::Leader(lead) = &self.role else { return false };
+        let answers = |name: &Name| {
+            let contact = lead.peers.get(name).and_then(|peer| peer.contact);
+            *name == self.me || contact.is_some_and(|sent| now < sent + span)
+        };
+        self.log.members().voters.iter().all(answers)
+    }
+
     /// Appends a membership; returns its index. It is in force from the moment it is appended.
     ///
     /// One step is permitted at a time: add a learner, make a learner a voter once it has caught
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use auburnlug_coordination::{
-    formation::{Decision, Formation, instance_of, join_step, retire_step},
+    formation::{Decision, Formation, instance_of, membership_step},
     raft::{Entry, Members, Message, Raft, Ready, Saved, Snapshot, Timing},
 };
 use auburnlug_protocol::{decode, encode, peer::Control};
@@ -26,6 +26,9 @@
 /// milliseconds. Longer than an election and a restart of its process.
 const LOST: Millis = 3_000;
 
+/// A voter that has answered in this time counts as present, in milliseconds.
+const RECENT: Millis = 1_000;
+
 /// Control member of this instance.
 pub struct Member {
     instance: Name,
@@ -173,12 +176,17 @@
                 let members = self.raft().map(|raft| raft.members().clone());
                 return Ok(Some(Control::Probed { identity: self.identity.clone(), members }));
             }
-            Control::Probed { identity, members } => {
-                if let State::Searching(formation) = &mut self.state {
+            Control::Probed { identity, members } => match &mut self.state {
+                State::Searching(formation) => {
                     let decision = formation.probed(from, identity, members);
                     self.decided(decision, now)?;
                 }
-            }
+                State::Member(raft, asks) => {
+                    // A member that is behind may not know this one yet; asking does no harm.
+                    let unknown = |m: &Members| !m.voters.contains(self.identity.as_str());
+                    *asks |= raft.leader().is_none() && members.as_ref().is_some_and(unknown);
+                }
+            },
             Control::Join { identity } => self.join(from, identity, now),
             _ => {}
         }
@@ -201,6 +209,10 @@
         let message = match &self.state {
             State::Searching(_) => Control::Probe { identity: self.identity.clone() },
             State::Member(_, true) => Control::Join { identity: self.identity.clone() },
+            // Without a leader it may be that the others have given this member up.
+            State::Member(raft, _) if raft.leader().is_none() => {
+                Control::Probe { identity: self.identity.clone() }
+            }
             State::Member(..) => return Vec::new(),
         };
         let others = self.configured.iter().filter(|name| **name != self.instance);
@@ -301,16 +313,21 @@
         }
         self.joining.retain(|_, joining| now < joining.asked + JOIN_LIMIT);
         let State::Member(raft, _) = &mut self.state else { return };
-        let Some((identity, joining)) = self.joining.first_key_value() else { return };
-        let identity = identity.clone();
-        let filled = raft.matched(&identity).is_some_and(|index| index >= joining.target);
-        if raft.members().voters.contains(identity.as_str()) {
-            self.joining.remove(identity.as_str());
+        let joining = self.joining.first_key_value();
+        let joining = joining.map(|(name, joining)| {
+            let filled = raft.matched(name).is_some_and(|index| index >= joining.target);
+            (name.clone(), filled)
+        });
+        if let Some((name, _)) = &joining
+            && raft.members().voters.contains(name.as_str())
+        {
+            self.joining.remove(name.as_str());
             return;
         }
-        let lost = raft.silent_voter(now, LOST).filter(|_| filled);
-        let step = lost.and_then(|lost| retire_step(raft.members(), &identity, &lost));
-        if let Some(next) = step.or_else(|| join_step(raft.members(), &identity, filled)) {
+        let lost = raft.silent_voter(now, LOST);
+        let voters = raft.answering(now, RECENT);
+        let next = membership_step(raft.members(), joining.as_ref(), lost.as_ref(), voters);
+        if let Some(next) = next {
             // Refused while an earlier change is open; the next step tries again.
             let _ = raft.propose_members(next, now);
         }
