--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod freshness;
 pub mod holders;
 pub mod lease;
+pub mod leases;
 pub mod limit;
 pub mod pick;
 pub mod queue;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -316,7 +316,6 @@
                     self.send(link, FleetMessage::NotLeader);
                 }
             }
-            FleetMessage::Leave => self.entry_left(&from),
             FleetMessage::Grant(_)
             | FleetMessage::NotLeader
             | FleetMessage::Leading
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -7,6 +7,7 @@
 
 use auburnlug_coordination::{
     holders::{self, Holders, Needy, Place},
+    leases::{LEASE, Leases},
     share::{Ask as ShareAsk, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
@@ -21,13 +22,6 @@
     control_succession::{Monitor, Succession},
 };
 
-/// Length of an entry's lease, in milliseconds. A promotion waits that long for an entry that
-/// cannot be reached; an election and two lost renewals fit into it.
-pub(crate) const LEASE: Millis = 3_000;
-
-/// What a lease is counted longer here than at its entry, in milliseconds: the drift of two clocks.
-const DRIFT: Millis = 100;
-
 /// Time without a renewal after which an entry is forgotten, in milliseconds.
 const GONE: Millis = 3_500;
 
@@ -48,8 +42,7 @@
     pub(crate) term: Term,
     /// Start of the leadership.
     pub(crate) since: Millis,
-    /// Whether no leader was before this one, so that no entry can hold another's lease.
-    pub(crate) first: bool,
+    pub(crate) leases: Leases,
     pub(crate) entries: BTreeMap<Name, EntryState>,
     pub(crate) heard: BTreeMap<Arc<str>, Heard>,
     pub(crate) evidence: BTreeMap<(Arc<str>, Name), Witness>,
@@ -84,21 +77,21 @@
     link: u64,
     run: u64,
     place: Place,
-    /// End of the lease on this clock.
-    pub(crate) until: Millis,
-    /// Last update that it has put in force.
-    pub(crate) applied: u64,
     /// Last update that it was sent on this link.
     sent: u64,
     renewed: Millis,
     /// Time since which it has no link here.
     unlinked: Option<Millis>,
+    /// Whether it stops, so that it should hold no connections.
+    leaving: bool,
 }
 
 impl EntryState {
     /// Whether it may hold connections.
     fn healthy(&self, now: Millis) -> bool {
-        now < self.renewed + MISSING && self.unlinked.is_none_or(|since| now < since + UNLINKED)
+        !self.leaving
+            && now < self.renewed + MISSING
+            && self.unlinked.is_none_or(|since| now < since + UNLINKED)
     }
 }
 
@@ -136,11 +129,6 @@
         true
     }
 
-    /// Whether every entry has put an update in force or lost its lease.
-    pub(crate) fn in_force(&self, index: u64, now: Millis) -> bool {
-        let earlier = self.first || now >= self.since + LEASE + DRIFT;
-        earlier && self.entries.values().all(|e| e.applied >= index || now >= e.until)
-    }
 }
 
 impl Control {
@@ -154,7 +142,7 @@
         self.leader = Some(Leader {
             term,
             since: now,
-            first,
+            leases: Leases::new(now, first),
             entries: BTreeMap::new(),
             heard: BTreeMap::new(),
             evidence: BTreeMap::new(),
@@ -182,27 +170,31 @@
         let place = Place { region: renewal.region, domain: renewal.domain };
         let known = leader.entries.get(from.as_str());
         let applied_here = known.is_some_and(|e| e.link == link);
-        let joined = known.is_none_or(|e| e.run != renewal.run);
+        let joined = known.is_none_or(|e| e.run != renewal.run || e.leaving != renewal.leaving);
         // What an entry applied of another leader's updates counts for nothing here.
         let sent = known.filter(|e| e.link == link && e.run == renewal.run).map_or(0, |e| e.sent);
         let applied = if applied_here { renewal.applied.min(sent) } else { 0 };
-        let until = now + LEASE + DRIFT;
         let state = EntryState {
             link,
             run: renewal.run,
             place,
-            until,
-            applied,
             sent,
             renewed: now,
             unlinked: None,
+            leaving: renewal.leaving,
         };
         leader.entries.insert(from.clone(), state);
+        leader.leases.renew(from, applied, now);
         self.witness(from, renewal.evidence, now);
         if joined {
             log(
                 Event::EntryChanged,
-                format_args!("entry={} run={} joined", from.as_str(), renewal.run),
+                format_args!(
+                    "entry={} run={} leaving={}",
+                    from.as_str(),
+                    renewal.run,
+                    renewal.leaving
+                ),
             );
             self.place_holders();
         }
@@ -247,21 +239,13 @@
     pub(crate) fn entry_unlinked(&mut self, link: u64) {
         let Some(leader) = &mut self.leader else { return };
         // The lease still runs; only the updates sent on the link may be lost.
-        for entry in leader.entries.values_mut().filter(|entry| entry.link == link) {
+        for (name, entry) in leader.entries.iter_mut().filter(|(_, entry)| entry.link == link) {
+            leader.leases.unlink(name);
             entry.sent = 0;
-            entry.applied = 0;
             entry.unlinked = Some(self.clock.now());
         }
     }
 
-    pub(crate) fn entry_left(&mut self, name: &Name) {
-        let Some(leader) = &mut self.leader else { return };
-        if leader.entries.remove(name.as_str()).is_some() {
-            log(Event::EntryChanged, format_args!("entry={} left", name.as_str()));
-            self.place_holders();
-        }
-    }
-
     /// Notes what committed changes altered in the view and sends it.
     pub(crate) fn fleet_changed(&mut self, before: &Fleet) {
         let after = self.machine.fleet.clone();
@@ -372,7 +356,8 @@
         }
         let Some(leader) = &mut self.leader else { return };
         let before = leader.healthy;
-        leader.entries.retain(|_, entry| now < entry.renewed + GONE || now < entry.until);
+        leader.leases.expire(now);
+        leader.entries.retain(|_, entry| now < entry.renewed + GONE);
         for (id, heard) in &mut leader.heard {
             if !heard.silent && now >= heard.at + SILENT {
                 heard.silent = true;
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -113,7 +113,9 @@
             }
             match lead.primary.clone() {
                 Some(primary) => self.watch_primary(&group, &lead, &primary, now),
-                None => self.begin(&group, &lead, Cause::Unreachable, now),
+                // An earlier leader may have ordered a promotion that takes effect late, so the
+                // former primary must not lead on.
+                None => self.begin(&group, &lead, Cause::Stalled, now),
             }
         }
     }
@@ -295,7 +297,7 @@
             cause: succession.cause,
             members,
             synchronous: self.fleet().plan.groups.get(group).map_or(1, |g| g.synchronous),
-            released: leader.in_force(published, now),
+            released: leader.leases.in_force(published, now),
             ordered: succession.ordered.clone(),
         })
     }
@@ -404,6 +406,8 @@
                     // The process may have ended; the next question tells.
                     Fault::Broken | Fault::Opening(_) => monitor.asked = 0,
                 }
+                // A process that starts again is neither paused nor demoted.
+                monitor.fenced = 0;
                 if fault == Fault::Refused {
                     monitor.asked = 0;
                 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -247,10 +247,6 @@
             self.dial_members(&input);
             let renewed = self.local.now();
             self.renew();
-            if self.stop.started() {
-                // The lease is given back; the last messages have their way.
-                sleep(RENEWAL).await;
-            }
             // Serves inputs until the next renewal is due.
             loop {
                 let passed = Duration::from_millis(self.local.now().saturating_sub(renewed));
@@ -330,7 +326,7 @@
                     return true;
                 }
             }
-            FleetMessage::Member(_) | FleetMessage::Renew(_) | FleetMessage::Leave => {}
+            FleetMessage::Member(_) | FleetMessage::Renew(_) => {}
         }
         false
     }
@@ -346,11 +342,8 @@
     /// Renews with the member that granted last; with all once that one fails to answer.
     fn renew(&mut self) {
         self.publish();
-        let message = if self.stop.started() {
-            FleetMessage::Leave
-        } else {
-            FleetMessage::Renew(Box::new(self.local.renewal()))
-        };
+        let renewal = self.local.renewal(self.stop.started());
+        let message = FleetMessage::Renew(Box::new(renewal));
         let recent = self.local.now() < self.answered + UNANSWERED;
         let granter = self.granter.as_ref().filter(|_| recent);
         let granter = granter.and_then(|name| self.links.get(name.as_str())).cloned().flatten();
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -185,7 +185,7 @@
     }
 
     /// Request for the next lease.
-    pub fn renewal(&self) -> Renewal {
+    pub fn renewal(&self, leaving: bool) -> Renewal {
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
         let demand = buckets.iter_mut().map(|(account, bucket)| {
@@ -207,6 +207,7 @@
         Renewal {
             sent: now,
             run: self.me.run,
+            leaving,
             region: self.me.region.clone(),
             domain: self.me.domain.clone(),
             applied: self.view.borrow().index,
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -29,8 +29,6 @@
     Leading,
     /// What changed in the view of the fleet.
     Update(Box<Update>),
-    /// The sender stops: its lease ends now.
-    Leave,
 }
 
 /// Request for a lease.
@@ -40,6 +38,8 @@
     pub sent: Millis,
     /// Run of the entry's process.
     pub run: u64,
+    /// Whether the entry stops.
+    pub leaving: bool,
     /// Region of the entry.
     pub region: Arc<str>,
     /// Failure domain of the entry.
