Take holders near their server even if another entry held it before

Cause: holders kept their place for as long as they lived. An entry that took a server over while the near ones were restarted or not yet there kept it from another region, and each session value, prepared statement and BEGIN took a way of 24 ms while its slot was held. Ruled out: the servers' own time (commits took 3 ms from near holders, 30 ms from far ones).

--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -39,44 +39,38 @@
 
 /// Chooses the holders of all servers.
 ///
-/// Holders of a server keep their place as long as they are there, so that few connections move
-/// when an entry comes or goes. New ones are taken near the server, and of those the one with the
-/// fewest servers. `regions` names the region of each failure domain that is known.
+/// Holders are taken near the server: a statement takes several ways between the two. Among those
+/// that are equally near, the ones that hold the server already keep it, so that few connections
+/// move when an entry comes or goes, unless they have more than their part of the servers.
+/// `regions` names the region of each failure domain that is known.
 pub fn choose(
     entries: &BTreeMap<Name, Place>,
     servers: &BTreeMap<Arc<str>, Needy>,
     regions: &BTreeMap<Arc<str>, Arc<str>>,
     current: &BTreeMap<Arc<str>, Holders>,
 ) -> BTreeMap<Arc<str>, Holders> {
-    let mut load: BTreeMap<&Name, usize> = entries.keys().map(|name| (name, 0)).collect();
     let mut chosen: BTreeMap<Arc<str>, Vec<Name>> = BTreeMap::new();
-    for id in servers.keys() {
-        let former = current.get(id).into_iter().flatten().map(|(name, _)| name);
-        let kept: Vec<Name> = former.filter(|name| entries.contains_key(*name)).cloned().collect();
-        for name in &kept {
-            if let Some(count) = load.get_mut(name) {
-                *count += 1;
-            }
-        }
-        chosen.insert(id.clone(), kept);
-    }
     for turn in 0..2 {
+        // First and second holders are spread apart from each other: the second ones idle.
+        let mut load: BTreeMap<&Name, usize> = entries.keys().map(|name| (name, 0)).collect();
         for (id, server) in servers {
-            let Some(names) = chosen.get_mut(id) else { continue };
-            if names.len() > turn {
-                continue;
-            }
+            let names = chosen.entry(id.clone()).or_default();
+            let near = entries.values().filter(|place| place.domain == server.domain).count();
+            let there = servers.values().filter(|other| other.domain == server.domain).count();
+            let part = there.div_ceil(near.max(1));
+            let former = current.get(id).and_then(|holders| holders.get(turn));
             let region = regions.get(&server.domain);
             let free = entries.iter().filter(|(name, _)| !names.contains(name));
             let best = free.min_by_key(|(name, place)| {
+                let held = load.get(name).copied().unwrap_or(0);
+                let keeps = former.is_some_and(|(former, _)| former == *name) && held < part;
                 let far = place.domain != server.domain;
-                let farther = region != Some(&place.region);
-                (far, farther, load.get(name).copied().unwrap_or(0))
+                (far, region != Some(&place.region), !keeps, held)
             });
             if let Some((name, _)) = best {
                 names.push(name.clone());
-                if let Some(count) = load.get_mut(name) {
-                    *count += 1;
+                if let Some(held) = load.get_mut(name) {
+                    *held += 1;
                 }
             }
         }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -66,6 +66,7 @@
     /// Runs a single statement, or the first one of a transaction; the transaction's connection is
     /// returned while it is open.
     pub async fn start(&self, job: &Job) -> (Answer, Option<Pin>) {
+        let started = self.local.now();
         let until = Instant::now() + Duration::from_millis(job.left);
         let mut seat = match self.seat(job, until).await {
             Ok(seat) => seat,
@@ -74,8 +75,10 @@
         let sent = self.local.now();
         match self.attempt(&mut seat, job, until).await {
             Tried::Answered(reply) => {
-                note(&seat, &reply, self.local.now().saturating_sub(sent));
-                let answer = named(reply.answer.clone(), job);
+                let ran = self.local.now().saturating_sub(sent);
+                note(&seat, &reply, ran);
+                let mut answer = named(reply.answer.clone(), job);
+                (answer.waited, answer.ran) = (sent.saturating_sub(started), ran);
                 (answer, keep(seat, job, &reply))
             }
             Tried::NotSent(fault) => {
@@ -112,8 +115,10 @@
         let sent = self.local.now();
         match self.attempt(&mut seat, job, until).await {
             Tried::Answered(reply) => {
-                note(&seat, &reply, self.local.now().saturating_sub(sent));
-                let answer = named(reply.answer.clone(), job);
+                let ran = self.local.now().saturating_sub(sent);
+                note(&seat, &reply, ran);
+                let mut answer = named(reply.answer.clone(), job);
+                answer.ran = ran;
                 (answer, keep(seat, job, &reply))
             }
             Tried::NotSent(fault) => {
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -277,6 +277,7 @@
             Err((code, reason)) => return self.withdraw(&id, code, reason).await,
         };
         let state = self.transaction.as_ref().map_or(SessionState::Idle, |t| t.state);
+        let kind = statement.label();
         let (answer, state) = match statement {
             Statement::Commit(_) | Statement::Rollback if state == SessionState::Failed => {
                 self.drop_transaction();
@@ -315,7 +316,7 @@
                 None => (Answer::error(Code::UnknownStatement, name), state),
             },
         };
-        self.log_answer(&id, arrival, &answer);
+        self.log_answer(&id, kind, arrival, &answer);
         self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
     }
 
@@ -503,7 +504,7 @@
     ) -> Result<(), Ending> {
         self.drop_transaction();
         let answer = Answer::error(code, reason);
-        self.log_answer(id, self.shared.local.now(), &answer);
+        self.log_answer(id, "any", self.shared.local.now(), &answer);
         let sent = self.send(Some(answer), Some(SessionState::Idle)).await;
         match code {
             Code::UnknownKey => Err(Ending::KeyWithdrawn),
@@ -566,7 +567,7 @@
         self.stream.write_all(&outbound).await.map_err(|_| ())
     }
 
-    fn log_answer(&self, id: &str, arrival: Millis, answer: &Answer) {
+    fn log_answer(&self, id: &str, kind: &str, arrival: Millis, answer: &Answer) {
         let local = &self.shared.local;
         let took = local.now().saturating_sub(arrival);
         let server = answer.server.as_deref().unwrap_or("none");
@@ -579,8 +580,8 @@
                 log(
                     Event::RequestServed,
                     format_args!(
-                        "id={id} account={} database={} server={server} ms={took}",
-                        self.account, self.database
+                        "id={id} account={} database={} server={server} ms={took} waited={} ran={} kind={kind}",
+                        self.account, self.database, answer.waited, answer.ran
                     ),
                 );
             }
@@ -591,7 +592,7 @@
                 log(
                     event,
                     format_args!(
-                        "id={id} account={} database={} server={server} ms={took} code={code} reason={:?} config_version={version}",
+                        "id={id} account={} database={} server={server} ms={took} kind={kind} code={code} reason={:?} config_version={version}",
                         self.account, self.database, &**reason
                     ),
                 );
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -88,6 +88,23 @@
     },
 }
 
+impl Statement {
+    /// Name in logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Statement::Begin { .. } => "begin",
+            Statement::Commit(_) => "commit",
+            Statement::Rollback => "rollback",
+            Statement::Read(_) => "read",
+            Statement::Write(_) => "write",
+            Statement::Set { .. } => "set",
+            Statement::Prepare { .. } => "prepare",
+            Statement::Execute { .. } => "execute",
+            Statement::Deallocate { .. } => "deallocate",
+        }
+    }
+}
+
 /// A prepared statement.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Shape {
@@ -267,18 +284,26 @@
     pub position: Option<Position>,
     /// Server that answered; `None` if none was asked.
     pub server: Option<Arc<str>>,
+    /// Time that the job waited for a slot, in milliseconds.
+    pub waited: Millis,
+    /// Time that the server took, with a connection that had to be opened, in milliseconds.
+    pub ran: Millis,
 }
 
 impl Answer {
+    /// An answer with what a server sent.
+    pub fn new(rows: Vec<Arc<str>>, end: End, position: Option<Position>) -> Answer {
+        Answer { rows, end, position, server: None, waited: 0, ran: 0 }
+    }
+
     /// Success without a server.
     pub fn local() -> Answer {
-        Answer { rows: Vec::new(), end: End::Done(None), position: None, server: None }
+        Answer::new(Vec::new(), End::Done(None), None)
     }
 
     /// An error that this system reports.
     pub fn error(code: Code, reason: impl Into<Arc<str>>) -> Answer {
-        let end = End::Error(code, reason.into());
-        Answer { rows: Vec::new(), end, position: None, server: None }
+        Answer::new(Vec::new(), End::Error(code, reason.into()), None)
     }
 
     /// Code of the error, if it is one.
