--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -177,6 +177,9 @@
     pub refused: u32,
     /// Commits in a row that entries saw unanswered.
     pub stalled: u32,
+    /// Time since the replicas fell behind what the primary has received, in milliseconds; 0 if
+    /// one of them has it all.
+    pub apart: Millis,
     /// Connects in a row that nothing answered.
     pub unanswered: u32,
 }
@@ -194,8 +197,13 @@
 /// Unanswered connects that confirm a silence.
 const UNANSWERED: u32 = 1;
 
-/// Unanswered commits that show that no replica receives them.
-const STALLED: u32 = 3;
+/// Unanswered commits that raise the question whether replicas receive them. An overloaded primary
+/// leaves commits unanswered too, but its replicas receive what it commits.
+const STALLED: u32 = 2;
+
+/// Time without a replica that receives commits after which a primary is given up, in milliseconds:
+/// several times the way between regions and a lost packet.
+const APART: Millis = 800;
 
 /// Whether a primary is to be replaced.
 pub fn suspect(watch: &Watch) -> Option<Cause> {
@@ -208,5 +216,5 @@
     if watch.draining {
         return Some(Cause::Leaving);
     }
-    (watch.stalled >= STALLED).then_some(Cause::Stalled)
+    (watch.stalled >= STALLED && watch.apart >= APART).then_some(Cause::Stalled)
 }
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -48,6 +48,8 @@
     pub(crate) evidence: BTreeMap<(Arc<str>, Name), Witness>,
     pub(crate) monitors: BTreeMap<Arc<str>, Monitor>,
     pub(crate) successions: BTreeMap<Arc<str>, Succession>,
+    /// Time since which no replica of a group has received all that its primary has.
+    pub(crate) apart: BTreeMap<Arc<str>, Millis>,
     holders: BTreeMap<Arc<str>, Holders>,
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
@@ -148,6 +150,7 @@
             evidence: BTreeMap::new(),
             monitors: BTreeMap::new(),
             successions: BTreeMap::new(),
+            apart: BTreeMap::new(),
             holders: BTreeMap::new(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -124,6 +124,15 @@
         if self.due(primary, POLL, now) {
             self.probe(primary, Action::Status);
         }
+        if self.watch(group, primary, now).stalled > 0 {
+            let ids: Vec<_> = self.fleet().backends_of(group).map(|b| b.id.clone()).collect();
+            for id in ids {
+                if self.due(&id, POLL, now) {
+                    self.probe(&id, Action::Status);
+                }
+            }
+        }
+        self.note_apart(group, primary, now);
         self.tidy(group, lead, now);
         let others = self.fleet().backends_of(group).filter(|b| b.id != *primary && !b.draining);
         if others.count() == 0 {
@@ -142,6 +151,27 @@
         }
     }
 
+    /// Notes since when no replica has received all that the primary has.
+    fn note_apart(&mut self, group: &Arc<str>, primary: &Arc<str>, now: Millis) {
+        let fleet = &self.machine.fleet;
+        let Some(leader) = &mut self.leader else { return };
+        let status = |id: &Arc<str>| {
+            let status = leader.monitors.get(id).and_then(|m| m.status);
+            status.filter(|(_, asked)| now < asked + REACHABLE)
+        };
+        let Some((head, _)) = status(primary) else { return };
+        let replicas = fleet.backends_of(group).filter(|backend| backend.id != *primary);
+        let mut known = replicas.filter_map(|backend| status(&backend.id)).peekable();
+        // Without an answer of a replica nothing is known, and none could take over.
+        let apart = known.peek().is_some()
+            && known.all(|(replica, _)| replica.received < head.received);
+        if !apart {
+            leader.apart.remove(group);
+        } else if !leader.apart.contains_key(group) {
+            leader.apart.insert(group.clone(), now);
+        }
+    }
+
     fn watch(&self, group: &Arc<str>, primary: &Arc<str>, now: Millis) -> Watch {
         let draining = self.fleet().backends.get(primary).is_none_or(|b| b.draining);
         let Some(leader) = &self.leader else { return Watch::default() };
@@ -161,6 +191,7 @@
             silent: now.saturating_sub(last),
             refused: monitor.map_or(0, |m| m.refused),
             stalled: recent.map(|w| w.stalled).sum(),
+            apart: leader.apart.get(group).map_or(0, |since| now.saturating_sub(*since)),
             unanswered: monitor.map_or(0, |m| m.unanswered),
         }
     }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -95,6 +95,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Waits for the first configuration; false if none came in `limit`.
+    pub async fn viewed(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while self.local.view().plan.version == 0 {
+            if !self.wait(until).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Runs a single statement, or the first one of a transaction.
     pub async fn start(&self, task: Task) -> (Answer, Option<Place>) {
         let left = Duration::from_millis(task.job.left.saturating_sub(MARGIN));
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -35,6 +35,10 @@
 /// Longest time from the connect of a caller to its opening, in milliseconds.
 const OPENING: Duration = Duration::from_millis(10_000);
 
+/// Longest wait of an opening for the first configuration, in milliseconds: callers give up after
+/// two seconds.
+const VIEW: Duration = Duration::from_millis(1_700);
+
 /// Bytes read at once.
 const READ: usize = 4 << 10;
 
@@ -137,6 +141,11 @@
             }
             Ok(Err(broken)) => return self.broken(broken).await,
         };
+        if !self.shared.router.viewed(VIEW).await {
+            let answer = Answer::error(Code::Busy, "this instance has no configuration yet");
+            self.refuse(answer).await;
+            return Ending::Refused;
+        }
         if let Err(answer) = self.open(&opening) {
             self.refuse(answer).await;
             return Ending::Refused;
