Send less on links between instances

Cause at the grown Biblionet deployment: links of 2 Mbit/s were full. Each entry kept links to all 48 holders with pings every 500 ms, reported all 83 client accounts every 500 ms, and every entry that joined had the holders of all servers sent to all others. Ruled out: processor time (0.011 of 0.12 cores) and slots.

--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -155,8 +155,19 @@
     lacking: u32,
     demand: f64,
     measured: Millis,
+    /// Demand of the last request, and its time.
+    reported: (f64, Millis),
 }
 
+/// Time after which a share is asked for again although nothing changed, in milliseconds.
+const REPORT: Millis = 3_000;
+
+/// Part of the demand, and operations a second, by which it must change to be reported at once.
+const CHANGE: (f64, f64) = (0.25, 0.7);
+
+/// Demand that counts as none, in operations a second.
+const UNUSED: f64 = 0.001;
+
 /// Weight of the newest measure of demand.
 const NEWEST: f64 = 0.5;
 
@@ -175,6 +186,7 @@
             lacking: 0,
             demand: 0.0,
             measured: now,
+            reported: (0.0, 0),
         }
     }
 
@@ -188,6 +200,11 @@
         true
     }
 
+    /// Whether nothing asked for a token for a while and no share is held.
+    pub fn unused(&self, now: Millis) -> bool {
+        self.demand < UNUSED && self.asked == 0 && now >= self.measured + REPORT
+    }
+
     /// Share, in operations a second, and tokens at hand.
     pub fn held(&self) -> (f64, f64) {
         (self.share, self.level)
@@ -208,8 +225,8 @@
         self.lacking > 0
     }
 
-    /// What to ask the leader for.
-    pub fn ask(&mut self, now: Millis) -> Ask {
+    /// What to ask the leader for; `None` while what it last said still holds.
+    pub fn ask(&mut self, now: Millis) -> Option<Ask> {
         self.fill(now);
         let passed = now.saturating_sub(self.measured);
         if passed >= MEASURE {
@@ -218,8 +235,14 @@
             self.asked = 0;
             self.measured = now;
         }
+        let (known, at) = self.reported;
+        let changed = (self.demand - known).abs() > known * CHANGE.0 + CHANGE.1;
+        if self.lacking == 0 && !changed && now < at + REPORT {
+            return None;
+        }
+        self.reported = (self.demand, now);
         let wanted = f64::from(std::mem::take(&mut self.lacking)) - self.level.floor();
-        Ask { demand: self.demand, share: self.share, wanted: wanted.max(0.0) }
+        Some(Ask { demand: self.demand, share: self.share, wanted: wanted.max(0.0) })
     }
 
     /// Takes the leader's answer to a renewal sent at `sent`.
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -36,6 +36,9 @@
 /// Time between two heartbeats of a server after which it counts as silent, in milliseconds.
 const SILENT: Millis = 5_000;
 
+/// Time in which changes of the entries are gathered before holders are chosen, in milliseconds.
+const SETTLE: Millis = 50;
+
 /// State of the leading control member.
 pub(crate) struct Leader {
     /// Term of the agreement.
@@ -54,6 +57,8 @@
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
     members: BTreeSet<Name>,
+    /// Time at which the holders are chosen again.
+    place_at: Option<Millis>,
     /// Entries that may hold connections.
     healthy: usize,
     shares: Shares,
@@ -154,6 +159,7 @@
             holders: BTreeMap::new(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
+            place_at: None,
             healthy: 0,
             shares: Shares::new(now, first),
             index: 1,
@@ -279,8 +285,16 @@
         }
     }
 
-    /// Chooses the holders of each server anew.
+    /// Has the holders chosen anew; several changes within a short time are one.
     pub(crate) fn place_holders(&mut self) {
+        let now = self.clock.now();
+        if let Some(leader) = &mut self.leader {
+            leader.place_at.get_or_insert(now + SETTLE);
+        }
+    }
+
+    /// Chooses the holders of each server.
+    fn place_holders_now(&mut self) {
         let fleet = &self.machine.fleet;
         let limit = |group: &str| fleet.plan.groups.get(group).map(|plan| plan.connections);
         let servers: BTreeMap<Arc<str>, Needy> = fleet
@@ -293,6 +307,7 @@
             .collect();
         let now = self.clock.now();
         let Some(leader) = &mut self.leader else { return };
+        leader.place_at = None;
         for entry in leader.entries.values() {
             leader.regions.insert(entry.place.domain.clone(), entry.place.region.clone());
         }
@@ -372,6 +387,9 @@
             log(Event::EntryChanged, format_args!("healthy={} before={before}", leader.healthy));
             self.place_holders();
         }
+        if self.leader.as_ref().is_some_and(|l| l.place_at.is_some_and(|at| now >= at)) {
+            self.place_holders_now();
+        }
         self.watch_groups(now);
     }
 }
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -30,6 +30,9 @@
 /// Operations that may wait for tokens of one client account; later ones are refused at once.
 const TOKEN_QUEUE: u32 = 8;
 
+/// Age up to which what was seen of a primary is reported, in milliseconds: two renewals.
+const EVIDENCE: Millis = 1_000;
+
 /// View of the fleet, as the control leader sent it.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -188,17 +191,22 @@
     pub fn renewal(&self, leaving: bool) -> Renewal {
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
-        let demand = buckets.iter_mut().map(|(account, bucket)| {
-            let ask = bucket.ask(now);
-            Demand {
+        let demand = buckets.iter_mut().filter_map(|(account, bucket)| {
+            let ask = bucket.ask(now)?;
+            Some(Demand {
                 account: account.clone(),
                 rate: ask.demand,
                 share: ask.share,
                 wanted: ask.wanted,
-            }
+            })
         });
         let evidence = self.evidence.borrow();
-        let evidence = evidence.iter().map(|(group, seen)| Evidence {
+        // What is older says nothing about the primary's present state.
+        let recent = |seen: &Seen| {
+            seen.stalled > 0 || seen.answered.is_some_and(|at| now < at + EVIDENCE)
+        };
+        let evidence = evidence.iter().filter(|(_, seen)| recent(seen));
+        let evidence = evidence.map(|(group, seen)| Evidence {
             group: group.clone(),
             server: seen.server.clone(),
             answered: seen.answered.map(|at| now.saturating_sub(at)),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -37,6 +37,9 @@
 /// Longest wait for a link that is being opened, in milliseconds; another holder is there.
 const LINK_WAIT: Duration = Duration::from_millis(150);
 
+/// Links that are opened ahead of need. With more holders, an entry uses some of them only.
+const PREPARED: usize = 12;
+
 /// Time for which an entry is passed over that did not answer, in milliseconds; a link without
 /// answers ends after two seconds.
 const AVOIDED: Millis = 1_000;
@@ -168,10 +171,12 @@
     pub fn prepare(self: &Rc<Self>) {
         let view = self.local.view();
         let names = view.holders.values().flatten().map(|holder| holder.entry.clone());
-        for name in names.collect::<BTreeSet<_>>() {
-            if name != self.local.me.name {
-                self.peer(&name);
-            }
+        let names: BTreeSet<Name> = names.filter(|name| *name != self.local.me.name).collect();
+        if names.len() > PREPARED {
+            return;
+        }
+        for name in names {
+            self.peer(&name);
         }
     }
 
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -1,4 +1,6 @@
 //! Messages between entries and control members of a fleet, and between entries.
+//!
+//! The names of fields on the wire are short: entries may have links of 2 Mbit/s.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -35,20 +37,28 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Renewal {
     /// Time of sending on the entry's clock; the grant returns it.
+    #[serde(rename = "s")]
     pub sent: Millis,
     /// Run of the entry's process.
+    #[serde(rename = "r")]
     pub run: u64,
     /// Whether the entry stops.
+    #[serde(rename = "l")]
     pub leaving: bool,
     /// Region of the entry.
+    #[serde(rename = "re")]
     pub region: Arc<str>,
     /// Failure domain of the entry.
+    #[serde(rename = "d")]
     pub domain: Arc<str>,
     /// Last update that the entry has put in force.
+    #[serde(rename = "a")]
     pub applied: u64,
     /// Use of client accounts since the last renewal.
+    #[serde(rename = "de")]
     pub demand: Vec<Demand>,
     /// What the entry saw of primaries since the last renewal.
+    #[serde(rename = "e")]
     pub evidence: Vec<Evidence>,
 }
 
@@ -56,12 +66,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// Client account.
+    #[serde(rename = "a")]
     pub account: Arc<str>,
     /// Operations a second, smoothed.
+    #[serde(rename = "r")]
     pub rate: f64,
     /// Share that the entry holds, in operations a second.
+    #[serde(rename = "s")]
     pub share: f64,
     /// Tokens asked for at once.
+    #[serde(rename = "w")]
     pub wanted: f64,
 }
 
@@ -69,12 +83,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Database group.
+    #[serde(rename = "g")]
     pub group: Arc<str>,
     /// Server that the entry took for the primary.
+    #[serde(rename = "s")]
     pub server: Arc<str>,
     /// Time since it last answered, in milliseconds; `None` if it never did.
+    #[serde(rename = "a")]
     pub answered: Option<Millis>,
     /// Commits in a row that it did not answer in time.
+    #[serde(rename = "st")]
     pub stalled: u32,
 }
 
@@ -82,14 +100,19 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FleetGrant {
     /// Time of sending of the renewal.
+    #[serde(rename = "s")]
     pub sent: Millis,
     /// Length of the lease from then on, in milliseconds.
+    #[serde(rename = "sp")]
     pub span: Millis,
     /// Update that must be in force for the lease to count.
+    #[serde(rename = "i")]
     pub index: u64,
     /// Shares.
+    #[serde(rename = "sh")]
     pub shares: Vec<Share>,
     /// Positions of primaries, by group.
+    #[serde(rename = "p")]
     pub positions: Vec<PositionSample>,
 }
 
@@ -97,10 +120,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PositionSample {
     /// Database group.
+    #[serde(rename = "g")]
     pub group: Arc<str>,
     /// Time between the question and the arrival of the renewal that is answered, in milliseconds.
+    #[serde(rename = "a")]
     pub age: Millis,
     /// Position.
+    #[serde(rename = "p")]
     pub position: Position,
 }
 
@@ -108,10 +134,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     /// Client account.
+    #[serde(rename = "a")]
     pub account: Arc<str>,
     /// Operations a second.
+    #[serde(rename = "r")]
     pub rate: f64,
     /// Operations that the entry may admit at once besides.
+    #[serde(rename = "t")]
     pub tokens: f64,
 }
 
@@ -147,12 +176,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HolderView {
     /// Instance.
+    #[serde(rename = "e")]
     pub entry: Name,
     /// Failure domain.
+    #[serde(rename = "d")]
     pub domain: Arc<str>,
     /// Region.
+    #[serde(rename = "r")]
     pub region: Arc<str>,
     /// Connections.
+    #[serde(rename = "c")]
     pub connections: u32,
 }
 
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -1,7 +1,8 @@
 //! Requests of callers, the work that they cause on servers, and the answers to both.
 //!
 //! The types carry what a caller's or a server's wire protocol says, in the project's own terms, so
-//! that the same engine serves every such protocol.
+//! that the same engine serves every such protocol. Fields have short names on links between
+//! entries, which carry a job and an answer for each forwarded statement.
 
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
@@ -109,8 +110,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Shape {
     /// Whether it writes.
+    #[serde(rename = "w")]
     pub writes: bool,
     /// Text that the server interprets.
+    #[serde(rename = "t")]
     pub text: Arc<str>,
 }
 
@@ -160,28 +163,40 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Job {
     /// Identity of the request.
+    #[serde(rename = "i")]
     pub id: Arc<str>,
     /// Client account.
+    #[serde(rename = "a")]
     pub account: Arc<str>,
     /// Database group.
+    #[serde(rename = "g")]
     pub group: Arc<str>,
     /// Server that runs it.
+    #[serde(rename = "s")]
     pub server: Arc<str>,
     /// Position that the server's log must include; `None` at the primary.
+    #[serde(rename = "af")]
     pub after: Option<Position>,
     /// Place in a transaction.
+    #[serde(rename = "st")]
     pub step: Step,
     /// Whether it writes or commits, so that it must not run twice.
+    #[serde(rename = "o")]
     pub once: bool,
     /// Whether it ends the transaction.
+    #[serde(rename = "c")]
     pub commits: bool,
     /// What to run.
+    #[serde(rename = "t")]
     pub text: Text,
     /// Values of the session.
+    #[serde(rename = "v")]
     pub values: Values,
     /// Time left for the statement, in milliseconds.
+    #[serde(rename = "l")]
     pub left: Millis,
     /// Priority; 0 goes first.
+    #[serde(rename = "p")]
     pub priority: u32,
 }
 
@@ -277,16 +292,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// Rows.
+    #[serde(rename = "r")]
     pub rows: Vec<Arc<str>>,
     /// Success or error.
+    #[serde(rename = "e")]
     pub end: End,
     /// State of the server's log.
+    #[serde(rename = "p")]
     pub position: Option<Position>,
     /// Server that answered; `None` if none was asked.
+    #[serde(rename = "s")]
     pub server: Option<Arc<str>>,
     /// Time that the job waited for a slot, in milliseconds.
+    #[serde(rename = "w")]
     pub waited: Millis,
     /// Time that the server took, with a connection that had to be opened, in milliseconds.
+    #[serde(rename = "ra")]
     pub ran: Millis,
 }
 
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -63,6 +63,7 @@
         secret: files.cluster,
         source: settings.source,
         links: metrics.links.clone(),
+        ping: socket::PING,
     });
     let http = tokio::net::TcpListener::from_std(bind(settings.http.bind)?)?;
     let callers = settings.callers.map(bind).transpose()?;
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -37,11 +37,11 @@
 /// Longest time for connecting and for the handshake.
 const HANDSHAKE: Duration = Duration::from_secs(2);
 
-/// Time between pings on a link.
-const PING: Duration = Duration::from_millis(500);
+/// Usual time between pings on a link.
+pub const PING: Duration = Duration::from_millis(500);
 
-/// A link on which nothing arrived for this long is closed.
-const SILENCE: Duration = Duration::from_secs(2);
+/// Pings after which a link on which nothing arrived is closed.
+const SILENT_PINGS: u32 = 4;
 
 /// Largest message on a link, in bytes.
 const MAX_MESSAGE: usize = 300 << 20;
@@ -69,6 +69,8 @@
     pub source: Option<IpAddr>,
     /// Counters of bytes and messages on links.
     pub links: LinkMetrics,
+    /// Time between pings.
+    pub ping: Duration,
 }
 
 /// Opens links for one purpose.
@@ -92,7 +94,7 @@
         Box::pin(async move {
             let dialed = timeout(HANDSHAKE, dial(&identity, purpose, name.clone(), address)).await;
             let Ok(Ok(socket)) = dialed else { return None };
-            Some(spawn(name, socket, &Meters::new(&identity.links, purpose)))
+            Some(spawn(name, socket, &Meters::new(&identity.links, purpose), identity.ping))
         })
     }
 }
@@ -106,6 +108,7 @@
     pub purpose: Purpose,
     socket: Socket,
     meters: Meters,
+    ping: Duration,
 }
 
 /// Counters of a link.
@@ -124,7 +127,7 @@
 impl Accepted {
     /// Starts to move messages.
     pub fn link<M: Serialize + DeserializeOwned + Send + 'static>(self) -> Link<M> {
-        spawn(self.peer, self.socket, &self.meters)
+        spawn(self.peer, self.socket, &self.meters, self.ping)
     }
 }
 
@@ -236,7 +239,8 @@
         return Err(Error::authentication());
     }
     let meters = Meters::new(&me.links, hello.purpose);
-    Ok(Accepted { peer: hello.from, purpose: hello.purpose, socket, meters })
+    let (peer, purpose) = (hello.from, hello.purpose);
+    Ok(Accepted { peer, purpose, socket, meters, ping: me.ping })
 }
 
 async fn send<T: Serialize>(socket: &mut Socket, message: &T) -> Result<()> {
@@ -256,14 +260,15 @@
     peer: Name,
     socket: Socket,
     meters: &Meters,
+    pace: Duration,
 ) -> Link<M> {
     let (near, far) = Link::pair(peer.clone(), peer);
     let (sink, stream) = socket.split();
     let Link { out, inbox, .. } = far;
-    let writer = tokio::spawn(write(sink, inbox, meters.outbound.clone()));
+    let writer = tokio::spawn(write(sink, inbox, meters.outbound.clone(), pace));
     let inbound = meters.inbound.clone();
     tokio::spawn(async move {
-        read(stream, out, inbound).await;
+        read(stream, out, inbound, pace).await;
         writer.abort();
     });
     near
@@ -273,8 +278,9 @@
     mut sink: SplitSink<Socket, Message>,
     mut inbox: mpsc::Receiver<M>,
     meter: Meter,
+    pace: Duration,
 ) {
-    let mut ping = tokio::time::interval(PING);
+    let mut ping = tokio::time::interval(pace);
     loop {
         let sent = tokio::select! {
             message = inbox.recv() => {
@@ -315,15 +321,16 @@
     mut stream: SplitStream<Socket>,
     out: mpsc::Sender<M>,
     meter: Meter,
+    pace: Duration,
 ) {
     let mut heard = Instant::now();
-    let mut check = tokio::time::interval(PING);
+    let mut check = tokio::time::interval(pace);
     loop {
         let message = tokio::select! {
             message = stream.next() => message,
             _ = out.closed() => return,
             _ = check.tick() => {
-                if heard.elapsed() > SILENCE {
+                if heard.elapsed() > pace * SILENT_PINGS {
                     return;
                 }
                 continue;
