--- /dev/null
+++ b/crates/coordination/tests/fleet.rs
@@ -0,0 +1,275 @@
+//! Decisions for fleets whose servers another authority promotes: floors of reads, shares of rates,
+//! holders of connections, leases of entries, choice of servers.
+
+// The setting for tests in clippy.toml does not reach helper functions in test files.
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use auburnlug_coordination::{
+    Position,
+    formation::membership_step,
+    holders::{self, Needy, Place},
+    leases::{LEASE, Leases},
+    pick::{Candidate, Records},
+    raft::Members,
+    samples::Samples,
+    share::{Bucket, Limit, SHARE_SPAN, Shares},
+};
+use auburnlug_state::Name;
+use proptest::prelude::*;
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+fn at(term: u64, offset: u64) -> Position {
+    Position { term, offset }
+}
+
+#[test]
+fn floor_is_the_oldest_sample_that_is_recent_enough() {
+    let mut samples = Samples::default();
+    for time in 1..=40 {
+        samples.add(time * 100, at(1, time));
+    }
+    assert_eq!(samples.floor(1_950), Some(at(1, 20)));
+    assert_eq!(samples.floor(4_001), None);
+}
+
+#[test]
+fn floor_of_a_quiet_group_is_its_newest_sample() {
+    let mut samples = Samples::default();
+    samples.add(100, at(1, 5));
+    samples.add(110, at(1, 6));
+    assert_eq!(samples.floor(105), Some(at(1, 6)));
+}
+
+#[test]
+fn samples_of_an_earlier_term_end_with_it() {
+    let mut samples = Samples::default();
+    samples.add(100, at(1, 50));
+    samples.add(200, at(2, 40));
+    assert_eq!(samples.floor(0), Some(at(2, 40)));
+    samples.add(300, at(1, 60));
+    assert_eq!(samples.newest(), Some(at(2, 40)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+
+    /// All that was acknowledged before a time is at or below the floor for it.
+    #[test]
+    fn floor_covers_what_was_acknowledged(steps in prop::collection::vec((1_u64..80, 0_u64..4), 1..300), back in 0_u64..3_000) {
+        let mut samples = Samples::default();
+        let mut log = Vec::new();
+        let (mut now, mut offset) = (0, 0);
+        for (pause, commits) in steps {
+            now += pause;
+            offset += commits;
+            log.push((now, offset));
+            samples.add(now, at(1, offset));
+        }
+        let time = now.saturating_sub(back);
+        if let Some(floor) = samples.floor(time) {
+            let acknowledged = log.iter().filter(|(t, _)| *t < time).map(|(_, o)| *o).max().unwrap_or(0);
+            prop_assert!(floor.offset >= acknowledged);
+        }
+    }
+
+    /// Whatever entries ask for, freeze or lose, shares and tokens stay within rate and burst.
+    #[test]
+    fn shares_never_exceed_the_rate(
+        asks in prop::collection::vec((0_usize..5, 0.0_f64..200.0, 0.0_f64..20.0, 1_u64..900), 1..200),
+    ) {
+        let limit = Limit { rate: 50.0, burst: 50.0 };
+        let account: Arc<str> = "fleet".into();
+        let names: Vec<Name> = (0..5).map(|n| name(&format!("e{n}"))).collect();
+        let mut shares = Shares::new(0, true);
+        let mut held: BTreeMap<usize, (f64, u64)> = BTreeMap::new();
+        let (mut now, mut tokens) = (0, 0.0);
+        for (entry, demand, wanted, pause) in asks {
+            now += pause;
+            let share = held.get(&entry).filter(|(_, at)| now < at + SHARE_SPAN).map_or(0.0, |h| h.0);
+            let ask = auburnlug_coordination::share::Ask { demand, share, wanted };
+            let given = shares.renew(&names[entry], &account, limit, ask, 5, now);
+            tokens += given.tokens;
+            held.insert(entry, (given.share, now));
+            let sum: f64 = held.values().filter(|(_, at)| now < at + SHARE_SPAN).map(|h| h.0).sum();
+            prop_assert!(sum <= limit.rate + 1e-6, "shares {sum}");
+            prop_assert!(tokens <= limit.burst + limit.rate * now as f64 / 1e3 + 1e-6);
+        }
+    }
+}
+
+#[test]
+fn a_new_leader_raises_no_share_while_earlier_ones_may_run() {
+    let limit = Limit { rate: 100.0, burst: 100.0 };
+    let mut shares = Shares::new(1_000, false);
+    let ask = auburnlug_coordination::share::Ask { demand: 90.0, share: 10.0, wanted: 0.0 };
+    let early = shares.renew(&name("a"), &"x".into(), limit, ask, 2, 2_000);
+    assert_eq!(early.share, 10.0);
+    let late = shares.renew(&name("a"), &"x".into(), limit, ask, 2, 1_000 + SHARE_SPAN + 1_001);
+    assert!(late.share > 60.0);
+}
+
+#[test]
+fn a_bucket_ends_with_its_share() {
+    let mut bucket = Bucket::new(0);
+    let given = auburnlug_coordination::share::Given { share: 10.0, tokens: 0.0 };
+    bucket.give(given, 0, 0);
+    assert!(bucket.take(1_000));
+    // Empties the bucket after the share has ended.
+    while bucket.take(SHARE_SPAN + 5_000) {}
+    assert!(!bucket.take(SHARE_SPAN + 60_000));
+}
+
+fn places(list: &[(&str, &str, &str)]) -> BTreeMap<Name, Place> {
+    let place = |(entry, region, domain): &(&str, &str, &str)| {
+        (name(entry), Place { region: (*region).into(), domain: (*domain).into() })
+    };
+    list.iter().map(place).collect()
+}
+
+fn needy(list: &[(&str, &str)]) -> BTreeMap<Arc<str>, Needy> {
+    let server = |(id, domain): &(&str, &str)| {
+        (Arc::from(*id), Needy { domain: (*domain).into(), limit: 22 })
+    };
+    list.iter().map(server).collect()
+}
+
+fn regions() -> BTreeMap<Arc<str>, Arc<str>> {
+    [("d1", "r1"), ("d2", "r2")].map(|(d, r)| (Arc::from(d), Arc::from(r))).into()
+}
+
+#[test]
+fn holders_are_near_their_server_and_share_its_connections() {
+    let entries =
+        places(&[("a", "r1", "d1"), ("b", "r1", "d1"), ("c", "r2", "d2"), ("d", "r2", "d2")]);
+    let servers = needy(&[("s1", "d1"), ("s2", "d1"), ("s3", "d2")]);
+    let chosen = holders::choose(&entries, &servers, &regions(), &BTreeMap::new());
+    let firsts: Vec<&str> = chosen.values().map(|holders| holders[0].0.as_str()).collect();
+    assert_eq!(firsts, ["a", "b", "c"]);
+    for holders in chosen.values() {
+        let sum: u32 = holders.iter().map(|(_, count)| count).sum();
+        assert_eq!((holders.len(), sum), (2, 20));
+    }
+}
+
+#[test]
+fn a_far_holder_gives_way_to_a_near_one() {
+    let servers = needy(&[("s1", "d1")]);
+    let far = places(&[("c", "r2", "d2")]);
+    let before = holders::choose(&far, &servers, &regions(), &BTreeMap::new());
+    assert_eq!(before["s1"][0].0.as_str(), "c");
+    let both = places(&[("a", "r1", "d1"), ("c", "r2", "d2")]);
+    let after = holders::choose(&both, &servers, &regions(), &before);
+    assert_eq!(after["s1"][0].0.as_str(), "a");
+}
+
+#[test]
+fn an_entry_that_joins_takes_no_server_from_its_near_holder() {
+    let servers = needy(&[("s1", "d1"), ("s2", "d1")]);
+    let before =
+        holders::choose(&places(&[("b", "r1", "d1"), ("c", "r1", "d1")]), &servers, &regions(), &BTreeMap::new());
+    let more = places(&[("a", "r1", "d1"), ("b", "r1", "d1"), ("c", "r1", "d1")]);
+    let after = holders::choose(&more, &servers, &regions(), &before);
+    assert_eq!(after["s1"][0], before["s1"][0]);
+    assert_eq!(after["s2"][0], before["s2"][0]);
+}
+
+#[test]
+fn a_change_is_in_force_when_each_entry_has_it_or_holds_no_lease() {
+    let mut leases = Leases::new(0, true);
+    leases.renew(&name("a"), 7, 1_000);
+    leases.renew(&name("b"), 4, 1_200);
+    assert!(!leases.in_force(7, 1_300));
+    assert!(leases.in_force(7, 1_200 + LEASE + 200));
+    leases.renew(&name("b"), 7, 1_400);
+    assert!(leases.in_force(7, 1_500));
+}
+
+#[test]
+fn leases_of_an_earlier_leader_are_waited_for() {
+    let leases = Leases::new(5_000, false);
+    assert!(!leases.in_force(1, 5_000 + LEASE));
+    assert!(leases.in_force(1, 5_000 + LEASE + 200));
+}
+
+#[test]
+fn an_entry_without_a_link_still_holds_its_lease() {
+    let mut leases = Leases::new(0, true);
+    leases.renew(&name("a"), 9, 1_000);
+    leases.unlink(&name("a"));
+    assert!(!leases.in_force(9, 2_000));
+}
+
+fn candidates() -> Vec<Candidate> {
+    [("p", true), ("r1", false), ("r2", false)]
+        .map(|(id, primary)| Candidate { server: id.into(), slots: 3, primary })
+        .into()
+}
+
+#[test]
+fn reads_avoid_a_replica_that_is_behind_and_the_primary_while_replicas_serve() {
+    let mut records = Records::default();
+    for id in ["p", "r1", "r2"] {
+        records.sent(&id.into());
+        records.answered(id, 20, Some(at(1, 10)), 1_000);
+        records.ended(id);
+    }
+    let first = records.choose(&candidates(), Some(at(1, 10)), None, 1_010).unwrap();
+    assert_ne!(&*first, "p");
+    records.behind("r1", Some(at(1, 9)), 1_010);
+    let choice = |records: &Records, now| records.choose(&candidates(), Some(at(1, 11)), None, now);
+    assert_eq!(choice(&records, 1_020).as_deref(), Some("r2"));
+    records.behind("r2", Some(at(1, 9)), 1_020);
+    assert_eq!(choice(&records, 1_025).as_deref(), Some("p"));
+}
+
+#[test]
+fn a_replica_that_stays_behind_is_asked_less_and_less() {
+    let mut records = Records::default();
+    records.sent(&"r1".into());
+    let only = [Candidate { server: "r1".into(), slots: 3, primary: false }];
+    let (mut now, mut asked) = (0, 0);
+    while now < 3_000 {
+        if records.choose(&only, Some(at(1, 5)), None, now).is_some() {
+            asked += 1;
+            records.behind("r1", Some(at(1, 1)), now);
+        }
+        now += 5;
+    }
+    assert!(asked <= 11, "asked {asked} times in 3 s");
+}
+
+#[test]
+fn without_a_floor_only_the_primary_is_chosen() {
+    let records = Records::default();
+    assert_eq!(records.choose(&candidates(), None, None, 0).as_deref(), Some("p"));
+}
+
+fn members(voters: &[&str], learners: &[&str]) -> Members {
+    let names = |list: &[&str]| list.iter().map(|text| name(text)).collect();
+    Members { voters: names(voters), learners: names(learners) }
+}
+
+#[test]
+fn a_lost_voter_leaves_before_its_successor_votes() {
+    let group = members(&["a.1", "b.1", "c.1"], &["d.1"]);
+    let joining = (name("d.1"), true);
+    // The leader has not led for long enough to tell whether c is lost.
+    assert_eq!(membership_step(&group, Some(&joining), None, false), None);
+    let next = membership_step(&group, Some(&joining), Some(&name("c.1")), false).unwrap();
+    assert_eq!(next, members(&["a.1", "b.1"], &["d.1"]));
+    let last = membership_step(&next, Some(&joining), None, true).unwrap();
+    assert_eq!(last, members(&["a.1", "b.1", "d.1"], &[]));
+}
+
+#[test]
+fn a_lost_voter_of_a_large_group_leaves_without_a_successor() {
+    let group = members(&["a.1", "b.1", "c.1", "d.1"], &[]);
+    let next = membership_step(&group, None, Some(&name("c.1")), false).unwrap();
+    assert_eq!(next, members(&["a.1", "b.1", "d.1"], &[]));
+    assert_eq!(membership_step(&next, None, Some(&name("b.1")), false), None);
+}
--- /dev/null
+++ b/crates/state/tests/fleet.rs
@@ -0,0 +1,84 @@
+//! Replicated state of a fleet: versions, servers, leaders.
+
+// The setting for tests in clippy.toml does not reach helper functions in test files.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+
+use auburnlug_state::{
+    Applied, Command, Machine,
+    fleet::{Backend, Fleet, FleetChange, Lead, Plan, Run},
+};
+
+fn deploy(version: u64, text: &str) -> FleetChange {
+    let plan = Arc::new(Plan { version, ..Plan::default() });
+    FleetChange::Deploy { plan, document: text.into() }
+}
+
+fn backend(id: &str, port: u16, run: u64) -> Backend {
+    Backend {
+        id: id.into(),
+        group: "g".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: "d".into(),
+        slots: 3,
+        draining: false,
+        run: Run(run),
+    }
+}
+
+#[test]
+fn the_highest_version_is_in_force_whatever_the_order() {
+    let mut fleet = Fleet::default();
+    assert_eq!(fleet.apply(&deploy(7, "seven")), Applied::Done);
+    assert_eq!(fleet.apply(&deploy(5, "five")), Applied::Stale);
+    assert_eq!(fleet.apply(&deploy(7, "other seven")), Applied::Stale);
+    assert_eq!((fleet.plan.version, &*fleet.document), (7, "seven"));
+}
+
+#[test]
+fn a_late_heartbeat_of_an_earlier_run_changes_nothing() {
+    let mut fleet = Fleet::default();
+    fleet.apply(&FleetChange::Record(backend("s", 1, 20)));
+    assert_eq!(fleet.apply(&FleetChange::Record(backend("s", 2, 10))), Applied::Stale);
+    assert_eq!(fleet.backends["s"], backend("s", 1, 20));
+}
+
+#[test]
+fn a_later_server_takes_over_an_address() {
+    let mut fleet = Fleet::default();
+    fleet.apply(&FleetChange::Record(backend("old", 1, 10)));
+    assert_eq!(fleet.apply(&FleetChange::Record(backend("new", 1, 20))), Applied::Done);
+    assert!(!fleet.backends.contains_key("old"));
+    // A heartbeat of the old one that arrives late.
+    assert_eq!(fleet.apply(&FleetChange::Record(backend("old", 1, 10))), Applied::Stale);
+}
+
+#[test]
+fn the_end_of_an_earlier_run_removes_no_later_one() {
+    let mut fleet = Fleet::default();
+    fleet.apply(&FleetChange::Record(backend("s", 1, 20)));
+    let end = FleetChange::Forget { id: "s".into(), run: Run(10) };
+    assert_eq!(fleet.apply(&end), Applied::Stale);
+    assert!(fleet.backends.contains_key("s"));
+}
+
+#[test]
+fn a_leader_is_recorded_only_over_the_term_it_was_decided_from() {
+    let mut fleet = Fleet::default();
+    let lead = |term, id: &str| Lead { term, primary: Some(id.into()), former: None };
+    let change = |after, lead| FleetChange::Lead { group: "g".into(), after, lead };
+    assert_eq!(fleet.apply(&change(0, lead(3, "a"))), Applied::Done);
+    assert_eq!(fleet.apply(&change(0, lead(1, "b"))), Applied::Stale);
+    assert_eq!(fleet.apply(&change(3, lead(4, "b"))), Applied::Done);
+    assert_eq!(fleet.apply(&change(3, lead(4, "a"))), Applied::Stale);
+    assert_eq!(fleet.leads["g"], lead(4, "b"));
+}
+
+#[test]
+fn fleet_changes_are_part_of_the_agreed_machine() {
+    let mut machine = Machine::default();
+    assert_eq!(machine.apply(1, &Command::Fleet(deploy(2, "two"))), Applied::Done);
+    assert_eq!(machine.apply(1, &Command::Fleet(deploy(3, "three"))), Applied::Stale);
+    assert_eq!(machine.fleet.plan.version, 2);
+}
