Find a group's leader without another heartbeat, spread shares from the first leader on, try servers of unknown latency

All three were found by the path test over stand-ins: a claim that came before its server was recorded was dropped until the next heartbeat, the first leader gave no shares for 16 s, and a near primary kept all reads because a replica's unknown latency counted as 20 ms.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod evidence;
 pub mod execute;
 pub mod figures;
+pub mod line_group;
 pub mod load;
 pub mod node;
 pub mod oracle;
--- a/crates/coordination/src/pick.rs
+++ b/crates/coordination/src/pick.rs
@@ -13,8 +13,9 @@
 /// Weight of the newest latency in the average.
 const NEWEST: f64 = 0.2;
 
-/// Expected latency of a server that has not answered lately, in milliseconds.
-const UNKNOWN_LATENCY: f64 = 20.0;
+/// Expected latency of a server that has not answered lately, in milliseconds; low, so that it is
+/// tried.
+const UNKNOWN_LATENCY: f64 = 2.0;
 
 /// Time after which the latency of an unused server is forgotten, in milliseconds.
 const FORGET: Millis = 2_000;
--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -63,8 +63,8 @@
 /// Shares of all client accounts, as the control leader keeps them.
 #[derive(Debug)]
 pub struct Shares {
-    /// Start of this leadership; shares of the former one are unknown for a while.
-    since: Millis,
+    /// Time from which on no share of an earlier leader can be held.
+    settled: Millis,
     accounts: BTreeMap<Arc<str>, AccountShares>,
 }
 
@@ -85,8 +85,8 @@
 impl Shares {
     /// Shares of a leader that took over at `now`; `fresh` if no leader was before it.
     pub fn new(now: Millis, fresh: bool) -> Shares {
-        let since = if fresh { now.saturating_sub(HELD) } else { now };
-        Shares { since, accounts: BTreeMap::new() }
+        let settled = if fresh { now } else { now + HELD };
+        Shares { settled, accounts: BTreeMap::new() }
     }
 
     /// Answers what `entry` asked for at `now`; `count` entries are known.
@@ -99,11 +99,10 @@
         count: usize,
         now: Millis,
     ) -> Given {
-        let settled = now >= self.since + HELD;
-        let since = self.since;
+        let settled = now >= self.settled;
         let state = self.accounts.entry(account.clone()).or_insert_with(|| AccountShares {
             pool: if settled { limit.burst } else { 0.0 },
-            filled: since.max(now.saturating_sub(1_000)),
+            filled: now,
             entries: BTreeMap::new(),
         });
         state.entries.retain(|_, held| now < held.until);
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -113,6 +113,16 @@
     assert!(late.share > 60.0);
 }
 
+#[test]
+fn the_first_leader_spreads_shares_at_once() {
+    let limit = Limit { rate: 100.0, burst: 100.0 };
+    let mut shares = Shares::new(400, true);
+    let ask = auburnlug_coordination::share::Ask { demand: 0.0, share: 0.0, wanted: 3.0 };
+    let given = shares.renew(&name("a"), &"x".into(), limit, ask, 2, 500);
+    assert!(given.share > 60.0);
+    assert_eq!(given.tokens, 3.0);
+}
+
 #[test]
 fn a_bucket_ends_with_its_share() {
     let mut bucket = Bucket::new(0);
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -109,6 +109,8 @@
     sequence: u64,
     /// Time at which it arrived.
     pub(crate) at: Millis,
+    /// Whether the server took itself for the primary.
+    pub(crate) leads: bool,
     silent: bool,
 }
 
@@ -131,7 +133,7 @@
         if known.is_some_and(|known| (known.run, known.sequence) >= (run, sequence)) {
             return false;
         }
-        let heard = Heard { run, sequence, at: now, silent: false };
+        let heard = Heard { run, sequence, at: now, leads: beat.leads, silent: false };
         self.heard.insert(beat.backend.id.clone(), heard);
         true
     }
@@ -317,6 +319,10 @@
             .filter(|(_, entry)| entry.healthy(now))
             .map(|(name, entry)| (name.clone(), entry.place.clone()))
             .collect();
+        if places.is_empty() {
+            // Entries that stop still serve what they hold.
+            return;
+        }
         let chosen = holders::choose(&places, &servers, &leader.regions, &leader.holders);
         for (server, holders) in &chosen {
             if leader.holders.get(server) != Some(holders) {
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -104,6 +104,7 @@
         if !self.member.leads(now) {
             return;
         }
+        self.find_leaders(now);
         let groups: Vec<_> = self.fleet().leads.clone().into_iter().collect();
         for (group, lead) in groups {
             let Some(leader) = &self.leader else { return };
@@ -120,6 +121,21 @@
         }
     }
 
+    /// Asks servers that claim to lead a group whose leader is not known.
+    fn find_leaders(&mut self, now: Millis) {
+        let Some(leader) = &self.leader else { return };
+        let fleet = &self.machine.fleet;
+        let claims = |id: &Arc<str>| leader.heard.get(id).is_some_and(|heard| heard.leads);
+        let unknown = |backend: &&Backend| !fleet.leads.contains_key(&backend.group);
+        let backends = fleet.backends.values().filter(unknown);
+        let ids: Vec<_> = backends.map(|b| b.id.clone()).filter(|id| claims(id)).collect();
+        for id in ids {
+            if self.due(&id, POLL, now) {
+                self.probe(&id, Action::Status);
+            }
+        }
+    }
+
     fn watch_primary(&mut self, group: &Arc<str>, lead: &Lead, primary: &Arc<str>, now: Millis) {
         if self.due(primary, POLL, now) {
             self.probe(primary, Action::Status);
