--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -137,6 +137,11 @@
         self.commit
     }
 
+    /// Last entry of the log, committed or not.
+    pub fn last(&self) -> Index {
+        self.log.last()
+    }
+
     /// Current term.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use auburnlug_coordination::raft::{Entry, Payload};
+use auburnlug_coordination::{
+    formation::instance_of,
+    raft::{Entry, Payload},
+};
 use auburnlug_protocol::{
     auth::Purpose,
     fleet::FleetMessage,
@@ -142,6 +145,8 @@
     /// Links that other instances opened, by number.
     pub(crate) accepted: BTreeMap<u64, (Name, mpsc::Sender<FleetMessage>)>,
     seeds: BTreeSet<Name>,
+    /// Members that others have named.
+    known: BTreeSet<Name>,
     /// Links to members; `None` while one is dialed.
     dialed: BTreeMap<Name, Option<mpsc::Sender<FleetMessage>>>,
     dial: Arc<dyn Dial<FleetMessage>>,
@@ -149,6 +154,8 @@
     searched: Millis,
     stopping: bool,
     founds: bool,
+    /// Last entry that was in the log at the start; applying those again is not logged.
+    replayed: Index,
 }
 
 /// Runs a control member until it is told to stop.
@@ -169,6 +176,7 @@
     let founds = options.founds;
     let name = options.me.name.clone();
     let (member, machine) = Member::open(name, configured, options.disk, founds, seed, now)?;
+    let replayed = member.last();
     let mut control = Control {
         me: options.me,
         ports: options.ports,
@@ -183,12 +191,14 @@
         input,
         accepted: BTreeMap::new(),
         seeds: options.seeds,
+        known: BTreeSet::new(),
         dialed: BTreeMap::new(),
         dial: Arc::new(Dialer::new(options.identity, Purpose::Control)),
         waiting: BTreeMap::new(),
         searched: 0,
         stopping: false,
         founds,
+        replayed,
     };
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -304,6 +314,9 @@
         let now = self.now();
         match message {
             FleetMessage::Member(message) => {
+                if let Agreement::Probed { members: Some(members), .. } = &message {
+                    self.known.extend(members.all().filter_map(instance_of));
+                }
                 if let Some(answer) = self.member.receive(&from, message, now)? {
                     self.answer_member(link, &from, answer);
                 }
@@ -313,11 +326,12 @@
                 if self.leader.is_some() && self.member.leads(now) {
                     self.renewed(link, &from, *renewal);
                 } else {
-                    self.send(link, FleetMessage::NotLeader);
+                    let members = self.member.instances().into_iter().collect();
+                    self.send(link, FleetMessage::NotLeader(members));
                 }
             }
             FleetMessage::Grant(_)
-            | FleetMessage::NotLeader
+            | FleetMessage::NotLeader(_)
             | FleetMessage::Leading
             | FleetMessage::Update(_) => {}
         }
@@ -451,8 +465,7 @@
         self.dial_members();
         if now >= self.searched + SEARCH {
             self.searched = now;
-            let mut others = self.seeds.clone();
-            others.extend(self.member.instances());
+            let mut others = self.others();
             if self.founds {
                 others.insert(self.me.name.clone());
             }
@@ -475,9 +488,18 @@
         self.lead_periodic(now);
     }
 
+    /// Members, as far as they are known: of the group, from the settings, or named by others.
+    fn others(&self) -> BTreeSet<Name> {
+        let members = self.member.instances();
+        // A member of the group knows the others; the rest may be gone.
+        if self.member.agrees() {
+            return &members | &self.seeds;
+        }
+        &(&members | &self.seeds) | &self.known
+    }
+
     fn dial_members(&mut self) {
-        let mut names = self.seeds.clone();
-        names.extend(self.member.instances());
+        let mut names = self.others();
         names.remove(self.me.name.as_str());
         for name in names {
             if self.dialed.contains_key(name.as_str()) {
@@ -528,7 +550,10 @@
     }
 
     fn apply(&mut self, entry: Entry) {
-        if let Payload::Members(members) = &entry.payload {
+        let fresh = entry.index > self.replayed;
+        if let Payload::Members(members) = &entry.payload
+            && fresh
+        {
             log(
                 Event::MembersChanged,
                 format_args!("voters={:?} learners={:?}", members.voters, members.learners),
@@ -541,7 +566,9 @@
                 None
             }
         };
-        if let Payload::Command(Command::Fleet(change)) = &entry.payload {
+        if let Payload::Command(Command::Fleet(change)) = &entry.payload
+            && fresh
+        {
             log_applied(change, applied.as_ref());
         }
         if let Some(Waiting { term, reply: Some(reply), .. }) = self.waiting.remove(&entry.index) {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -145,6 +145,7 @@
         dial: Arc::new(Dialer::new(options.identity, Purpose::Control)),
         port: options.ports.control,
         seeds: seeds.clone(),
+        known: BTreeSet::new(),
         links: BTreeMap::new(),
         granter: None,
         answered: 0,
@@ -226,6 +227,8 @@
     dial: Arc<dyn Dial<FleetMessage>>,
     port: u16,
     seeds: Rc<RefCell<BTreeSet<Name>>>,
+    /// Control members that others have named, until the view tells them.
+    known: BTreeSet<Name>,
     /// Links to control members; `None` while one is dialed.
     links: BTreeMap<Name, Option<mpsc::Sender<FleetMessage>>>,
     granter: Option<Name>,
@@ -320,7 +323,8 @@
                 self.granter = Some(name);
                 return true;
             }
-            FleetMessage::NotLeader => {
+            FleetMessage::NotLeader(members) => {
+                self.known.extend(members);
                 if self.granter.as_ref() == Some(&name) {
                     self.granter = None;
                     return true;
@@ -359,7 +363,11 @@
 
     fn dial_members(&mut self, input: &mpsc::Sender<Input>) {
         let mut names = self.seeds.borrow().clone();
-        names.extend(self.local.view().members.iter().cloned());
+        let members = &self.local.view().members;
+        names.extend(members.iter().cloned());
+        if members.is_empty() {
+            names.extend(self.known.iter().cloned());
+        }
         for name in names {
             if self.links.contains_key(name.as_str()) {
                 continue;
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -25,8 +25,8 @@
     Renew(Box<Renewal>),
     /// The leader grants a lease.
     Grant(Box<FleetGrant>),
-    /// The sender does not lead.
-    NotLeader,
+    /// The sender does not lead; these are the members that it knows.
+    NotLeader(Vec<Name>),
     /// The sender has become leader.
     Leading,
     /// What changed in the view of the fleet.
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -143,6 +143,11 @@
         instance_of(self.raft()?.leader()?)
     }
 
+    /// Last entry of the member's log, committed or not.
+    pub fn last(&self) -> Index {
+        self.raft().map_or(0, Raft::last)
+    }
+
     /// Term of the agreement.
     pub fn term(&self) -> u64 {
         self.raft().map_or(0, Raft::term)
