--- a/crates/bench/src/line_group.rs
+++ b/crates/bench/src/line_group.rs
@@ -21,8 +21,8 @@
     time::sleep,
 };
 
-/// Time for which a refused commit is retried before the connection is given up, in milliseconds.
-const COMMIT_WAIT: Duration = Duration::from_millis(20);
+/// Time that a statement takes, in milliseconds.
+const WORK: Duration = Duration::from_millis(1);
 
 /// Time that a promoted server takes to lead, in milliseconds.
 const PROMOTE: Duration = Duration::from_millis(50);
@@ -77,7 +77,6 @@
     account: String,
     open: bool,
     failed: bool,
-    read_only: bool,
     writes: Vec<(String, String)>,
     prepared: BTreeMap<String, (bool, String)>,
 }
@@ -195,32 +194,26 @@
         while let Some(line) = lines.next_line().await? {
             let Some(rest) = line.strip_prefix("QUERY ") else { return Ok(()) };
             let (request, text) = rest.split_once(' ').unwrap_or((rest, ""));
-            let (answer, wait) = self.answer(id, &mut session, request, text);
-            if wait {
-                // No replica receives the commit: the primary does not answer.
-                std::future::pending::<()>().await;
+            match self.answer(id, &mut session, request, text) {
+                Some(answer) => {
+                    sleep(WORK).await;
+                    write.write_all(answer.as_bytes()).await?;
+                }
+                None => std::future::pending().await,
             }
-            sleep(COMMIT_WAIT / 20).await;
-            write.write_all(answer.as_bytes()).await?;
         }
         Ok(())
     }
 
-    /// Answer to a statement, and whether it is never sent.
-    fn answer(&self, id: &str, session: &mut Session, request: &str, text: &str) -> (String, bool) {
+    /// Answer to a statement; `None` if it is never sent.
+    fn answer(&self, id: &str, session: &mut Session, request: &str, text: &str) -> Option<String> {
         let mut state = self.state();
-        let leads = state.primary == id;
-        let seen = state.seen(id, leads);
+        let seen = state.seen(id, state.primary == id);
         let position = format!("{}.{seen}", state.term);
-        let mut text = text;
-        if let Some(rest) = text.strip_prefix("AFTER ") {
-            let (after, rest) = rest.split_once(' ').unwrap_or((rest, ""));
-            let wanted = after.split_once('.').and_then(|(_, number)| number.parse::<usize>().ok());
-            if wanted.is_none_or(|wanted| wanted > seen) {
-                return (format!("ERR LAGGING {id}\r\nREADY {} {position}\r\n", session.state()), false);
-            }
-            text = rest;
-        }
+        let asked = Asked { id, request, seen, position };
+        let Some(text) = after(text, seen) else {
+            return Some(asked.refuse(session, "LAGGING"));
+        };
         if request != "-" {
             state.ran.push(Ran {
                 server: id.into(),
@@ -230,71 +223,61 @@
             });
         }
         let words: Vec<&str> = text.splitn(4, ' ').collect();
-        let done = |session: &Session, rows: &str, position: &str| {
-            (format!("{rows}DONE s.{id}.{request}\r\nREADY {} {position}\r\n", session.state()), false)
-        };
-        let refuse = |session: &mut Session, code: &str, position: &str| {
-            session.failed = session.open;
-            (format!("ERR {code} {id}\r\nREADY {} {position}\r\n", session.state()), false)
-        };
-        match words[..] {
-            ["STATUS"] | ["PAUSE" | "DEMOTE", _] | ["RESUME"] => {
+        match words[0] {
+            "STATUS" | "PAUSE" | "RESUME" | "DEMOTE" => {
                 state.control(id, &words);
                 let role = if state.primary == id { "primary" } else { "replica" };
-                let row = format!("ROW {role} {} {position} 0 0 0 1\r\n", state.term);
-                done(session, &row, &position)
-            }
-            ["BEGIN"] if !leads => refuse(session, "READONLY", &position),
-            ["BEGIN"] | ["BEGIN", "READ"] => {
-                session.open = true;
-                session.read_only = words.len() > 1;
-                done(session, "", &position)
-            }
-            ["ROLLBACK"] => {
-                session.end();
-                done(session, "", &position)
-            }
-            ["COMMIT"] => {
-                let writes = std::mem::take(&mut session.writes);
-                session.end();
-                if writes.is_empty() {
-                    return done(session, "", &position);
-                }
-                if !leads {
-                    return refuse(session, "READONLY", &position);
-                }
-                state.commit(session, writes, done)
-            }
-            ["SET", ..] | ["RESET"] => {
-                if words[0] == "RESET" {
-                    session.prepared.clear();
-                }
-                done(session, "", &position)
+                let row = format!("ROW {role} {} {} 0 0 0 1\r\n", state.term, asked.position);
+                Some(asked.done(session, &row))
             }
+            "BEGIN" | "ROLLBACK" | "COMMIT" => state.transact(&asked, session, &words),
+            "SET" | "RESET" | "PREPARE" => Some(asked.prepare(session, &words)),
+            _ => state.run(&asked, session, text, &words),
+        }
+    }
+}
+
+/// Text behind a position that the log has; `None` if it lacks it.
+fn after(text: &str, seen: usize) -> Option<&str> {
+    let Some(rest) = text.strip_prefix("AFTER ") else { return Some(text) };
+    let (position, rest) = rest.split_once(' ')?;
+    let (_, number) = position.split_once('.')?;
+    (number.parse::<usize>().ok()? <= seen).then_some(rest)
+}
+
+/// A statement that is being answered.
+struct Asked<'a> {
+    id: &'a str,
+    request: &'a str,
+    /// Commits that the server sees.
+    seen: usize,
+    position: String,
+}
+
+impl Asked<'_> {
+    fn done(&self, session: &Session, rows: &str) -> String {
+        self.done_at(session, rows, &self.position)
+    }
+
+    fn done_at(&self, session: &Session, rows: &str, position: &str) -> String {
+        let Asked { id, request, .. } = self;
+        format!("{rows}DONE s.{id}.{request}\r\nREADY {} {position}\r\n", session.state())
+    }
+
+    fn refuse(&self, session: &mut Session, code: &str) -> String {
+        session.failed = session.open;
+        format!("ERR {code} {}\r\nREADY {} {}\r\n", self.id, session.state(), self.position)
+    }
+
+    fn prepare(&self, session: &mut Session, words: &[&str]) -> String {
+        match *words {
+            ["RESET"] => session.prepared.clear(),
             ["PREPARE", name, kind, shape] => {
                 session.prepared.insert(name.into(), (kind == "WRITE", shape.into()));
-                done(session, "", &position)
-            }
-            ["EXECUTE", name, item] if session.prepared.contains_key(name) => {
-                let row = format!("ROW {}\r\n", state.value(seen, item));
-                done(session, &row, &position)
-            }
-            ["READ", item] => {
-                let row = format!("ROW {}\r\n", state.value(seen, item));
-                done(session, &row, &position)
-            }
-            ["WRITE", ..] if !leads => refuse(session, "READONLY", &position),
-            ["WRITE", item, ..] => {
-                let data = text.splitn(3, ' ').nth(2).unwrap_or("");
-                let write = (item.to_owned(), data.to_owned());
-                if session.open {
-                    session.writes.push(write);
-                    return done(session, "", &position);
-                }
-                state.commit(session, vec![write], done)
             }
-            _ => refuse(session, "MALFORMED", &position),
+            _ => {}
         }
+        self.done(session, "")
     }
 }
 
@@ -328,22 +311,85 @@
         }
     }
 
+    fn transact(
+        &mut self,
+        asked: &Asked<'_>,
+        session: &mut Session,
+        words: &[&str],
+    ) -> Option<String> {
+        let leads = self.primary == asked.id;
+        match *words {
+            ["BEGIN"] if !leads => Some(asked.refuse(session, "READONLY")),
+            ["BEGIN", ..] => {
+                session.open = true;
+                Some(asked.done(session, ""))
+            }
+            ["COMMIT"] => {
+                let writes = std::mem::take(&mut session.writes);
+                session.end();
+                match (writes.is_empty(), leads) {
+                    (true, _) => Some(asked.done(session, "")),
+                    (false, false) => Some(asked.refuse(session, "READONLY")),
+                    (false, true) => self.commit(asked, session, writes),
+                }
+            }
+            _ => {
+                session.end();
+                Some(asked.done(session, ""))
+            }
+        }
+    }
+
+    fn run(
+        &mut self,
+        asked: &Asked<'_>,
+        session: &mut Session,
+        text: &str,
+        words: &[&str],
+    ) -> Option<String> {
+        match *words {
+            ["EXECUTE", name, item] if session.prepared.contains_key(name) => {
+                let row = format!("ROW {}\r\n", self.value(asked.seen, item));
+                Some(asked.done(session, &row))
+            }
+            ["READ", item] => {
+                let row = format!("ROW {}\r\n", self.value(asked.seen, item));
+                Some(asked.done(session, &row))
+            }
+            ["WRITE", ..] if self.primary != asked.id => Some(asked.refuse(session, "READONLY")),
+            ["WRITE", item, ..] => {
+                let data = text.splitn(3, ' ').nth(2).unwrap_or("");
+                let write = (item.to_owned(), data.to_owned());
+                if session.open {
+                    session.writes.push(write);
+                    return Some(asked.done(session, ""));
+                }
+                self.commit(asked, session, vec![write])
+            }
+            _ => Some(asked.refuse(session, "MALFORMED")),
+        }
+    }
+
+    /// Commits, unless no replica receives it: then there is no answer.
     fn commit(
         &mut self,
+        asked: &Asked<'_>,
         session: &Session,
         writes: Vec<(String, String)>,
-        done: impl Fn(&Session, &str, &str) -> (String, bool),
-    ) -> (String, bool) {
-        let received = |(id, member): (&String, &Member)| *id != self.primary && member.paused.is_none();
-        if !self.servers.iter().any(received) {
-            return (String::new(), true);
+    ) -> Option<String> {
+        let receives =
+            |(id, member): (&String, &Member)| *id != self.primary && member.paused.is_none();
+        if !self.servers.iter().any(receives) {
+            return None;
         }
         self.commits.push(Commit { at: Instant::now(), writes });
-        done(session, "", &format!("{}.{}", self.term, self.commits.len()))
+        let position = format!("{}.{}", self.term, self.commits.len());
+        Some(asked.done_at(session, "", &position))
     }
 
     fn value(&self, seen: usize, item: &str) -> String {
-        let writes = self.commits[..seen].iter().rev().flat_map(|commit| commit.writes.iter().rev());
+        let writes =
+            self.commits[..seen].iter().rev().flat_map(|commit| commit.writes.iter().rev());
         let mut found = writes.filter(|(key, _)| key == item).map(|(_, data)| data.clone());
         found.next().unwrap_or_else(|| "none".into())
     }
@@ -359,7 +405,7 @@
     }
 
     fn end(&mut self) {
-        (self.open, self.failed, self.read_only) = (false, false, false);
+        (self.open, self.failed) = (false, false);
         self.writes.clear();
     }
 }
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -180,8 +180,12 @@
 #[test]
 fn an_entry_that_joins_takes_no_server_from_its_near_holder() {
     let servers = needy(&[("s1", "d1"), ("s2", "d1")]);
-    let before =
-        holders::choose(&places(&[("b", "r1", "d1"), ("c", "r1", "d1")]), &servers, &regions(), &BTreeMap::new());
+    let before = holders::choose(
+        &places(&[("b", "r1", "d1"), ("c", "r1", "d1")]),
+        &servers,
+        &regions(),
+        &BTreeMap::new(),
+    );
     let more = places(&[("a", "r1", "d1"), ("b", "r1", "d1"), ("c", "r1", "d1")]);
     let after = holders::choose(&more, &servers, &regions(), &before);
     assert_eq!(after["s1"][0], before["s1"][0]);
--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -87,8 +87,7 @@
         let mut connection =
             Connection { stream, wire, inbound, outbound, account, values, prepared };
         let account = connection.account.clone();
-        let call =
-            Call::Open { group: &target.group, account: &account, server: &target.server };
+        let call = Call::Open { group: &target.group, account: &account, server: &target.server };
         connection.wire.encode(&call, &mut connection.outbound);
         let reply = timeout(OPEN, connection.exchange(true)).await.map_err(|_| Fault::Broken)??;
         match reply.answer.code() {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,11 +17,7 @@
     formation::instance_of,
     raft::{Entry, Payload},
 };
-use auburnlug_protocol::{
-    auth::Purpose,
-    fleet::FleetMessage,
-    peer::Control as Agreement,
-};
+use auburnlug_protocol::{auth::Purpose, fleet::FleetMessage, peer::Control as Agreement};
 use auburnlug_state::{
     Applied, Command, Index, Machine, Millis, Name,
     fleet::{Fleet, FleetChange},
@@ -114,11 +110,7 @@
     /// A server answered a probe.
     Probed(Probed),
     /// The promoting authority answered.
-    Ordered {
-        group: Arc<str>,
-        server: Arc<str>,
-        outcome: Ordered,
-    },
+    Ordered { group: Arc<str>, server: Arc<str>, outcome: Ordered },
 }
 
 /// Who waits for a proposal.
@@ -573,8 +565,7 @@
         }
         if let Some(Waiting { term, reply: Some(reply), .. }) = self.waiting.remove(&entry.index) {
             // Another leader's entry at this index says nothing about the proposal.
-            let outcome =
-                if term == entry.term { Outcome::Done(()) } else { Outcome::Unavailable };
+            let outcome = if term == entry.term { Outcome::Done(()) } else { Outcome::Unavailable };
             let _ = reply.send(outcome);
         }
     }
@@ -584,9 +575,11 @@
         self.lease.store(self.member.lease().unwrap_or(0), Ordering::Release);
         if leads && self.leader.is_none() {
             self.take_over();
-        } else if self.leader.as_ref().is_some_and(|leader| {
-            !self.member.leading() || leader.term != self.member.term()
-        }) {
+        } else if self
+            .leader
+            .as_ref()
+            .is_some_and(|leader| !self.member.leading() || leader.term != self.member.term())
+        {
             log(Event::LeaderLost, format_args!("term={}", self.member.term()));
             self.leader = None;
             for (_, waiting) in std::mem::take(&mut self.waiting) {
@@ -604,10 +597,9 @@
         _ => "superseded",
     });
     match change {
-        FleetChange::Deploy { plan, .. } => log(
-            Event::ConfigApplied,
-            format_args!("version={} outcome={outcome}", plan.version),
-        ),
+        FleetChange::Deploy { plan, .. } => {
+            log(Event::ConfigApplied, format_args!("version={} outcome={outcome}", plan.version))
+        }
         FleetChange::Lead { group, after, lead } => log(
             Event::LeadChanged,
             format_args!(
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -13,7 +13,10 @@
 use auburnlug_protocol::fleet::{
     Demand, Evidence, FleetGrant, FleetMessage, HolderView, LeadView, Renewal, Share, Update,
 };
-use auburnlug_state::{Millis, Name, Term, fleet::{Fleet, Run}};
+use auburnlug_state::{
+    Millis, Name, Term,
+    fleet::{Fleet, Run},
+};
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
@@ -137,7 +140,6 @@
         self.heard.insert(beat.backend.id.clone(), heard);
         true
     }
-
 }
 
 impl Control {
@@ -222,8 +224,7 @@
         let Some(leader) = &mut self.leader else { return };
         for seen in evidence {
             let answered = seen.answered.map_or(0, |age| now.saturating_sub(age));
-            let witness =
-                Witness { server: seen.server, answered, stalled: seen.stalled, at: now };
+            let witness = Witness { server: seen.server, answered, stalled: seen.stalled, at: now };
             leader.evidence.insert((seen.group, from.clone()), witness);
         }
     }
@@ -237,8 +238,7 @@
             let Some(account) = plan.accounts.get(&demand.account) else { continue };
             let Some(rate) = account.rate else { continue };
             let limit = Limit { rate, burst: account.burst };
-            let ask =
-                ShareAsk { demand: demand.rate, share: demand.share, wanted: demand.wanted };
+            let ask = ShareAsk { demand: demand.rate, share: demand.share, wanted: demand.wanted };
             let given = leader.shares.renew(from, &demand.account, limit, ask, count, now);
             let share =
                 Share { account: demand.account.clone(), rate: given.share, tokens: given.tokens };
@@ -360,8 +360,7 @@
             index: leader.index,
             term: leader.term,
             plan: (parts.plan > sent).then(|| fleet.plan.clone()),
-            backends: (parts.backends > sent)
-                .then(|| fleet.backends.values().cloned().collect()),
+            backends: (parts.backends > sent).then(|| fleet.backends.values().cloned().collect()),
             leads: (parts.leads > sent).then(|| lead_views(fleet)),
             holders: (parts.holders > sent).then(|| holder_views(leader)),
             members: (parts.members > sent).then(|| leader.members.iter().cloned().collect()),
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -179,8 +179,8 @@
         let replicas = fleet.backends_of(group).filter(|backend| backend.id != *primary);
         let mut known = replicas.filter_map(|backend| status(&backend.id)).peekable();
         // Without an answer of a replica nothing is known, and none could take over.
-        let apart = known.peek().is_some()
-            && known.all(|(replica, _)| replica.received < head.received);
+        let apart =
+            known.peek().is_some() && known.all(|(replica, _)| replica.received < head.received);
         if !apart {
             leader.apart.remove(group);
         } else if !leader.apart.contains_key(group) {
@@ -193,12 +193,12 @@
         let Some(leader) = &self.leader else { return Watch::default() };
         let monitor = leader.monitors.get(primary);
         let beat = leader.heard.get(primary).map_or(0, |heard| heard.at);
-        let of = |(key, _): &(&(Arc<str>, auburnlug_state::Name), &crate::control_lead::Witness)| {
-            key.0 == *group
-        };
-        let reports = || {
-            leader.evidence.iter().filter(of).map(|(_, w)| w).filter(|w| w.server == *primary)
-        };
+        let of =
+            |(key, _): &(&(Arc<str>, auburnlug_state::Name), &crate::control_lead::Witness)| {
+                key.0 == *group
+            };
+        let reports =
+            || leader.evidence.iter().filter(of).map(|(_, w)| w).filter(|w| w.server == *primary);
         let seen = reports().map(|witness| witness.answered).max().unwrap_or(0);
         let last = beat.max(seen).max(monitor.map_or(0, |m| m.answered)).max(leader.since);
         let recent = reports().filter(|w| now < w.at + REACHABLE);
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -176,8 +176,7 @@
             None => {
                 self.local.metrics.connects.inc();
                 let (target, account) = (seat.target.clone(), job.account.clone());
-                let mut opening =
-                    spawn_local(Connection::open(self.wire.clone(), target, account));
+                let mut opening = spawn_local(Connection::open(self.wire.clone(), target, account));
                 match timeout_at(until, &mut opening).await {
                     Ok(Ok(Ok(connection))) => connection,
                     Ok(Ok(Err(fault))) => return Tried::NotSent(fault),
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -202,9 +202,8 @@
         });
         let evidence = self.evidence.borrow();
         // What is older says nothing about the primary's present state.
-        let recent = |seen: &Seen| {
-            seen.stalled > 0 || seen.answered.is_some_and(|at| now < at + EVIDENCE)
-        };
+        let recent =
+            |seen: &Seen| seen.stalled > 0 || seen.answered.is_some_and(|at| now < at + EVIDENCE);
         let evidence = evidence.iter().filter(|(_, seen)| recent(seen));
         let evidence = evidence.map(|(group, seen)| Evidence {
             group: group.clone(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -186,9 +186,10 @@
                 let now = self.local.now();
                 let expired = server.expire(now);
                 let paused = now < server.paused;
-                let found = server.waiters.iter().position(|waiter| {
-                    !paused && server.free(&waiter.want.account)
-                });
+                let found = server
+                    .waiters
+                    .iter()
+                    .position(|waiter| !paused && server.free(&waiter.want.account));
                 let Some(at) = found else { return };
                 let waiter = server.waiters.remove(at);
                 let connection = server.take(&waiter.want);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -47,7 +47,7 @@
 /// Where the statements of a transaction run.
 pub enum Place {
     /// On a connection of this entry to the server.
-    Here(Arc<str>, Pin),
+    Here(Arc<str>, Box<Pin>),
     /// At another entry, under a number, on a connection to the server.
     There(Arc<str>, Name, u64),
 }
@@ -110,7 +110,7 @@
             let server = job.server.clone();
             if holder == self.local.me.name {
                 let (answer, pin) = self.executor.start(&job).await;
-                return (answer, pin.map(|pin| Place::Here(server, pin)));
+                return (answer, pin.map(|pin| Place::Here(server, Box::new(pin))));
             }
             let number = self.next.get();
             self.next.set(number + 1);
@@ -134,8 +134,8 @@
     pub async fn next(self: &Rc<Self>, place: Place, job: Job) -> (Answer, Option<Place>) {
         match place {
             Place::Here(server, pin) => {
-                let (answer, pin) = self.executor.next(pin, &job).await;
-                (answer, pin.map(|pin| Place::Here(server, pin)))
+                let (answer, pin) = self.executor.next(*pin, &job).await;
+                (answer, pin.map(|pin| Place::Here(server, Box::new(pin))))
             }
             Place::There(server, holder, number) => {
                 let commits = job.commits;
@@ -155,7 +155,7 @@
     /// Gives a place back; an open transaction is rolled back.
     pub fn end(&self, place: Place) {
         match place {
-            Place::Here(_, pin) => self.executor.roll_back(pin),
+            Place::Here(_, pin) => self.executor.roll_back(*pin),
             Place::There(_, holder, number) => {
                 let peer = self.peers.borrow().get(holder.as_str()).cloned();
                 let out = peer.and_then(|peer| peer.out.borrow().clone());
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -230,7 +230,7 @@
             return primary.map(|backend| (backend.id.clone(), None));
         };
         let leads = |backend: &Backend| primary.is_some_and(|p| p.id == backend.id);
-        let usable = |b: &&Backend| &*b.group == &**group && (leads(b) || !b.draining);
+        let usable = |b: &&Backend| *b.group == **group && (leads(b) || !b.draining);
         let candidates: Vec<Candidate> = view
             .backends
             .values()
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -1,11 +1,6 @@
 //! Sessions of callers: one connection, its values, prepared statements and transaction.
 
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use auburnlug_coordination::Position;
 use auburnlug_protocol::job::{
@@ -162,9 +157,7 @@
             let served = match request {
                 Request::Run { id, statement } => self.serve(id, statement).await,
                 Request::Close => return Ending::Caller,
-                Request::Open(_) => {
-                    self.reject("", "the session is open already").await
-                }
+                Request::Open(_) => self.reject("", "the session is open already").await,
                 Request::Malformed { id, reason } => self.reject(&id, reason).await,
             };
             match served {
--- a/crates/transport/src/control.rs
+++ b/crates/transport/src/control.rs
@@ -55,7 +55,7 @@
 /// An input of the control thread.
 #[derive(Debug)]
 pub(crate) enum Input {
-    Accepted(Accepted),
+    Accepted(Box<Accepted>),
     Dialed { member: Name, link: Option<Link<peer::Control>> },
     Message { link: u64, message: peer::Control },
     Closed { link: u64 },
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -97,7 +97,8 @@
         if let Some(disk) = options.disk {
             let configured = options.members.keys().cloned().collect();
             let seed = rand::rng().random();
-            let opened = Member::open(options.instance.name.clone(), configured, disk, true, seed, now)?;
+            let opened =
+                Member::open(options.instance.name.clone(), configured, disk, true, seed, now)?;
             member = Some(opened.0);
             machine = opened.1;
         }
@@ -174,7 +175,7 @@
         ));
         tokio::spawn(async move {
             while let Some(link) = accepted.recv().await {
-                if input.send(Input::Accepted(link)).await.is_err() {
+                if input.send(Input::Accepted(Box::new(link))).await.is_err() {
                     return;
                 }
             }
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -45,6 +45,7 @@
             secret: Secret::new("same"),
             source: None,
             links: Default::default(),
+            ping: auburnlug_transport::socket::PING,
         });
         let address = members[me.as_str()];
         let instance = Instance {
--- a/crates/transport/tests/control_group/mod.rs
+++ b/crates/transport/tests/control_group/mod.rs
@@ -244,6 +244,7 @@
             secret,
             source: None,
             links: Default::default(),
+            ping: auburnlug_transport::socket::PING,
         });
         let dialer = Dialer::new(identity, Purpose::Control);
         dialer.dial(to.clone(), self.members[to.as_str()]).await.expect("accepted")
@@ -275,6 +276,7 @@
             secret: Secret::new("same"),
             source: None,
             links: Default::default(),
+            ping: auburnlug_transport::socket::PING,
         });
         let instance = Instance {
             name: me.clone(),
--- a/crates/transport/tests/socket.rs
+++ b/crates/transport/tests/socket.rs
@@ -23,6 +23,7 @@
         secret: Secret::new(secret),
         source: None,
         links: Default::default(),
+        ping: auburnlug_transport::socket::PING,
     })
 }
 
