--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -38,7 +38,7 @@
 impl Default for Timing {
     /// Three heartbeats fit into a lease, so that one lost message does not end it.
     fn default() -> Timing {
-        Timing { heartbeat: 80, lease: 250, quiet: 280, shortest: 280, longest: 500 }
+        Timing { heartbeat: 100, lease: 350, quiet: 400, shortest: 400, longest: 800 }
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,7 +15,7 @@
 
 use auburnlug_coordination::{
     formation::instance_of,
-    raft::{Entry, Payload},
+    raft::{Entry, Payload, Timing},
 };
 use auburnlug_protocol::{auth::Purpose, fleet::FleetMessage, peer::Control as Agreement};
 use auburnlug_state::{
@@ -45,7 +45,13 @@
     wire::{Ordered, Ports, Promoter, ServerWire, address_of},
 };
 
-/// Interval of the periodic work, in milliseconds: a quarter of the agreement's heartbeat.
+/// Intervals of the agreement, in milliseconds. Without a leader nothing is served that needs a
+/// primary once the leases have ended, so an election is short: the time-out holds three
+/// heartbeats and the way to another region.
+const TIMING: Timing =
+    Timing { heartbeat: 80, lease: 250, quiet: 280, shortest: 280, longest: 500 };
+
+/// Interval of the periodic work, in milliseconds: a third of the agreement's heartbeat.
 const TICK: Duration = Duration::from_millis(25);
 
 /// Pause before a member is dialed again, in milliseconds.
@@ -167,7 +173,8 @@
     let seed = rand::rng().random();
     let founds = options.founds;
     let name = options.me.name.clone();
-    let (member, machine) = Member::open(name, configured, options.disk, founds, seed, now)?;
+    let (member, machine) =
+        Member::open(name, configured, options.disk, founds, TIMING, seed, now)?;
     let replayed = member.last();
     let mut control = Control {
         me: options.me,
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use auburnlug_coordination::lease::{Holder, LEASE, Lease, RENEWAL};
+use auburnlug_coordination::{
+    lease::{Holder, LEASE, Lease, RENEWAL},
+    raft::Timing,
+};
 use auburnlug_protocol::peer::{Control, Grant, Renew};
 use auburnlug_state::{Command, Index, Instance, Machine, Millis, Name, Shard};
 use rand::Rng;
@@ -97,8 +100,15 @@
         if let Some(disk) = options.disk {
             let configured = options.members.keys().cloned().collect();
             let seed = rand::rng().random();
-            let opened =
-                Member::open(options.instance.name.clone(), configured, disk, true, seed, now)?;
+            let opened = Member::open(
+                options.instance.name.clone(),
+                configured,
+                disk,
+                true,
+                Timing::default(),
+                seed,
+                now,
+            )?;
             member = Some(opened.0);
             machine = opened.1;
         }
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -40,6 +40,7 @@
     joining: BTreeMap<Name, Joining>,
     covered: Index,
     seed: u64,
+    timing: Timing,
     /// Whether this member may found the group.
     founds: bool,
 }
@@ -81,6 +82,7 @@
         configured: BTreeSet<Name>,
         mut disk: Box<dyn Disk>,
         founds: bool,
+        timing: Timing,
         seed: u64,
         now: Millis,
     ) -> Result<(Member, Machine)> {
@@ -98,7 +100,7 @@
             Some(snapshot) => {
                 machine = decode(&snapshot.data)?;
                 covered = snapshot.index;
-                let raft = raft(&identity, saved, seed, now)?;
+                let raft = raft(&identity, saved, timing, seed, now)?;
                 let asks = !raft.members().voters.contains(identity.as_str());
                 State::Member(Box::new(raft), asks)
             }
@@ -109,8 +111,18 @@
         );
         let joining = BTreeMap::new();
         let founds = founds && configured.contains(&instance);
-        let mut member =
-            Member { instance, identity, configured, disk, state, joining, covered, seed, founds };
+        let mut member = Member {
+            instance,
+            identity,
+            configured,
+            disk,
+            state,
+            joining,
+            covered,
+            seed,
+            timing,
+            founds,
+        };
         if let State::Searching(formation) = &member.state {
             let decision = formation.start();
             member.decided(decision, now)?;
@@ -294,7 +306,7 @@
         self.disk.store(&ready)?;
         self.disk.sync()?;
         let saved = Saved { snapshot: Some(snapshot), ..Saved::default() };
-        let raft = raft(&self.identity, saved, self.seed, now)?;
+        let raft = raft(&self.identity, saved, self.timing, self.seed, now)?;
         self.state = State::Member(Box::new(raft), asks);
         Ok(())
     }
@@ -361,7 +373,7 @@
     }
 }
 
-fn raft(identity: &Name, saved: Saved, seed: u64, now: Millis) -> Result<Raft> {
+fn raft(identity: &Name, saved: Saved, timing: Timing, seed: u64, now: Millis) -> Result<Raft> {
     let members = saved.snapshot.as_ref().map(|s| s.members.clone()).unwrap_or_default();
-    Ok(Raft::new(identity.clone(), members, saved, Timing::default(), seed, now)?)
+    Ok(Raft::new(identity.clone(), members, saved, timing, seed, now)?)
 }
