Send jobs that wait on to the new holder when an entry loses a server

Jobs that waited at a holder whose connections moved to another entry stayed there until their time was over ("waiting 3 running 0/3 open 0/0"). jobs_that_wait_leave_an_entry_that_loses_the_server failed before the change.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -105,7 +105,7 @@
 
     /// Takes over servers and shares from a new view.
     pub fn refresh(self: &Rc<Self>, view: &View) {
-        let mut dropped = Vec::new();
+        let (mut dropped, mut waiting) = (Vec::new(), Vec::new());
         {
             let mut servers = self.servers.borrow_mut();
             let gone: Vec<_> =
@@ -126,12 +126,16 @@
                 let Some(server) = servers.get_mut(&backend.id) else { continue };
                 server.share = share(view, &backend.id, &self.local.me.name);
                 server.draining = backend.draining;
+                if server.share == 0 {
+                    // Other entries hold the server now: the jobs go there.
+                    waiting.append(&mut server.waiters);
+                }
                 while server.open > server.share && !server.idle.is_empty() {
                     dropped_connection(server);
                 }
             }
         }
-        drop(dropped);
+        drop((dropped, waiting));
         let ids: Vec<_> = self.servers.borrow().keys().cloned().collect();
         for id in ids {
             self.dispatch(&id);
@@ -166,10 +170,16 @@
         self.dispatch(&id);
         match receiver.await {
             Ok(seat) => Ok(seat),
+            Err(_) if !self.holds(&id) => Err(NoSeat::Unreachable),
             Err(_) => Err(NoSeat::Late(self.describe(&id))),
         }
     }
 
+    /// Whether this entry holds connections to a server.
+    fn holds(&self, server: &str) -> bool {
+        self.servers.borrow().get(server).is_some_and(|server| server.share > 0)
+    }
+
     /// State of a server, for the log line of a refusal.
     pub fn describe(&self, server: &str) -> String {
         let now = self.local.now();
