--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,8 +27,8 @@
     control_member::Member,
     disk::Disk,
     event::{Event, log},
-    link::{Dial, Link},
-    socket::{self, Dialer, Identity},
+    link::Dial,
+    socket::{Dialer, Identity},
 };
 use rand::Rng;
 use tokio::{
@@ -39,6 +39,7 @@
 use crate::{
     control_handle::{Ask, Heartbeat, Outcome},
     control_lead::Leader,
+    control_links,
     control_succession::Probed,
     local::Me,
     metrics::GatewayMetrics,
@@ -166,7 +167,7 @@
     mut asks: mpsc::Receiver<Ask>,
 ) -> auburnlug_transport::Result<()> {
     let (input, mut inputs) = mpsc::channel(QUEUE);
-    accept_links(options.links, options.identity.clone(), input.clone())?;
+    control_links::accept(options.links, options.identity.clone(), input.clone())?;
     let now = options.clock.now();
     let mut configured = options.seeds.clone();
     configured.retain(|name| *name != options.me.name || options.founds);
@@ -222,50 +223,6 @@
     Ok(())
 }
 
-fn accept_links(
-    listener: TcpListener,
-    identity: Arc<Identity>,
-    input: mpsc::Sender<Input>,
-) -> std::io::Result<()> {
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    let (control, mut accepted) = mpsc::channel::<socket::Accepted>(QUEUE);
-    let (traffic, _traffic) = mpsc::channel(1);
-    tokio::spawn(socket::listen(listener, identity, control, traffic));
-    tokio::spawn(async move {
-        // Keeps the channel of traffic links open; a control member takes none.
-        let _unused = _traffic;
-        let mut number = 0;
-        while let Some(link) = accepted.recv().await {
-            number += 1;
-            tokio::spawn(pump_accepted(number, link.link(), input.clone()));
-        }
-    });
-    Ok(())
-}
-
-async fn pump_accepted(number: u64, link: Link<FleetMessage>, input: mpsc::Sender<Input>) {
-    let Link { peer, out, mut inbox } = link;
-    let _ = input.send(Input::Accepted(number, peer.clone(), out)).await;
-    while let Some(message) = inbox.recv().await {
-        let message = Input::Message(Some(number), peer.clone(), message);
-        if input.send(message).await.is_err() {
-            return;
-        }
-    }
-    let _ = input.send(Input::Closed(number)).await;
-}
-
-async fn pump_dialed(name: Name, link: Link<FleetMessage>, input: mpsc::Sender<Input>) {
-    let Link { out, mut inbox, .. } = link;
-    let _ = input.send(Input::Dialed(name.clone(), out)).await;
-    while let Some(message) = inbox.recv().await {
-        if input.send(Input::Message(None, name.clone(), message)).await.is_err() {
-            return;
-        }
-    }
-    let _ = input.send(Input::Undialed(name)).await;
-}
-
 impl Control {
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
@@ -510,7 +467,7 @@
             let input = self.input.clone();
             tokio::spawn(async move {
                 match timeout(DIAL, dialing).await.ok().flatten() {
-                    Some(link) => pump_dialed(name, link, input).await,
+                    Some(link) => control_links::pump_dialed(name, link, input).await,
                     None => {
                         sleep(REDIAL).await;
                         let _ = input.send(Input::Undialed(name)).await;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -4,8 +4,8 @@
 
 use auburnlug_coordination::Position;
 use auburnlug_protocol::job::{
-    Answer, Code, End, Job, Need, Opening, Reply, Request, SessionState, Shape, Statement, Step,
-    Text, Values,
+    Answer, Code, Job, Need, Opening, Reply, Request, SessionState, Shape, Statement, Step, Text,
+    Values,
 };
 use auburnlug_state::{
     Millis,
@@ -23,6 +23,7 @@
     local::Local,
     relay::Place,
     router::{Router, Task},
+    session_log::{Asked, log_answer},
     stop::Stop,
     wire::{Broken, CallerWire},
 };
@@ -318,7 +319,7 @@
                 None => (Answer::error(Code::UnknownStatement, name), state),
             },
         };
-        self.log_answer(&id, kind, arrival, &answer);
+        log_answer(&self.shared.local, &self.asked(&id, kind, arrival), &answer);
         self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
     }
 
@@ -497,6 +498,10 @@
         }
     }
 
+    fn asked<'a>(&'a self, id: &'a str, kind: &'static str, arrival: Millis) -> Asked<'a> {
+        Asked { id, kind, account: &self.account, database: &self.database, arrival }
+    }
+
     /// Refuses a request whose database or key is gone.
     async fn withdraw(
         &mut self,
@@ -506,7 +511,8 @@
     ) -> Result<(), Ending> {
         self.drop_transaction();
         let answer = Answer::error(code, reason);
-        self.log_answer(id, "any", self.shared.local.now(), &answer);
+        let local = &self.shared.local;
+        log_answer(local, &self.asked(id, "any", local.now()), &answer);
         let sent = self.send(Some(answer), Some(SessionState::Idle)).await;
         match code {
             Code::UnknownKey => Err(Ending::KeyWithdrawn),
@@ -568,39 +574,6 @@
         let outbound = self.outbound.split();
         self.stream.write_all(&outbound).await.map_err(|_| ())
     }
-
-    fn log_answer(&self, id: &str, kind: &str, arrival: Millis, answer: &Answer) {
-        let local = &self.shared.local;
-        let took = local.now().saturating_sub(arrival);
-        let server = answer.server.as_deref().unwrap_or("none");
-        let version = local.view().plan.version;
-        match &answer.end {
-            End::Done(None) => {}
-            End::Done(Some(_)) => {
-                local.metrics.served.inc();
-                local.metrics.latency.observe(took as f64 / 1e3);
-                log(
-                    Event::RequestServed,
-                    format_args!(
-                        "id={id} account={} database={} server={server} ms={took} waited={} ran={} kind={kind}",
-                        self.account, self.database, answer.waited, answer.ran
-                    ),
-                );
-            }
-            End::Error(code, reason) => {
-                local.metrics.error(*code);
-                let ran = matches!(code, Code::Failed | Code::Timeout | Code::Unknown);
-                let event = if ran { Event::RequestFailed } else { Event::RequestRefused };
-                log(
-                    event,
-                    format_args!(
-                        "id={id} account={} database={} server={server} ms={took} kind={kind} code={code} reason={:?} config_version={version}",
-                        self.account, self.database, &**reason
-                    ),
-                );
-            }
-        }
-    }
 }
 
 /// Idle time of transactions before a configuration sets one, in milliseconds.
