--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -309,7 +309,17 @@
             }
             FleetMessage::Update(update) => {
                 let leads = update.leads.is_some();
-                if self.local.update(*update) {
+                let updated = self.local.update(*update);
+                if updated.is_err() {
+                    // On a new link the leader sends the whole configuration.
+                    log(
+                        Event::LeaderMissing,
+                        format_args!("member={} update does not fit", name.as_str()),
+                    );
+                    self.links.remove(name.as_str());
+                    return true;
+                }
+                if updated == Ok(true) {
                     let view = self.local.view();
                     self.local.metrics.version.set(view.plan.version);
                     self.pool.refresh(&view);
