--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -11,12 +11,11 @@
     share::{Ask as ShareAsk, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
-    Demand, Evidence, FleetGrant, FleetMessage, HolderView, LeadView, PlanPart, Renewal, Share,
-    Update,
+    Demand, Evidence, FleetGrant, FleetMessage, HolderView, LeadView, Renewal, Share, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
-    fleet::{Fleet, Plan, PlanDelta, Run},
+    fleet::{Fleet, Run},
 };
 use auburnlug_transport::event::{Event, log};
 
@@ -69,7 +68,6 @@
     /// Number of the newest update.
     pub(crate) index: u64,
     changed: Parts,
-    plans: Plans,
     /// Update from which on entries know the present leader of each group.
     pub(crate) published: BTreeMap<Arc<str>, u64>,
 }
@@ -84,32 +82,6 @@
     members: u64,
 }
 
-/// Configurations that entries were sent, and the newest difference between two of them.
-#[derive(Debug, Default)]
-struct Plans {
-    sent: BTreeMap<u64, Arc<Plan>>,
-    delta: Option<Arc<PlanDelta>>,
-}
-
-/// Configurations kept to tell what changed since them.
-const PLANS: usize = 8;
-
-impl Plans {
-    /// What an entry needs that was sent version `base`.
-    fn part(&mut self, base: u64, plan: &Arc<Plan>) -> PlanPart {
-        self.sent.insert(plan.version, plan.clone());
-        while self.sent.len() > PLANS {
-            self.sent.pop_first();
-        }
-        let Some(before) = self.sent.get(&base) else { return PlanPart::Whole(plan.clone()) };
-        let known = self.delta.clone();
-        let known = known.filter(|d| (d.base, d.version) == (base, plan.version));
-        let delta = known.unwrap_or_else(|| Arc::new(plan.since(before)));
-        self.delta = Some(delta.clone());
-        PlanPart::Delta(delta)
-    }
-}
-
 /// An entry that renews its lease here.
 pub(crate) struct EntryState {
     link: u64,
@@ -117,8 +89,6 @@
     place: Place,
     /// Last update that it was sent on this link.
     sent: u64,
-    /// Version of the configuration that it was sent on this link; 0 for none.
-    plan: u64,
     renewed: Millis,
     /// Time since which it has no link here.
     unlinked: Option<Millis>,
@@ -198,7 +168,6 @@
             shares: Shares::new(now, first),
             index: 1,
             changed: parts,
-            plans: Plans::default(),
             published,
         });
         let links: Vec<u64> = self.accepted.keys().copied().collect();
@@ -218,13 +187,11 @@
         // What an entry applied of another leader's updates counts for nothing here.
         let sent = known.filter(|e| e.link == link && e.run == renewal.run).map_or(0, |e| e.sent);
         let applied = if applied_here { renewal.applied.min(sent) } else { 0 };
-        let plan = known.filter(|_| sent > 0).map_or(0, |e| e.plan);
         let state = EntryState {
             link,
             run: renewal.run,
             place,
             sent,
-            plan,
             renewed: now,
             unlinked: None,
             leaving: renewal.leaving,
@@ -286,7 +253,6 @@
         for (name, entry) in leader.entries.iter_mut().filter(|(_, entry)| entry.link == link) {
             leader.leases.unlink(name);
             entry.sent = 0;
-            entry.plan = 0;
             entry.unlinked = Some(self.clock.now());
         }
     }
@@ -389,15 +355,11 @@
             return;
         }
         entry.sent = leader.index;
-        let plan = (parts.plan > sent).then(|| {
-            let base = std::mem::replace(&mut entry.plan, fleet.plan.version);
-            leader.plans.part(base, &fleet.plan)
-        });
         let link = entry.link;
         let update = Update {
             index: leader.index,
             term: leader.term,
-            plan,
+            plan: (parts.plan > sent).then(|| fleet.plan.clone()),
             backends: (parts.backends > sent).then(|| fleet.backends.values().cloned().collect()),
             leads: (parts.leads > sent).then(|| lead_views(fleet)),
             holders: (parts.holders > sent).then(|| holder_views(leader)),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -309,17 +309,7 @@
             }
             FleetMessage::Update(update) => {
                 let leads = update.leads.is_some();
-                let updated = self.local.update(*update);
-                if updated.is_err() {
-                    // On a new link the leader sends the whole configuration.
-                    log(
-                        Event::LeaderMissing,
-                        format_args!("member={} update does not fit", name.as_str()),
-                    );
-                    self.links.remove(name.as_str());
-                    return true;
-                }
-                if updated == Ok(true) {
+                if self.local.update(*update) {
                     let view = self.local.view();
                     self.local.metrics.version.set(view.plan.version);
                     self.pool.refresh(&view);
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -9,7 +9,7 @@
 
 use auburnlug_coordination::share::{Bucket, Given};
 use auburnlug_protocol::fleet::{
-    Demand, Evidence, FleetGrant, HolderView, LeadView, PlanPart, Renewal, Update,
+    Demand, Evidence, FleetGrant, HolderView, LeadView, Renewal, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
@@ -52,10 +52,6 @@
     pub members: Vec<Name>,
 }
 
-/// An update that changes a configuration which the entry does not have.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Unfit;
-
 /// Place and identity of this instance.
 #[derive(Debug, Clone)]
 pub struct Me {
@@ -133,20 +129,11 @@
     }
 
     /// Puts an update in force; false if it is older than the view.
-    ///
-    /// # Errors
-    ///
-    /// The update changes a configuration that this entry does not have.
-    pub fn update(&self, update: Update) -> Result<bool, Unfit> {
+    pub fn update(&self, update: Update) -> bool {
         let before = self.view();
         if (update.term, update.index) <= (before.term, before.index) {
-            return Ok(false);
+            return false;
         }
-        let plan = match update.plan {
-            None => None,
-            Some(PlanPart::Whole(plan)) => Some(plan),
-            Some(PlanPart::Delta(delta)) => Some(Arc::new(before.plan.with(&delta).ok_or(Unfit)?)),
-        };
         let mut view = View::clone(&before);
         if update.term > view.term {
             // The lease of the former leader does not cover what this one decides.
@@ -155,7 +142,7 @@
         view.term = update.term;
         view.index = update.index;
         // A control leader may not have applied what an earlier one had sent already.
-        if let Some(plan) = plan.filter(|plan| plan.version > view.plan.version) {
+        if let Some(plan) = update.plan.filter(|plan| plan.version > view.plan.version) {
             self.rescale(&view.plan, &plan);
             view.plan = plan;
         }
@@ -173,7 +160,7 @@
         }
         log_changes(&before, &view);
         *self.view.borrow_mut() = Arc::new(view);
-        Ok(true)
+        true
     }
 
     fn rescale(&self, before: &Plan, after: &Plan) {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -7,7 +7,7 @@
 use auburnlug_coordination::Position;
 use auburnlug_state::{
     Millis, Name, Term,
-    fleet::{Backend, Plan, PlanDelta},
+    fleet::{Backend, Plan},
 };
 use serde::{Deserialize, Serialize};
 
@@ -152,7 +152,7 @@
     /// Term of the control leader.
     pub term: Term,
     /// Configuration.
-    pub plan: Option<PlanPart>,
+    pub plan: Option<Arc<Plan>>,
     /// Servers.
     pub backends: Option<Vec<Backend>>,
     /// Leaders of groups.
@@ -163,15 +163,6 @@
     pub members: Option<Vec<Name>>,
 }
 
-/// A configuration, or what changes the one that the receiver was sent before.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum PlanPart {
-    /// All of it.
-    Whole(Arc<Plan>),
-    /// Changes.
-    Delta(Arc<PlanDelta>),
-}
-
 /// Leader of a group as entries see it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeadView {
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -46,22 +46,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Database {
     /// Database group that holds it.
-    #[serde(rename = "g")]
     pub group: Arc<str>,
     /// What its reads must see.
-    #[serde(rename = "f")]
     pub freshness: Freshness,
     /// Limit of one statement, in milliseconds.
-    #[serde(rename = "t")]
     pub timeout: Millis,
     /// Latency objective of an operation, in milliseconds.
-    #[serde(rename = "o")]
     pub objective: Millis,
     /// Priority; 0 goes first.
-    #[serde(rename = "p")]
     pub priority: u32,
     /// Whether callers need no key.
-    #[serde(rename = "n")]
     pub open: bool,
 }
 
@@ -104,67 +98,6 @@
     }
 }
 
-/// What turns one configuration into another. Most changes touch a few of thousands of databases.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PlanDelta {
-    /// Version that it starts from.
-    pub base: u64,
-    /// Version that it leads to.
-    pub version: u64,
-    databases: BTreeMap<Arc<str>, Option<Database>>,
-    groups: BTreeMap<Arc<str>, Option<GroupPlan>>,
-    accounts: BTreeMap<Arc<str>, Option<AccountPlan>>,
-    idle: Millis,
-}
-
-impl Plan {
-    /// What turns `base` into this configuration.
-    pub fn since(&self, base: &Plan) -> PlanDelta {
-        PlanDelta {
-            base: base.version,
-            version: self.version,
-            databases: changed(&base.databases, &self.databases),
-            groups: changed(&base.groups, &self.groups),
-            accounts: changed(&base.accounts, &self.accounts),
-            idle: self.idle,
-        }
-    }
-
-    /// This configuration with the changes; `None` if they start from another version.
-    pub fn with(&self, delta: &PlanDelta) -> Option<Plan> {
-        if self.version != delta.base {
-            return None;
-        }
-        let mut plan = self.clone();
-        plan.version = delta.version;
-        plan.idle = delta.idle;
-        apply(&mut plan.databases, &delta.databases);
-        apply(&mut plan.groups, &delta.groups);
-        apply(&mut plan.accounts, &delta.accounts);
-        Some(plan)
-    }
-}
-
-/// Entries that differ; `None` for those that are gone.
-fn changed<T: Clone + PartialEq>(
-    before: &BTreeMap<Arc<str>, T>,
-    after: &BTreeMap<Arc<str>, T>,
-) -> BTreeMap<Arc<str>, Option<T>> {
-    let gone = before.keys().filter(|name| !after.contains_key(*name));
-    let gone = gone.map(|name| (name.clone(), None));
-    let new = after.iter().filter(|(name, value)| before.get(*name) != Some(value));
-    gone.chain(new.map(|(name, value)| (name.clone(), Some(value.clone())))).collect()
-}
-
-fn apply<T: Clone>(values: &mut BTreeMap<Arc<str>, T>, changes: &BTreeMap<Arc<str>, Option<T>>) {
-    for (name, change) in changes {
-        match change {
-            Some(value) => drop(values.insert(name.clone(), value.clone())),
-            None => drop(values.remove(name)),
-        }
-    }
-}
-
 /// Run of a server process; a later run of the same server is greater.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Run(pub u64);
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -7,7 +7,7 @@
 
 use auburnlug_state::{
     Applied, Command, Machine,
-    fleet::{Backend, Fleet, FleetChange, GroupPlan, Lead, Plan, Run},
+    fleet::{Backend, Fleet, FleetChange, Lead, Plan, Run},
 };
 
 fn deploy(version: u64, text: &str) -> FleetChange {
@@ -82,15 +82,3 @@
     assert_eq!(machine.apply(1, &Command::Fleet(deploy(3, "three"))), Applied::Stale);
     assert_eq!(machine.fleet.plan.version, 2);
 }
-
-#[test]
-fn changes_turn_one_configuration_into_another() {
-    let group = |connections| GroupPlan { connections, synchronous: 1 };
-    let mut before = Plan { version: 4, idle: 1, ..Plan::default() };
-    before.groups = [("a", 1), ("b", 2), ("c", 3)].map(|(n, c)| (n.into(), group(c))).into();
-    let mut after = Plan { version: 9, idle: 2, ..Plan::default() };
-    after.groups = [("a", 1), ("b", 7), ("d", 4)].map(|(n, c)| (n.into(), group(c))).into();
-    let delta = after.since(&before);
-    assert_eq!(before.with(&delta), Some(after.clone()));
-    assert_eq!(after.with(&delta), None);
-}
