--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -40,6 +40,7 @@
     control_handle::{Ask, Heartbeat, Outcome},
     control_lead::Leader,
     control_links,
+    control_plans::Plans,
     control_succession::Probed,
     local::Me,
     metrics::GatewayMetrics,
@@ -138,6 +139,7 @@
     pub(crate) machine: Machine,
     pub(crate) member: Member,
     pub(crate) leader: Option<Leader>,
+    pub(crate) plans: Plans,
     /// End of the leader lease; 0 without one.
     pub(crate) lease: Arc<AtomicU64>,
     pub(crate) input: mpsc::Sender<Input>,
@@ -187,6 +189,7 @@
         machine,
         member,
         leader: None,
+        plans: Plans::default(),
         lease: Arc::default(),
         input,
         accepted: BTreeMap::new(),
@@ -200,6 +203,7 @@
         founds,
         replayed,
     };
+    control.plans.keep(&control.machine.fleet.plan);
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !control.stopping {
@@ -489,6 +493,7 @@
             && machine.index >= self.machine.index
         {
             self.machine = machine;
+            self.plans.keep(&self.machine.fleet.plan);
         }
         let committed = !work.committed.is_empty();
         for entry in work.committed {
@@ -522,6 +527,7 @@
                 None
             }
         };
+        self.plans.keep(&self.machine.fleet.plan);
         if let Payload::Command(Command::Fleet(change)) = &entry.payload
             && fresh
         {
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -89,6 +89,8 @@
     place: Place,
     /// Last update that it was sent on this link.
     sent: u64,
+    /// Version of the configuration that it has once it has all updates of this link.
+    version: u64,
     renewed: Millis,
     /// Time since which it has no link here.
     unlinked: Option<Millis>,
@@ -147,7 +149,10 @@
         let now = self.now();
         let term = self.member.term();
         let first = self.fleet().plan.version == 0 && self.fleet().leads.is_empty();
-        log(Event::LeaderElected, format_args!("term={term} first={first}"));
+        log(
+            Event::LeaderElected,
+            format_args!("term={term} first={first} links={}", self.accepted.len()),
+        );
         let parts = Parts { plan: 1, backends: 1, leads: 1, holders: 1, members: 1 };
         let published = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
         self.leader = Some(Leader {
@@ -185,13 +190,16 @@
         let applied_here = known.is_some_and(|e| e.link == link);
         let joined = known.is_none_or(|e| e.run != renewal.run || e.leaving != renewal.leaving);
         // What an entry applied of another leader's updates counts for nothing here.
-        let sent = known.filter(|e| e.link == link && e.run == renewal.run).map_or(0, |e| e.sent);
+        let known = known.filter(|e| e.link == link && e.run == renewal.run && !renewal.unfit);
+        let (sent, version) =
+            known.filter(|e| e.sent > 0).map_or((0, renewal.version), |e| (e.sent, e.version));
         let applied = if applied_here { renewal.applied.min(sent) } else { 0 };
         let state = EntryState {
             link,
             run: renewal.run,
             place,
             sent,
+            version,
             renewed: now,
             unlinked: None,
             leaving: renewal.leaving,
@@ -355,11 +363,15 @@
             return;
         }
         entry.sent = leader.index;
+        let plan = self.plans.part(entry.version);
+        if let Some(part) = &plan {
+            entry.version = part.version;
+        }
         let link = entry.link;
         let update = Update {
             index: leader.index,
             term: leader.term,
-            plan: (parts.plan > sent).then(|| fleet.plan.clone()),
+            plan,
             backends: (parts.backends > sent).then(|| fleet.backends.values().cloned().collect()),
             leads: (parts.leads > sent).then(|| lead_views(fleet)),
             holders: (parts.holders > sent).then(|| holder_views(leader)),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -279,11 +279,14 @@
     fn handle(&mut self, input: Input) -> bool {
         match input {
             Input::Open(name, out) => {
+                log(Event::MemberLinkOpen, format_args!("member={}", name.as_str()));
                 self.links.insert(name, Some(out));
                 return !self.local.leased();
             }
             Input::Closed(name) => {
-                self.links.remove(name.as_str());
+                if let Some(Some(_)) = self.links.remove(name.as_str()) {
+                    log(Event::MemberLinkLost, format_args!("member={}", name.as_str()));
+                }
                 if self.granter.as_ref() == Some(&name) {
                     self.granter = None;
                     log(Event::LeaderMissing, format_args!("member={}", name.as_str()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control_handle;
 mod control_lead;
 mod control_links;
+mod control_plans;
 mod control_succession;
 pub mod entry;
 pub mod executor;
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -82,6 +82,8 @@
     view: RefCell<Arc<View>>,
     /// End of the lease and the update that it requires.
     lease: Cell<(Millis, u64)>,
+    /// Whether the last update did not fit the view.
+    unfit: Cell<bool>,
     buckets: RefCell<BTreeMap<Arc<str>, Bucket>>,
     waiting: RefCell<BTreeMap<Arc<str>, u32>>,
     evidence: RefCell<BTreeMap<Arc<str>, Seen>>,
@@ -106,6 +108,7 @@
             granted: Notify::new(),
             view: RefCell::default(),
             lease: Cell::default(),
+            unfit: Cell::default(),
             buckets: RefCell::default(),
             waiting: RefCell::default(),
             evidence: RefCell::default(),
@@ -128,12 +131,18 @@
         self.now() < until && self.view.borrow().index >= index
     }
 
-    /// Puts an update in force; false if it is older than the view.
+    /// Puts an update in force; false if it is older than the view, or changes a configuration
+    /// that this entry does not have. The next renewal tells the latter.
     pub fn update(&self, update: Update) -> bool {
         let before = self.view();
         if (update.term, update.index) <= (before.term, before.index) {
             return false;
         }
+        let Some(plan) = self.changed_plan(&before, &update) else {
+            self.unfit.set(true);
+            return false;
+        };
+        self.unfit.set(false);
         let mut view = View::clone(&before);
         if update.term > view.term {
             // The lease of the former leader does not cover what this one decides.
@@ -142,7 +151,7 @@
         view.term = update.term;
         view.index = update.index;
         // A control leader may not have applied what an earlier one had sent already.
-        if let Some(plan) = update.plan.filter(|plan| plan.version > view.plan.version) {
+        if plan.version > view.plan.version {
             self.rescale(&view.plan, &plan);
             view.plan = plan;
         }
@@ -163,6 +172,22 @@
         true
     }
 
+    /// Configuration after an update; `None` if the update does not fit.
+    fn changed_plan(&self, view: &View, update: &Update) -> Option<Arc<Plan>> {
+        let Some(part) = &update.plan else { return Some(view.plan.clone()) };
+        let changed = part.apply(&view.plan);
+        if !matches!(changed, Ok(Some(_))) {
+            log(
+                Event::UpdateUnfit,
+                format_args!(
+                    "version={} base={} held={} index={} term={} outcome={changed:?}",
+                    part.version, part.base, view.plan.version, update.index, update.term
+                ),
+            );
+        }
+        changed.ok().flatten()
+    }
+
     fn rescale(&self, before: &Plan, after: &Plan) {
         let rate = |plan: &Plan, name: &str| plan.accounts.get(name).and_then(|a| a.rate);
         for (name, bucket) in self.buckets.borrow_mut().iter_mut() {
@@ -218,6 +243,8 @@
             region: self.me.region.clone(),
             domain: self.me.domain.clone(),
             applied: self.view.borrow().index,
+            version: self.view.borrow().plan.version,
+            unfit: self.unfit.get(),
             demand: demand.collect(),
             evidence: evidence.collect(),
         }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -5,15 +5,13 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use auburnlug_coordination::Position;
-use auburnlug_state::{
-    Millis, Name, Term,
-    fleet::{Backend, Plan},
-};
+use auburnlug_state::{Millis, Name, Term, fleet::Backend};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     job::{Answer, Job},
     peer::Control,
+    plan_part::PlanPart,
 };
 
 /// A message on a control link.
@@ -54,6 +52,12 @@
     /// Last update that the entry has put in force.
     #[serde(rename = "a")]
     pub applied: u64,
+    /// Version of the configuration that the entry has.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Whether the last update did not fit what the entry has, so that it was not put in force.
+    #[serde(rename = "u")]
+    pub unfit: bool,
     /// Use of client accounts since the last renewal.
     #[serde(rename = "de")]
     pub demand: Vec<Demand>,
@@ -151,8 +155,8 @@
     pub index: u64,
     /// Term of the control leader.
     pub term: Term,
-    /// Configuration.
-    pub plan: Option<Arc<Plan>>,
+    /// Changes of the configuration.
+    pub plan: Option<Arc<PlanPart>>,
     /// Servers.
     pub backends: Option<Vec<Backend>>,
     /// Leaders of groups.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod outcome;
 pub mod peer;
+pub mod plan_part;
 mod scan;
 pub mod settings;
 pub mod statement;
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -42,20 +42,26 @@
     Session(Millis),
 }
 
-/// A database as callers see it.
+/// A database as callers see it. The names on the wire are short: there may be thousands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Database {
     /// Database group that holds it.
+    #[serde(rename = "g")]
     pub group: Arc<str>,
     /// What its reads must see.
+    #[serde(rename = "f")]
     pub freshness: Freshness,
     /// Limit of one statement, in milliseconds.
+    #[serde(rename = "t")]
     pub timeout: Millis,
     /// Latency objective of an operation, in milliseconds.
+    #[serde(rename = "o")]
     pub objective: Millis,
     /// Priority; 0 goes first.
+    #[serde(rename = "p")]
     pub priority: u32,
     /// Whether callers need no key.
+    #[serde(rename = "n")]
     pub open: bool,
 }
 
@@ -63,8 +69,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GroupPlan {
     /// Connections that one server accepts from all instances together.
+    #[serde(rename = "c")]
     pub connections: u32,
     /// Replicas that must have received a commit before it is acknowledged.
+    #[serde(rename = "s")]
     pub synchronous: u32,
 }
 
@@ -72,12 +80,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountPlan {
     /// SHA-256 of its keys.
+    #[serde(rename = "k")]
     pub keys: BTreeSet<KeyHash>,
     /// Operations a second; `None` without a limit.
+    #[serde(rename = "r")]
     pub rate: Option<f64>,
     /// Operations that may come at once.
+    #[serde(rename = "b")]
     pub burst: f64,
     /// Priority; 0 goes first.
+    #[serde(rename = "p")]
     pub priority: u32,
 }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,6 +11,7 @@
 mod machine;
 mod machine_config;
 mod name;
+pub mod plan_delta;
 pub mod record;
 mod template;
 
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -7,7 +7,8 @@
 
 use auburnlug_state::{
     Applied, Command, Machine,
-    fleet::{Backend, Fleet, FleetChange, Lead, Plan, Run},
+    fleet::{Backend, Fleet, FleetChange, GroupPlan, Lead, Plan, Run},
+    plan_delta::PlanDelta,
 };
 
 fn deploy(version: u64, text: &str) -> FleetChange {
@@ -82,3 +83,19 @@
     assert_eq!(machine.apply(1, &Command::Fleet(deploy(3, "three"))), Applied::Stale);
     assert_eq!(machine.fleet.plan.version, 2);
 }
+
+fn plan(version: u64, groups: &[(&str, u32)]) -> Plan {
+    let group = |connections| GroupPlan { connections, synchronous: 1 };
+    let groups = groups.iter().map(|(name, n)| ((*name).into(), group(*n))).collect();
+    Plan { version, groups, idle: version * 10, ..Plan::default() }
+}
+
+#[test]
+fn changes_turn_one_configuration_into_another() {
+    let before = plan(4, &[("a", 1), ("b", 2), ("c", 3)]);
+    let after = plan(9, &[("a", 1), ("b", 7), ("d", 4)]);
+    let delta = PlanDelta::between(&before, &after);
+    assert_eq!(delta.apply(&before), Some(after.clone()));
+    assert_eq!(delta.apply(&after), None);
+    assert_eq!(delta.apply(&Plan::default()), None);
+}
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -95,6 +95,7 @@
     ViewChanged = 620, Info, "view of the fleet changed";
     LeaderFound = 621, Info, "control leader found";
     LeaderMissing = 622, Warn, "no control leader answers";
+    UpdateUnfit = 623, Warn, "update does not fit the configuration that is held";
     SettingsReloaded = 630, Info, "settings read again";
     DeploymentAccepted = 700, Info, "configuration accepted";
     DeploymentRefused = 701, Warn, "configuration refused";
