Spread rates by the demand that a share can serve, and let a new leader learn shares and holders

After a change of the leader all entries lacked tokens, sent full renewals every 30 ms to all members, and links of 2 Mbit/s filled up; holders were chosen anew from the first entries heard, and entries had none until then, so that all idle connections closed.

Now a share is what an entry's demand can use of it (demand averaged over 4 s), kept 5 s instead of 15; entries tell a new leader their shares, the sum that was spread, and the servers they hold; holders stay until 250 ms after a take-over; one renewal is under way at a time, and without a leader it asks for a lease only. An entry without an answer for 1.2 s refuses at once what its shares do not cover, and is not ready after 4 s.

--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -16,7 +16,7 @@
 
 /// Time after the last grant at which a share ends at its entry, in milliseconds. Longer than an
 /// election and the cuts that an entry must serve through.
-pub const SHARE_SPAN: Millis = 15_000;
+pub const SHARE_SPAN: Millis = 5_000;
 
 /// Time after the last grant at which the leader gives the share to others, in milliseconds:
 /// exceeds [`SHARE_SPAN`] by the drift of two clocks and the way of the grant.
@@ -25,8 +25,12 @@
 /// Time that a bucket's depth covers, in seconds of its share.
 const DEPTH: f64 = 0.4;
 
-/// Share of a rate that each entry gets without demand, divided by the number of entries.
-const IDLE: f64 = 0.1;
+/// Share of an entry with a dense demand, as a part of the demand: some room for its variation.
+const COVER: f64 = 1.1;
+
+/// Demand of which half is served from the share, in operations a second: a bucket holds one
+/// operation at least, and about as many come in a second.
+const SPARSE: f64 = 1.0;
 
 /// Operations that a bucket holds at least, so that a small share admits single operations.
 const LEAST: f64 = 1.0;
@@ -49,6 +53,8 @@
     pub share: f64,
     /// Tokens that it lacks now.
     pub wanted: f64,
+    /// Sum of all entries' shares, as the leader last told it.
+    pub spread: Option<f64>,
 }
 
 /// What an entry gets.
@@ -58,6 +64,8 @@
     pub share: f64,
     /// Tokens.
     pub tokens: f64,
+    /// Sum of all entries' shares.
+    pub spread: f64,
 }
 
 /// Shares of all client accounts, as the control leader keeps them.
@@ -72,6 +80,8 @@
 struct AccountShares {
     pool: f64,
     filled: Millis,
+    /// Sum of the shares that an earlier leader gave, as entries tell it.
+    former: Option<f64>,
     entries: BTreeMap<Name, EntryShare>,
 }
 
@@ -89,35 +99,40 @@
         Shares { settled, accounts: BTreeMap::new() }
     }
 
-    /// Answers what `entry` asked for at `now`; `count` entries are known.
+    /// Answers what `entry` asked for at `now`.
     pub fn renew(
         &mut self,
         entry: &Name,
         account: &Arc<str>,
         limit: Limit,
         ask: Ask,
-        count: usize,
         now: Millis,
     ) -> Given {
         let settled = now >= self.settled;
         let state = self.accounts.entry(account.clone()).or_insert_with(|| AccountShares {
             pool: if settled { limit.burst } else { 0.0 },
             filled: now,
+            former: None,
             entries: BTreeMap::new(),
         });
         state.entries.retain(|_, held| now < held.until);
-        state.fill(limit, now);
+        state.fill(limit, settled, now);
+        state.former = match (state.former, ask.spread) {
+            (Some(known), Some(told)) => Some(known.max(told)),
+            (known, told) => known.or(told),
+        };
         let known = state.entries.get(entry).map_or(ask.share, |held| held.share);
         state.entries.insert(
             entry.clone(),
             EntryShare { demand: ask.demand, share: known.max(ask.share), until: now + HELD },
         );
-        let idle = limit.rate * IDLE / count.max(1) as f64;
-        let total: f64 = state.entries.values().map(|held| held.demand + idle).sum();
+        let total: f64 = state.entries.values().map(|held| useful(held.demand)).sum();
         let others: f64 =
             state.entries.iter().filter(|(name, _)| *name != entry).map(|(_, e)| e.share).sum();
-        let fair = limit.rate * SPREAD * (ask.demand + idle) / total.max(f64::MIN_POSITIVE);
-        let mut share = fair.min((limit.rate * SPREAD - others).max(0.0));
+        let spread = limit.rate * SPREAD;
+        let own = useful(ask.demand);
+        let fair = own * (spread / total.max(f64::MIN_POSITIVE)).min(1.0);
+        let mut share = fair.min((spread - others).max(0.0));
         if !settled {
             // Entries that have not reported yet may hold the rest.
             share = share.min(ask.share);
@@ -127,15 +142,28 @@
         }
         let tokens = ask.wanted.min(state.pool.floor()).max(0.0);
         state.pool -= tokens;
-        Given { share, tokens }
+        Given { share, tokens, spread: state.spread() }
     }
 }
 
+/// Share that an entry with this demand can make use of, in operations a second. Tokens that come
+/// at a steady pace are wasted on operations that come now and then: those are better served from
+/// the pool.
+fn useful(demand: f64) -> f64 {
+    COVER * demand * demand / (demand + SPARSE)
+}
+
 impl AccountShares {
-    /// Adds what the shares leave of the rate.
-    fn fill(&mut self, limit: Limit, now: Millis) {
-        let spread: f64 = self.entries.values().map(|held| held.share).sum();
-        let rest = (limit.rate - spread).max(0.0);
+    fn spread(&self) -> f64 {
+        self.entries.values().map(|held| held.share).sum()
+    }
+
+    /// Adds what the shares leave of the rate. Until the shares of an earlier leader have ended,
+    /// those of entries that have not reported here count too.
+    fn fill(&mut self, limit: Limit, settled: bool, now: Millis) {
+        let most = limit.rate * SPREAD;
+        let former = if settled { 0.0 } else { self.former.unwrap_or(most).min(most) };
+        let rest = (limit.rate - self.spread().max(former)).max(0.0);
         let seconds = now.saturating_sub(self.filled) as f64 / 1e3;
         self.pool = (self.pool + rest * seconds).min(limit.burst);
         self.filled = now;
@@ -154,21 +182,23 @@
     lacking: u32,
     demand: f64,
     measured: Millis,
-    /// Demand of the last request, and its time.
-    reported: (f64, Millis),
+    /// Demand of the last request, and its time; `None` if the leader was not told yet.
+    reported: Option<(f64, Millis)>,
+    spread: Option<f64>,
 }
 
 /// Time after which a share is asked for again although nothing changed, in milliseconds.
 const REPORT: Millis = 3_000;
 
 /// Part of the demand, and operations a second, by which it must change to be reported at once.
-const CHANGE: (f64, f64) = (0.25, 0.7);
+const CHANGE: (f64, f64) = (0.25, 0.2);
 
 /// Demand that counts as none, in operations a second.
 const UNUSED: f64 = 0.001;
 
-/// Weight of the newest measure of demand.
-const NEWEST: f64 = 0.5;
+/// Time over which demand is averaged, in milliseconds. A session of a large fleet asks a few
+/// times in ten seconds.
+const MEMORY: f64 = 4_000.0;
 
 /// Least time between two measures of demand, in milliseconds.
 const MEASURE: Millis = 250;
@@ -185,7 +215,8 @@
             lacking: 0,
             demand: 0.0,
             measured: now,
-            reported: (0.0, 0),
+            reported: None,
+            spread: None,
         }
     }
 
@@ -230,24 +261,32 @@
         let passed = now.saturating_sub(self.measured);
         if passed >= MEASURE {
             let rate = f64::from(self.asked) * 1e3 / passed as f64;
-            self.demand += (rate - self.demand) * NEWEST;
+            let weight = 1.0 - (-(passed as f64) / MEMORY).exp();
+            self.demand += (rate - self.demand) * weight;
             self.asked = 0;
             self.measured = now;
         }
-        let (known, at) = self.reported;
-        let changed = (self.demand - known).abs() > known * CHANGE.0 + CHANGE.1;
-        if self.lacking == 0 && !changed && now < at + REPORT {
+        let changed = |known: f64| (self.demand - known).abs() > known * CHANGE.0 + CHANGE.1;
+        let told = self.reported.is_some_and(|(known, at)| !changed(known) && now < at + REPORT);
+        if self.lacking == 0 && told {
             return None;
         }
-        self.reported = (self.demand, now);
+        self.reported = Some((self.demand, now));
         let wanted = f64::from(std::mem::take(&mut self.lacking)) - self.level.floor();
-        Some(Ask { demand: self.demand, share: self.share, wanted: wanted.max(0.0) })
+        let (demand, share, spread) = (self.demand, self.share, self.spread);
+        Some(Ask { demand, share, wanted: wanted.max(0.0), spread })
+    }
+
+    /// Notes that the leader knows nothing of this bucket.
+    pub fn unreport(&mut self) {
+        self.reported = None;
     }
 
     /// Takes the leader's answer to a renewal sent at `sent`.
     pub fn give(&mut self, given: Given, sent: Millis, now: Millis) {
         self.fill(now);
         self.share = given.share;
+        self.spread = Some(given.spread);
         self.until = sent + SHARE_SPAN;
         self.level += given.tokens;
     }
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -11,7 +11,7 @@
     share::{Ask as ShareAsk, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
-    Demand, Evidence, FleetGrant, FleetMessage, HolderView, LeadView, Renewal, Share, Update,
+    Demand, Evidence, FleetGrant, FleetMessage, Held, HolderView, LeadView, Renewal, Share, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
@@ -42,6 +42,10 @@
 /// Time in which changes of the entries are gathered before holders are chosen, in milliseconds.
 const SETTLE: Millis = 50;
 
+/// Time after which a new leader chooses holders, in milliseconds: entries tell it what they hold
+/// as soon as they hear of it, and one way between regions takes some ten milliseconds.
+const INHERIT: Millis = 250;
+
 /// State of the leading control member.
 pub(crate) struct Leader {
     /// Term of the agreement.
@@ -75,7 +79,6 @@
 /// Number of the update in which each part of the view changed last.
 #[derive(Debug, Clone, Copy, Default)]
 struct Parts {
-    plan: u64,
     backends: u64,
     leads: u64,
     holders: u64,
@@ -131,6 +134,20 @@
 }
 
 impl Leader {
+    /// Takes over what an entry was given by an earlier leader, until holders are chosen here.
+    fn inherit(&mut self, from: &Name, holds: Vec<Held>) {
+        if self.changed.holders > 0 {
+            return;
+        }
+        for held in holds {
+            let holders = self.holders.entry(held.server).or_default();
+            if holders.iter().all(|(name, _)| name != from) {
+                let at = held.turn.min(holders.len());
+                holders.insert(at, (from.clone(), held.connections));
+            }
+        }
+    }
+
     /// Takes a heartbeat; false if a later one has arrived before.
     pub(crate) fn heard(&mut self, beat: &Heartbeat, now: Millis) -> bool {
         let (run, sequence) = (beat.backend.run, beat.sequence);
@@ -153,7 +170,9 @@
             Event::LeaderElected,
             format_args!("term={term} first={first} links={}", self.accepted.len()),
         );
-        let parts = Parts { plan: 1, backends: 1, leads: 1, holders: 1, members: 1 };
+        // The holders stay until they are chosen anew.
+        let parts = Parts { backends: 1, leads: 1, holders: 0, members: 1 };
+        let place_at = Some(now + if first { SETTLE } else { INHERIT });
         let published = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
         self.leader = Some(Leader {
             term,
@@ -168,7 +187,7 @@
             holders: BTreeMap::new(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
-            place_at: None,
+            place_at,
             healthy: 0,
             shares: Shares::new(now, first),
             index: 1,
@@ -206,6 +225,7 @@
         };
         leader.entries.insert(from.clone(), state);
         leader.leases.renew(from, applied, now);
+        leader.inherit(from, renewal.holds);
         self.witness(from, renewal.evidence, now);
         if joined {
             log(
@@ -240,17 +260,16 @@
     fn share(&mut self, from: &Name, demand: &[Demand], now: Millis) -> Vec<Share> {
         let plan = self.machine.fleet.plan.clone();
         let Some(leader) = &mut self.leader else { return Vec::new() };
-        let count = leader.entries.len();
         let mut shares = Vec::with_capacity(demand.len());
         for demand in demand {
             let Some(account) = plan.accounts.get(&demand.account) else { continue };
             let Some(rate) = account.rate else { continue };
             let limit = Limit { rate, burst: account.burst };
-            let ask = ShareAsk { demand: demand.rate, share: demand.share, wanted: demand.wanted };
-            let given = leader.shares.renew(from, &demand.account, limit, ask, count, now);
-            let share =
-                Share { account: demand.account.clone(), rate: given.share, tokens: given.tokens };
-            shares.push(share);
+            let (share, wanted, spread) = (demand.share, demand.wanted, demand.spread);
+            let ask = ShareAsk { demand: demand.rate, share, wanted, spread };
+            let given = leader.shares.renew(from, &demand.account, limit, ask, now);
+            let (rate, tokens, spread) = (given.share, given.tokens, given.spread);
+            shares.push(Share { account: demand.account.clone(), rate, tokens, spread });
         }
         shares
     }
@@ -270,11 +289,7 @@
         let after = self.machine.fleet.clone();
         let Some(leader) = &mut self.leader else { return };
         let next = leader.index + 1;
-        let mut changed = false;
-        if before.plan.version != after.plan.version {
-            leader.changed.plan = next;
-            changed = true;
-        }
+        let mut changed = before.plan.version != after.plan.version;
         if before.backends != after.backends {
             leader.changed.backends = next;
             changed = true;
@@ -337,7 +352,7 @@
                 log(Event::HoldersChanged, format_args!("server={server} holders={holders:?}"));
             }
         }
-        if chosen != leader.holders {
+        if chosen != leader.holders || leader.changed.holders == 0 {
             leader.holders = chosen;
             leader.index += 1;
             leader.changed.holders = leader.index;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -51,11 +51,11 @@
 const REDIAL: Duration = Duration::from_millis(200);
 
 /// Time after which a granter that did not answer is not relied on, in milliseconds.
-const UNANSWERED: Millis = 1_200;
+pub(crate) const UNANSWERED: Millis = 1_200;
 
-/// Time without a lease after which the entry reports that it is not ready, in milliseconds. A
-/// shorter one would take all entries out of rotation while the control members elect a leader.
-const LOST: Millis = 10_000;
+/// Time without an answer of the leader after which the entry reports that it is not ready, in
+/// milliseconds. Its lease has ended by then, and an election takes less.
+const LOST: Millis = 4_000;
 
 /// Connections waiting to be accepted or sorted.
 const QUEUE: usize = 256;
@@ -148,7 +148,9 @@
         known: BTreeSet::new(),
         links: BTreeMap::new(),
         granter: None,
-        answered: 0,
+        informed: None,
+        told: 0,
+        sent: 0,
     };
     spawn_local(follower.run());
     while let Some(order) = orders.recv().await {
@@ -232,8 +234,12 @@
     /// Links to control members; `None` while one is dialed.
     links: BTreeMap<Name, Option<mpsc::Sender<FleetMessage>>>,
     granter: Option<Name>,
-    /// Sending time of the last renewal that was granted.
-    answered: Millis,
+    /// Leader that was sent what this entry holds.
+    informed: Option<Name>,
+    /// Time at which a member last said that it leads.
+    told: Millis,
+    /// Sending time of the last renewal.
+    sent: Millis,
 }
 
 /// What a link yields.
@@ -248,14 +254,16 @@
         let (input, mut inputs) = mpsc::channel(QUEUE);
         loop {
             self.dial_members(&input);
-            let renewed = self.local.now();
             self.renew();
+            let renewed = self.sent;
             // Serves inputs until the next renewal is due.
             loop {
                 let passed = Duration::from_millis(self.local.now().saturating_sub(renewed));
                 let left = RENEWAL.saturating_sub(passed);
                 let urgent = URGENT.saturating_sub(passed);
                 let local = self.local.clone();
+                // One renewal is under way at a time, or a slow link would only fill up.
+                let answered = self.local.answered_at() >= renewed;
                 tokio::select! {
                     biased;
                     next = inputs.recv() => match next {
@@ -268,7 +276,7 @@
                         None => return,
                     },
                     () = sleep(left) => break,
-                    () = async { local.renew.notified().await; sleep(urgent).await } => break,
+                    () = async { local.renew.notified().await; sleep(urgent).await }, if answered => break,
                 }
                 yield_now().await;
             }
@@ -304,11 +312,12 @@
                 if self.granter.as_ref() != Some(&name) {
                     log(Event::LeaderFound, format_args!("member={}", name.as_str()));
                 }
+                let told = self.informed.as_ref() == Some(&name);
                 self.granter = Some(name);
-                self.answered = self.answered.max(grant.sent);
                 self.local.grant(&grant);
                 self.router.learn(&grant.positions, grant.sent);
                 self.publish();
+                return !told;
             }
             FleetMessage::Update(update) => {
                 let leads = update.leads.is_some();
@@ -324,6 +333,8 @@
             }
             FleetMessage::Leading => {
                 self.granter = Some(name);
+                self.informed = None;
+                self.told = self.local.now();
                 return true;
             }
             FleetMessage::NotLeader(members) => {
@@ -341,26 +352,35 @@
     fn publish(&self) {
         let now = self.local.now();
         let ready = self.local.view().plan.version > 0
-            && now < self.answered + LOST
+            && now < self.local.answered_at() + LOST
             && !self.stop.started();
         self.status.ready.store(ready, Ordering::Release);
     }
 
-    /// Renews with the member that granted last; with all once that one fails to answer.
+    /// Renews with the member that leads. Once that one fails to answer, all are asked for a lease
+    /// only: the one that leads is told the rest when it has answered.
     fn renew(&mut self) {
         self.publish();
-        let renewal = self.local.renewal(self.stop.started());
-        let message = FleetMessage::Renew(Box::new(renewal));
-        let recent = self.local.now() < self.answered + UNANSWERED;
+        self.sent = self.local.now();
+        let leaving = self.stop.started();
+        let recent = self.sent < self.local.answered_at().max(self.told) + UNANSWERED;
         let granter = self.granter.as_ref().filter(|_| recent);
         let granter = granter.and_then(|name| self.links.get(name.as_str())).cloned().flatten();
-        let targets: Vec<_> = match granter {
-            Some(out) => vec![out],
-            None => self.links.values().flatten().cloned().collect(),
-        };
-        for out in targets {
-            // A link that does not drain ends by itself.
-            let _ = out.try_send(message.clone());
+        // A link that does not drain ends by itself.
+        match granter {
+            Some(out) => {
+                let first = self.informed != self.granter;
+                self.informed = self.granter.clone();
+                let renewal = self.local.renewal(leaving, first);
+                let _ = out.try_send(FleetMessage::Renew(Box::new(renewal)));
+            }
+            None => {
+                self.informed = None;
+                let message = FleetMessage::Renew(Box::new(self.local.search(leaving)));
+                for out in self.links.values().flatten() {
+                    let _ = out.try_send(message.clone());
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -9,7 +9,7 @@
 
 use auburnlug_coordination::share::{Bucket, Given};
 use auburnlug_protocol::fleet::{
-    Demand, Evidence, FleetGrant, HolderView, LeadView, Renewal, Update,
+    Demand, Evidence, FleetGrant, Held, HolderView, LeadView, Renewal, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
@@ -21,7 +21,7 @@
 };
 use tokio::{sync::Notify, time::timeout};
 
-use crate::metrics::GatewayMetrics;
+use crate::{entry::UNANSWERED, metrics::GatewayMetrics};
 
 /// Longest time that an operation waits for a token of its client account, in milliseconds: the
 /// control leader's answer from another region, with a renewal that is just being answered.
@@ -82,6 +82,8 @@
     view: RefCell<Arc<View>>,
     /// End of the lease and the update that it requires.
     lease: Cell<(Millis, u64)>,
+    /// Sending time of the last renewal that was granted.
+    answered: Cell<Millis>,
     /// Whether the last update did not fit the view.
     unfit: Cell<bool>,
     buckets: RefCell<BTreeMap<Arc<str>, Bucket>>,
@@ -108,6 +110,7 @@
             granted: Notify::new(),
             view: RefCell::default(),
             lease: Cell::default(),
+            answered: Cell::default(),
             unfit: Cell::default(),
             buckets: RefCell::default(),
             waiting: RefCell::default(),
@@ -200,11 +203,13 @@
     /// Takes a lease and shares.
     pub fn grant(&self, grant: &FleetGrant) {
         self.lease.set((grant.sent + grant.span, grant.index));
+        self.answered.set(self.answered.get().max(grant.sent));
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
         for share in &grant.shares {
             if let Some(bucket) = buckets.get_mut(&share.account) {
-                let given = Given { share: share.rate, tokens: share.tokens };
+                let (rate, tokens, spread) = (share.rate, share.tokens, share.spread);
+                let given = Given { share: rate, tokens, spread };
                 bucket.give(given, grant.sent, now);
             }
         }
@@ -212,10 +217,13 @@
         self.granted.notify_waiters();
     }
 
-    /// Request for the next lease.
-    pub fn renewal(&self, leaving: bool) -> Renewal {
+    /// Request for the next lease; `first` if it goes to a leader that has not answered before.
+    pub fn renewal(&self, leaving: bool, first: bool) -> Renewal {
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
+        if first {
+            buckets.values_mut().for_each(Bucket::unreport);
+        }
         let demand = buckets.iter_mut().filter_map(|(account, bucket)| {
             let ask = bucket.ask(now)?;
             Some(Demand {
@@ -223,6 +231,7 @@
                 rate: ask.demand,
                 share: ask.share,
                 wanted: ask.wanted,
+                spread: ask.spread,
             })
         });
         let evidence = self.evidence.borrow();
@@ -237,21 +246,48 @@
             stalled: seen.stalled,
         });
         Renewal {
-            sent: now,
+            demand: demand.collect(),
+            evidence: evidence.collect(),
+            holds: if first { self.holds() } else { Vec::new() },
+            ..self.search(leaving)
+        }
+    }
+
+    /// Request for a lease only, to members that may lead.
+    pub fn search(&self, leaving: bool) -> Renewal {
+        let view = self.view.borrow();
+        Renewal {
+            sent: self.now(),
             run: self.me.run,
             leaving,
             region: self.me.region.clone(),
             domain: self.me.domain.clone(),
-            applied: self.view.borrow().index,
-            version: self.view.borrow().plan.version,
+            applied: view.index,
+            version: view.plan.version,
             unfit: self.unfit.get(),
-            demand: demand.collect(),
-            evidence: evidence.collect(),
+            demand: Vec::new(),
+            evidence: Vec::new(),
+            holds: Vec::new(),
         }
     }
 
+    fn holds(&self) -> Vec<Held> {
+        let view = self.view();
+        let held = view.holders.iter().filter_map(|(server, holders)| {
+            let turn = holders.iter().position(|holder| holder.entry == self.me.name)?;
+            Some(Held { server: server.clone(), turn, connections: holders[turn].connections })
+        });
+        held.collect()
+    }
+
+    /// Sending time of the last renewal that the control leader answered.
+    pub fn answered_at(&self) -> Millis {
+        self.answered.get()
+    }
+
     /// Admits one operation of a client account by its rate. A short wait bridges the way to the
-    /// control leader; what the account's rate does not cover is refused.
+    /// control leader; what the account's rate does not cover is refused, at once if no leader
+    /// answers.
     pub async fn admit(&self, account: &str) -> bool {
         if self.view.borrow().plan.accounts.get(account).is_none_or(|a| a.rate.is_none()) {
             return true;
@@ -259,6 +295,9 @@
         if self.take(account, true) {
             return true;
         }
+        if self.now() >= self.answered.get() + UNANSWERED {
+            return false;
+        }
         let account: Arc<str> = account.into();
         {
             let mut waiting = self.waiting.borrow_mut();
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -64,6 +64,23 @@
     /// What the entry saw of primaries since the last renewal.
     #[serde(rename = "e")]
     pub evidence: Vec<Evidence>,
+    /// Servers that it holds, told to a leader that has not answered it before.
+    #[serde(rename = "h")]
+    pub holds: Vec<Held>,
+}
+
+/// A server to which an entry holds connections.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Server.
+    #[serde(rename = "s")]
+    pub server: Arc<str>,
+    /// Place among the server's holders; 0 is the first.
+    #[serde(rename = "t")]
+    pub turn: usize,
+    /// Connections that it may have.
+    #[serde(rename = "c")]
+    pub connections: u32,
 }
 
 /// Use of a client account by one entry.
@@ -81,6 +98,9 @@
     /// Tokens asked for at once.
     #[serde(rename = "w")]
     pub wanted: f64,
+    /// Sum of all entries' shares, as the leader last told it.
+    #[serde(rename = "t")]
+    pub spread: Option<f64>,
 }
 
 /// What an entry saw of the primary of a group.
@@ -146,6 +166,9 @@
     /// Operations that the entry may admit at once besides.
     #[serde(rename = "t")]
     pub tokens: f64,
+    /// Sum of all entries' shares.
+    #[serde(rename = "s")]
+    pub spread: f64,
 }
 
 /// Parts of the view that changed; absent parts stay as they are.
