Check the lease on a primary when a job's turn comes at its holder

Cause: the entry that chose the primary checked its lease, but the job could then wait for a slot for as long as its time-out, 1 to 2 s, and the control leader counts only leases.

The holder now checks its own lease and view before it sends; ruled out: checking at the choice with the time-out added to the lease, which would lengthen each replacement.

--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -49,6 +49,8 @@
     NotSent(Fault),
     /// The time of the statement ended before it was sent.
     OutOfTime,
+    /// This entry may not use the server as a primary any more; nothing was sent.
+    NotLed,
     /// The time of the statement ended while the connection was being opened.
     Opening(JoinHandle<Result<Connection, Fault>>),
     /// The connection broke after the statement was sent.
@@ -90,6 +92,10 @@
                 seat.close();
                 (named(Answer::error(Code::Busy, "the server was slow"), job), None)
             }
+            Tried::NotLed => {
+                let reason = "this entry has no lease on the primary";
+                (named(Answer::error(Code::ReadOnly, reason), job), None)
+            }
             Tried::Opening(opening) => {
                 keep_opening(seat, opening);
                 (named(Answer::error(Code::Busy, "no connection in time"), job), None)
@@ -126,7 +132,7 @@
                 seat.failed(&fault);
                 (lost(), None)
             }
-            Tried::OutOfTime | Tried::Opening(_) => {
+            Tried::OutOfTime | Tried::NotLed | Tried::Opening(_) => {
                 seat.close();
                 (lost(), None)
             }
@@ -196,6 +202,10 @@
             Ok(Err(fault)) => return Tried::NotSent(fault),
             Err(_) => return Tried::OutOfTime,
         };
+        // The job may have waited since its entry chose the server, and a successor may lead.
+        if job.after.is_none() && !open && !self.local.leads(&job.group, &job.server) {
+            return Tried::NotLed;
+        }
         let mut after = job.after;
         if let Step::First { read_only } = job.step {
             let begin = Call::Begin { after: after.take(), read_only };
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -134,6 +134,15 @@
         self.now() < until && self.view.borrow().index >= index
     }
 
+    /// Whether a server may be used as the primary of its group.
+    pub fn leads(&self, group: &str, server: &str) -> bool {
+        let primary = |view: &View| {
+            let lead = view.leads.get(group)?;
+            lead.primary.as_deref().map(|primary| primary == server)
+        };
+        self.leased() && primary(&self.view.borrow()).unwrap_or(false)
+    }
+
     /// Puts an update in force; false if it is older than the view, or changes a configuration
     /// that this entry does not have. The next renewal tells the latter.
     pub fn update(&self, update: Update) -> bool {
