Let operations wait for the next control leader instead of refusing them after 150 ms

Ruled out: waiting longer in any case, which would hold operations of accounts above their rate.

The tests fail without the distinction.

--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -25,7 +25,14 @@
 
 /// Longest time that an operation waits for a token of its client account, in milliseconds: the
 /// control leader's answer from another region, with a renewal that is just being answered.
-const TOKEN_WAIT: Duration = Duration::from_millis(150);
+const TOKEN_WAIT: Millis = 150;
+
+/// Longest time that an operation waits for a token while the control leader does not answer, in
+/// milliseconds: an election, and the first renewals after it.
+const LEADER_WAIT: Millis = 900;
+
+/// Time after which a token is asked for again, in milliseconds.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
 
 /// Operations that may wait for tokens of one client account; later ones are refused at once.
 const TOKEN_QUEUE: u32 = 8;
@@ -316,23 +323,30 @@
             }
             *count += 1;
         }
-        let admitted = timeout(TOKEN_WAIT, self.wait_token(&account)).await.is_ok();
+        let admitted = self.wait_token(&account).await;
         if let Some(count) = self.waiting.borrow_mut().get_mut(&account) {
             *count -= 1;
         }
         admitted
     }
 
-    async fn wait_token(&self, account: &str) {
+    /// Waits for a token; false if the leader has none to give, or does not answer.
+    async fn wait_token(&self, account: &str) -> bool {
+        let arrival = self.now();
         loop {
+            let answered = self.answered.get() >= arrival;
+            let wait = if answered { TOKEN_WAIT } else { LEADER_WAIT };
+            if self.now() >= arrival + wait {
+                return false;
+            }
             let granted = self.granted.notified();
             if let Some(bucket) = self.buckets.borrow_mut().get_mut(account) {
                 bucket.lack();
             }
             self.renew.notify_one();
-            let _ = timeout(TOKEN_WAIT / 3, granted).await;
+            let _ = timeout(ASK_AGAIN, granted).await;
             if self.take(account, false) {
-                return;
+                return true;
             }
         }
     }
--- a/crates/gateway/tests/local.rs
+++ b/crates/gateway/tests/local.rs
@@ -3,17 +3,46 @@
 // The setting for tests in clippy.toml does not reach helper functions in test files.
 #![allow(clippy::unwrap_used)]
 
-use std::sync::Arc;
+use std::{
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use auburnlug_gateway::{
     local::{Local, Me},
     metrics::GatewayMetrics,
 };
-use auburnlug_protocol::{fleet::Update, plan_part::PlanPart};
-use auburnlug_state::{Name, fleet::Plan};
-use auburnlug_transport::clock::SystemClock;
+use auburnlug_protocol::{
+    fleet::{FleetGrant, Share, Update},
+    plan_part::PlanPart,
+};
+use auburnlug_state::{
+    Millis, Name,
+    fleet::{AccountPlan, Plan},
+};
+use auburnlug_transport::clock::Clock;
+use tokio::{
+    runtime::Builder,
+    task::{LocalSet, spawn_local, yield_now},
+};
+
+#[derive(Debug)]
+struct SetClock(AtomicU64);
+
+impl Clock for SetClock {
+    fn now(&self) -> Millis {
+        self.0.load(Ordering::Relaxed)
+    }
+}
 
 fn local() -> Local {
+    local_at(&Arc::new(SetClock(AtomicU64::new(1_000))))
+}
+
+fn local_at(clock: &Arc<SetClock>) -> Local {
     let me = Me {
         name: Name::try_from("127.0.0.1").unwrap(),
         label: "entry".into(),
@@ -21,7 +50,7 @@
         domain: "d".into(),
         run: 1,
     };
-    Local::new(me, Arc::new(SystemClock::start()), Arc::new(GatewayMetrics::default()))
+    Local::new(me, clock.clone(), Arc::new(GatewayMetrics::default()))
 }
 
 fn plan(version: u64) -> Plan {
@@ -60,3 +89,41 @@
     assert!(!local.update(next));
     assert!(local.renewal(false, false).unfit);
 }
+
+fn grant(sent: Millis, tokens: f64) -> FleetGrant {
+    let share = Share { account: "a".into(), rate: 0.0, tokens, spread: 0.0 };
+    FleetGrant { sent, span: 3_000, index: 1, shares: vec![share], positions: Vec::new() }
+}
+
+/// Whether an operation is admitted that comes at 1,000 ms without a token, if the leader answers
+/// a renewal of the time `sent` with `tokens` when it is `answered`.
+fn admitted(sent: Millis, tokens: f64, answered: Millis) -> bool {
+    let clock = Arc::new(SetClock(AtomicU64::new(900)));
+    let local = Rc::new(local_at(&clock));
+    let account =
+        AccountPlan { keys: Default::default(), rate: Some(10.0), burst: 10.0, priority: 1 };
+    let plan = Plan { version: 2, accounts: [("a".into(), account)].into(), ..Plan::default() };
+    let part = PlanPart::between(&Plan::default(), &plan).unwrap();
+    local.update(Update { index: 1, term: 1, plan: Some(Arc::new(part)), ..Update::default() });
+    local.grant(&grant(900, 0.0));
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        clock.0.store(1_000, Ordering::Relaxed);
+        let other = local.clone();
+        let waiting = spawn_local(async move { other.admit("a").await });
+        yield_now().await;
+        clock.0.store(answered, Ordering::Relaxed);
+        local.grant(&grant(sent, tokens));
+        waiting.await.unwrap()
+    })
+}
+
+#[test]
+fn an_operation_waits_for_the_next_leader_but_not_for_tokens_that_there_are_not() {
+    // A leader that was elected meanwhile answers a renewal of 1,790 ms.
+    assert!(admitted(1_790, 1.0, 1_800));
+    // The leader answers at once that there are none.
+    assert!(!admitted(1_010, 0.0, 1_160));
+    // No leader answers in time.
+    assert!(!admitted(900, 0.0, 1_950));
+}
