Bound queues for slots by the latency objective, and tell entries of full ones

Each refused statement was sent five times at once; 900 jobs a second filled the holder's link of 2 Mbit/s, connects went unanswered, and the group served 60 a second until 27 s. Ruled out: the servers with faults (refusals named the primary's queue), processor time (0.01 of 0.12 cores).

A job now joins a queue only if its expected wait is within 0.6 of the latency objective; the answer tells the wait, the entry does not ask that server again for 40 to 320 ms (jobs of higher priority do), and refuses at once when no other server can run the statement. A replica that lacked a position only lately is still waited for. The holder's time ends before the entry's, so its refusal arrives.

New tests in coordination/tests/fleet.rs and gateway/tests/pool.rs.

--- a/crates/coordination/src/pick.rs
+++ b/crates/coordination/src/pick.rs
@@ -31,6 +31,10 @@
 /// Longest time for which a replica is passed over that lacked a position, in milliseconds.
 const LONGEST_BEHIND: Millis = 480;
 
+/// Tries in a row that find a replica behind, up to which it is waited for: they span 210 ms, more
+/// than the usual lag.
+const BRIEF: u32 = 3;
+
 /// Time for which a server is passed over that failed a statement, in milliseconds; it doubles up
 /// to [`LONGEST_FAILED`].
 const FAILED: Millis = 100;
@@ -38,6 +42,13 @@
 /// Longest time for which a server is passed over that fails, in milliseconds.
 const LONGEST_FAILED: Millis = 1_600;
 
+/// Time for which a server is not used whose queue was full, in milliseconds: the entry's part of
+/// what its slots free meanwhile. It doubles up to [`LONGEST_FULL`].
+const FULL: Millis = 40;
+
+/// Longest time for which a server is not used whose queue was full, in milliseconds.
+const LONGEST_FULL: Millis = 320;
+
 /// What an entry knows of the servers.
 #[derive(Debug, Default)]
 pub struct Records {
@@ -54,6 +65,9 @@
     behinds: u32,
     failed: Millis,
     failures: u32,
+    /// Time until which its queue is taken as full, for jobs of this priority and below.
+    full: (Millis, u32),
+    fulls: u32,
 }
 
 /// A server that may run a read.
@@ -131,6 +145,26 @@
         record.behinds = 0;
         record.failures = 0;
         record.failed = 0;
+        record.full.0 = 0;
+        record.fulls = 0;
+    }
+
+    /// Whether a replica lacked a position only lately, so that it may hold it soon.
+    pub fn follows(&self, server: &str) -> bool {
+        self.servers.get(server).is_some_and(|r| (1..=BRIEF).contains(&r.behinds))
+    }
+
+    /// Notes that a job of `priority` found the queue of a server full.
+    pub fn filled(&mut self, server: &str, priority: u32, now: Millis) {
+        let Some(record) = self.servers.get_mut(server) else { return };
+        record.full = (now + (FULL << record.fulls.min(4)).min(LONGEST_FULL), priority);
+        record.fulls += 1;
+    }
+
+    /// Whether the queue of a server is taken as full for jobs of `priority`.
+    pub fn full(&self, server: &str, priority: u32, now: Millis) -> bool {
+        let full = self.servers.get(server).map(|record| record.full);
+        full.is_some_and(|(until, from)| now < until && priority >= from)
     }
 
     /// Notes that a replica lacked a position.
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -259,6 +259,24 @@
     assert!(asked <= 11, "asked {asked} times in 3 s");
 }
 
+#[test]
+fn a_full_queue_is_asked_less_and_less_and_by_priority() {
+    let mut records = Records::default();
+    records.sent(&"p".into());
+    let (mut asked, mut now) = (0, 0);
+    while now < 3_000 {
+        if !records.full("p", 2, now) {
+            asked += 1;
+            records.filled("p", 2, now);
+        }
+        now += 5;
+    }
+    assert!(asked <= 13, "asked {asked} times in 3 s");
+    assert!(!records.full("p", 1, now));
+    records.answered("p", 20, None, now);
+    assert!(!records.full("p", 2, now));
+}
+
 #[test]
 fn without_a_floor_only_the_primary_is_chosen() {
     let records = Records::default();
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -170,6 +170,7 @@
             values: job.values.clone(),
             priority: job.priority,
             until: self.local.now() + job.left,
+            patience: job.patience,
         };
         let seat = timeout_at(until, self.pool.seat(want)).await;
         self.local.metrics.waited.observe(started.elapsed().as_secs_f64());
@@ -244,14 +245,19 @@
 }
 
 fn refusal(job: &Job, none: NoSeat) -> Answer {
+    let wait = match &none {
+        NoSeat::Unreachable => 0,
+        NoSeat::Full(wait, _) => *wait,
+        NoSeat::Late(_) => job.left.max(1),
+    };
     let answer = match none {
         NoSeat::Unreachable => {
             Answer::error(Code::Unreachable, format!("{} cannot be reached", job.server))
         }
-        NoSeat::Full(queue) => Answer::error(Code::Busy, format!("too many wait: {queue}")),
+        NoSeat::Full(_, queue) => Answer::error(Code::Busy, format!("too many wait: {queue}")),
         NoSeat::Late(queue) => Answer::error(Code::Busy, format!("no slot in time: {queue}")),
     };
-    named(answer, job)
+    named(Answer { queue: wait, ..answer }, job)
 }
 
 fn unreachable(job: &Job, fault: &Fault) -> Answer {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -42,6 +42,8 @@
     pub priority: u32,
     /// End of the job's time.
     pub until: Millis,
+    /// Longest expected wait with which it joins the queue, in milliseconds.
+    pub patience: Millis,
 }
 
 /// Why a job gets no seat.
@@ -49,8 +51,8 @@
 pub enum NoSeat {
     /// This entry holds no connections to the server, or the server cannot be reached.
     Unreachable,
-    /// Too many jobs wait; the text describes the queue.
-    Full(String),
+    /// Too many jobs wait: the expected wait, in milliseconds, and a description of the queue.
+    Full(Millis, String),
     /// None came free in time; the text describes the queue.
     Late(String),
 }
@@ -161,9 +163,9 @@
             server.next += 1;
             let order = (want.priority, server.next);
             let at = server.waiters.partition_point(|waiter| waiter.order < order);
-            let expected = at as f64 * server.duration / f64::from(server.slots);
-            if expected > want.until.saturating_sub(now) as f64 {
-                return Err(NoSeat::Full(server.describe(now)));
+            let expected = (at as f64 * server.duration / f64::from(server.slots)) as Millis;
+            if expected > want.patience.min(want.until.saturating_sub(now)) {
+                return Err(NoSeat::Full(expected, server.describe(now)));
             }
             server.waiters.insert(at, Waiter { order, want, seat: sender });
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,8 +28,9 @@
     wire::address_of,
 };
 
-/// Time for the answer of another entry to travel, in milliseconds.
-const TRAVEL: Millis = 60;
+/// Time for a job to reach another entry, and for its answer to come back, in milliseconds: a way
+/// between regions on loaded links.
+const TRAVEL: Millis = 30;
 
 /// Pause before a failed link is dialed again, in milliseconds.
 const REDIAL: Duration = Duration::from_millis(200);
@@ -196,6 +197,7 @@
     /// Sends a job; the error tells whether it may have run.
     async fn forward(self: &Rc<Self>, to: &Name, number: u64, job: Job) -> Result<Answer, bool> {
         let left = Duration::from_millis(job.left + TRAVEL);
+        let job = Job { left: job.left.saturating_sub(TRAVEL), ..job };
         let peer = self.peer(to);
         let sent = self.local.now();
         let link = timeout(left.min(LINK_WAIT), peer.link()).await.ok().flatten();
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -48,6 +48,16 @@
     pub arrival: Millis,
 }
 
+/// Where a statement may run now.
+enum Choice {
+    /// A server, with the position that its log must include.
+    Server(Arc<str>, Option<Position>),
+    /// The servers that may run it have full queues.
+    Full,
+    /// None, until the view or the samples change.
+    None,
+}
+
 /// Chooses servers and learns from their answers.
 pub struct Router {
     local: Rc<Local>,
@@ -114,13 +124,22 @@
         let mut last = Answer::error(Code::Busy, "no server is known");
         let mut tries = 0;
         while tries < TRIES {
-            let Some((server, after)) = self.choose(&task, exclude.as_deref()) else {
-                if !self.wait(until).await {
-                    self.explain(&mut last, &task);
+            let (server, after) = match self.choose(&task, exclude.as_deref()) {
+                Choice::Server(server, after) => (server, after),
+                Choice::Full => {
+                    if tries == 0 {
+                        last = Answer::error(Code::Busy, "the queues of its servers are full");
+                    }
                     return (last, None);
                 }
-                exclude = None;
-                continue;
+                Choice::None => {
+                    if !self.wait(until).await {
+                        self.explain(&mut last, &task);
+                        return (last, None);
+                    }
+                    exclude = None;
+                    continue;
+                }
             };
             tries += 1;
             let mut job = task.job.clone();
@@ -139,7 +158,7 @@
             self.log_retry(&task, &server, code, tries);
             if primary && matches!(code, Code::ReadOnly | Code::Unreachable) {
                 // Another primary may be promoted; the view follows.
-                sleep_until(until.min(Instant::now() + VIEW_WAIT)).await;
+                sleep_until(until.min(Instant::now() + VIEW_WAIT * (1 << (tries - 1)))).await;
                 exclude = None;
             } else {
                 exclude = Some(server);
@@ -187,6 +206,7 @@
                     self.local.metrics.replica_reads.inc();
                 }
             }
+            Some(Code::Busy) if answer.queue > 0 => records.filled(&server, job.priority, now),
             Some(Code::Behind) => records.behind(&server, answer.position, now),
             Some(
                 Code::Unreachable
@@ -221,27 +241,38 @@
         }
     }
 
-    /// Server for a task, with the position that its log must include.
-    fn choose(&self, task: &Task, exclude: Option<&str>) -> Option<(Arc<str>, Option<Position>)> {
+    /// Server for a task.
+    fn choose(&self, task: &Task, exclude: Option<&str>) -> Choice {
         let view = self.local.view();
-        let group = &task.job.group;
+        let (group, priority, now) = (&task.job.group, task.job.priority, self.local.now());
         let primary = self.primary(&view, group);
+        let records = self.records.borrow();
         let Some(floor) = self.floor(task) else {
-            return primary.map(|backend| (backend.id.clone(), None));
+            return match primary {
+                None => Choice::None,
+                Some(backend) if records.full(&backend.id, priority, now) => Choice::Full,
+                Some(backend) => Choice::Server(backend.id.clone(), None),
+            };
         };
         let leads = |backend: &Backend| primary.is_some_and(|p| p.id == backend.id);
         let usable = |b: &&Backend| *b.group == **group && (leads(b) || !b.draining);
-        let candidates: Vec<Candidate> = view
+        let (full, candidates): (Vec<Candidate>, Vec<Candidate>) = view
             .backends
             .values()
             .filter(usable)
             .filter(|backend| leads(backend) || !self.is_primary(&view, backend))
             .map(|b| Candidate { server: b.id.clone(), slots: b.slots, primary: leads(b) })
-            .collect();
-        let now = self.local.now();
-        let server = self.records.borrow().choose(&candidates, Some(floor), exclude, now)?;
-        let after = (primary.map(|p| &p.id) != Some(&server)).then_some(floor);
-        Some((server, after))
+            .partition(|candidate| records.full(&candidate.server, priority, now));
+        match records.choose(&candidates, Some(floor), exclude, now) {
+            Some(server) => {
+                let after = (primary.map(|p| &p.id) != Some(&server)).then_some(floor);
+                Choice::Server(server, after)
+            }
+            None if full.is_empty() || candidates.iter().any(|c| records.follows(&c.server)) => {
+                Choice::None
+            }
+            None => Choice::Full,
+        }
     }
 
     /// Primary that may be used.
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -487,6 +487,7 @@
             text,
             values: self.values.clone(),
             left: database.timeout,
+            patience: patience(database),
             priority: database.priority,
         };
         Task { job, need, arrival }
@@ -579,6 +580,16 @@
 /// Idle time of transactions before a configuration sets one, in milliseconds.
 const DEFAULT_IDLE: u64 = 3_000;
 
+/// Part of the latency objective that a job may be expected to wait for a slot. The rest is for the
+/// ways, a connection that must be opened, and the server's work. A longer queue under lasting
+/// overload would serve no more statements, only all of them late.
+const PATIENCE: f64 = 0.6;
+
+fn patience(database: &Database) -> Millis {
+    let objective = if database.objective == 0 { database.timeout } else { database.objective };
+    (objective as f64 * PATIENCE) as Millis
+}
+
 /// Answer to the end of a failed transaction.
 fn ended(statement: &Statement) -> Answer {
     match statement {
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -66,6 +66,7 @@
         values: Values::new(),
         priority,
         until: local.now() + left,
+        patience: left,
     }
 }
 
@@ -110,13 +111,31 @@
         tokio::task::yield_now().await;
         // Twenty jobs of 20 ms each are before it.
         let refused = pool.seat(want(&local, "b", 1, 200)).await.err();
-        assert!(matches!(refused, Some(NoSeat::Full(_))), "{refused:?}");
+        assert!(matches!(refused, Some(NoSeat::Full(..))), "{refused:?}");
         for waiting in queue {
             waiting.abort();
         }
     });
 }
 
+#[test]
+fn a_job_joins_no_queue_that_is_longer_than_its_patience() {
+    run(async {
+        let local = local();
+        let pool = Pool::new(local.clone());
+        pool.refresh(&view(4));
+        let _busy = pool.seat(want(&local, "a", 1, 60_000)).await;
+        let (other, wanted) = (pool.clone(), want(&local, "a", 1, 60_000));
+        let waiting = spawn_local(async move { other.seat(wanted).await.is_ok() });
+        tokio::task::yield_now().await;
+        // One job of 20 ms is before it; it has a minute, but its answer is due in less than that.
+        let hurried = Want { patience: 10, ..want(&local, "a", 1, 60_000) };
+        let refused = pool.seat(hurried).await.err();
+        assert!(matches!(refused, Some(NoSeat::Full(20, _))), "{refused:?}");
+        waiting.abort();
+    });
+}
+
 #[test]
 fn priority_goes_before_arrival() {
     run(async {
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -195,6 +195,9 @@
     /// Time left for the statement, in milliseconds.
     #[serde(rename = "l")]
     pub left: Millis,
+    /// Longest wait for a slot after which an answer still serves the caller, in milliseconds.
+    #[serde(rename = "pa")]
+    pub patience: Millis,
     /// Priority; 0 goes first.
     #[serde(rename = "p")]
     pub priority: u32,
@@ -309,12 +312,15 @@
     /// Time that the server took, with a connection that had to be opened, in milliseconds.
     #[serde(rename = "ra")]
     pub ran: Millis,
+    /// Expected wait for a slot that was the reason of a refusal, in milliseconds; else 0.
+    #[serde(rename = "q")]
+    pub queue: Millis,
 }
 
 impl Answer {
     /// An answer with what a server sent.
     pub fn new(rows: Vec<Arc<str>>, end: End, position: Option<Position>) -> Answer {
-        Answer { rows, end, position, server: None, waited: 0, ran: 0 }
+        Answer { rows, end, position, server: None, waited: 0, ran: 0, queue: 0 }
     }
 
     /// Success without a server.
