Record entries before they are given leases, so that a new leader knows whom to wait for

Cause: a new control leader did not know which entries held leases and shares of an earlier one. Ruled out: a count told by entries, which misses those that joined just before a cut.

A new leader waits until each recorded entry has renewed, has started again, or its lease has ended.

--- a/crates/coordination/src/leases.rs
+++ b/crates/coordination/src/leases.rs
@@ -4,7 +4,7 @@
 //! takes effect for sure only when each entry has put it in force, or its lease has ended; an entry
 //! that stops uses its lease to the end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use auburnlug_state::{Millis, Name};
 
@@ -20,6 +20,8 @@
 pub struct Leases {
     /// End of all leases that earlier leaders have given.
     earlier: Millis,
+    /// Entries that may hold such a lease.
+    holders: BTreeSet<Name>,
     entries: BTreeMap<Name, Lease>,
 }
 
@@ -30,15 +32,15 @@
 }
 
 impl Leases {
-    /// Leases of a leader that took over at `now`; `first` if no leader was before it.
-    pub fn new(now: Millis, first: bool) -> Leases {
-        let earlier = if first { now } else { now + LEASE + DRIFT };
-        Leases { earlier, entries: BTreeMap::new() }
+    /// Leases of a leader that took over at `now`, while `holders` may have leases of earlier ones.
+    pub fn new(now: Millis, holders: BTreeSet<Name>) -> Leases {
+        Leases { earlier: now + LEASE + DRIFT, holders, entries: BTreeMap::new() }
     }
 
     /// Gives a lease to an entry that has put the update `applied` in force.
     pub fn renew(&mut self, entry: &Name, applied: u64, now: Millis) {
         let until = now + LEASE + DRIFT;
+        self.holders.remove(entry);
         self.entries.insert(entry.clone(), Lease { until, applied });
     }
 
@@ -57,6 +59,6 @@
     /// Whether every entry has put an update in force, or holds no lease.
     pub fn in_force(&self, index: u64, now: Millis) -> bool {
         let done = |lease: &Lease| lease.applied >= index || now >= lease.until;
-        now >= self.earlier && self.entries.values().all(done)
+        (now >= self.earlier || self.holders.is_empty()) && self.entries.values().all(done)
     }
 }
--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -16,11 +16,11 @@
 
 /// Time after the last grant at which a share ends at its entry, in milliseconds. Longer than an
 /// election and the cuts that an entry must serve through.
-pub const SHARE_SPAN: Millis = 5_000;
+pub const SHARE_SPAN: Millis = 6_000;
 
 /// Time after the last grant at which the leader gives the share to others, in milliseconds:
 /// exceeds [`SHARE_SPAN`] by the drift of two clocks and the way of the grant.
-const HELD: Millis = SHARE_SPAN + 1_000;
+pub const HELD: Millis = SHARE_SPAN + 1_000;
 
 /// Time that a bucket's depth covers, in seconds of its share.
 const DEPTH: f64 = 0.4;
@@ -30,7 +30,7 @@
 
 /// Demand of which half is served from the share, in operations a second: a bucket holds one
 /// operation at least, and about as many come in a second.
-const SPARSE: f64 = 1.0;
+const SPARSE: f64 = 0.7;
 
 /// Operations that a bucket holds at least, so that a small share admits single operations.
 const LEAST: f64 = 1.0;
@@ -71,7 +71,11 @@
 /// Shares of all client accounts, as the control leader keeps them.
 #[derive(Debug)]
 pub struct Shares {
-    /// Time from which on no share of an earlier leader can be held.
+    /// Start of the leadership.
+    since: Millis,
+    /// Whether no leader was before.
+    fresh: bool,
+    /// Time from which on no share of an earlier leader is held that was not reported.
     settled: Millis,
     accounts: BTreeMap<Arc<str>, AccountShares>,
 }
@@ -96,7 +100,12 @@
     /// Shares of a leader that took over at `now`; `fresh` if no leader was before it.
     pub fn new(now: Millis, fresh: bool) -> Shares {
         let settled = if fresh { now } else { now + HELD };
-        Shares { settled, accounts: BTreeMap::new() }
+        Shares { since: now, fresh, settled, accounts: BTreeMap::new() }
+    }
+
+    /// Notes that all entries have reported the shares that they hold.
+    pub fn settle(&mut self, now: Millis) {
+        self.settled = self.settled.min(now);
     }
 
     /// Answers what `entry` asked for at `now`.
@@ -110,8 +119,9 @@
     ) -> Given {
         let settled = now >= self.settled;
         let state = self.accounts.entry(account.clone()).or_insert_with(|| AccountShares {
-            pool: if settled { limit.burst } else { 0.0 },
-            filled: now,
+            // An earlier leader may have given the burst just before.
+            pool: if self.fresh { limit.burst } else { 0.0 },
+            filled: self.since,
             former: None,
             entries: BTreeMap::new(),
         });
@@ -150,7 +160,8 @@
 /// at a steady pace are wasted on operations that come now and then: those are better served from
 /// the pool.
 fn useful(demand: f64) -> f64 {
-    COVER * demand * demand / (demand + SPARSE)
+    let dense = demand * demand / (demand * demand + SPARSE * SPARSE);
+    COVER * demand * dense
 }
 
 impl AccountShares {
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -4,7 +4,10 @@
 // The setting for tests in clippy.toml does not reach helper functions in test files.
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use auburnlug_coordination::{
     Position,
@@ -196,7 +199,7 @@
 
 #[test]
 fn a_change_is_in_force_when_each_entry_has_it_or_holds_no_lease() {
-    let mut leases = Leases::new(0, true);
+    let mut leases = Leases::new(0, BTreeSet::new());
     leases.renew(&name("a"), 7, 1_000);
     leases.renew(&name("b"), 4, 1_200);
     assert!(!leases.in_force(7, 1_300));
@@ -207,14 +210,23 @@
 
 #[test]
 fn leases_of_an_earlier_leader_are_waited_for() {
-    let leases = Leases::new(5_000, false);
+    let leases = Leases::new(5_000, BTreeSet::from([name("a")]));
     assert!(!leases.in_force(1, 5_000 + LEASE));
     assert!(leases.in_force(1, 5_000 + LEASE + 200));
 }
 
+#[test]
+fn a_new_leader_waits_no_longer_than_for_the_entries_that_may_hold_leases() {
+    let mut leases = Leases::new(5_000, BTreeSet::from([name("a"), name("b")]));
+    leases.renew(&name("a"), 1, 5_100);
+    assert!(!leases.in_force(1, 5_200));
+    leases.renew(&name("b"), 1, 5_300);
+    assert!(leases.in_force(1, 5_300));
+}
+
 #[test]
 fn an_entry_without_a_link_still_holds_its_lease() {
-    let mut leases = Leases::new(0, true);
+    let mut leases = Leases::new(0, BTreeSet::new());
     leases.renew(&name("a"), 9, 1_000);
     leases.unlink(&name("a"));
     assert!(!leases.in_force(9, 2_000));
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -506,6 +506,9 @@
         self.check_leadership();
         if let (Some(before), true) = (before, committed) {
             self.fleet_changed(&before);
+            if before.entries != self.machine.fleet.entries {
+                self.entries_recorded();
+            }
         }
         Ok(())
     }
@@ -579,6 +582,9 @@
                 lead.former.as_deref().unwrap_or("none")
             ),
         ),
+        FleetChange::Entries { joined, left } => {
+            log(Event::EntriesRecorded, format_args!("joined={} left={}", joined.len(), left.len()))
+        }
         FleetChange::Record(_) | FleetChange::Forget { .. } => {}
     }
 }
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -8,14 +8,14 @@
 use auburnlug_coordination::{
     holders::{self, Holders, Needy, Place},
     leases::{LEASE, Leases},
-    share::{Ask as ShareAsk, Limit, Shares},
+    share::{Ask as ShareAsk, HELD, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
     Demand, Evidence, FleetGrant, FleetMessage, Held, HolderView, LeadView, Renewal, Share, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
-    fleet::{Fleet, Run},
+    fleet::{Fleet, FleetChange, Run},
 };
 use auburnlug_transport::event::{Event, log};
 
@@ -39,6 +39,10 @@
 /// Time between two heartbeats of a server after which it counts as silent, in milliseconds.
 const SILENT: Millis = 5_000;
 
+/// Time after which a change of the recorded entries is proposed again, in milliseconds; far more
+/// than an agreement takes.
+const RECORD_AGAIN: Millis = 1_000;
+
 /// Time in which changes of the entries are gathered before holders are chosen, in milliseconds.
 const SETTLE: Millis = 50;
 
@@ -69,6 +73,14 @@
     /// Entries that may hold connections.
     healthy: usize,
     shares: Shares,
+    /// Entries of an earlier leader that have not told their shares.
+    untold: BTreeSet<Name>,
+    /// Renewals of entries that are not recorded yet, with their links.
+    joining: BTreeMap<Name, (u64, Renewal)>,
+    /// Time since which recorded entries have not renewed.
+    absent: BTreeMap<Name, Millis>,
+    /// Time of the last change of the recorded entries that was not applied yet.
+    recording: Option<Millis>,
     /// Number of the newest update.
     pub(crate) index: u64,
     changed: Parts,
@@ -174,10 +186,11 @@
         let parts = Parts { backends: 1, leads: 1, holders: 0, members: 1 };
         let place_at = Some(now + if first { SETTLE } else { INHERIT });
         let published = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
+        let known: BTreeSet<Name> = self.fleet().entries.keys().cloned().collect();
         self.leader = Some(Leader {
             term,
             since: now,
-            leases: Leases::new(now, first),
+            leases: Leases::new(now, known.clone()),
             entries: BTreeMap::new(),
             heard: BTreeMap::new(),
             evidence: BTreeMap::new(),
@@ -190,6 +203,10 @@
             place_at,
             healthy: 0,
             shares: Shares::new(now, first),
+            untold: known,
+            joining: BTreeMap::new(),
+            absent: BTreeMap::new(),
+            recording: None,
             index: 1,
             changed: parts,
             published,
@@ -203,7 +220,18 @@
     /// Answers the renewal of an entry.
     pub(crate) fn renewed(&mut self, link: u64, from: &Name, renewal: Renewal) {
         let now = self.now();
+        let recorded = self.machine.fleet.entries.get(from.as_str()).copied();
         let Some(leader) = &mut self.leader else { return };
+        if recorded != Some(renewal.run) {
+            // The process of an earlier run has ended, and with it its lease and shares.
+            leader.untold.remove(from.as_str());
+            leader.joining.insert(from.clone(), (link, renewal));
+            self.record_entries(now);
+            return;
+        }
+        if renewal.full {
+            leader.untold.remove(from.as_str());
+        }
         let place = Place { region: renewal.region, domain: renewal.domain };
         let known = leader.entries.get(from.as_str());
         let applied_here = known.is_some_and(|e| e.link == link);
@@ -248,6 +276,55 @@
         self.send(link, FleetMessage::Grant(Box::new(grant)));
     }
 
+    /// Records entries that joined or left; one change is under way at a time.
+    fn record_entries(&mut self, now: Millis) {
+        let Some(leader) = &mut self.leader else { return };
+        if leader.recording.is_some_and(|at| now < at + RECORD_AGAIN) {
+            return;
+        }
+        let joining = leader.joining.iter();
+        let joined = joining.map(|(name, (_, renewal))| (name.clone(), renewal.run)).collect();
+        let gone = |name: &Name| leader.absent.get(name).is_some_and(|since| now >= since + HELD);
+        let left = self.machine.fleet.entries.iter().filter(|(name, _)| gone(name));
+        let left = left.map(|(name, run)| (name.clone(), *run)).collect();
+        let change = FleetChange::Entries { joined, left };
+        if let FleetChange::Entries { joined, left } = &change
+            && joined.is_empty()
+            && left.is_empty()
+        {
+            return;
+        }
+        leader.recording = Some(now);
+        self.propose(change, None);
+    }
+
+    /// Answers entries that are recorded now.
+    pub(crate) fn entries_recorded(&mut self) {
+        let recorded = self.machine.fleet.entries.clone();
+        let Some(leader) = &mut self.leader else { return };
+        leader.recording = None;
+        let ready =
+            |name: &Name, join: &mut (u64, Renewal)| recorded.get(name) == Some(&join.1.run);
+        let ready: Vec<_> = leader.joining.extract_if(.., ready).collect();
+        for (name, (link, renewal)) in ready {
+            self.renewed(link, &name, renewal);
+        }
+    }
+
+    /// Notes which recorded entries do not renew.
+    fn note_absent(&mut self, now: Millis) {
+        let recorded = &self.machine.fleet.entries;
+        let Some(leader) = &mut self.leader else { return };
+        let entries = &leader.entries;
+        leader.absent.retain(|name, _| recorded.contains_key(name) && !entries.contains_key(name));
+        for name in recorded.keys().filter(|name| !entries.contains_key(*name)) {
+            leader.absent.entry(name.clone()).or_insert(now);
+        }
+        if leader.untold.is_empty() {
+            leader.shares.settle(now);
+        }
+    }
+
     fn witness(&mut self, from: &Name, evidence: Vec<Evidence>, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
         for seen in evidence {
@@ -408,6 +485,9 @@
         let before = leader.healthy;
         leader.leases.expire(now);
         leader.entries.retain(|_, entry| now < entry.renewed + GONE);
+        self.note_absent(now);
+        self.record_entries(now);
+        let Some(leader) = &mut self.leader else { return };
         for (id, heard) in &mut leader.heard {
             if !heard.silent && now >= heard.at + SILENT {
                 heard.silent = true;
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -264,6 +264,7 @@
         Renewal {
             demand: demand.collect(),
             evidence: evidence.collect(),
+            full: first,
             holds: if first { self.holds() } else { Vec::new() },
             ..self.search(leaving)
         }
@@ -283,6 +284,7 @@
             unfit: self.unfit.get(),
             demand: Vec::new(),
             evidence: Vec::new(),
+            full: false,
             holds: Vec::new(),
         }
     }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -64,7 +64,10 @@
     /// What the entry saw of primaries since the last renewal.
     #[serde(rename = "e")]
     pub evidence: Vec<Evidence>,
-    /// Servers that it holds, told to a leader that has not answered it before.
+    /// Whether it tells all that the entry holds: to a leader that was not told before.
+    #[serde(rename = "f")]
+    pub full: bool,
+    /// Servers that it holds, if it tells all.
     #[serde(rename = "h")]
     pub holds: Vec<Held>,
 }
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{Applied, Millis, Term};
+use crate::{Applied, Millis, Name, Term};
 
 /// A configuration as an operator published it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -172,6 +172,13 @@
         /// New record.
         lead: Lead,
     },
+    /// Records entries before they are given leases, and drops those that hold none any more.
+    Entries {
+        /// Runs of entries that joined.
+        joined: BTreeMap<Name, u64>,
+        /// Runs of entries that left.
+        left: BTreeMap<Name, u64>,
+    },
 }
 
 /// State of the fleet.
@@ -185,6 +192,9 @@
     pub backends: BTreeMap<Arc<str>, Backend>,
     /// Leaders of groups.
     pub leads: BTreeMap<Arc<str>, Lead>,
+    /// Runs of the entries that may hold leases and shares.
+    #[serde(default)]
+    pub entries: BTreeMap<Name, u64>,
 }
 
 impl Fleet {
@@ -212,6 +222,10 @@
                 }
                 *known = lead.clone();
             }
+            FleetChange::Entries { joined, left } => {
+                self.entries.retain(|name, run| left.get(name) != Some(run));
+                self.entries.extend(joined.iter().map(|(name, run)| (name.clone(), *run)));
+            }
         }
         Applied::Done
     }
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use auburnlug_state::{
-    Applied, Command, Machine,
+    Applied, Command, Machine, Name,
     fleet::{Backend, Fleet, FleetChange, GroupPlan, Lead, Plan, Run},
     plan_delta::PlanDelta,
 };
@@ -99,3 +99,16 @@
     assert_eq!(delta.apply(&after), None);
     assert_eq!(delta.apply(&Plan::default()), None);
 }
+
+#[test]
+fn an_entry_that_started_again_is_not_dropped_with_its_former_run() {
+    let name = |text: &str| Name::try_from(text).unwrap();
+    let entries = |list: &[(&str, u64)]| list.iter().map(|(n, run)| (name(n), *run)).collect();
+    let mut fleet = Fleet::default();
+    let join = |joined| FleetChange::Entries { joined, left: entries(&[]) };
+    fleet.apply(&join(entries(&[("a", 1), ("b", 1)])));
+    fleet.apply(&join(entries(&[("a", 2)])));
+    let left = entries(&[("a", 1), ("b", 1)]);
+    fleet.apply(&FleetChange::Entries { joined: entries(&[]), left });
+    assert_eq!(fleet.entries, entries(&[("a", 2)]));
+}
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -109,6 +109,7 @@
     SuccessionStep = 711, Info, "step of a replacement";
     PromotionAnswered = 712, Info, "order of promotion answered";
     LeadChanged = 713, Info, "leader of a group recorded";
+    EntriesRecorded = 714, Info, "entries that may hold leases recorded";
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
 }
