Fill the pools of rates for the time since all entries have started again

Ruled out: a full burst at the take-over, which an earlier leader may have given just before.

When every recorded entry has started again, none can have held a share since the last of them did; the pools fill from then on. The clock of an entry tells its start. Test: after_a_restart_of_all_the_pool_has_filled_up_meanwhile.

--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -103,9 +103,18 @@
         Shares { since: now, fresh, settled, accounts: BTreeMap::new() }
     }
 
-    /// Notes that all entries have reported the shares that they hold.
-    pub fn settle(&mut self, now: Millis) {
-        self.settled = self.settled.min(now);
+    /// Notes that all entries have reported the shares that they hold. If none held any from
+    /// `idle` on, the pools have filled up since then.
+    pub fn settle(&mut self, idle: Option<Millis>, now: Millis) {
+        if now >= self.settled {
+            return;
+        }
+        self.settled = now;
+        let gap = idle.map_or(0, |idle| self.since.saturating_sub(idle));
+        self.since -= gap;
+        for account in self.accounts.values_mut() {
+            account.filled = account.filled.saturating_sub(gap);
+        }
     }
 
     /// Answers what `entry` asked for at `now`.
--- a/crates/coordination/tests/share_load.rs
+++ b/crates/coordination/tests/share_load.rs
@@ -259,3 +259,19 @@
     };
     each_account(measure, |most, rate| assert!(most <= (rate * 5.0 + rate) * 1.1 + 20.0));
 }
+
+#[test]
+fn after_a_restart_of_all_the_pool_has_filled_up_meanwhile() {
+    let limit = Limit { rate: 10.0, burst: 10.0 };
+    let name = Name::try_from("e").unwrap();
+    let ask = Ask { demand: 0.0, share: 0.0, wanted: 20.0, spread: None };
+    let tokens = |idle| {
+        let mut shares = Shares::new(5_000, false);
+        shares.settle(idle, 5_100);
+        shares.renew(&name, &"a".into(), limit, ask, 5_100).tokens
+    };
+    // One token a tenth of a second since all have started again.
+    assert_eq!(tokens(Some(4_500)), 6.0);
+    assert_eq!(tokens(Some(0)), 10.0);
+    assert_eq!(tokens(None), 1.0);
+}
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -75,6 +75,9 @@
     shares: Shares,
     /// Entries of an earlier leader that have not told their shares.
     untold: BTreeSet<Name>,
+    /// Time from which on none of those can have held a share, as all have started again; `None`
+    /// if one has not.
+    idle: Option<Millis>,
     /// Renewals of entries that are not recorded yet, with their links.
     joining: BTreeMap<Name, (u64, Renewal)>,
     /// Time since which recorded entries have not renewed.
@@ -204,6 +207,7 @@
             healthy: 0,
             shares: Shares::new(now, first),
             untold: known,
+            idle: Some(0),
             joining: BTreeMap::new(),
             absent: BTreeMap::new(),
             recording: None,
@@ -224,13 +228,17 @@
         let Some(leader) = &mut self.leader else { return };
         if recorded != Some(renewal.run) {
             // The process of an earlier run has ended, and with it its lease and shares.
-            leader.untold.remove(from.as_str());
+            if leader.untold.remove(from.as_str()) {
+                // The clock of an entry starts with its process.
+                let started = now.saturating_sub(renewal.sent);
+                leader.idle = leader.idle.map(|idle| idle.max(started));
+            }
             leader.joining.insert(from.clone(), (link, renewal));
             self.record_entries(now);
             return;
         }
-        if renewal.full {
-            leader.untold.remove(from.as_str());
+        if renewal.full && leader.untold.remove(from.as_str()) {
+            leader.idle = None;
         }
         let place = Place { region: renewal.region, domain: renewal.domain };
         let known = leader.entries.get(from.as_str());
@@ -300,13 +308,11 @@
 
     /// Answers entries that are recorded now.
     pub(crate) fn entries_recorded(&mut self) {
-        let recorded = self.machine.fleet.entries.clone();
         let Some(leader) = &mut self.leader else { return };
         leader.recording = None;
-        let ready =
-            |name: &Name, join: &mut (u64, Renewal)| recorded.get(name) == Some(&join.1.run);
-        let ready: Vec<_> = leader.joining.extract_if(.., ready).collect();
-        for (name, (link, renewal)) in ready {
+        let joining = std::mem::take(&mut leader.joining);
+        for (name, (link, renewal)) in joining {
+            // What is not recorded yet is proposed again.
             self.renewed(link, &name, renewal);
         }
     }
@@ -321,7 +327,7 @@
             leader.absent.entry(name.clone()).or_insert(now);
         }
         if leader.untold.is_empty() {
-            leader.shares.settle(now);
+            leader.shares.settle(leader.idle, now);
         }
     }
 
