--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -186,10 +186,10 @@
         metrics: options.metrics,
         wire: options.server_wire,
         promoter: options.promoter,
+        plans: Plans::new(&machine.fleet.plan),
         machine,
         member,
         leader: None,
-        plans: Plans::default(),
         lease: Arc::default(),
         input,
         accepted: BTreeMap::new(),
@@ -203,7 +203,6 @@
         founds,
         replayed,
     };
-    control.plans.keep(&control.machine.fleet.plan);
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !control.stopping {
--- a/crates/gateway/src/control_plans.rs
+++ b/crates/gateway/src/control_plans.rs
@@ -10,7 +10,7 @@
 const KEPT: usize = 16;
 
 /// The newest configurations of a control member.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Plans {
     kept: BTreeMap<u64, Arc<Plan>>,
     /// Parts that lead to the newest configuration, by the version that they start from.
@@ -18,6 +18,11 @@
 }
 
 impl Plans {
+    /// Begins with the configuration in force.
+    pub(crate) fn new(plan: &Arc<Plan>) -> Plans {
+        Plans { kept: BTreeMap::from([(plan.version, plan.clone())]), parts: BTreeMap::new() }
+    }
+
     /// Takes the configuration in force.
     pub(crate) fn keep(&mut self, plan: &Arc<Plan>) {
         if self.kept.insert(plan.version, plan.clone()).is_none() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod router;
 pub mod session;
 mod session_log;
+mod session_refusal;
 pub mod stop;
 pub mod wire;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -55,7 +55,7 @@
 
 /// Why a session ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Ending {
+pub(crate) enum Ending {
     /// The caller left.
     Caller,
     /// The caller sent what cannot be read.
@@ -68,30 +68,30 @@
     Stopping,
 }
 
-struct Session {
-    shared: Rc<Sessions>,
+pub(crate) struct Session {
+    pub(crate) shared: Rc<Sessions>,
     stream: TcpStream,
     inbound: BytesMut,
     outbound: BytesMut,
     database: Arc<str>,
     /// Client account; empty for callers without a key.
-    account: Arc<str>,
+    pub(crate) account: Arc<str>,
     key: Option<KeyHash>,
     values: Values,
     prepared: BTreeMap<Arc<str>, Shape>,
     /// Position of the last commit of this session.
     position: Option<Position>,
-    transaction: Option<Transaction>,
+    pub(crate) transaction: Option<Transaction>,
 }
 
-struct Transaction {
-    state: SessionState,
+pub(crate) struct Transaction {
+    pub(crate) state: SessionState,
     read_only: bool,
     database: Database,
     /// Arrival of its first request.
     arrival: Millis,
     /// Where its statements run; `None` before the first.
-    place: Option<Place>,
+    pub(crate) place: Option<Place>,
     wrote: bool,
 }
 
@@ -493,80 +493,22 @@
         Task { job, need, arrival }
     }
 
-    fn drop_transaction(&mut self) {
+    pub(crate) fn drop_transaction(&mut self) {
         if let Some(place) = self.transaction.take().and_then(|mut t| t.place.take()) {
             self.shared.router.end(place);
         }
     }
 
-    fn asked<'a>(&'a self, id: &'a str, kind: &'static str, arrival: Millis) -> Asked<'a> {
+    pub(crate) fn asked<'a>(
+        &'a self,
+        id: &'a str,
+        kind: &'static str,
+        arrival: Millis,
+    ) -> Asked<'a> {
         Asked { id, kind, account: &self.account, database: &self.database, arrival }
     }
 
-    /// Refuses a request whose database or key is gone.
-    async fn withdraw(
-        &mut self,
-        id: &Arc<str>,
-        code: Code,
-        reason: &'static str,
-    ) -> Result<(), Ending> {
-        self.drop_transaction();
-        let answer = Answer::error(code, reason);
-        let local = &self.shared.local;
-        log_answer(local, &self.asked(id, "any", local.now()), &answer);
-        let sent = self.send(Some(answer), Some(SessionState::Idle)).await;
-        match code {
-            Code::UnknownKey => Err(Ending::KeyWithdrawn),
-            _ => sent.map_err(|()| Ending::Caller),
-        }
-    }
-
-    /// Refuses a request that cannot be understood.
-    async fn reject(&mut self, id: &str, reason: &'static str) -> Result<(), Ending> {
-        self.shared.local.metrics.error(Code::Malformed);
-        log(
-            Event::MessageMalformed,
-            format_args!("id={} account={} reason={reason:?}", id.escape_debug(), self.account),
-        );
-        let state = match &mut self.transaction {
-            None => SessionState::Idle,
-            Some(transaction) => {
-                transaction.state = SessionState::Failed;
-                let place = transaction.place.take();
-                if let Some(place) = place {
-                    self.shared.router.end(place);
-                }
-                SessionState::Failed
-            }
-        };
-        let answer = Answer::error(Code::Malformed, reason);
-        self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
-    }
-
-    async fn broken(&mut self, broken: Broken) -> Ending {
-        match broken {
-            Broken::TooLarge => self.unreadable(Code::TooLarge, "the message is too large").await,
-            Broken::Malformed => self.unreadable(Code::Malformed, "not a message").await,
-        }
-    }
-
-    async fn unreadable(&mut self, code: Code, reason: &'static str) -> Ending {
-        self.shared.local.metrics.error(code);
-        log(
-            Event::MessageMalformed,
-            format_args!("account={} code={code} reason={reason:?}", self.account),
-        );
-        self.refuse(Answer::error(code, reason)).await;
-        Ending::Unreadable
-    }
-
-    /// Sends the last answer of a session.
-    async fn refuse(&mut self, answer: Answer) {
-        // The session ends in any case.
-        let _ = self.send(Some(answer), None).await;
-    }
-
-    async fn send(
+    pub(crate) async fn send(
         &mut self,
         answer: Option<Answer>,
         state: Option<SessionState>,
