Record entries that start together with one change instead of one each

Ruled out: processor time and the election (0.9 s as before).

What waits is now a decision of its own (coordination::roster), with a test of 78 entries that start together.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 mod raft_log;
 mod raft_message;
 pub mod retry;
+pub mod roster;
 pub mod route;
 pub mod samples;
 pub mod session;
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -16,6 +16,7 @@
     leases::{LEASE, Leases},
     pick::{Candidate, Records},
     raft::Members,
+    roster::Roster,
     samples::Samples,
     share::{Bucket, Limit, SHARE_SPAN, Shares},
 };
@@ -224,6 +225,28 @@
     assert!(leases.in_force(1, 5_300));
 }
 
+#[test]
+fn entries_that_start_together_are_recorded_with_two_changes() {
+    let mut roster = Roster::new();
+    let mut recorded = BTreeMap::new();
+    roster.wait(name("e0"), 1, 0);
+    let first = roster.runs();
+    roster.proposed(100);
+    (1..78).for_each(|n| roster.wait(name(&format!("e{n}")), 1, n));
+    assert!(!roster.free(130));
+    recorded.extend(first);
+    assert_eq!(roster.applied(&recorded), [(name("e0"), 0)]);
+    assert!(roster.free(140));
+    let second = roster.runs();
+    assert_eq!(second.len(), 77);
+    recorded.extend(second);
+    assert_eq!(roster.applied(&recorded).len(), 77);
+    // A change that is lost is proposed again.
+    roster.wait(name("e0"), 2, 0);
+    roster.proposed(200);
+    assert!(!roster.free(1_199) && roster.free(1_200));
+}
+
 #[test]
 fn an_entry_without_a_link_still_holds_its_lease() {
     let mut leases = Leases::new(0, BTreeSet::new());
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -8,6 +8,7 @@
 use auburnlug_coordination::{
     holders::{self, Holders, Needy, Place},
     leases::{LEASE, Leases},
+    roster::Roster,
     share::{Ask as ShareAsk, HELD, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
@@ -39,10 +40,6 @@
 /// Time between two heartbeats of a server after which it counts as silent, in milliseconds.
 const SILENT: Millis = 5_000;
 
-/// Time after which a change of the recorded entries is proposed again, in milliseconds; far more
-/// than an agreement takes.
-const RECORD_AGAIN: Millis = 1_000;
-
 /// Time in which changes of the entries are gathered before holders are chosen, in milliseconds.
 const SETTLE: Millis = 50;
 
@@ -79,11 +76,9 @@
     /// if one has not.
     idle: Option<Millis>,
     /// Renewals of entries that are not recorded yet, with their links.
-    joining: BTreeMap<Name, (u64, Renewal)>,
+    roster: Roster<(u64, Renewal)>,
     /// Time since which recorded entries have not renewed.
     absent: BTreeMap<Name, Millis>,
-    /// Time of the last change of the recorded entries that was not applied yet.
-    recording: Option<Millis>,
     /// Number of the newest update.
     pub(crate) index: u64,
     changed: Parts,
@@ -208,9 +203,8 @@
             shares: Shares::new(now, first),
             untold: known,
             idle: Some(0),
-            joining: BTreeMap::new(),
+            roster: Roster::new(),
             absent: BTreeMap::new(),
-            recording: None,
             index: 1,
             changed: parts,
             published,
@@ -233,7 +227,7 @@
                 let started = now.saturating_sub(renewal.sent);
                 leader.idle = leader.idle.map(|idle| idle.max(started));
             }
-            leader.joining.insert(from.clone(), (link, renewal));
+            leader.roster.wait(from.clone(), renewal.run, (link, renewal));
             self.record_entries(now);
             return;
         }
@@ -287,34 +281,27 @@
     /// Records entries that joined or left; one change is under way at a time.
     fn record_entries(&mut self, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
-        if leader.recording.is_some_and(|at| now < at + RECORD_AGAIN) {
+        if !leader.roster.free(now) {
             return;
         }
-        let joining = leader.joining.iter();
-        let joined = joining.map(|(name, (_, renewal))| (name.clone(), renewal.run)).collect();
+        let joined = leader.roster.runs();
         let gone = |name: &Name| leader.absent.get(name).is_some_and(|since| now >= since + HELD);
         let left = self.machine.fleet.entries.iter().filter(|(name, _)| gone(name));
-        let left = left.map(|(name, run)| (name.clone(), *run)).collect();
-        let change = FleetChange::Entries { joined, left };
-        if let FleetChange::Entries { joined, left } = &change
-            && joined.is_empty()
-            && left.is_empty()
-        {
+        let left: BTreeMap<Name, u64> = left.map(|(name, run)| (name.clone(), *run)).collect();
+        if joined.is_empty() && left.is_empty() {
             return;
         }
-        leader.recording = Some(now);
-        self.propose(change, None);
+        leader.roster.proposed(now);
+        self.propose(FleetChange::Entries { joined, left }, None);
     }
 
     /// Answers entries that are recorded now.
     pub(crate) fn entries_recorded(&mut self) {
         let Some(leader) = &mut self.leader else { return };
-        leader.recording = None;
-        let joining = std::mem::take(&mut leader.joining);
-        for (name, (link, renewal)) in joining {
-            // What is not recorded yet is proposed again.
+        for (name, (link, renewal)) in leader.roster.applied(&self.machine.fleet.entries) {
             self.renewed(link, &name, renewal);
         }
+        self.record_entries(self.now());
     }
 
     /// Notes which recorded entries do not renew.
