Keep the place of a silent voter until another has one, and an odd number of voters

After 3 s of silence a voter left the group at once, so two voters without power for some seconds lowered a group of six to four voters, and the two disks that may be lost then took its majority. Six voters also left a cut in halves without a leader.

Change: coordination::membership decides from what the leader knows. The group keeps 2 x losses + 1 voters ('losses' of the settings); every other member follows as a learner. A silent voter is removed only after a filled learner has become a voter; learners that were abandoned leave; learners no longer ask until they vote. membership_step and join_step go.

Ruled out: removing first in a group of three: with one voter without power and one disk lost two voters remain of which one is empty. A lost disk whose instance is back still leaves before its new identity votes, as its disk counts as lost already.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lease;
 pub mod leases;
 pub mod limit;
+pub mod membership;
 pub mod pick;
 pub mod queue;
 pub mod raft;
--- a/crates/coordination/src/raft_lead.rs
+++ b/crates/coordination/src/raft_lead.rs
@@ -7,6 +7,7 @@
 use crate::{
     Result,
     error::Kind,
+    membership::Standing,
     raft::{Raft, Role},
     raft_message::{Members, Message, Payload},
 };
@@ -36,6 +37,8 @@
     joined: Index,
     /// Commit index last sent.
     told: Index,
+    /// Time since which it is tracked.
+    since: Millis,
     /// Latest time of sending that it has acknowledged.
     contact: Option<Millis>,
     /// Time at which `next` was last set back.
@@ -64,34 +67,14 @@
         contact.map(|sent| sent + self.timing.lease)
     }
 
-    /// Last entry that `name` is known to hold durably; `None` unless this member leads.
-    pub fn matched(&self, name: &Name) -> Option<Index> {
-        let Role::Leader(lead) = &self.role else { return None };
-        lead.peers.get(name).map(|peer| peer.matched)
-    }
-
-    /// A voter that has acknowledged nothing sent in the last `span` milliseconds; `None` unless
-    /// this member has led for that long.
-    pub fn silent_voter(&self, now: Millis, span: Millis) -> Option<Name> {
-        let Role::Leader(lead) = &self.role else { return None };
-        if now < lead.elected + span {
-            return None;
-        }
-        let silent = |name: &&Name| {
-            let contact = lead.peers.get(name.as_str()).and_then(|peer| peer.contact);
-            **name != self.me && contact.is_none_or(|sent| now >= sent + span)
+    /// What this member, if it leads, knows of the others.
+    pub fn standings(&self, now: Millis) -> BTreeMap<Name, Standing> {
+        let Role::Leader(lead) = &self.role else { return BTreeMap::new() };
+        let standing = |peer: &Peer| Standing {
+            filled: peer.filled(now, self.timing.longest),
+            silent: now.saturating_sub(peer.contact.unwrap_or(peer.since)),
         };
-        self.log.members().voters.iter().find(silent).cloned()
-    }
-
-    /// Whether every other voter has acknowledged something sent in the last `span` milliseconds.
-    pub fn answering(&self, now: Millis, span: Millis) -> bool {
-        let Role::Leader(lead) = &self.role else { return false };
-        let answers = |name: &Name| {
-            let contact = lead.peers.get(name).and_then(|peer| peer.contact);
-            *name == self.me || contact.is_some_and(|sent| now < sent + span)
-        };
-        self.log.members().voters.iter().all(answers)
+        lead.peers.iter().map(|(name, peer)| (name.clone(), standing(peer))).collect()
     }
 
     /// Appends a membership; returns its index. It is in force from the moment it is appended.
@@ -242,8 +225,7 @@
         let Some(peer) = lead.peers.get(name) else {
             return Err(Kind::Membership("the new voter is no learner").into());
         };
-        let live = peer.contact.is_some_and(|sent| clock < sent + longest);
-        if live && peer.matched >= peer.joined {
+        if peer.filled(clock, longest) {
             return Ok(());
         }
         Err(Kind::Lagging(name.clone(), peer.matched, peer.joined).into())
@@ -251,7 +233,7 @@
 
     /// Starts and stops to track members as the membership says.
     fn refresh_peers(&mut self) {
-        let (last, commit) = (self.log.last(), self.commit);
+        let (last, commit, since) = (self.log.last(), self.commit, self.clock);
         let Role::Leader(lead) = &mut self.role else { return };
         let members = self.log.members();
         lead.peers.retain(|name, _| members.all().any(|m| m == name));
@@ -261,6 +243,7 @@
                 next: last,
                 joined: commit,
                 told: 0,
+                since,
                 contact: None,
                 rewound: 0,
                 installing: None,
@@ -271,6 +254,12 @@
 }
 
 impl Peer {
+    /// Whether it holds what was committed when it became known, and has answered within `span`.
+    fn filled(&self, now: Millis, span: Millis) -> bool {
+        let live = self.contact.is_some_and(|sent| now < sent + span);
+        live && self.matched >= self.joined
+    }
+
     fn wants(&self, last: Index, commit: Index) -> bool {
         let open = self.next <= last && self.next <= self.matched.saturating_add(WINDOW);
         let fill = open && self.installing.is_none();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -24,7 +24,7 @@
 };
 use auburnlug_transport::{
     clock::Clock,
-    control_member::Member,
+    control_member::{Founding, Member},
     disk::Disk,
     event::{Event, log},
     link::Dial,
@@ -87,6 +87,8 @@
     pub seeds: BTreeSet<Name>,
     /// Whether the deployment starts for the first time, so that the group may be founded.
     pub founds: bool,
+    /// Disks of control members that may be lost at once.
+    pub losses: usize,
     /// Durable state.
     pub disk: Box<dyn Disk>,
     /// Credentials of links.
@@ -174,10 +176,10 @@
     let mut configured = options.seeds.clone();
     configured.retain(|name| *name != options.me.name || options.founds);
     let seed = rand::rng().random();
-    let founds = options.founds;
+    let (founds, losses) = (options.founds, options.losses);
+    let founding = Founding { configured, founds, losses };
     let name = options.me.name.clone();
-    let (member, machine) =
-        Member::open(name, configured, options.disk, founds, TIMING, seed, now)?;
+    let (member, machine) = Member::open(name, founding, options.disk, TIMING, seed, now)?;
     let replayed = member.last();
     let mut control = Control {
         me: options.me,
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -29,7 +29,7 @@
     control::{Input, Options, Outputs, Status},
     control_leader::Leader,
     control_links::Links,
-    control_member::Member,
+    control_member::{Founding, Member},
     control_propose::{Pending, Sent, Waiter},
     event::{Event, log},
     link::Dial,
@@ -98,13 +98,14 @@
         let now = options.clock.now();
         let (mut member, mut machine) = (None, Machine::default());
         if let Some(disk) = options.disk {
-            let configured = options.members.keys().cloned().collect();
+            let configured: BTreeSet<Name> = options.members.keys().cloned().collect();
+            let losses = configured.len().saturating_sub(1) / 2;
+            let founding = Founding { configured, founds: true, losses };
             let seed = rand::rng().random();
             let opened = Member::open(
                 options.instance.name.clone(),
-                configured,
+                founding,
                 disk,
-                true,
                 Timing::default(),
                 seed,
                 now,
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use auburnlug_coordination::{
-    formation::{Decision, Formation, instance_of, membership_step},
+    formation::{Decision, Formation, instance_of},
+    membership::Group,
     raft::{Entry, Members, Message, Raft, Ready, Saved, Snapshot, Timing},
 };
 use auburnlug_protocol::{decode, encode, peer::Control};
@@ -22,13 +23,6 @@
 /// 200 ms; one that lost its disk again comes back under another identity and never asks again.
 const JOIN_LIMIT: Millis = 2_000;
 
-/// A voter that has not answered for this long is given up once its successor is filled, in
-/// milliseconds. Longer than an election and a restart of its process.
-const LOST: Millis = 3_000;
-
-/// A voter that has answered in this time counts as present, in milliseconds.
-const RECENT: Millis = 1_000;
-
 /// Control member of this instance.
 pub struct Member {
     instance: Name,
@@ -36,8 +30,10 @@
     configured: BTreeSet<Name>,
     disk: Box<dyn Disk>,
     state: State,
-    /// Members that ask to join.
-    joining: BTreeMap<Name, Joining>,
+    /// Members that ask to join, with the time at which they asked last.
+    joining: BTreeMap<Name, Millis>,
+    /// Disks that may be lost at once.
+    losses: usize,
     covered: Index,
     seed: u64,
     timing: Timing,
@@ -45,12 +41,15 @@
     founds: bool,
 }
 
-/// A member that asks to join.
-struct Joining {
-    /// Commit index when it asked first.
-    target: Index,
-    /// Time at which it asked last.
-    asked: Millis,
+/// Group that a member belongs to.
+#[derive(Debug, Clone)]
+pub struct Founding {
+    /// Instances of the members, as far as they are known.
+    pub configured: BTreeSet<Name>,
+    /// Whether this member may found the group: it has had none before.
+    pub founds: bool,
+    /// Disks that may be lost at once.
+    pub losses: usize,
 }
 
 enum State {
@@ -71,21 +70,20 @@
 }
 
 impl Member {
-    /// Opens the member's disk; the machine is that of its snapshot. A member that is known to
-    /// have had a group before, by `founds`, never founds another.
+    /// Opens the member's disk; the machine is that of its snapshot.
     ///
     /// # Errors
     ///
     /// The disk cannot be read.
     pub fn open(
         instance: Name,
-        configured: BTreeSet<Name>,
+        founding: Founding,
         mut disk: Box<dyn Disk>,
-        founds: bool,
         timing: Timing,
         seed: u64,
         now: Millis,
     ) -> Result<(Member, Machine)> {
+        let Founding { configured, founds, losses } = founding;
         let loaded = disk.load()?;
         let identity = Name::try_from(format!("{instance}.{}", loaded.identity).as_str())
             .map_err(auburnlug_protocol::Error::from)?;
@@ -101,7 +99,7 @@
                 machine = decode(&snapshot.data)?;
                 covered = snapshot.index;
                 let raft = raft(&identity, saved, timing, seed, now)?;
-                let asks = !raft.members().voters.contains(identity.as_str());
+                let asks = !belongs(raft.members(), &identity);
                 State::Member(Box::new(raft), asks)
             }
         };
@@ -118,6 +116,7 @@
             disk,
             state,
             joining,
+            losses,
             covered,
             seed,
             timing,
@@ -147,7 +146,7 @@
 
     /// Whether the member takes part in the agreement, so that it applies its own log.
     pub fn agrees(&self) -> bool {
-        self.raft().is_some_and(|raft| raft.members().all().any(|id| *id == self.identity))
+        self.raft().is_some_and(|raft| belongs(raft.members(), &self.identity))
     }
 
     /// Instance that leads, as far as known.
@@ -200,7 +199,7 @@
                 }
                 State::Member(raft, asks) => {
                     // A member that is behind may not know this one yet; asking does no harm.
-                    let unknown = |m: &Members| !m.voters.contains(self.identity.as_str());
+                    let unknown = |members: &Members| !belongs(members, &self.identity);
                     *asks |= raft.leader().is_none() && members.as_ref().is_some_and(unknown);
                 }
             },
@@ -282,7 +281,7 @@
     fn agree(&mut self, sender: &Name, message: Message, now: Millis) {
         let State::Member(raft, asks) = &mut self.state else { return };
         raft.receive(sender, message, now);
-        *asks = *asks && !raft.members().voters.contains(self.identity.as_str());
+        *asks = *asks && !belongs(raft.members(), &self.identity);
     }
 
     fn decided(&mut self, decision: Decision, now: Millis) -> Result<()> {
@@ -299,7 +298,7 @@
                 Members::default()
             }
         };
-        let asks = !members.voters.contains(self.identity.as_str());
+        let asks = !belongs(&members, &self.identity);
         let data = encode(&Machine::default())?;
         let snapshot = Snapshot { index: 0, term: 0, members, data };
         let ready = Ready { snapshot: Some(snapshot.clone()), ..Ready::default() };
@@ -315,36 +314,27 @@
         if instance_of(&identity).as_ref() != Some(from) || !self.leads(now) {
             return;
         }
-        let commit = self.raft().map_or(0, Raft::commit);
-        let joining =
-            self.joining.entry(identity).or_insert(Joining { target: commit, asked: now });
-        joining.asked = now;
+        // One identity of an instance asks at a time; an earlier one has lost its disk.
+        self.joining.retain(|name, _| instance_of(name).as_ref() != Some(from));
+        self.joining.insert(identity, now);
     }
 
-    /// Proposes the next membership for a joining member. The agreement core refuses to make a
-    /// learner a voter before it has caught up; the former identity leaves only then too.
+    /// Proposes the next membership, if it should change.
     fn promote(&mut self, now: Millis) {
         if !self.leads(now) {
             self.joining.clear();
             return;
         }
-        self.joining.retain(|_, joining| now < joining.asked + JOIN_LIMIT);
+        self.joining.retain(|_, asked| now < *asked + JOIN_LIMIT);
         let State::Member(raft, _) = &mut self.state else { return };
-        let joining = self.joining.first_key_value();
-        let joining = joining.map(|(name, joining)| {
-            let filled = raft.matched(name).is_some_and(|index| index >= joining.target);
-            (name.clone(), filled)
-        });
-        if let Some((name, _)) = &joining
-            && raft.members().voters.contains(name.as_str())
-        {
-            self.joining.remove(name.as_str());
-            return;
-        }
-        let lost = raft.silent_voter(now, LOST);
-        let voters = raft.answering(now, RECENT);
-        let next = membership_step(raft.members(), joining.as_ref(), lost.as_ref(), voters);
-        if let Some(next) = next {
+        let group = Group {
+            members: raft.members().clone(),
+            leader: self.identity.clone(),
+            joining: self.joining.keys().cloned().collect(),
+            standing: raft.standings(now),
+            losses: self.losses,
+        };
+        if let Some(next) = group.next() {
             // Refused while an earlier change is open; the next step tries again.
             let _ = raft.propose_members(next, now);
         }
@@ -377,3 +367,8 @@
     let members = saved.snapshot.as_ref().map(|s| s.members.clone()).unwrap_or_default();
     Ok(Raft::new(identity.clone(), members, saved, timing, seed, now)?)
 }
+
+/// Whether an identity votes or learns.
+fn belongs(members: &Members, identity: &Name) -> bool {
+    members.all().any(|member| member == identity)
+}
