Leave the rates of sparse client accounts to delegates near the entries

Cause: with 191 entries and 140 accounts an entry sees 0.04 operations of an account in a second, so nearly every operation asked the control leader's pool: 1,071 renewals a second in the model, and 52% to 75% refused while there was no leader.

Change: coordination::delegates names one entry for twelve in each region; an entry leaves an account to one of them by a hash of the account, the next one if that does not answer, the leader if none does. An entry that sees three operations a second keeps a share of its own. An account of a small burst has one delegate for all regions. Tokens at hand are counted against the burst until they end at their holder ('room'), shares are kept for 7.5 s and told every 1.5 s, and without a leader an operation waits for a share that admits it within 200 ms.

A random schedule of losses, freezes and hand-overs never exceeds burst and rate by more than what was granted within the wait of an operation.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod allotment;
 pub mod assign;
 pub mod dedup;
+pub mod delegates;
 pub mod directory;
 mod error;
 pub mod failover;
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -11,12 +11,13 @@
 
 use auburnlug_coordination::{
     Position,
+    delegates::{self, Delegates},
     holders::{self, Needy, Place},
     leases::{LEASE, Leases},
     pick::{Candidate, Records},
     roster::Roster,
     samples::Samples,
-    share::{Bucket, Limit, SHARE_SPAN, Shares},
+    share::{Bucket, Given, Limit, SHARE_SPAN, Shares},
 };
 use auburnlug_state::Name;
 use proptest::prelude::*;
@@ -93,7 +94,7 @@
         for (entry, demand, wanted, pause) in asks {
             now += pause;
             let share = held.get(&entry).filter(|(_, at)| now < at + SHARE_SPAN).map_or(0.0, |h| h.0);
-            let ask = auburnlug_coordination::share::Ask { demand, share, wanted, spread: None };
+            let ask = auburnlug_coordination::share::Ask { demand, share, room: share, wanted, spread: None };
             let given = shares.renew(&names[entry], &account, limit, ask, now);
             tokens += given.tokens;
             held.insert(entry, (given.share, now));
@@ -108,8 +109,13 @@
 fn a_new_leader_raises_no_share_while_earlier_ones_may_run() {
     let limit = Limit { rate: 100.0, burst: 100.0 };
     let mut shares = Shares::new(1_000, false);
-    let ask =
-        auburnlug_coordination::share::Ask { demand: 90.0, share: 10.0, wanted: 0.0, spread: None };
+    let ask = auburnlug_coordination::share::Ask {
+        demand: 90.0,
+        share: 10.0,
+        room: 4.0,
+        wanted: 0.0,
+        spread: None,
+    };
     let early = shares.renew(&name("a"), &"x".into(), limit, ask, 2_000);
     assert_eq!(early.share, 10.0);
     let late = shares.renew(&name("a"), &"x".into(), limit, ask, 1_000 + SHARE_SPAN + 1_001);
@@ -120,8 +126,13 @@
 fn the_first_leader_spreads_shares_at_once() {
     let limit = Limit { rate: 100.0, burst: 100.0 };
     let mut shares = Shares::new(400, true);
-    let ask =
-        auburnlug_coordination::share::Ask { demand: 90.0, share: 0.0, wanted: 3.0, spread: None };
+    let ask = auburnlug_coordination::share::Ask {
+        demand: 90.0,
+        share: 0.0,
+        room: 0.0,
+        wanted: 3.0,
+        spread: None,
+    };
     let given = shares.renew(&name("a"), &"x".into(), limit, ask, 500);
     assert!(given.share > 60.0);
     assert_eq!(given.tokens, 3.0);
@@ -130,7 +141,7 @@
 #[test]
 fn a_bucket_ends_with_its_share() {
     let mut bucket = Bucket::new(0);
-    let given = auburnlug_coordination::share::Given { share: 10.0, tokens: 0.0, spread: 10.0 };
+    let given = Given { share: 10.0, room: 4.0, tokens: 0.0, spread: 10.0 };
     bucket.give(given, 0, 0);
     assert!(bucket.take(1_000));
     // Empties the bucket after the share has ended.
@@ -315,3 +326,53 @@
     let records = Records::default();
     assert_eq!(records.choose(&candidates(), None, None, 0).as_deref(), Some("p"));
 }
+
+/// Guards against refusals without a leader of what a share admits a moment later.
+#[test]
+fn a_bucket_tells_when_its_share_admits_an_operation() {
+    let mut bucket = Bucket::new(0);
+    assert_eq!(bucket.ready_in(0, 0), None);
+    let share = Given { share: 10.0, room: 4.0, tokens: 0.0, spread: 10.0 };
+    bucket.give(share, 0, 0);
+    assert_eq!(bucket.ready_in(0, 0), Some(100));
+    assert_eq!(bucket.ready_in(2, 0), Some(300));
+    assert_eq!(bucket.ready_in(0, 60), Some(40));
+    assert_eq!(bucket.ready_in(0, SHARE_SPAN), None);
+}
+
+/// Guards against shares that move between entries although nothing was lost, and against a region
+/// whose delegates are all in one failure domain.
+#[test]
+fn delegates_stay_and_are_spread_over_domains() {
+    let list: Vec<(String, &str)> =
+        (0..26).map(|n| (format!("e{n:02}"), if n < 13 { "a" } else { "b" })).collect();
+    let place = |domain: &str| Place { region: "r".into(), domain: domain.into() };
+    let mut entries: BTreeMap<Name, Place> =
+        list.iter().map(|(entry, domain)| (name(entry), place(domain))).collect();
+    let chosen = delegates::choose(&entries, &Delegates::new());
+    let first = &chosen["r"];
+    assert_eq!(first.len(), 3);
+    let domains: BTreeSet<_> = first.iter().map(|name| entries[name].domain.clone()).collect();
+    assert_eq!(domains.len(), 2);
+    entries.insert(name("e"), place("a"));
+    assert_eq!(delegates::choose(&entries, &chosen), chosen);
+    let lost = first.first().unwrap();
+    entries.remove(lost.as_str());
+    let next = delegates::choose(&entries, &chosen);
+    assert_eq!(next["r"].intersection(first).count(), 2);
+    assert_eq!(next["r"].len(), 3);
+}
+
+/// Guards against an account of a small rate that is divided until no part admits anything, and
+/// against entries that disagree.
+#[test]
+fn a_small_account_has_one_delegate_everywhere() {
+    let names = |list: &[&str]| list.iter().map(|text| name(text)).collect();
+    let delegates: Delegates =
+        [("r".into(), names(&["a", "b"])), ("s".into(), names(&["c", "d"]))].into();
+    let (here, there) =
+        (delegates::order(&delegates, "r", "x", 3.0), delegates::order(&delegates, "s", "x", 3.0));
+    assert_eq!(here, there);
+    let large = delegates::order(&delegates, "s", "x", 100.0);
+    assert!(large.iter().all(|name| ["c", "d"].contains(&name.as_str())));
+}
--- a/crates/coordination/tests/share_load.rs
+++ b/crates/coordination/tests/share_load.rs
@@ -131,7 +131,7 @@
             if !entry.waiting.is_empty() {
                 entry.bucket.lack();
             }
-            if let Some(ask) = entry.bucket.ask(now)
+            if let Some(ask) = entry.bucket.ask(now, true)
                 && at < self.cut
             {
                 self.asks.push_back((now + WAY, at, now, ask));
@@ -264,7 +264,7 @@
 fn after_a_restart_of_all_the_pool_has_filled_up_meanwhile() {
     let limit = Limit { rate: 10.0, burst: 10.0 };
     let name = Name::try_from("e").unwrap();
-    let ask = Ask { demand: 0.0, share: 0.0, wanted: 20.0, spread: None };
+    let ask = Ask { demand: 0.0, share: 0.0, room: 0.0, wanted: 20.0, spread: None };
     let tokens = |idle| {
         let mut shares = Shares::new(5_000, false);
         shares.settle(idle, 5_100);
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -6,10 +6,11 @@
 };
 
 use auburnlug_coordination::{
+    delegates::{self, Delegates},
     holders::{self, Holders, Needy, Place},
     leases::{LEASE, Leases},
     roster::Roster,
-    share::{Ask as ShareAsk, HELD, Limit, Shares},
+    share::{Ask as ShareAsk, Given, HELD, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
     Demand, Evidence, FleetGrant, FleetMessage, Held, HolderView, LeadView, Renewal, Share, Update,
@@ -62,6 +63,7 @@
     /// Time since which no replica of a group has received all that its primary has.
     pub(crate) apart: BTreeMap<Arc<str>, Millis>,
     holders: BTreeMap<Arc<str>, Holders>,
+    delegates: Delegates,
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
     members: BTreeSet<Name>,
@@ -92,6 +94,7 @@
     backends: u64,
     leads: u64,
     holders: u64,
+    delegates: u64,
     members: u64,
 }
 
@@ -109,6 +112,8 @@
     unlinked: Option<Millis>,
     /// Whether it stops, so that it should hold no connections.
     leaving: bool,
+    /// Whether it admits operations for entries near it.
+    delegate: bool,
 }
 
 impl EntryState {
@@ -158,6 +163,18 @@
         }
     }
 
+    /// Delegates chosen here, or else by an earlier leader.
+    fn present_delegates(&self) -> Delegates {
+        if self.changed.delegates > 0 {
+            return self.delegates.clone();
+        }
+        let mut delegates = Delegates::new();
+        for (name, entry) in self.entries.iter().filter(|(_, entry)| entry.delegate) {
+            delegates.entry(entry.place.region.clone()).or_default().insert(name.clone());
+        }
+        delegates
+    }
+
     /// Takes a heartbeat; false if a later one has arrived before.
     pub(crate) fn heard(&mut self, beat: &Heartbeat, now: Millis) -> bool {
         let (run, sequence) = (beat.backend.run, beat.sequence);
@@ -181,7 +198,7 @@
             format_args!("term={term} first={first} links={}", self.accepted.len()),
         );
         // The holders stay until they are chosen anew.
-        let parts = Parts { backends: 1, leads: 1, holders: 0, members: 1 };
+        let parts = Parts { backends: 1, leads: 1, holders: 0, delegates: 0, members: 1 };
         let place_at = Some(now + if first { SETTLE } else { INHERIT });
         let published = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
         let known: BTreeSet<Name> = self.fleet().entries.keys().cloned().collect();
@@ -196,6 +213,7 @@
             successions: BTreeMap::new(),
             apart: BTreeMap::new(),
             holders: BTreeMap::new(),
+            delegates: Delegates::new(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
             place_at,
@@ -252,6 +270,7 @@
             renewed: now,
             unlinked: None,
             leaving: renewal.leaving,
+            delegate: renewal.delegate,
         };
         leader.entries.insert(from.clone(), state);
         leader.leases.renew(from, applied, now);
@@ -335,11 +354,11 @@
             let Some(account) = plan.accounts.get(&demand.account) else { continue };
             let Some(rate) = account.rate else { continue };
             let limit = Limit { rate, burst: account.burst };
-            let (share, wanted, spread) = (demand.share, demand.wanted, demand.spread);
-            let ask = ShareAsk { demand: demand.rate, share, wanted, spread };
+            let Demand { share, room, wanted, spread, .. } = *demand;
+            let ask = ShareAsk { demand: demand.rate, share, room, wanted, spread };
             let given = leader.shares.renew(from, &demand.account, limit, ask, now);
-            let (rate, tokens, spread) = (given.share, given.tokens, given.spread);
-            shares.push(Share { account: demand.account.clone(), rate, tokens, spread });
+            let Given { share: rate, room, tokens, spread } = given;
+            shares.push(Share { account: demand.account.clone(), rate, room, tokens, spread });
         }
         shares
     }
@@ -416,6 +435,13 @@
             // Entries that stop still serve what they hold.
             return;
         }
+        let delegates = delegates::choose(&places, &leader.present_delegates());
+        if delegates != leader.delegates || leader.changed.delegates == 0 {
+            log(Event::DelegatesChanged, format_args!("delegates={delegates:?}"));
+            leader.delegates = delegates;
+            leader.index += 1;
+            leader.changed.delegates = leader.index;
+        }
         let chosen = holders::choose(&places, &servers, &leader.regions, &leader.holders);
         for (server, holders) in &chosen {
             if leader.holders.get(server) != Some(holders) {
@@ -426,8 +452,8 @@
             leader.holders = chosen;
             leader.index += 1;
             leader.changed.holders = leader.index;
-            self.update_entries();
         }
+        self.update_entries();
     }
 
     fn update_entries(&mut self) {
@@ -460,6 +486,7 @@
             backends: (parts.backends > sent).then(|| fleet.backends.values().cloned().collect()),
             leads: (parts.leads > sent).then(|| lead_views(fleet)),
             holders: (parts.holders > sent).then(|| holder_views(leader)),
+            delegates: (parts.delegates > sent).then(|| leader.delegates.clone()),
             members: (parts.members > sent).then(|| leader.members.iter().cloned().collect()),
         };
         self.send(link, FleetMessage::Update(Box::new(update)));
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -30,6 +30,7 @@
 };
 
 use crate::{
+    admission::Admission,
     executor::Executor,
     local::{Local, Me},
     metrics::GatewayMetrics,
@@ -128,6 +129,7 @@
     let stop = Rc::new(Stop::default());
     let sessions = Rc::new(Sessions {
         local: local.clone(),
+        admission: Admission::new(local.clone(), relay.clone()),
         router: router.clone(),
         wire: options.caller_wire,
         stop: stop.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! Entries take callers and hold connections to servers; control members agree on configuration,
 //! servers and primaries. One thread serves an instance.
 
+pub mod admission;
 pub mod conn;
 pub mod control;
 pub mod control_handle;
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -7,9 +7,12 @@
     time::Duration,
 };
 
-use auburnlug_coordination::share::{Bucket, Given};
+use auburnlug_coordination::{
+    delegates::{self, Delegates},
+    share::{Bucket, Given},
+};
 use auburnlug_protocol::fleet::{
-    Demand, Evidence, FleetGrant, Held, HolderView, LeadView, Renewal, Update,
+    Demand, Evidence, FleetGrant, Held, HolderView, LeadView, Renewal, Share, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
@@ -31,11 +34,15 @@
 /// milliseconds: an election, and the first renewals after it.
 const LEADER_WAIT: Millis = 900;
 
+/// Longest time that an operation waits for its turn by the entry's own share while no control
+/// leader answers, in milliseconds: half of a short latency objective.
+const SHARE_WAIT: Millis = 200;
+
 /// Time after which a token is asked for again, in milliseconds.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
 /// Operations that may wait for tokens of one client account; later ones are refused at once.
-const TOKEN_QUEUE: u32 = 8;
+const TOKEN_QUEUE: u32 = 24;
 
 /// Age up to which what was seen of a primary is reported, in milliseconds: two renewals.
 const EVIDENCE: Millis = 1_000;
@@ -55,6 +62,8 @@
     pub leads: BTreeMap<Arc<str>, LeadView>,
     /// Entries with connections.
     pub holders: BTreeMap<Arc<str>, Vec<HolderView>>,
+    /// Entries of each region that admit operations for the others.
+    pub delegates: Delegates,
     /// Control members.
     pub members: Vec<Name>,
 }
@@ -183,6 +192,9 @@
         if let Some(holders) = update.holders {
             view.holders = holders;
         }
+        if let Some(delegates) = update.delegates {
+            view.delegates = delegates;
+        }
         if let Some(members) = update.members {
             view.members = members;
         }
@@ -224,8 +236,8 @@
         let mut buckets = self.buckets.borrow_mut();
         for share in &grant.shares {
             if let Some(bucket) = buckets.get_mut(&share.account) {
-                let (rate, tokens, spread) = (share.rate, share.tokens, share.spread);
-                let given = Given { share: rate, tokens, spread };
+                let Share { rate, room, tokens, spread, .. } = *share;
+                let given = Given { share: rate, room, tokens, spread };
                 bucket.give(given, grant.sent, now);
             }
         }
@@ -240,12 +252,16 @@
         if first {
             buckets.values_mut().for_each(Bucket::unreport);
         }
+        buckets.retain(|_, bucket| !bucket.unused(now));
+        let serves = self.serves();
         let demand = buckets.iter_mut().filter_map(|(account, bucket)| {
-            let ask = bucket.ask(now)?;
+            let serves = serves || bucket.dense();
+            let ask = bucket.ask(now, serves)?;
             Some(Demand {
                 account: account.clone(),
                 rate: ask.demand,
                 share: ask.share,
+                room: ask.room,
                 wanted: ask.wanted,
                 spread: ask.spread,
             })
@@ -286,6 +302,7 @@
             evidence: Vec::new(),
             full: false,
             holds: Vec::new(),
+            delegate: self.is_delegate(),
         }
     }
 
@@ -303,17 +320,55 @@
         self.answered.get()
     }
 
-    /// Admits one operation of a client account by its rate. A short wait bridges the way to the
-    /// control leader; what the account's rate does not cover is refused, at once if no leader
-    /// answers.
-    pub async fn admit(&self, account: &str) -> bool {
-        if self.view.borrow().plan.accounts.get(account).is_none_or(|a| a.rate.is_none()) {
-            return true;
-        }
-        if self.take(account, true) {
-            return true;
+    /// Whether the rate of a client account is limited.
+    pub fn limited(&self, account: &str) -> bool {
+        self.view.borrow().plan.accounts.get(account).is_some_and(|plan| plan.rate.is_some())
+    }
+
+    /// Delegates to which this entry leaves an operation of a client account, the preferred one
+    /// first; empty if it admits the account's operations itself.
+    pub fn delegates(&self, account: &str) -> Vec<Name> {
+        let now = self.now();
+        if self.buckets.borrow().get(account).is_some_and(|bucket| bucket.alone(now)) {
+            return Vec::new();
         }
-        if self.now() >= self.answered.get() + UNANSWERED {
+        let view = self.view.borrow();
+        let burst = view.plan.accounts.get(account).map_or(0.0, |plan| plan.burst);
+        let order = delegates::order(&view.delegates, &self.me.region, account, burst);
+        let order = order.into_iter();
+        order.take_while(|name| **name != self.me.name).cloned().collect()
+    }
+
+    fn is_delegate(&self) -> bool {
+        let view = self.view.borrow();
+        let delegates = view.delegates.get(&self.me.region);
+        delegates.is_some_and(|names| names.contains(self.me.name.as_str()))
+    }
+
+    /// Whether this entry admits operations of all client accounts that come to it.
+    fn serves(&self) -> bool {
+        let known =
+            |view: &View| view.delegates.get(&self.me.region).is_some_and(|d| !d.is_empty());
+        self.is_delegate() || !known(&self.view.borrow())
+    }
+
+    /// Notes that an operation was left to a delegate.
+    pub fn pass(&self, account: &str) {
+        let now = self.now();
+        let mut buckets = self.buckets.borrow_mut();
+        buckets.entry(account.into()).or_insert_with(|| Bucket::new(now)).pass(now);
+    }
+
+    /// Admits one operation of a client account by its rate, without a delegate. A short wait
+    /// bridges the way to the control leader; what the account's rate does not cover is refused,
+    /// at once if no leader answers.
+    pub async fn admit(&self, account: &str) -> bool {
+        !self.limited(account) || self.take(account) || self.wait(account).await
+    }
+
+    /// Waits for a token for an operation that found none at hand.
+    pub async fn wait(&self, account: &str) -> bool {
+        if self.now() >= self.answered.get() + UNANSWERED && !self.soon(account) {
             return false;
         }
         let account: Arc<str> = account.into();
@@ -332,6 +387,14 @@
         admitted
     }
 
+    /// Whether the entry's own share admits another operation soon.
+    fn soon(&self, account: &str) -> bool {
+        let ahead = self.waiting.borrow().get(account).copied().unwrap_or(0);
+        let buckets = self.buckets.borrow();
+        let ready = buckets.get(account).and_then(|bucket| bucket.ready_in(ahead, self.now()));
+        ready.is_some_and(|wait| wait <= SHARE_WAIT)
+    }
+
     /// Waits for a token; false if the leader has none to give, or does not answer.
     async fn wait_token(&self, account: &str) -> bool {
         let arrival = self.now();
@@ -347,20 +410,24 @@
             }
             self.renew.notify_one();
             let _ = timeout(ASK_AGAIN, granted).await;
-            if self.take(account, false) {
+            let mut buckets = self.buckets.borrow_mut();
+            if buckets.get_mut(account).is_some_and(|bucket| bucket.take(self.now())) {
                 return true;
             }
         }
     }
 
-    fn take(&self, account: &str, first: bool) -> bool {
+    /// Takes a token that is at hand, for a new operation.
+    pub fn take(&self, account: &str) -> bool {
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
         let bucket = buckets.entry(account.into()).or_insert_with(|| Bucket::new(now));
-        if first {
-            bucket.note();
+        bucket.note();
+        let taken = bucket.take(now);
+        if bucket.low() {
+            self.renew.notify_one();
         }
-        bucket.take(now)
+        taken
     }
 
     /// Rate of a client account and what this entry holds of it, for the log line of a refusal.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 };
 
 use auburnlug_protocol::{
-    fleet::Forward,
+    fleet::{Claimed, Forward},
     job::{Answer, Code, Job, Step},
 };
 use auburnlug_state::{Millis, Name};
@@ -45,6 +45,16 @@
 /// answers ends after two seconds.
 const AVOIDED: Millis = 1_000;
 
+/// Longest wait for a delegate to answer a claim, in milliseconds: several times the way within a
+/// region on loaded links.
+const CLAIM: Duration = Duration::from_millis(100);
+
+/// Longest wait for a delegate that asks the control leader, in milliseconds; longer than it waits.
+const DECISION: Duration = Duration::from_millis(1_200);
+
+/// Answers to one claim.
+const CLAIM_ANSWERS: usize = 2;
+
 /// Where the statements of a transaction run.
 pub enum Place {
     /// On a connection of this entry to the server.
@@ -77,6 +87,7 @@
 struct Peer {
     out: RefCell<Option<mpsc::Sender<Forward>>>,
     pending: RefCell<BTreeMap<u64, oneshot::Sender<Answer>>>,
+    claims: RefCell<BTreeMap<u64, mpsc::Sender<Claimed>>>,
     opened: Notify,
     dialing: Cell<bool>,
     /// Time until which others are preferred.
@@ -171,16 +182,61 @@
     /// Opens the links that jobs are likely to need.
     pub fn prepare(self: &Rc<Self>) {
         let view = self.local.view();
-        let names = view.holders.values().flatten().map(|holder| holder.entry.clone());
-        let names: BTreeSet<Name> = names.filter(|name| *name != self.local.me.name).collect();
+        let holders = view.holders.values().flatten().map(|holder| holder.entry.clone());
+        let mut names: BTreeSet<Name> = holders.collect();
         if names.len() > PREPARED {
-            return;
+            names.clear();
         }
+        names.extend(view.delegates.get(&self.local.me.region).into_iter().flatten().cloned());
+        names.remove(self.local.me.name.as_str());
         for name in names {
             self.peer(&name);
         }
     }
 
+    /// Asks a delegate to admit an operation; `None` if it does not answer.
+    pub async fn claim(self: &Rc<Self>, delegate: &Name, account: &Arc<str>) -> Option<bool> {
+        let sent = self.local.now();
+        let peer = self.peer(delegate);
+        if sent < peer.avoided.get() {
+            return None;
+        }
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let outcome = self.claim_from(&peer, number, account).await;
+        peer.claims.borrow_mut().remove(&number);
+        if outcome.is_none() && peer.heard.get() < sent {
+            peer.avoided.set(self.local.now() + AVOIDED);
+        }
+        outcome
+    }
+
+    async fn claim_from(&self, peer: &Peer, number: u64, account: &Arc<str>) -> Option<bool> {
+        let out = timeout(CLAIM, peer.link()).await.ok()??;
+        let (sender, mut answers) = mpsc::channel(CLAIM_ANSWERS);
+        peer.claims.borrow_mut().insert(number, sender);
+        out.try_send(Forward::Claim { number, account: account.clone() }).ok()?;
+        let mut outcome = timeout(CLAIM, answers.recv()).await.ok()??;
+        if outcome == Claimed::Waits {
+            outcome = timeout(DECISION, answers.recv()).await.ok()??;
+        }
+        Some(outcome == Claimed::Admitted)
+    }
+
+    /// Decides on the claim of another entry.
+    async fn decide(&self, number: u64, account: &str, out: mpsc::Sender<Forward>) {
+        let claimed = |outcome| Forward::Claimed { number, outcome };
+        let answer = if self.local.take(account) {
+            Claimed::Admitted
+        } else {
+            // The entry asks another delegate if the link is lost.
+            let _ = out.send(claimed(Claimed::Waits)).await;
+            let admitted = self.local.wait(account).await;
+            if admitted { Claimed::Admitted } else { Claimed::Refused }
+        };
+        let _ = out.send(claimed(answer)).await;
+    }
+
     /// Entries with connections to the server, the preferred one first.
     fn holders(&self, server: &str) -> Vec<Name> {
         let view = self.local.view();
@@ -245,16 +301,12 @@
                 peer.opened.notify_waiters();
                 while let Some(message) = inbox.recv().await {
                     peer.heard.set(self.local.now());
-                    if let Forward::Answer { number, answer } = message
-                        && let Some(waiter) = peer.pending.borrow_mut().remove(&number)
-                    {
-                        // The caller may have given up.
-                        let _ = waiter.send(*answer);
-                    }
+                    peer.answered(message);
                 }
                 log(Event::HolderLost, format_args!("entry={}", name.as_str()));
                 *peer.out.borrow_mut() = None;
                 peer.pending.borrow_mut().clear();
+                peer.claims.borrow_mut().clear();
             }
         }
         peer.dialing.set(false);
@@ -286,7 +338,13 @@
                         self.executor.roll_back(pin);
                     }
                 }
-                Forward::Answer { .. } => {}
+                Forward::Claim { number, account } => {
+                    let (relay, out) = (self.clone(), out.clone());
+                    tokio::task::spawn_local(async move {
+                        relay.decide(number, &account, out).await;
+                    });
+                }
+                Forward::Answer { .. } | Forward::Claimed { .. } => {}
             }
         }
         let open = std::mem::take(&mut *pins.borrow_mut());
@@ -307,6 +365,23 @@
 }
 
 impl Peer {
+    /// Passes an answer on; the one who waits for it may have given up.
+    fn answered(&self, message: Forward) {
+        match message {
+            Forward::Answer { number, answer } => {
+                if let Some(waiter) = self.pending.borrow_mut().remove(&number) {
+                    let _ = waiter.send(*answer);
+                }
+            }
+            Forward::Claimed { number, outcome } => {
+                if let Some(waiter) = self.claims.borrow().get(&number) {
+                    let _ = waiter.try_send(outcome);
+                }
+            }
+            Forward::Job { .. } | Forward::Drop { .. } | Forward::Claim { .. } => {}
+        }
+    }
+
     /// Waits for the link; `None` if dialing failed.
     async fn link(&self) -> Option<mpsc::Sender<Forward>> {
         loop {
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    admission::Admission,
     local::Local,
     relay::Place,
     router::{Router, Task},
@@ -45,6 +46,8 @@
 pub struct Sessions {
     /// State of the entry.
     pub local: Rc<Local>,
+    /// Rates of client accounts.
+    pub admission: Admission,
     /// Runs statements on servers.
     pub router: Rc<Router>,
     /// Wire protocol of callers.
@@ -454,7 +457,7 @@
 
     /// A refusal, if the rate of the client account does not cover another operation.
     async fn admit(&self) -> Option<Answer> {
-        if self.account.is_empty() || self.shared.local.admit(&self.account).await {
+        if self.account.is_empty() || self.shared.admission.admit(&self.account).await {
             return None;
         }
         let held = self.shared.local.describe(&self.account);
--- a/crates/gateway/tests/local.rs
+++ b/crates/gateway/tests/local.rs
@@ -91,7 +91,7 @@
 }
 
 fn grant(sent: Millis, tokens: f64) -> FleetGrant {
-    let share = Share { account: "a".into(), rate: 0.0, tokens, spread: 0.0 };
+    let share = Share { account: "a".into(), rate: 0.0, room: 0.0, tokens, spread: 0.0 };
     FleetGrant { sent, span: 3_000, index: 1, shares: vec![share], positions: Vec::new() }
 }
 
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use auburnlug_coordination::Position;
+use auburnlug_coordination::{Position, delegates::Delegates};
 use auburnlug_state::{Millis, Name, Term, fleet::Backend};
 use serde::{Deserialize, Serialize};
 
@@ -70,6 +70,9 @@
     /// Servers that it holds, if it tells all.
     #[serde(rename = "h")]
     pub holds: Vec<Held>,
+    /// Whether it admits operations for entries near it.
+    #[serde(rename = "g", default)]
+    pub delegate: bool,
 }
 
 /// A server to which an entry holds connections.
@@ -98,6 +101,9 @@
     /// Share that the entry holds, in operations a second.
     #[serde(rename = "s")]
     pub share: f64,
+    /// Operations that the entry may keep at hand.
+    #[serde(rename = "k", default)]
+    pub room: f64,
     /// Tokens asked for at once.
     #[serde(rename = "w")]
     pub wanted: f64,
@@ -166,6 +172,9 @@
     /// Operations a second.
     #[serde(rename = "r")]
     pub rate: f64,
+    /// Operations that the entry may keep at hand.
+    #[serde(rename = "k", default)]
+    pub room: f64,
     /// Operations that the entry may admit at once besides.
     #[serde(rename = "t")]
     pub tokens: f64,
@@ -189,6 +198,9 @@
     pub leads: Option<BTreeMap<Arc<str>, LeadView>>,
     /// Entries that hold connections to each server, the first holder first.
     pub holders: Option<BTreeMap<Arc<str>, Vec<HolderView>>>,
+    /// Entries of each region that admit operations for the others.
+    #[serde(default)]
+    pub delegates: Option<Delegates>,
     /// Control members.
     pub members: Option<Vec<Name>>,
 }
@@ -241,4 +253,29 @@
         /// Answer.
         answer: Box<Answer>,
     },
+    /// Asks whether the rate of a client account covers an operation.
+    Claim {
+        /// Number chosen by the sender.
+        number: u64,
+        /// Client account.
+        account: Arc<str>,
+    },
+    /// Answer to a claim.
+    Claimed {
+        /// Number of the claim.
+        number: u64,
+        /// Outcome.
+        outcome: Claimed,
+    },
+}
+
+/// Outcome of a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claimed {
+    /// The operation is admitted.
+    Admitted,
+    /// The rate does not cover it.
+    Refused,
+    /// The control leader has been asked; another answer follows.
+    Waits,
 }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -110,6 +110,7 @@
     PromotionAnswered = 712, Info, "order of promotion answered";
     LeadChanged = 713, Info, "leader of a group recorded";
     EntriesRecorded = 714, Info, "entries that may hold leases recorded";
+    DelegatesChanged = 715, Info, "delegates for rates changed";
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
 }
