--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -64,6 +64,7 @@
         source: settings.source,
         links: metrics.links.clone(),
         ping: socket::PING,
+        traffic: socket::PING,
     });
     let http = tokio::net::TcpListener::from_std(bind(settings.http.bind)?)?;
     let callers = settings.callers.map(bind).transpose()?;
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -69,8 +69,19 @@
     pub source: Option<IpAddr>,
     /// Counters of bytes and messages on links.
     pub links: LinkMetrics,
-    /// Time between pings.
+    /// Time between pings on control links.
     pub ping: Duration,
+    /// Time between pings on traffic links.
+    pub traffic: Duration,
+}
+
+impl Identity {
+    fn pace(&self, purpose: Purpose) -> Duration {
+        match purpose {
+            Purpose::Traffic => self.traffic,
+            Purpose::Control => self.ping,
+        }
+    }
 }
 
 /// Opens links for one purpose.
@@ -94,7 +105,8 @@
         Box::pin(async move {
             let dialed = timeout(HANDSHAKE, dial(&identity, purpose, name.clone(), address)).await;
             let Ok(Ok(socket)) = dialed else { return None };
-            Some(spawn(name, socket, &Meters::new(&identity.links, purpose), identity.ping))
+            let pace = identity.pace(purpose);
+            Some(spawn(name, socket, &Meters::new(&identity.links, purpose), Some(pace), pace))
         })
     }
 }
@@ -108,7 +120,7 @@
     pub purpose: Purpose,
     socket: Socket,
     meters: Meters,
-    ping: Duration,
+    pace: Duration,
 }
 
 /// Counters of a link.
@@ -125,9 +137,9 @@
 }
 
 impl Accepted {
-    /// Starts to move messages.
+    /// Starts to move messages. The other end pings, so this one only answers.
     pub fn link<M: Serialize + DeserializeOwned + Send + 'static>(self) -> Link<M> {
-        spawn(self.peer, self.socket, &self.meters, self.ping)
+        spawn(self.peer, self.socket, &self.meters, None, self.pace)
     }
 }
 
@@ -240,7 +252,8 @@
     }
     let meters = Meters::new(&me.links, hello.purpose);
     let (peer, purpose) = (hello.from, hello.purpose);
-    Ok(Accepted { peer, purpose, socket, meters, ping: me.ping })
+    let pace = me.pace(purpose);
+    Ok(Accepted { peer, purpose, socket, meters, pace })
 }
 
 async fn send<T: Serialize>(socket: &mut Socket, message: &T) -> Result<()> {
@@ -260,12 +273,13 @@
     peer: Name,
     socket: Socket,
     meters: &Meters,
+    ping: Option<Duration>,
     pace: Duration,
 ) -> Link<M> {
     let (near, far) = Link::pair(peer.clone(), peer);
     let (sink, stream) = socket.split();
     let Link { out, inbox, .. } = far;
-    let writer = tokio::spawn(write(sink, inbox, meters.outbound.clone(), pace));
+    let writer = tokio::spawn(write(sink, inbox, meters.outbound.clone(), ping));
     let inbound = meters.inbound.clone();
     tokio::spawn(async move {
         read(stream, out, inbound, pace).await;
@@ -278,16 +292,16 @@
     mut sink: SplitSink<Socket, Message>,
     mut inbox: mpsc::Receiver<M>,
     meter: Meter,
-    pace: Duration,
+    ping: Option<Duration>,
 ) {
-    let mut ping = tokio::time::interval(pace);
+    let mut ticks = tokio::time::interval(ping.unwrap_or(PING));
     loop {
         let sent = tokio::select! {
             message = inbox.recv() => {
                 let Some(message) = message else { break };
                 write_batch(&mut sink, message, &mut inbox, &meter).await
             }
-            _ = ping.tick() => sink.send(Message::Ping(Default::default())).await.map_err(Error::from),
+            _ = ticks.tick(), if ping.is_some() => sink.send(Message::Ping(Default::default())).await.map_err(Error::from),
         };
         if sent.is_err() {
             return;
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -46,6 +46,7 @@
             source: None,
             links: Default::default(),
             ping: auburnlug_transport::socket::PING,
+            traffic: auburnlug_transport::socket::PING,
         });
         let address = members[me.as_str()];
         let instance = Instance {
--- a/crates/transport/tests/control_group/mod.rs
+++ b/crates/transport/tests/control_group/mod.rs
@@ -245,6 +245,7 @@
             source: None,
             links: Default::default(),
             ping: auburnlug_transport::socket::PING,
+            traffic: auburnlug_transport::socket::PING,
         });
         let dialer = Dialer::new(identity, Purpose::Control);
         dialer.dial(to.clone(), self.members[to.as_str()]).await.expect("accepted")
@@ -277,6 +278,7 @@
             source: None,
             links: Default::default(),
             ping: auburnlug_transport::socket::PING,
+            traffic: auburnlug_transport::socket::PING,
         });
         let instance = Instance {
             name: me.clone(),
--- a/crates/transport/tests/socket.rs
+++ b/crates/transport/tests/socket.rs
@@ -24,6 +24,7 @@
         source: None,
         links: Default::default(),
         ping: auburnlug_transport::socket::PING,
+        traffic: auburnlug_transport::socket::PING,
     })
 }
 
