Send entries only the servers, leaders and holders that changed, and keep evidence by server

Cause: each change of a server or an entry sent all 60 servers or all holders, 6 to 9 KB, to each of 191 entries, and each grant carried the positions of all groups, also those that only bring a token.

Change: coordination::changes keeps the update in which each value changed last; an entry that was sent an update is sent what came after it, and everything after a new link or an update that did not fit. coordination::evidence keeps what entries report by server. Positions are granted every 250 ms at most.

Tests: a follower that is sent changes at any moment has all values (property); a change of one server of 2,460 tells one value; reports are summed and end.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod acks;
 pub mod allotment;
 pub mod assign;
+pub mod changes;
 pub mod dedup;
 pub mod delegates;
 pub mod directory;
 mod error;
+pub mod evidence;
 pub mod failover;
 mod failover_step;
 pub mod floor;
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -11,7 +11,9 @@
 
 use auburnlug_coordination::{
     Position,
+    changes::Tracked,
     delegates::{self, Delegates},
+    evidence::Reports,
     holders::{self, Needy, Place},
     leases::{LEASE, Leases},
     pick::{Candidate, Records},
@@ -20,7 +22,7 @@
     share::{Bucket, Given, Limit, SHARE_SPAN, Shares},
 };
 use auburnlug_state::Name;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
@@ -376,3 +378,70 @@
     let large = delegates::order(&delegates, "s", "x", 100.0);
     assert!(large.iter().all(|name| ["c", "d"].contains(&name.as_str())));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: RngSeed::Fixed(9), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a view that differs from the leader's after updates that tell only changes,
+    /// also at a follower that missed some of them.
+    #[test]
+    fn a_follower_that_is_sent_changes_has_all_values(
+        steps in prop::collection::vec((0_usize..700, 0_u8..4, any::<bool>()), 1..300),
+    ) {
+        let mut tracked = Tracked::new();
+        let mut values: BTreeMap<Arc<str>, u8> = BTreeMap::new();
+        let mut follower: BTreeMap<Arc<str>, u8> = BTreeMap::new();
+        let (mut sent, mut index) = (0, 0);
+        for (key, value, tells) in steps {
+            index += 1;
+            let key: Arc<str> = key.to_string().into();
+            match value {
+                0 => drop(values.remove(&key)),
+                _ => drop(values.insert(key, value)),
+            }
+            tracked.replace(values.clone(), index);
+            if tells {
+                if let Some(changes) = tracked.since(sent) {
+                    changes.apply(&mut follower);
+                }
+                sent = index;
+                prop_assert_eq!(&follower, &values);
+            }
+        }
+    }
+}
+
+/// Guards against updates whose size grows with the fleet: a change of one server of 2,460 is told
+/// to each of 700 entries.
+#[test]
+fn a_follower_is_sent_only_what_changed() {
+    let mut values: BTreeMap<Arc<str>, u32> =
+        (0..2_460).map(|n| (format!("s{n}").into(), n)).collect();
+    let mut tracked = Tracked::new();
+    tracked.replace(values.clone(), 1);
+    values.insert("s7".into(), 0);
+    values.remove("s9");
+    tracked.replace(values, 2);
+    let changes = tracked.since(1).unwrap();
+    assert!(!changes.whole);
+    assert_eq!((changes.set.len(), changes.gone.len()), (1, 1));
+    assert_eq!(tracked.since(2), None);
+    assert!(tracked.since(0).unwrap().whole);
+}
+
+/// Guards against a primary that is given up because old reports count, or is kept because newer
+/// ones do not.
+#[test]
+fn reports_on_a_primary_are_summed_and_end() {
+    let mut reports = Reports::default();
+    reports.add(&"s".into(), &name("a"), Some(900), 0, 1_000);
+    reports.add(&"s".into(), &name("b"), Some(700), 2, 1_100);
+    reports.add(&"s".into(), &name("c"), None, 1, 1_500);
+    assert_eq!(reports.answered("s"), 900);
+    assert_eq!(reports.stalled("s", 1_600), 3);
+    assert_eq!(reports.stalled("s", 2_200), 1);
+    reports.add(&"s".into(), &name("c"), Some(1_700), 0, 1_800);
+    assert_eq!((reports.answered("s"), reports.stalled("s", 1_800)), (1_700, 2));
+    reports.retain(|server| server != "s");
+    assert_eq!(reports.answered("s"), 0);
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -489,7 +489,8 @@
         for (to, message) in work.messages {
             self.send_member(&to, message);
         }
-        let before = self.leader.is_some().then(|| self.machine.fleet.clone());
+        let entries = work.committed.iter().any(changes_entries);
+        let before = self.fleet().plan.version;
         if let Some(machine) = work.machine
             && machine.index >= self.machine.index
         {
@@ -505,11 +506,11 @@
             self.metrics.version.set(self.fleet().plan.version);
         }
         self.check_leadership();
-        if let (Some(before), true) = (before, committed) {
-            self.fleet_changed(&before);
-            if before.entries != self.machine.fleet.entries {
-                self.entries_recorded();
-            }
+        if committed {
+            self.fleet_changed(before);
+        }
+        if entries {
+            self.entries_recorded();
         }
         Ok(())
     }
@@ -565,6 +566,10 @@
     }
 }
 
+fn changes_entries(entry: &Entry) -> bool {
+    matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Entries { .. })))
+}
+
 fn log_applied(change: &FleetChange, applied: Option<&Applied>) {
     let outcome = applied.map_or("none", |applied| match applied {
         Applied::Done => "in_force",
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -6,18 +6,21 @@
 };
 
 use auburnlug_coordination::{
+    changes::Tracked,
     delegates::{self, Delegates},
+    evidence::Reports,
     holders::{self, Holders, Needy, Place},
     leases::{LEASE, Leases},
     roster::Roster,
     share::{Ask as ShareAsk, Given, HELD, Limit, Shares},
 };
 use auburnlug_protocol::fleet::{
-    Demand, Evidence, FleetGrant, FleetMessage, Held, HolderView, LeadView, Renewal, Share, Update,
+    Demand, Evidence, FleetGrant, FleetMessage, Held, HolderView, LeadView, PositionSample,
+    Renewal, Share, Update,
 };
 use auburnlug_state::{
     Millis, Name, Term,
-    fleet::{Fleet, FleetChange, Run},
+    fleet::{Backend, Fleet, FleetChange, Run},
 };
 use auburnlug_transport::event::{Event, log};
 
@@ -41,6 +44,10 @@
 /// Time between two heartbeats of a server after which it counts as silent, in milliseconds.
 const SILENT: Millis = 5_000;
 
+/// Least time between two grants with positions to an entry, in milliseconds: they are longer than
+/// the rest, and a grant may come for each token that an entry lacks.
+const POSITIONS: Millis = 250;
+
 /// Time in which changes of the entries are gathered before holders are chosen, in milliseconds.
 const SETTLE: Millis = 50;
 
@@ -57,13 +64,12 @@
     pub(crate) leases: Leases,
     pub(crate) entries: BTreeMap<Name, EntryState>,
     pub(crate) heard: BTreeMap<Arc<str>, Heard>,
-    pub(crate) evidence: BTreeMap<(Arc<str>, Name), Witness>,
+    pub(crate) reports: Reports,
     pub(crate) monitors: BTreeMap<Arc<str>, Monitor>,
     pub(crate) successions: BTreeMap<Arc<str>, Succession>,
     /// Time since which no replica of a group has received all that its primary has.
     pub(crate) apart: BTreeMap<Arc<str>, Millis>,
     holders: BTreeMap<Arc<str>, Holders>,
-    delegates: Delegates,
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
     members: BTreeSet<Name>,
@@ -83,18 +89,19 @@
     absent: BTreeMap<Name, Millis>,
     /// Number of the newest update.
     pub(crate) index: u64,
-    changed: Parts,
+    view: Published,
     /// Update from which on entries know the present leader of each group.
     pub(crate) published: BTreeMap<Arc<str>, u64>,
 }
 
-/// Number of the update in which each part of the view changed last.
-#[derive(Debug, Clone, Copy, Default)]
-struct Parts {
-    backends: u64,
-    leads: u64,
-    holders: u64,
-    delegates: u64,
+/// View of the fleet as entries are sent it.
+#[derive(Debug, Default)]
+struct Published {
+    backends: Tracked<Backend>,
+    leads: Tracked<LeadView>,
+    holders: Tracked<Vec<HolderView>>,
+    delegates: Tracked<BTreeSet<Name>>,
+    /// Update in which the control members changed.
     members: u64,
 }
 
@@ -108,6 +115,8 @@
     /// Version of the configuration that it has once it has all updates of this link.
     version: u64,
     renewed: Millis,
+    /// Time of the last grant with positions.
+    positioned: Millis,
     /// Time since which it has no link here.
     unlinked: Option<Millis>,
     /// Whether it stops, so that it should hold no connections.
@@ -137,21 +146,10 @@
     silent: bool,
 }
 
-/// What an entry last said of a primary.
-#[derive(Debug, Clone)]
-pub(crate) struct Witness {
-    pub(crate) server: Arc<str>,
-    /// Time of the primary's last answer to it, on this clock.
-    pub(crate) answered: Millis,
-    pub(crate) stalled: u32,
-    /// Time of the report.
-    pub(crate) at: Millis,
-}
-
 impl Leader {
     /// Takes over what an entry was given by an earlier leader, until holders are chosen here.
     fn inherit(&mut self, from: &Name, holds: Vec<Held>) {
-        if self.changed.holders > 0 {
+        if self.view.holders.known() {
             return;
         }
         for held in holds {
@@ -165,8 +163,8 @@
 
     /// Delegates chosen here, or else by an earlier leader.
     fn present_delegates(&self) -> Delegates {
-        if self.changed.delegates > 0 {
-            return self.delegates.clone();
+        if self.view.delegates.known() {
+            return self.view.delegates.values().clone();
         }
         let mut delegates = Delegates::new();
         for (name, entry) in self.entries.iter().filter(|(_, entry)| entry.delegate) {
@@ -197,8 +195,10 @@
             Event::LeaderElected,
             format_args!("term={term} first={first} links={}", self.accepted.len()),
         );
-        // The holders stay until they are chosen anew.
-        let parts = Parts { backends: 1, leads: 1, holders: 0, delegates: 0, members: 1 };
+        // The holders and delegates stay until they are chosen anew.
+        let mut view = Published { members: 1, ..Published::default() };
+        view.backends.replace(self.fleet().backends.clone(), 1);
+        view.leads.replace(lead_views(self.fleet()), 1);
         let place_at = Some(now + if first { SETTLE } else { INHERIT });
         let published = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
         let known: BTreeSet<Name> = self.fleet().entries.keys().cloned().collect();
@@ -208,12 +208,11 @@
             leases: Leases::new(now, known.clone()),
             entries: BTreeMap::new(),
             heard: BTreeMap::new(),
-            evidence: BTreeMap::new(),
+            reports: Reports::default(),
             monitors: BTreeMap::new(),
             successions: BTreeMap::new(),
             apart: BTreeMap::new(),
             holders: BTreeMap::new(),
-            delegates: Delegates::new(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
             place_at,
@@ -224,7 +223,7 @@
             roster: Roster::new(),
             absent: BTreeMap::new(),
             index: 1,
-            changed: parts,
+            view,
             published,
         });
         let links: Vec<u64> = self.accepted.keys().copied().collect();
@@ -256,6 +255,7 @@
         let known = leader.entries.get(from.as_str());
         let applied_here = known.is_some_and(|e| e.link == link);
         let joined = known.is_none_or(|e| e.run != renewal.run || e.leaving != renewal.leaving);
+        let positioned = known.filter(|_| applied_here).map_or(0, |e| e.positioned);
         // What an entry applied of another leader's updates counts for nothing here.
         let known = known.filter(|e| e.link == link && e.run == renewal.run && !renewal.unfit);
         let (sent, version) =
@@ -268,6 +268,7 @@
             sent,
             version,
             renewed: now,
+            positioned,
             unlinked: None,
             leaving: renewal.leaving,
             delegate: renewal.delegate,
@@ -290,13 +291,24 @@
         }
         self.update_entry(from);
         let shares = self.share(from, &renewal.demand, now);
+        let positions = self.due_positions(from, now);
         let Some(leader) = &self.leader else { return };
-        let positions = self.positions(now);
         let index = leader.index;
         let grant = FleetGrant { sent: renewal.sent, span: LEASE, index, shares, positions };
         self.send(link, FleetMessage::Grant(Box::new(grant)));
     }
 
+    /// Positions of primaries for a grant, unless the entry was told some just before.
+    fn due_positions(&mut self, entry: &Name, now: Millis) -> Vec<PositionSample> {
+        let Some(leader) = &mut self.leader else { return Vec::new() };
+        let Some(state) = leader.entries.get_mut(entry.as_str()) else { return Vec::new() };
+        if now < state.positioned + POSITIONS {
+            return Vec::new();
+        }
+        state.positioned = now;
+        self.positions(now)
+    }
+
     /// Records entries that joined or left; one change is under way at a time.
     fn record_entries(&mut self, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
@@ -340,9 +352,8 @@
     fn witness(&mut self, from: &Name, evidence: Vec<Evidence>, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
         for seen in evidence {
-            let answered = seen.answered.map_or(0, |age| now.saturating_sub(age));
-            let witness = Witness { server: seen.server, answered, stalled: seen.stalled, at: now };
-            leader.evidence.insert((seen.group, from.clone()), witness);
+            let answered = seen.answered.map(|age| now.saturating_sub(age));
+            leader.reports.add(&seen.server, from, answered, seen.stalled, now);
         }
     }
 
@@ -373,26 +384,19 @@
         }
     }
 
-    /// Notes what committed changes altered in the view and sends it.
-    pub(crate) fn fleet_changed(&mut self, before: &Fleet) {
-        let after = self.machine.fleet.clone();
+    /// Notes what committed changes altered in the view, and sends it. `before` is the version of
+    /// the configuration that was in force.
+    pub(crate) fn fleet_changed(&mut self, before: u64) {
+        let fleet = &self.machine.fleet;
         let Some(leader) = &mut self.leader else { return };
         let next = leader.index + 1;
-        let mut changed = before.plan.version != after.plan.version;
-        if before.backends != after.backends {
-            leader.changed.backends = next;
-            changed = true;
-        }
-        if before.leads != after.leads {
-            leader.changed.leads = next;
-            changed = true;
-            for (group, lead) in &after.leads {
-                if before.leads.get(group) != Some(lead) {
-                    leader.published.insert(group.clone(), next);
-                }
-            }
+        let backends = leader.view.backends.replace(fleet.backends.clone(), next);
+        let leads = leader.view.leads.replace(lead_views(fleet), next);
+        if !backends.is_empty() {
+            leader.reports.retain(|server| fleet.backends.contains_key(server));
         }
-        if changed {
+        if before != fleet.plan.version || !backends.is_empty() || !leads.is_empty() {
+            leader.published.extend(leads.into_iter().map(|group| (group, next)));
             leader.index = next;
             self.place_holders();
             self.update_entries();
@@ -435,12 +439,12 @@
             // Entries that stop still serve what they hold.
             return;
         }
+        let next = leader.index + 1;
         let delegates = delegates::choose(&places, &leader.present_delegates());
-        if delegates != leader.delegates || leader.changed.delegates == 0 {
+        let moved = !leader.view.delegates.replace(delegates, next).is_empty();
+        if moved {
+            let delegates = leader.view.delegates.values();
             log(Event::DelegatesChanged, format_args!("delegates={delegates:?}"));
-            leader.delegates = delegates;
-            leader.index += 1;
-            leader.changed.delegates = leader.index;
         }
         let chosen = holders::choose(&places, &servers, &leader.regions, &leader.holders);
         for (server, holders) in &chosen {
@@ -448,12 +452,13 @@
                 log(Event::HoldersChanged, format_args!("server={server} holders={holders:?}"));
             }
         }
-        if chosen != leader.holders || leader.changed.holders == 0 {
-            leader.holders = chosen;
-            leader.index += 1;
-            leader.changed.holders = leader.index;
+        leader.holders = chosen;
+        let views = holder_views(leader);
+        let changed = leader.view.holders.replace(views, next);
+        if moved || !changed.is_empty() {
+            leader.index = next;
+            self.update_entries();
         }
-        self.update_entries();
     }
 
     fn update_entries(&mut self) {
@@ -466,10 +471,9 @@
 
     /// Sends an entry what changed since its last update.
     fn update_entry(&mut self, name: &Name) {
-        let fleet = &self.machine.fleet;
         let Some(leader) = &mut self.leader else { return };
         let Some(entry) = leader.entries.get_mut(name.as_str()) else { return };
-        let (sent, parts) = (entry.sent, leader.changed);
+        let (sent, view) = (entry.sent, &leader.view);
         if sent >= leader.index {
             return;
         }
@@ -483,11 +487,11 @@
             index: leader.index,
             term: leader.term,
             plan,
-            backends: (parts.backends > sent).then(|| fleet.backends.values().cloned().collect()),
-            leads: (parts.leads > sent).then(|| lead_views(fleet)),
-            holders: (parts.holders > sent).then(|| holder_views(leader)),
-            delegates: (parts.delegates > sent).then(|| leader.delegates.clone()),
-            members: (parts.members > sent).then(|| leader.members.iter().cloned().collect()),
+            backends: view.backends.since(sent),
+            leads: view.leads.since(sent),
+            holders: view.holders.since(sent),
+            delegates: view.delegates.since(sent),
+            members: (view.members > sent).then(|| leader.members.iter().cloned().collect()),
         };
         self.send(link, FleetMessage::Update(Box::new(update)));
     }
@@ -498,7 +502,7 @@
         if leader.members != instances {
             leader.members = instances;
             leader.index += 1;
-            leader.changed.members = leader.index;
+            leader.view.members = leader.index;
             self.update_entries();
         }
         let Some(leader) = &mut self.leader else { return };
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -193,20 +193,13 @@
         let Some(leader) = &self.leader else { return Watch::default() };
         let monitor = leader.monitors.get(primary);
         let beat = leader.heard.get(primary).map_or(0, |heard| heard.at);
-        let of =
-            |(key, _): &(&(Arc<str>, auburnlug_state::Name), &crate::control_lead::Witness)| {
-                key.0 == *group
-            };
-        let reports =
-            || leader.evidence.iter().filter(of).map(|(_, w)| w).filter(|w| w.server == *primary);
-        let seen = reports().map(|witness| witness.answered).max().unwrap_or(0);
+        let seen = leader.reports.answered(primary);
         let last = beat.max(seen).max(monitor.map_or(0, |m| m.answered)).max(leader.since);
-        let recent = reports().filter(|w| now < w.at + REACHABLE);
         Watch {
             draining,
             silent: now.saturating_sub(last),
             refused: monitor.map_or(0, |m| m.refused),
-            stalled: recent.map(|w| w.stalled).sum(),
+            stalled: leader.reports.stalled(primary, now),
             apart: leader.apart.get(group).map_or(0, |since| now.saturating_sub(*since)),
             unanswered: monitor.map_or(0, |m| m.unanswered),
         }
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -184,16 +184,16 @@
             view.plan = plan;
         }
         if let Some(backends) = update.backends {
-            view.backends = backends.into_iter().map(|b| (b.id.clone(), b)).collect();
+            backends.apply(&mut view.backends);
         }
         if let Some(leads) = update.leads {
-            view.leads = leads;
+            leads.apply(&mut view.leads);
         }
         if let Some(holders) = update.holders {
-            view.holders = holders;
+            holders.apply(&mut view.holders);
         }
         if let Some(delegates) = update.delegates {
-            view.delegates = delegates;
+            delegates.apply(&mut view.delegates);
         }
         if let Some(members) = update.members {
             view.members = members;
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -2,9 +2,9 @@
 //!
 //! The names of fields on the wire are short: entries may have links of 2 Mbit/s.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc};
 
-use auburnlug_coordination::{Position, delegates::Delegates};
+use auburnlug_coordination::{Position, changes::Changes};
 use auburnlug_state::{Millis, Name, Term, fleet::Backend};
 use serde::{Deserialize, Serialize};
 
@@ -193,14 +193,14 @@
     /// Changes of the configuration.
     pub plan: Option<Arc<PlanPart>>,
     /// Servers.
-    pub backends: Option<Vec<Backend>>,
+    pub backends: Option<Changes<Backend>>,
     /// Leaders of groups.
-    pub leads: Option<BTreeMap<Arc<str>, LeadView>>,
+    pub leads: Option<Changes<LeadView>>,
     /// Entries that hold connections to each server, the first holder first.
-    pub holders: Option<BTreeMap<Arc<str>, Vec<HolderView>>>,
+    pub holders: Option<Changes<Vec<HolderView>>>,
     /// Entries of each region that admit operations for the others.
     #[serde(default)]
-    pub delegates: Option<Delegates>,
+    pub delegates: Option<Changes<BTreeSet<Name>>>,
     /// Control members.
     pub members: Option<Vec<Name>>,
 }
