Dial control members that are named at once, and tell entries all positions of primaries

And an entry was told one position of each primary in 500 ms, while the leader asks every 250 ms: the floor of a read was up to 750 ms younger than the accepted age, and replicas that lag within it were passed over.

Change: a member that is not known yet is dialed at once; a grant carries all positions since the last one.

--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -305,8 +305,8 @@
         if now < state.positioned + POSITIONS {
             return Vec::new();
         }
-        state.positioned = now;
-        self.positions(now)
+        let since = std::mem::replace(&mut state.positioned, now);
+        self.positions(since, now)
     }
 
     /// Records entries that joined or left; one change is under way at a time.
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -1,7 +1,7 @@
 //! Watches primaries and has them replaced: probes of servers, steps of a succession, the order.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -33,6 +33,9 @@
 /// Longest time for the answer to a question, in milliseconds. A loaded server queues it.
 const ANSWER: Duration = Duration::from_millis(450);
 
+/// Statuses of a server that are kept: those of one renewal of an entry that is late.
+const SAMPLES: usize = 4;
+
 /// A server that has answered in this time counts as reachable, in milliseconds.
 const REACHABLE: Millis = 1_000;
 
@@ -55,6 +58,8 @@
     unanswered: u32,
     /// Last status with the time of the question.
     status: Option<(Status, Millis)>,
+    /// Last statuses, oldest first, each with the times of the question and of the answer.
+    recent: VecDeque<(Status, Millis, Millis)>,
     /// Term up to which it was paused or demoted.
     fenced: Term,
     /// Whether it is paused and has to be resumed once a successor leads.
@@ -205,21 +210,25 @@
         }
     }
 
-    /// Positions that the primaries in force reported, with their age.
-    pub(crate) fn positions(&self, now: Millis) -> Vec<PositionSample> {
+    /// Positions that the primaries in force reported after `since`, with their age. An entry that
+    /// is told all of them finds one for each accepted age that replicas are likely to have.
+    pub(crate) fn positions(&self, since: Millis, now: Millis) -> Vec<PositionSample> {
         let Some(leader) = &self.leader else { return Vec::new() };
         let leads = self.fleet().leads.iter();
-        let sample = |(group, lead): (&Arc<str>, &Lead)| {
-            let monitor = leader.monitors.get(lead.primary.as_ref()?)?;
-            let (status, asked) = monitor.status?;
-            let leads = status.leads && status.term == lead.term;
-            leads.then(|| PositionSample {
+        let samples = |(group, lead): (&Arc<str>, &Lead)| {
+            let monitor = lead.primary.as_ref().and_then(|id| leader.monitors.get(id));
+            let recent = monitor.into_iter().flat_map(|monitor| &monitor.recent);
+            let (group, term) = (group.clone(), lead.term);
+            let valid = recent.filter(move |(status, _, answered)| {
+                status.leads && status.term == term && *answered > since
+            });
+            valid.map(move |(status, asked, _)| PositionSample {
                 group: group.clone(),
-                age: now.saturating_sub(asked),
+                age: now.saturating_sub(*asked),
                 position: status.received,
             })
         };
-        leads.filter_map(sample).collect()
+        leads.flat_map(samples).collect()
     }
 
     /// Resumes paused servers and demotes former primaries once a successor leads.
@@ -460,6 +469,10 @@
         monitor.unanswered = 0;
         if let Some(status) = status {
             monitor.status = Some((status, monitor.asked));
+            monitor.recent.push_back((status, monitor.asked, now));
+            if monitor.recent.len() > SAMPLES {
+                monitor.recent.pop_front();
+            }
         }
         if refused.is_none() {
             match action {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -340,11 +340,15 @@
                 return true;
             }
             FleetMessage::NotLeader(members) => {
+                // The one that leads may be a member that is not linked yet.
+                let before = self.known.len();
                 self.known.extend(members);
+                let found = self.known.len() > before;
                 if self.granter.as_ref() == Some(&name) {
                     self.granter = None;
                     return true;
                 }
+                return found && !self.local.leased();
             }
             FleetMessage::Member(_) | FleetMessage::Renew(_) => {}
         }
