Spread large accounts over several delegates, and ask other regions before giving up

A delegate without a leader and without a token says so, and the next one is asked. Without a leader an operation waits up to 700 ms for its turn by the share, and is refused at once beyond that.

Ruled out: keeping all tokens at the preferred delegate and asking in other regions only.

--- a/crates/coordination/src/delegates.rs
+++ b/crates/coordination/src/delegates.rs
@@ -60,26 +60,51 @@
 /// of them less than the operations that come together.
 const DIVIDED: f64 = 12.0;
 
-/// Delegates that an entry asks before it turns to the control leader.
-const TRIES: usize = 2;
+/// Burst for which one delegate more shares an account in a region. With several delegates, a cut
+/// that separates some from their entries leaves others on each side.
+const SHARED: f64 = 4.0;
 
-/// Delegates that an entry in `region` asks for an operation of a client account with this burst,
-/// the preferred one first. The order is the same at all entries.
+/// Delegates that an entry asks before it turns to the control leader: those near it, and some in
+/// other regions.
+const TRIES: usize = 4;
+
+/// Delegates that the entry `me` in `region` asks for an operation of a client account with this
+/// burst, the preferred one first.
+///
+/// The entries of a region spread a large account over several delegates, each entry with the same
+/// one first. After those of its region an entry asks those of other regions.
 pub fn order<'a>(
     delegates: &'a Delegates,
-    region: &str,
+    (region, me): (&str, &Name),
     account: &str,
     burst: f64,
 ) -> Vec<&'a Name> {
-    let divided = burst >= DIVIDED;
-    let usable = delegates.iter().filter(|(name, _)| !divided || ***name == *region);
-    let weight = |name: &&Name| {
-        let mut hasher = DefaultHasher::new();
-        (account, name.as_str()).hash(&mut hasher);
-        Reverse(hasher.finish())
+    let ranked = |names: &mut Vec<&'a Name>| names.sort_by_cached_key(|n| rank(account, n));
+    if burst < DIVIDED {
+        let mut names: Vec<&Name> = delegates.values().flatten().collect();
+        ranked(&mut names);
+        names.truncate(TRIES);
+        return names;
+    }
+    let count = (burst / delegates.len() as f64 / SHARED) as usize;
+    let serving = |names: &'a BTreeSet<Name>| {
+        let mut names: Vec<&Name> = names.iter().collect();
+        ranked(&mut names);
+        names.truncate(count.max(1));
+        let first = rank(account, me).0 as usize % names.len().max(1);
+        names.rotate_left(first);
+        names
     };
-    let mut names: Vec<&Name> = usable.flat_map(|(_, names)| names).collect();
-    names.sort_by_cached_key(weight);
+    let near = delegates.get(region).map(serving).unwrap_or_default();
+    let others = delegates.iter().filter(|(name, _)| ***name != *region);
+    let far = others.filter_map(|(_, names)| serving(names).first().copied());
+    let mut names: Vec<&Name> = near.into_iter().take(TRIES / 2).chain(far).collect();
     names.truncate(TRIES);
     names
 }
+
+fn rank(account: &str, name: &Name) -> Reverse<u64> {
+    let mut hasher = DefaultHasher::new();
+    (account, name.as_str()).hash(&mut hasher);
+    Reverse(hasher.finish())
+}
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -35,8 +35,8 @@
 const LEADER_WAIT: Millis = 900;
 
 /// Longest time that an operation waits for its turn by the entry's own share while no control
-/// leader answers, in milliseconds: half of a short latency objective.
-const SHARE_WAIT: Millis = 200;
+/// leader answers, in milliseconds: a usual latency objective with some room for the statement.
+const SHARE_WAIT: Millis = 700;
 
 /// Time after which a token is asked for again, in milliseconds.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
@@ -339,7 +339,8 @@
         }
         let view = self.view.borrow();
         let burst = view.plan.accounts.get(account).map_or(0.0, |plan| plan.burst);
-        let order = delegates::order(&view.delegates, &self.me.region, account, burst);
+        let me = (&*self.me.region, &self.me.name);
+        let order = delegates::order(&view.delegates, me, account, burst);
         let order = order.into_iter();
         order.take_while(|name| **name != self.me.name).cloned().collect()
     }
@@ -373,7 +374,7 @@
 
     /// Waits for a token for an operation that found none at hand.
     pub async fn wait(&self, account: &str) -> bool {
-        if self.now() >= self.answered.get() + UNANSWERED && !self.soon(account) {
+        if self.unable(account) {
             return false;
         }
         let account: Arc<str> = account.into();
@@ -392,6 +393,11 @@
         admitted
     }
 
+    /// Whether no control leader answers, and the entry's own share admits no operation soon.
+    pub fn unable(&self, account: &str) -> bool {
+        self.now() >= self.answered.get() + UNANSWERED && !self.soon(account)
+    }
+
     /// Whether the entry's own share admits another operation soon.
     fn soon(&self, account: &str) -> bool {
         let ahead = self.waiting.borrow().get(account).copied().unwrap_or(0);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Asks a delegate to admit an operation; `None` if it does not answer.
+    /// Asks a delegate to admit an operation; `None` if it does not answer, or cannot tell.
     pub async fn claim(self: &Rc<Self>, delegate: &Name, account: &Arc<str>) -> Option<bool> {
         let sent = self.local.now();
         let peer = self.peer(delegate);
@@ -220,7 +220,11 @@
         if outcome == Claimed::Waits {
             outcome = timeout(DECISION, answers.recv()).await.ok()??;
         }
-        Some(outcome == Claimed::Admitted)
+        match outcome {
+            Claimed::Admitted => Some(true),
+            Claimed::Refused => Some(false),
+            Claimed::Unable | Claimed::Waits => None,
+        }
     }
 
     /// Decides on the claim of another entry.
@@ -228,6 +232,8 @@
         let claimed = |outcome| Forward::Claimed { number, outcome };
         let answer = if self.local.take(account) {
             Claimed::Admitted
+        } else if self.local.unable(account) {
+            Claimed::Unable
         } else {
             // The entry asks another delegate if the link is lost.
             let _ = out.send(claimed(Claimed::Waits)).await;
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -277,6 +277,8 @@
     Admitted,
     /// The rate does not cover it.
     Refused,
+    /// No control leader answers, and what is at hand does not cover it.
+    Unable,
     /// The control leader has been asked; another answer follows.
     Waits,
 }
