--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -15,7 +15,7 @@
     delegates::{self, Delegates},
     evidence::Reports,
     holders::{self, Needy, Place},
-    leases::{LEASE, Leases},
+    leases::{LEASE, Leases, applied},
     pick::{Candidate, Records},
     roster::Roster,
     samples::Samples,
@@ -461,3 +461,70 @@
     reports.retain(|server| server != "s");
     assert_eq!(reports.answered("s"), 0);
 }
+
+fn holders(list: &[(&str, &[&str])]) -> BTreeMap<Arc<str>, BTreeSet<Name>> {
+    let names = |entries: &[&str]| entries.iter().map(|entry| name(entry)).collect();
+    list.iter().map(|(server, entries)| ((*server).into(), names(entries))).collect()
+}
+
+/// Guards against a promotion that waits for the lease of every entry that is lost at that moment:
+/// with hundreds of entries there is often one.
+#[test]
+fn a_promotion_waits_only_for_entries_that_may_hold_the_primary() {
+    let mut leases = Leases::new(0, BTreeSet::new());
+    for entry in ["a", "b", "c"] {
+        leases.renew(&name(entry), 1, 1_000);
+    }
+    leases.place(holders(&[("p", &["a"]), ("q", &["b"])]), 2);
+    // No entry has told what it holds by earlier updates.
+    assert!(!leases.released("p", 3, 1_100));
+    leases.tell(&name("a"), ["p".into()]);
+    leases.tell(&name("b"), ["q".into()]);
+    leases.tell(&name("c"), []);
+    assert!(!leases.released("p", 3, 1_200));
+    leases.renew(&name("a"), 3, 1_300);
+    assert!(leases.released("p", 3, 1_300));
+    assert!(!leases.in_force(3, 1_300));
+    assert!(!leases.released("q", 3, 1_300));
+    assert!(leases.released("q", 3, 1_000 + LEASE + 200));
+}
+
+/// Guards against statements at a replaced primary by an entry that was its holder before: it uses
+/// the server until it has the update that names others.
+#[test]
+fn a_former_holder_is_waited_for_until_it_knows() {
+    let mut leases = Leases::new(0, BTreeSet::new());
+    for entry in ["a", "b"] {
+        leases.renew(&name(entry), 1, 1_000);
+        leases.tell(&name(entry), []);
+    }
+    leases.place(holders(&[("p", &["a"])]), 2);
+    leases.place(holders(&[("p", &["b"])]), 4);
+    leases.renew(&name("b"), 5, 1_100);
+    assert!(!leases.released("p", 5, 1_100));
+    leases.renew(&name("a"), 3, 1_200);
+    assert!(!leases.released("p", 5, 1_200));
+    leases.renew(&name("a"), 4, 1_300);
+    assert!(leases.released("p", 5, 1_300));
+}
+
+/// Guards against a holder by an earlier leader that this one has placed elsewhere before it told.
+#[test]
+fn a_holder_that_tells_late_is_waited_for_until_it_knows() {
+    let mut leases = Leases::new(0, BTreeSet::new());
+    leases.renew(&name("a"), 1, 1_000);
+    leases.place(holders(&[("p", &["b"])]), 3);
+    leases.tell(&name("a"), ["p".into()]);
+    assert!(!leases.released("p", 9, 1_000));
+    leases.renew(&name("a"), 3, 1_100);
+    assert!(leases.released("p", 9, 1_100));
+}
+
+/// Guards against a renewal that crosses the first update of a new leader: the number that it tells
+/// is that of the former leader and may be higher.
+#[test]
+fn updates_of_a_former_leader_do_not_count() {
+    assert_eq!(applied(2, (1, 127), 5), 0);
+    assert_eq!(applied(2, (2, 4), 5), 4);
+    assert_eq!(applied(2, (2, 9), 5), 5);
+}
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -10,7 +10,7 @@
     delegates::{self, Delegates},
     evidence::Reports,
     holders::{self, Holders, Needy, Place},
-    leases::{LEASE, Leases},
+    leases::{self, LEASE, Leases},
     roster::Roster,
     share::{Ask as ShareAsk, Given, HELD, Limit, Shares},
 };
@@ -154,6 +154,17 @@
 }
 
 impl Leader {
+    /// Lets a new run of an entry wait until it is recorded.
+    fn started(&mut self, link: u64, from: &Name, renewal: Renewal, now: Millis) {
+        // The process of an earlier run has ended, and with it its lease and shares.
+        if self.untold.remove(from.as_str()) {
+            // The clock of an entry starts with its process.
+            let started = now.saturating_sub(renewal.sent);
+            self.idle = self.idle.map(|idle| idle.max(started));
+        }
+        self.roster.wait(from.clone(), renewal.run, (link, renewal));
+    }
+
     /// Takes over what an entry was given by an earlier leader, until holders are chosen here.
     fn inherit(&mut self, from: &Name, holds: Vec<Held>) {
         if self.view.holders.known() {
@@ -247,15 +258,8 @@
         let recorded = self.machine.fleet.entries.get(from.as_str()).copied();
         let Some(leader) = &mut self.leader else { return };
         if recorded != Some(renewal.run) {
-            // The process of an earlier run has ended, and with it its lease and shares.
-            if leader.untold.remove(from.as_str()) {
-                // The clock of an entry starts with its process.
-                let started = now.saturating_sub(renewal.sent);
-                leader.idle = leader.idle.map(|idle| idle.max(started));
-            }
-            leader.roster.wait(from.clone(), renewal.run, (link, renewal));
-            self.record_entries(now);
-            return;
+            leader.started(link, from, renewal, now);
+            return self.record_entries(now);
         }
         if renewal.full && leader.untold.remove(from.as_str()) {
             leader.idle = None;
@@ -269,7 +273,8 @@
         let known = known.filter(|e| e.link == link && e.run == renewal.run && !renewal.unfit);
         let (sent, version) =
             known.filter(|e| e.sent > 0).map_or((0, renewal.version), |e| (e.sent, e.version));
-        let applied = if applied_here { renewal.applied.min(sent) } else { 0 };
+        let told = (renewal.term, renewal.applied);
+        let applied = if applied_here { leases::applied(leader.term, told, sent) } else { 0 };
         let state = EntryState {
             link,
             run: renewal.run,
@@ -284,6 +289,9 @@
         };
         leader.entries.insert(from.clone(), state);
         leader.leases.renew(from, applied, now);
+        if renewal.full && applied > 0 {
+            leader.leases.tell(from, renewal.holds.iter().map(|held| held.server.clone()));
+        }
         leader.inherit(from, renewal.holds);
         self.witness(from, renewal.evidence, now);
         if joined {
@@ -461,6 +469,9 @@
                 log(Event::HoldersChanged, format_args!("server={server} holders={holders:?}"));
             }
         }
+        let names = |holders: &Holders| holders.iter().map(|(name, _)| name.clone()).collect();
+        let placed = chosen.iter().map(|(server, holders)| (server.clone(), names(holders)));
+        leader.leases.place(placed.collect(), next);
         leader.holders = chosen;
         let views = holder_views(leader);
         let changed = leader.view.holders.replace(views, next);
--- a/crates/gateway/src/control_succession.rs
+++ b/crates/gateway/src/control_succession.rs
@@ -346,7 +346,10 @@
             cause: succession.cause,
             members,
             synchronous: self.fleet().plan.groups.get(group).map_or(1, |g| g.synchronous),
-            released: leader.leases.in_force(published, now),
+            released: match &lead.former {
+                Some(former) => leader.leases.released(former, published, now),
+                None => leader.leases.in_force(published, now),
+            },
             ordered: succession.ordered.clone(),
         })
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -16,7 +16,7 @@
     auth::Purpose,
     fleet::{FleetMessage, Forward, Update},
 };
-use auburnlug_state::{Millis, Name};
+use auburnlug_state::{Millis, Name, Term};
 use auburnlug_transport::{
     clock::Clock,
     event::{Event, log},
@@ -53,7 +53,7 @@
 pub(crate) const UNANSWERED: Millis = 1_200;
 
 /// Time without an answer of the leader after which the entry reports that it is not ready, in
-/// milliseconds. Its lease has ended by then, and an election takes less.
+/// milliseconds. Its lease ends soon, and an election takes less.
 const LOST: Millis = 4_000;
 
 /// Connections waiting to be accepted or sorted.
@@ -237,8 +237,8 @@
     /// Attempts to dial control members that failed since the last link.
     failed: BTreeMap<Name, usize>,
     granter: Option<Name>,
-    /// Leader that was sent what this entry holds.
-    informed: Option<Name>,
+    /// Leader that was sent what this entry holds, and the term of the view that it was told by.
+    informed: Option<(Name, Term)>,
     /// Time at which a member last said that it leads.
     told: Millis,
     /// Sending time of the last renewal.
@@ -317,7 +317,7 @@
                 if self.granter.as_ref() != Some(&name) {
                     log(Event::LeaderFound, format_args!("member={}", name.as_str()));
                 }
-                let told = self.informed.as_ref() == Some(&name);
+                let told = self.informed.as_ref().is_some_and(|(leader, _)| *leader == name);
                 self.granter = Some(name);
                 self.local.grant(&grant);
                 self.router.learn(&grant.positions, grant.sent);
@@ -386,8 +386,10 @@
         // A link that does not drain ends by itself.
         match granter {
             Some(out) => {
-                let first = self.informed != self.granter;
-                self.informed = self.granter.clone();
+                let term = self.local.view().term;
+                let informed = self.granter.clone().map(|name| (name, term));
+                let first = self.informed != informed;
+                self.informed = informed;
                 let renewal = self.local.renewal(leaving, first);
                 let _ = out.try_send(FleetMessage::Renew(Box::new(renewal)));
             }
--- a/crates/gateway/src/local.rs
+++ b/crates/gateway/src/local.rs
@@ -301,6 +301,7 @@
             region: self.me.region.clone(),
             domain: self.me.domain.clone(),
             applied: view.index,
+            term: view.term,
             version: view.plan.version,
             unfit: self.unfit.get(),
             demand: Vec::new(),
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -53,6 +53,9 @@
     /// Last update that the entry has put in force.
     #[serde(rename = "a")]
     pub applied: u64,
+    /// Term of the control leader that sent it.
+    #[serde(rename = "te", default)]
+    pub term: Term,
     /// Version of the configuration that the entry has.
     #[serde(rename = "v")]
     pub version: u64,
@@ -65,7 +68,8 @@
     /// What the entry saw of primaries since the last renewal.
     #[serde(rename = "e")]
     pub evidence: Vec<Evidence>,
-    /// Whether it tells all that the entry holds: to a leader that was not told before.
+    /// Whether it tells all that the entry holds: to a leader that was not told before, and once
+    /// more after its first update.
     #[serde(rename = "f")]
     pub full: bool,
     /// Servers that it holds, if it tells all.
