--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -154,20 +154,33 @@
     pub positions: Vec<PositionSample>,
 }
 
-/// Position that a primary reported.
+/// Position that a primary reported; on the wire a list, as each grant has one for each group.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "PositionFields", into = "PositionFields")]
 pub struct PositionSample {
     /// Database group.
-    #[serde(rename = "g")]
     pub group: Arc<str>,
     /// Time between the question and the arrival of the renewal that is answered, in milliseconds.
-    #[serde(rename = "a")]
     pub age: Millis,
     /// Position.
-    #[serde(rename = "p")]
     pub position: Position,
 }
 
+/// Group, age, term and offset of a sample.
+type PositionFields = (Arc<str>, Millis, Term, u64);
+
+impl From<PositionFields> for PositionSample {
+    fn from((group, age, term, offset): PositionFields) -> PositionSample {
+        PositionSample { group, age, position: Position { term, offset } }
+    }
+}
+
+impl From<PositionSample> for PositionFields {
+    fn from(sample: PositionSample) -> PositionFields {
+        (sample.group, sample.age, sample.position.term, sample.position.offset)
+    }
+}
+
 /// Part of a client account's rate for one entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Share {
