Send reads on to the second holder when nothing is heard from the first for 300 ms

Change: a job that may run twice goes on to the next holder after 300 ms without any message from the first; writes and commits wait as before, as they may have run.

Ruled out: closing the link sooner, as pings of 11,000 links are what the links between regions had most of.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,6 +45,11 @@
 /// answers ends after two seconds.
 const AVOIDED: Millis = 1_000;
 
+/// Time without any message from a holder after which a job that may run twice is sent to another
+/// one, in milliseconds: most statements are answered by then, with the way between regions. The
+/// control leader names other holders only after 1.5 s.
+const SILENT: Duration = Duration::from_millis(300);
+
 /// Longest wait for a delegate to answer a claim, in milliseconds: several times the way within a
 /// region on loaded links.
 const CLAIM: Duration = Duration::from_millis(100);
@@ -112,7 +117,9 @@
     pub async fn start(self: &Rc<Self>, job: Job) -> (Answer, Option<Place>) {
         let started = self.local.now();
         let mut last = Answer::error(Code::Unreachable, "no entry holds connections to the server");
-        for holder in self.holders(&job.server) {
+        let holders = self.holders(&job.server);
+        let last_holder = holders.last().cloned();
+        for holder in holders {
             let passed = self.local.now().saturating_sub(started);
             if passed >= job.left {
                 break;
@@ -127,7 +134,8 @@
             let number = self.next.get();
             self.next.set(number + 1);
             let (transaction, once) = (job.step != Step::Single && !job.commits, job.once);
-            match self.forward(&holder, number, job).await {
+            let spare = !once && last_holder.as_ref() != Some(&holder);
+            match self.forward(&holder, number, job, spare).await {
                 Ok(answer) => {
                     let place = transaction.then_some(Place::There(server, holder, number));
                     return (answer, place);
@@ -151,7 +159,7 @@
             }
             Place::There(server, holder, number) => {
                 let commits = job.commits;
-                match self.forward(&holder, number, job).await {
+                match self.forward(&holder, number, job, false).await {
                     Ok(answer) => {
                         (answer, (!commits).then_some(Place::There(server, holder, number)))
                     }
@@ -256,8 +264,15 @@
         names
     }
 
-    /// Sends a job; the error tells whether it may have run.
-    async fn forward(self: &Rc<Self>, to: &Name, number: u64, job: Job) -> Result<Answer, bool> {
+    /// Sends a job; the error tells whether it may have run. With a `spare` holder, the job may run
+    /// again there, so it is given up if nothing is heard from this one.
+    async fn forward(
+        self: &Rc<Self>,
+        to: &Name,
+        number: u64,
+        job: Job,
+        spare: bool,
+    ) -> Result<Answer, bool> {
         let left = Duration::from_millis(job.left + TRAVEL);
         let job = Job { left: job.left.saturating_sub(TRAVEL), ..job };
         let peer = self.peer(to);
@@ -267,13 +282,24 @@
             peer.avoided.set(sent + AVOIDED);
             return Err(false);
         };
-        let (sender, receiver) = oneshot::channel();
+        let (sender, mut receiver) = oneshot::channel();
         peer.pending.borrow_mut().insert(number, sender);
         if out.try_send(Forward::Job { number, job: Box::new(job) }).is_err() {
             peer.pending.borrow_mut().remove(&number);
             return Err(false);
         }
-        match timeout(left, receiver).await {
+        let first = if spare { left.min(SILENT) } else { left };
+        let mut answered = timeout(first, &mut receiver).await;
+        if answered.is_err() && spare {
+            if peer.heard.get() < sent {
+                peer.avoided.set(self.local.now() + AVOIDED);
+                peer.pending.borrow_mut().remove(&number);
+                let _ = out.try_send(Forward::Drop { number });
+                return Err(false);
+            }
+            answered = timeout(left.saturating_sub(first), receiver).await;
+        }
+        match answered {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_)) => Err(true),
             Err(_) => {
