--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,7 +19,7 @@
 };
 use auburnlug_protocol::{auth::Purpose, fleet::FleetMessage, peer::Control as Agreement};
 use auburnlug_state::{
-    Applied, Command, Index, Machine, Millis, Name,
+    Command, Index, Machine, Millis, Name,
     fleet::{Fleet, FleetChange},
 };
 use auburnlug_transport::{
@@ -40,6 +40,7 @@
     control_handle::{Ask, Heartbeat, Outcome},
     control_lead::Leader,
     control_links,
+    control_log::{changes_entries, log_applied},
     control_plans::Plans,
     control_succession::Probed,
     local::Me,
@@ -561,32 +562,3 @@
         }
     }
 }
-
-fn changes_entries(entry: &Entry) -> bool {
-    matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Entries { .. })))
-}
-
-fn log_applied(change: &FleetChange, applied: Option<&Applied>) {
-    let outcome = applied.map_or("none", |applied| match applied {
-        Applied::Done => "in_force",
-        _ => "superseded",
-    });
-    match change {
-        FleetChange::Deploy { plan, .. } => {
-            log(Event::ConfigApplied, format_args!("version={} outcome={outcome}", plan.version))
-        }
-        FleetChange::Lead { group, after, lead } => log(
-            Event::LeadChanged,
-            format_args!(
-                "group={group} after={after} term={} primary={} former={} outcome={outcome}",
-                lead.term,
-                lead.primary.as_deref().unwrap_or("none"),
-                lead.former.as_deref().unwrap_or("none")
-            ),
-        ),
-        FleetChange::Entries { joined, left } => {
-            log(Event::EntriesRecorded, format_args!("joined={} left={}", joined.len(), left.len()))
-        }
-        FleetChange::Record(_) | FleetChange::Forget { .. } => {}
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/control_log.rs
@@ -0,0 +1,36 @@
+//! Log lines of committed changes.
+
+use auburnlug_coordination::raft::{Entry, Payload};
+use auburnlug_state::{Applied, Command, fleet::FleetChange};
+use auburnlug_transport::event::{Event, log};
+
+/// Whether an entry of the log changes which entries are recorded.
+pub(crate) fn changes_entries(entry: &Entry) -> bool {
+    matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Entries { .. })))
+}
+
+/// Logs what a committed change put in force.
+pub(crate) fn log_applied(change: &FleetChange, applied: Option<&Applied>) {
+    let outcome = applied.map_or("none", |applied| match applied {
+        Applied::Done => "in_force",
+        _ => "superseded",
+    });
+    match change {
+        FleetChange::Deploy { plan, .. } => {
+            log(Event::ConfigApplied, format_args!("version={} outcome={outcome}", plan.version))
+        }
+        FleetChange::Lead { group, after, lead } => log(
+            Event::LeadChanged,
+            format_args!(
+                "group={group} after={after} term={} primary={} former={} outcome={outcome}",
+                lead.term,
+                lead.primary.as_deref().unwrap_or("none"),
+                lead.former.as_deref().unwrap_or("none")
+            ),
+        ),
+        FleetChange::Entries { joined, left } => {
+            log(Event::EntriesRecorded, format_args!("joined={} left={}", joined.len(), left.len()))
+        }
+        FleetChange::Record(_) | FleetChange::Forget { .. } => {}
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control_handle;
 mod control_lead;
 mod control_links;
+mod control_log;
 mod control_plans;
 mod control_succession;
 pub mod entry;
