--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -6,8 +6,8 @@
 //! account to a delegate (see [`crate::delegates`]), which sees those of all entries near it.
 //!
 //! What an entry may still hold is counted until it ends at the entry, also when it is frozen or
-//! cut off: all shares together never exceed the rate, and tokens in hand with those in the pool
-//! never exceed the burst.
+//! cut off: all shares together never exceed the rate, and what may be kept at hand with what is
+//! in the pool never exceeds the burst.
 
 use std::{collections::BTreeMap, sync::Arc};
 
