Keep three voters at least

Cause: settings that name no loss of machines (losses = 0) gave a group of one voter, and the members founded together would have left one by one. Found by reading; the case of the table fails without the change.

Ruled out: refusing the settings, as zones or regions may be named instead of machines.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -16,6 +16,9 @@
 /// election and a restart of its process.
 pub const LOST: Millis = 3_000;
 
+/// Voters that a group keeps at least: with fewer, the absence of one would stop it.
+const LEAST_VOTERS: usize = 3;
+
 /// What a leader knows of another member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Standing {
@@ -69,7 +72,7 @@
 
     /// Voters that the group keeps.
     fn wanted(&self) -> usize {
-        2 * self.losses + 1
+        LEAST_VOTERS.max(2 * self.losses + 1)
     }
 
     fn standing(&self, name: &Name) -> Standing {
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -98,6 +98,7 @@
 fn the_group_keeps_as_many_voters_as_its_losses_require() {
     let founded = members(&["a.1", "b.1", "c.1"], &[]);
     for (losses, joining, voters) in [
+        (0, vec!["d.1"], 3),
         (1, vec![], 3),
         (1, vec!["d.1", "e.1"], 3),
         (2, vec!["d.1", "e.1", "f.1"], 5),
