Wait for connection owners instead of trying servers without any

Cause: after a restart of everything the entries know servers and primaries 100 to 250 ms before the control leader assigns connection owners. A server without an owner is no candidate now; the statement waits for the view.

Ruled out: more attempts, as each of them logs, counts a failure of the server and sleeps.

--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -69,6 +69,13 @@
     pub members: Vec<Name>,
 }
 
+impl View {
+    /// Whether an entry owns connections to a server.
+    pub fn has_connection_owner(&self, server: &str) -> bool {
+        self.connection_owners.get(server).is_some_and(|owners| !owners.is_empty())
+    }
+}
+
 /// Place and identity of this instance.
 #[derive(Debug, Clone)]
 pub struct InstanceIdentity {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -248,11 +248,13 @@
         }
     }
 
-    /// Chooses a server for a statement.
+    /// Chooses a server for a statement, among those with a connection owner. A server without one
+    /// cannot be reached until the view names an owner.
     fn choose_server(&self, task: &StatementTask, excluded: Option<&str>) -> ServerChoice {
         let view = self.local.view();
         let (group, priority, now) = (&task.job.group, task.job.priority, self.local.now());
-        let primary = self.usable_primary(&view, group);
+        let primary =
+            self.usable_primary(&view, group).filter(|b| view.has_connection_owner(&b.id));
         let records = self.server_records.borrow();
         let Some(required) = self.required_position(task) else {
             return match primary {
@@ -264,7 +266,9 @@
             };
         };
         let leads = |backend: &Backend| primary.is_some_and(|p| p.id == backend.id);
-        let usable = |b: &&Backend| *b.group == **group && (leads(b) || !b.draining);
+        let usable = |b: &&Backend| {
+            *b.group == **group && (leads(b) || !b.draining) && view.has_connection_owner(&b.id)
+        };
         let (full, candidates): (Vec<Candidate>, Vec<Candidate>) = view
             .backends
             .values()
--- /dev/null
+++ b/crates/gateway/tests/restart_backlog.rs
@@ -0,0 +1,190 @@
+//! Restart of all instances with a backlog of callers: statements that arrive before the control
+//! leader has assigned connection owners.
+
+// The setting for tests in clippy.toml does not reach helper functions in test files.
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use auburnlug_coordination::{changes::Changes, external_failover::Status};
+use auburnlug_gateway::{
+    executor::Executor,
+    local_state::{InstanceIdentity, LocalState},
+    metrics::GatewayMetrics,
+    pool::Pool,
+    relay::Relay,
+    router::{Router, StatementTask},
+    wire::{DecodeError, ServerCall, ServerReply, ServerWire},
+};
+use auburnlug_protocol::{
+    fleet::{ConnectionOwner, FleetGrant, FleetUpdate, Forward, PrimaryView},
+    job::{
+        Answer, Completion, DataRequirement, Job, SessionVariables, StatementText, TransactionStep,
+    },
+};
+use auburnlug_state::{
+    Name,
+    fleet::{Backend, Incarnation},
+};
+use auburnlug_transport::{
+    clock::SystemClock,
+    link::{Dial, Dialing, Link},
+};
+use bytes::BytesMut;
+use tokio::{
+    runtime::Builder,
+    sync::mpsc::{UnboundedSender, unbounded_channel},
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep, timeout},
+};
+
+/// Statements of the backlog; many times what a few attempts per server could use up.
+const BACKLOG: usize = 200;
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+/// Wire protocol of servers that no connection uses.
+struct UnusedWire;
+
+impl ServerWire for UnusedWire {
+    fn encode(&self, _: &ServerCall<'_>, _: &mut BytesMut) {}
+
+    fn decode(&self, _: bool, _: &mut BytesMut) -> Result<Option<ServerReply>, DecodeError> {
+        Ok(None)
+    }
+
+    fn status(&self, _: &Answer) -> Option<Status> {
+        None
+    }
+}
+
+/// Opens links whose other ends go to a channel.
+struct ChannelDialer(UnboundedSender<Link<Forward>>);
+
+impl Dial<Forward> for ChannelDialer {
+    fn dial(&self, peer: Name, _: SocketAddr) -> Dialing<Forward> {
+        let (local_end, remote_end) = Link::pair(name("10.0.0.1"), peer);
+        let sent = self.0.send(remote_end).is_ok();
+        Box::pin(async move { sent.then_some(local_end) })
+    }
+}
+
+/// Answers all jobs on a link.
+async fn answer_jobs(link: Link<Forward>) {
+    let Link { out, mut inbox, .. } = link;
+    while let Some(message) = inbox.recv().await {
+        if let Forward::Job { number, .. } = message {
+            let answer = Box::new(Answer::without_server());
+            out.send(Forward::Answer { number, answer }).await.unwrap();
+        }
+    }
+}
+
+/// Update of a new control leader: a group with its primary, without connection owners.
+fn servers_update() -> FleetUpdate {
+    let backend = Backend {
+        id: "s1".into(),
+        group: "g1".into(),
+        address: ([10, 0, 1, 1], 1).into(),
+        domain: "d".into(),
+        slots: 3,
+        draining: false,
+        run: Incarnation(1),
+    };
+    let lead = PrimaryView { term: 1, primary: Some("s1".into()) };
+    FleetUpdate {
+        index: 1,
+        term: 1,
+        backends: Some(Changes::from_all(BTreeMap::from([("s1".into(), backend)]))),
+        leads: Some(Changes::from_all(BTreeMap::from([("g1".into(), lead)]))),
+        ..FleetUpdate::default()
+    }
+}
+
+/// Update that assigns the connections of the server to another entry.
+fn owners_update() -> FleetUpdate {
+    let owner = ConnectionOwner {
+        entry: name("10.0.0.2"),
+        domain: "d".into(),
+        region: "r".into(),
+        connections: 4,
+    };
+    FleetUpdate {
+        index: 2,
+        term: 1,
+        holders: Some(Changes::from_all(BTreeMap::from([("s1".into(), vec![owner])]))),
+        ..FleetUpdate::default()
+    }
+}
+
+fn read_at_primary(number: usize) -> StatementTask {
+    let job = Job {
+        id: format!("read-{number}").as_str().into(),
+        account: "a".into(),
+        group: "g1".into(),
+        server: "".into(),
+        after: None,
+        step: TransactionStep::Single,
+        run_once: false,
+        commits: false,
+        text: StatementText::Plain("READ x".into()),
+        values: SessionVariables::new(),
+        remaining: 2_000,
+        max_wait: 480,
+        priority: 1,
+    };
+    StatementTask { job, need: DataRequirement::Primary, arrival: 0 }
+}
+
+/// Guards against a backlog that uses up its attempts in the milliseconds between the view and the
+/// assignment of connections, and is refused although it could run right after that.
+#[test]
+fn a_backlog_waits_for_the_assignment_of_connection_owners() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let identity = InstanceIdentity {
+            name: name("10.0.0.1"),
+            label: "entry".into(),
+            region: "r".into(),
+            domain: "d".into(),
+            incarnation: 1,
+        };
+        let clock = Arc::new(SystemClock::start());
+        let local = Rc::new(LocalState::new(identity, clock, Arc::new(GatewayMetrics::default())));
+        let executor =
+            Rc::new(Executor::new(local.clone(), Pool::new(local.clone()), Arc::new(UnusedWire)));
+        let (links, mut dialed) = unbounded_channel();
+        let relay = Relay::new(local.clone(), executor, Arc::new(ChannelDialer(links)), 1);
+        let router = Router::new(local.clone(), relay);
+        spawn_local(async move {
+            while let Some(link) = dialed.recv().await {
+                spawn_local(answer_jobs(link));
+            }
+        });
+        assert!(local.apply_update(servers_update()));
+        let (sent, duration) = (local.now(), 4_500);
+        let (shares, positions) = (Vec::new(), Vec::new());
+        local.apply_grant(&FleetGrant { sent, duration, index: 1, shares, positions });
+        router.apply_view(&local.view());
+        let backlog: Vec<_> = (0..BACKLOG)
+            .map(|number| {
+                let router = router.clone();
+                spawn_local(async move {
+                    let (answer, _) = router.run_first(read_at_primary(number)).await;
+                    (answer, Instant::now())
+                })
+            })
+            .collect();
+        sleep(Duration::from_millis(400)).await;
+        let assigned = Instant::now();
+        assert!(local.apply_update(owners_update()));
+        router.apply_view(&local.view());
+        for statement in backlog {
+            let (answer, at) = timeout(Duration::from_secs(3), statement).await.unwrap().unwrap();
+            assert!(matches!(answer.end, Completion::Done(_)), "{:?}", answer.end);
+            assert!(at >= assigned && at < assigned + Duration::from_millis(100));
+        }
+    });
+}
