Repeat pre-votes after two heartbeats and leave the election to one member

Cause: after a restart of everything the members refuse each other's pre-votes, as each has just started, and the next try waited for a whole election timeout; two members with pre-votes of a majority split the votes and waited for another one.

Ruled out: a shorter refusal of votes after a start, which protects the leader lease.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -68,6 +68,8 @@
     /// Time at which the last message from a leader was received.
     last_heartbeat: Millis,
     election_deadline: Millis,
+    /// Whether the next pre-vote of this member was deferred for another one.
+    deferred: bool,
     rng: StdRng,
 }
 
@@ -123,6 +125,7 @@
             // The member may have acknowledged a heartbeat just before it restarted.
             last_heartbeat: now,
             election_deadline: 0,
+            deferred: false,
             rng: StdRng::seed_from_u64(seed),
         };
         raft.reset_election_deadline();
@@ -176,6 +179,9 @@
             Message::PreVote { term, index, last } => {
                 let granted =
                     term > self.term && !self.refuses_votes() && self.is_up_to_date(index, last);
+                if granted {
+                    self.defer_pre_vote(from);
+                }
                 let term = if granted { term } else { self.term };
                 self.send(from, Message::PreVoteReply { term, granted });
             }
@@ -323,16 +329,33 @@
     }
 
     /// Asks for pre-votes. These do not raise the term, so a member that was partitioned for long
-    /// returns with its old term and does not depose the leader.
+    /// returns with its old term and does not depose the leader. As they change nothing at other
+    /// members, they are repeated sooner than an election: voters refuse them for a while after
+    /// their start, and members whose log is behind never win.
     fn start_pre_vote(&mut self) {
         self.leader = None;
+        self.deferred = false;
         self.role = Role::PreCandidate(BTreeSet::new());
-        self.reset_election_deadline();
+        let heartbeat = self.timing.heartbeat;
+        let retry_delay = self.rng.random_range(heartbeat..=2 * heartbeat);
+        self.election_deadline = self.clock + retry_delay;
         let (index, last) = (self.log.last(), self.log.last_term());
         self.send_to_voters(&Message::PreVote { term: self.term + 1, index, last });
         self.count_vote(&self.id.clone());
     }
 
+    /// Leaves the election to a member that was granted a pre-vote, so that the two do not split the
+    /// votes. Happens once for each pre-vote of this member, as the other one may never win.
+    fn defer_pre_vote(&mut self, other: &Name) {
+        if matches!(self.role, Role::PreCandidate(_)) && *other < self.id {
+            self.role = Role::Follower;
+        }
+        if !std::mem::replace(&mut self.deferred, true) {
+            let pause = 2 * self.timing.heartbeat;
+            self.election_deadline = self.election_deadline.max(self.clock + pause);
+        }
+    }
+
     fn start_election(&mut self) {
         self.adopt_term(self.term + 1);
         self.candidate = Some(self.id.clone());
--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -253,6 +253,30 @@
     }
 }
 
+#[test]
+fn restart_of_all_members_ends_with_a_leader_after_one_election_timeout() {
+    // Guards against a restart of everything after which voters refuse each other's pre-votes, as
+    // each of them has just started, and wait for a whole election timeout before the next try.
+    let timing = Timing::default();
+    for seed in 0..50 {
+        let mut cluster = Cluster::new(5, seed);
+        cluster.run(3000);
+        // Two members stay down, and the logs of the others differ in length.
+        cluster.isolate(0);
+        cluster.propose();
+        cluster.run(50);
+        cluster.faults.down = [3, 4].into();
+        cluster.faults.cuts.clear();
+        cluster.faults.delay = 20;
+        for slot in 0..3 {
+            cluster.restart(slot);
+            cluster.run(40);
+        }
+        cluster.run(timing.election_max + 2 * timing.heartbeat);
+        assert!(cluster.leader().is_some(), "seed {seed}");
+    }
+}
+
 #[test]
 fn lease_lasts_through_lost_heartbeats() {
     // Guards against a lease that expires in a healthy cluster or with one follower isolated.
