Assign connections once all entries have started again

Cause: after a restart of everything a new control leader waited 250 ms for entries to report the connections that they own, although each of them was known to have started again and to own none.

--- a/crates/coordination/src/pending_entries.rs
+++ b/crates/coordination/src/pending_entries.rs
@@ -30,6 +30,11 @@
         self.waiting.insert(entry, (incarnation, value));
     }
 
+    /// Whether no entry waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Whether a change may be proposed now.
     pub fn can_propose(&self, now: Millis) -> bool {
         self.proposed.is_none_or(|at| now >= at + REPROPOSE_TIMEOUT_MS)
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -367,7 +367,21 @@
         {
             self.handle_renewal(link, &name, renewal);
         }
-        self.propose_entry_changes(self.now());
+        let now = self.now();
+        self.propose_entry_changes(now);
+        self.advance_first_assignment(now);
+    }
+
+    /// Assigns connections early once every entry of an earlier leader has started again and is
+    /// recorded: none of them owns connections that it could still report.
+    fn advance_first_assignment(&mut self, now: Millis) {
+        let Some(leader) = &mut self.leader else { return };
+        let first = !leader.view.connection_owners.is_set();
+        let restarted = leader.unreported.is_empty() && leader.pending_entries.is_empty();
+        if first && restarted {
+            let at = now + ASSIGNMENT_DEBOUNCE_MS;
+            leader.assign_at = Some(leader.assign_at.map_or(at, |due| due.min(at)));
+        }
     }
 
     /// Updates the times since which registered entries have not renewed.
