Revert "Request a token once for each waiting operation"

What an entry asks beyond its waiters serves those that arrive in the next moment, which after a restart is a way to the leader earlier.

--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -443,7 +443,6 @@
     /// time.
     async fn poll_for_token(&self, account: &str) -> bool {
         let arrival = self.now();
-        let mut requested_at = None;
         loop {
             let answered = self.last_granted.get() >= arrival;
             let wait = if answered { TOKEN_WAIT_LIMIT_MS } else { ELECTION_WAIT_LIMIT_MS };
@@ -451,15 +450,10 @@
                 return false;
             }
             let grant = self.grant_received.notified();
-            // A token is requested again only after the answer to a renewal that included the
-            // request; what is requested twice lies idle here while other entries lack it.
-            if requested_at.is_none_or(|at| self.last_granted.get() > at)
-                && let Some(bucket) = self.buckets.borrow_mut().get_mut(account)
-            {
+            if let Some(bucket) = self.buckets.borrow_mut().get_mut(account) {
                 bucket.record_shortage();
-                requested_at = Some(self.now());
-                self.renew.notify_one();
             }
+            self.renew.notify_one();
             let _ = timeout(TOKEN_RETRY_INTERVAL, grant).await;
             let mut buckets = self.buckets.borrow_mut();
             if buckets.get_mut(account).is_some_and(|bucket| bucket.take(self.now())) {
