Serve jobs that can meet their objective before late ones

Cause: the queue for a server's slots was first come, first served. After an outage the backlog, which has missed its objective, ran first and made the operations after it late too. A job now tells the time left to its objective, counted from the opening for the first operation of a session, and late jobs take free slots and one turn of eight.

--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -194,6 +194,7 @@
             priority: job.priority,
             deadline: self.local.now() + job.remaining,
             max_wait: job.max_wait,
+            objective: self.local.now() + job.objective,
         };
         let permit = timeout_at(until, self.pool.acquire(request)).await;
         self.local.metrics.slot_wait.observe(started.elapsed().as_secs_f64());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
+use auburnlug_coordination::slot_queue::{SlotPlace, SlotQueue};
 use auburnlug_protocol::job::SessionVariables;
 use auburnlug_state::{Millis, fleet::Incarnation};
 use auburnlug_transport::event::{Event, log};
@@ -42,6 +43,8 @@
     pub deadline: Millis,
     /// Longest expected wait with which the job may join the queue, in milliseconds.
     pub max_wait: Millis,
+    /// Time at which its operation misses the latency objective.
+    pub objective: Millis,
 }
 
 /// Reason why a job gets no slot.
@@ -63,8 +66,6 @@
 
 /// A job that waits for a slot.
 struct Waiter {
-    /// Priority and ticket; the lowest is served first.
-    order: (u32, u64),
     request: SlotRequest,
     reply: oneshot::Sender<SlotPermit>,
 }
@@ -77,8 +78,7 @@
     /// Number of connections that this entry may open.
     connection_limit: u32,
     draining: bool,
-    waiters: Vec<Waiter>,
-    next_ticket: u64,
+    waiters: SlotQueue<Waiter>,
     /// Idle connections, the most recently used one last.
     idle_connections: Vec<Connection>,
     open_count: u32,
@@ -132,7 +132,7 @@
                 server.draining = backend.draining;
                 if server.connection_limit == 0 {
                     // Other entries own the connections now; waiting jobs fail over to them.
-                    waiting.append(&mut server.waiters);
+                    waiting.push(std::mem::take(&mut server.waiters));
                 }
                 while server.open_count > server.connection_limit
                     && !server.idle_connections.is_empty()
@@ -165,15 +165,18 @@
             if now < server.paused_until && server.failures > 1 {
                 return Err(NoSlot::Unreachable);
             }
-            server.next_ticket += 1;
-            let order = (request.priority, server.next_ticket);
-            let at = server.waiters.partition_point(|waiter| waiter.order < order);
+            let place = SlotPlace {
+                priority: request.priority,
+                objective: request.objective,
+                deadline: request.deadline,
+            };
+            let ahead = server.waiters.jobs_ahead(place, server.average_duration as Millis, now);
             let expected =
-                (at as f64 * server.average_duration / f64::from(server.slots)) as Millis;
+                (ahead as f64 * server.average_duration / f64::from(server.slots)) as Millis;
             if expected > request.max_wait.min(request.deadline.saturating_sub(now)) {
                 return Err(NoSlot::QueueFull(expected, server.describe(now)));
             }
-            server.waiters.insert(at, Waiter { order, request, reply: sender });
+            server.waiters.push(place, Waiter { request, reply: sender });
         }
         self.dispatch(&id);
         match receiver.await {
@@ -203,13 +206,11 @@
                 let Some(server) = servers.get_mut(id) else { return };
                 let now = self.local.now();
                 let expired = server.remove_expired(now);
-                let paused = now < server.paused_until;
-                let found = server
-                    .waiters
-                    .iter()
-                    .position(|waiter| !paused && server.has_capacity(&waiter.request.account));
-                let Some(at) = found else { return };
-                let waiter = server.waiters.remove(at);
+                if now < server.paused_until || !server.has_capacity() {
+                    return;
+                }
+                let duration = server.average_duration as Millis;
+                let Some(waiter) = server.waiters.pop(duration, now) else { return };
                 let connection = server.claim_slot(&waiter.request);
                 let permit = SlotPermit {
                     pool: self.clone(),
@@ -260,8 +261,7 @@
             slots: slots.max(1),
             connection_limit: 0,
             draining: false,
-            waiters: Vec::new(),
-            next_ticket: 0,
+            waiters: SlotQueue::new(),
             idle_connections: Vec::new(),
             open_count: 0,
             running_count: 0,
@@ -287,17 +287,15 @@
 
     /// Removes the jobs that cannot be served any more.
     fn remove_expired(&mut self, now: Millis) -> Vec<Waiter> {
-        let is_expired =
-            |w: &Waiter| w.reply.is_closed() || now + MIN_TIME_LEFT_MS >= w.request.deadline;
-        self.waiters.extract_if(.., |waiter| is_expired(waiter)).collect()
+        self.waiters.remove(|place, waiter| {
+            waiter.reply.is_closed() || now + MIN_TIME_LEFT_MS >= place.deadline
+        })
     }
 
-    /// Whether a job of `account` can run now.
-    fn has_capacity(&self, account: &str) -> bool {
+    /// Whether another job can run now.
+    fn has_capacity(&self) -> bool {
         self.running_count < self.slots
-            && (self.open_count < self.connection_limit
-                || !self.idle_connections.is_empty()
-                || self.idle_connections.iter().any(|c| &*c.account == account))
+            && (self.open_count < self.connection_limit || !self.idle_connections.is_empty())
     }
 
     /// Claims a slot. Returns an idle connection of the account, preferably one with the same
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -129,6 +129,7 @@
             }
             let mut job = job.clone();
             job.remaining -= elapsed;
+            job.objective = job.objective.saturating_sub(elapsed);
             let server = job.server.clone();
             if owner == self.local.me.name {
                 let (answer, pinned) = self.executor.run_first(&job).await;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -118,7 +118,8 @@
     /// Runs a single statement, or the first one of a transaction.
     pub async fn run_first(&self, task: StatementTask) -> (Answer, Option<TransactionRoute>) {
         let time_left = Duration::from_millis(task.job.remaining.saturating_sub(ANSWER_MARGIN_MS));
-        let until = Instant::now() + time_left;
+        let started = Instant::now();
+        let until = started + time_left;
         let mut excluded: Option<Arc<str>> = None;
         let mut last = Answer::error(ErrorCode::Busy, "no server is known");
         let mut attempts = 0;
@@ -145,6 +146,8 @@
             job.server = server.clone();
             job.after = after;
             job.remaining = until.saturating_duration_since(Instant::now()).as_millis() as Millis;
+            let elapsed = started.elapsed().as_millis() as Millis;
+            job.objective = job.objective.saturating_sub(elapsed);
             let primary = after.is_none();
             let (answer, route) = self.run_at(job, primary).await;
             let Some(code) = answer.code() else { return (answer, route) };
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -35,6 +35,10 @@
 /// Longest wait of a new session for the first configuration. Callers give up after two seconds.
 const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(1_700);
 
+/// Time after the answer to an opening within which the first request is taken for the reason of
+/// the opening: a round trip to the caller, also on a loaded link.
+const FIRST_REQUEST_DELAY_MS: Millis = 100;
+
 const CALLER_READ_BYTES: usize = 4 << 10;
 
 /// Limit on prepared statements, and on session values, of one session.
@@ -84,6 +88,10 @@
     /// Position of the last commit of this session.
     commit_position: Option<Position>,
     pub(crate) transaction: Option<Transaction>,
+    /// Times at which the opening arrived and was answered, until the first request.
+    opened: Option<(Millis, Millis)>,
+    /// Time from which the latency of the present operation counts.
+    asked_at: Millis,
 }
 
 /// Transaction of a session.
@@ -115,6 +123,8 @@
         prepared: BTreeMap::new(),
         commit_position: None,
         transaction: None,
+        opened: None,
+        asked_at: 0,
     };
     let ending = session.run().await;
     session.drop_transaction();
@@ -141,6 +151,7 @@
             }
             Ok(Err(error)) => return self.end_undecodable(error).await,
         };
+        let arrival = self.context.local.now();
         if !self.context.router.wait_for_config(FIRST_CONFIG_TIMEOUT).await {
             let answer = Answer::error(ErrorCode::Busy, "this instance has no configuration yet");
             self.send_final_answer(answer).await;
@@ -153,6 +164,7 @@
         if self.send(None, Some(SessionState::Idle)).await.is_err() {
             return Ending::Caller;
         }
+        self.opened = Some((arrival, self.context.local.now()));
         loop {
             let request = match self.next_request().await {
                 Ok(Some(request)) => request,
@@ -290,6 +302,10 @@
     /// Runs a statement and sends its answer.
     async fn serve_statement(&mut self, id: Arc<str>, statement: Statement) -> Result<(), Ending> {
         let arrival = self.context.local.now();
+        let opened = self.opened.take();
+        if self.transaction.is_none() {
+            self.asked_at = operation_start(opened, arrival);
+        }
         let database = match self.check_access() {
             Ok(database) => database,
             Err((code, reason)) => return self.refuse_withdrawn(&id, code, reason).await,
@@ -509,6 +525,8 @@
             remaining: database.timeout,
             max_wait: max_queue_wait(database),
             priority: database.priority,
+            objective: (self.asked_at + latency_objective(database))
+                .saturating_sub(self.context.local.now()),
         };
         StatementTask { job, need, arrival }
     }
@@ -548,11 +566,21 @@
 /// not serve more statements, but answer all of them late.
 const QUEUE_WAIT_FRACTION: f64 = 0.6;
 
+/// Time from which the latency of an operation counts that arrives at `arrival`. The first one of a
+/// session was asked with the opening, unless the caller paused after the answer to it.
+fn operation_start(opened: Option<(Millis, Millis)>, arrival: Millis) -> Millis {
+    let follows = |(_, answered): &(Millis, Millis)| arrival < answered + FIRST_REQUEST_DELAY_MS;
+    opened.filter(follows).map_or(arrival, |(opening, _)| opening)
+}
+
+/// Latency objective of the operations on a database; its timeout if it has none.
+fn latency_objective(database: &Database) -> Millis {
+    if database.latency_objective == 0 { database.timeout } else { database.latency_objective }
+}
+
 /// Longest expected wait for a slot with which a job joins a queue, in milliseconds.
 fn max_queue_wait(database: &Database) -> Millis {
-    let objective =
-        if database.latency_objective == 0 { database.timeout } else { database.latency_objective };
-    (objective as f64 * QUEUE_WAIT_FRACTION) as Millis
+    (latency_objective(database) as f64 * QUEUE_WAIT_FRACTION) as Millis
 }
 
 /// Answer to the commit or rollback of a failed transaction.
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -67,6 +67,7 @@
         priority,
         deadline: local.now() + left,
         max_wait: left,
+        objective: local.now() + left,
     }
 }
 
@@ -140,6 +141,35 @@
     });
 }
 
+/// Guards against a backlog that was asked during an outage and runs before operations that can
+/// still meet their objective.
+#[test]
+fn job_that_can_meet_its_objective_is_served_before_a_late_one() {
+    run(async {
+        let local = local();
+        let pool = Pool::new(local.clone());
+        pool.apply_view(&view(4));
+        let busy = pool.acquire(slot_request(&local, "a", 1, 60_000)).await;
+        let order = Rc::new(std::cell::RefCell::new(Vec::new()));
+        let mut waiting = Vec::new();
+        for (name, objective) in [("backlog", 0), ("later", local.now() + 800)] {
+            let (pool, order) = (pool.clone(), order.clone());
+            let request = SlotRequest { objective, ..slot_request(&local, "a", 1, 60_000) };
+            waiting.push(spawn_local(async move {
+                let slot = pool.acquire(request).await;
+                order.borrow_mut().push(name);
+                drop(slot);
+            }));
+            tokio::task::yield_now().await;
+        }
+        drop(busy);
+        for task in waiting {
+            task.await.unwrap();
+        }
+        assert_eq!(*order.borrow(), ["later", "backlog"]);
+    });
+}
+
 #[test]
 fn higher_priority_is_served_before_earlier_arrival() {
     run(async {
--- a/crates/gateway/tests/restart_backlog.rs
+++ b/crates/gateway/tests/restart_backlog.rs
@@ -134,6 +134,7 @@
         remaining: 2_000,
         max_wait: 480,
         priority: 1,
+        objective: 800,
     };
     StatementTask { job, need: DataRequirement::Primary, arrival: 0 }
 }
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -202,6 +202,9 @@
     /// Priority; 0 goes first.
     #[serde(rename = "p")]
     pub priority: u32,
+    /// Time until the operation misses its latency objective, in milliseconds; 0 if it has.
+    #[serde(rename = "ob", default)]
+    pub objective: Millis,
 }
 
 /// Error code.
