Go on with open connections when a server is over its limit

Cause: servers count connections of processes that lost power for 3 s. Now the number that the server accepted is the owner's limit for 250 ms, an idle connection makes room for the next one, and the refused job joins the queue again, up to three times.

--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -22,6 +22,9 @@
 /// Longest wait for the rollback of an abandoned transaction.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Connections over a server's limit that are tried for one job.
+const MAX_CONNECTION_REFUSALS: u32 = 3;
+
 /// Runs jobs on the connections of this entry.
 pub struct Executor {
     local: Rc<LocalState>,
@@ -72,12 +75,24 @@
     pub async fn run_first(&self, job: &Job) -> (Answer, Option<PinnedTransaction>) {
         let started = self.local.now();
         let until = Instant::now() + Duration::from_millis(job.remaining);
-        let mut permit = match self.acquire_slot(job, until).await {
-            Ok(permit) => permit,
-            Err(reason) => return (refusal(job, reason), None),
+        let mut refusals = 0;
+        let (mut permit, sent, attempt) = loop {
+            let mut permit = match self.acquire_slot(job, started, until).await {
+                Ok(permit) => permit,
+                Err(reason) => return (refusal(job, reason), None),
+            };
+            let sent = self.local.now();
+            match self.try_statement(&mut permit, job, until).await {
+                Attempt::NotSent(fault @ Fault::Opening(ErrorCode::ConnectionLimit))
+                    if refusals < MAX_CONNECTION_REFUSALS =>
+                {
+                    refusals += 1;
+                    permit.record_failure(&fault);
+                }
+                attempt => break (permit, sent, attempt),
+            }
         };
-        let sent = self.local.now();
-        match self.try_statement(&mut permit, job, until).await {
+        match attempt {
             Attempt::Answered(reply) => {
                 let ran = self.local.now().saturating_sub(sent);
                 record_reply(&permit, &reply, ran);
@@ -184,17 +199,22 @@
         });
     }
 
-    /// Waits for a slot of the job's server.
-    async fn acquire_slot(&self, job: &Job, until: Instant) -> Result<SlotPermit, NoSlot> {
+    /// Waits for a slot of the server of a job that arrived at `arrival`.
+    async fn acquire_slot(
+        &self,
+        job: &Job,
+        arrival: Millis,
+        until: Instant,
+    ) -> Result<SlotPermit, NoSlot> {
         let started = Instant::now();
         let request = SlotRequest {
             server: job.server.clone(),
             account: job.account.clone(),
             values: job.values.clone(),
             priority: job.priority,
-            deadline: self.local.now() + job.remaining,
+            deadline: arrival + job.remaining,
             max_wait: job.max_wait,
-            objective: self.local.now() + job.objective,
+            objective: arrival + job.objective,
         };
         let permit = timeout_at(until, self.pool.acquire(request)).await;
         self.local.metrics.slot_wait.observe(started.elapsed().as_secs_f64());
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
 use auburnlug_coordination::slot_queue::{SlotPlace, SlotQueue};
-use auburnlug_protocol::job::SessionVariables;
+use auburnlug_protocol::job::{ErrorCode, SessionVariables};
 use auburnlug_state::{Millis, fleet::Incarnation};
 use auburnlug_transport::event::{Event, log};
 use tokio::sync::oneshot;
@@ -24,6 +24,10 @@
 
 const MAX_RECONNECT_BACKOFF_MS: Millis = 800;
 
+/// Time for which no further connections are opened after the server refused one over its limit.
+/// Servers count connections of processes that lost power for some seconds.
+const CONNECTION_REFUSAL_PAUSE_MS: Millis = 250;
+
 /// Minimum time that a job must have left to get a slot. With less time left, it would only take
 /// the slot from a job that can still succeed.
 const MIN_TIME_LEFT_MS: Millis = 15;
@@ -77,6 +81,9 @@
     slots: u32,
     /// Number of connections that this entry may open.
     connection_limit: u32,
+    /// Connections that the server accepted when it refused a further one, and the time until which
+    /// no more are opened.
+    accepted: Option<(u32, Millis)>,
     draining: bool,
     waiters: SlotQueue<Waiter>,
     /// Idle connections, the most recently used one last.
@@ -206,12 +213,12 @@
                 let Some(server) = servers.get_mut(id) else { return };
                 let now = self.local.now();
                 let expired = server.remove_expired(now);
-                if now < server.paused_until || !server.has_capacity() {
+                if now < server.paused_until || !server.has_capacity(now) {
                     return;
                 }
                 let duration = server.average_duration as Millis;
                 let Some(waiter) = server.waiters.pop(duration, now) else { return };
-                let connection = server.claim_slot(&waiter.request);
+                let connection = server.claim_slot(&waiter.request, now);
                 let permit = SlotPermit {
                     pool: self.clone(),
                     target: server.target.clone(),
@@ -260,6 +267,7 @@
             incarnation,
             slots: slots.max(1),
             connection_limit: 0,
+            accepted: None,
             draining: false,
             waiters: SlotQueue::new(),
             idle_connections: Vec::new(),
@@ -292,15 +300,21 @@
         })
     }
 
+    /// Number of connections that may be open now.
+    fn current_limit(&self, now: Millis) -> u32 {
+        let accepted = self.accepted.filter(|(_, until)| now < *until);
+        accepted.map_or(self.connection_limit, |(count, _)| count.min(self.connection_limit))
+    }
+
     /// Whether another job can run now.
-    fn has_capacity(&self) -> bool {
+    fn has_capacity(&self, now: Millis) -> bool {
         self.running_count < self.slots
-            && (self.open_count < self.connection_limit || !self.idle_connections.is_empty())
+            && (self.open_count < self.current_limit(now) || !self.idle_connections.is_empty())
     }
 
     /// Claims a slot. Returns an idle connection of the account, preferably one with the same
     /// session values; otherwise counts a new one, closing an idle one at the limit.
-    fn claim_slot(&mut self, request: &SlotRequest) -> Option<Connection> {
+    fn claim_slot(&mut self, request: &SlotRequest, now: Millis) -> Option<Connection> {
         self.running_count += 1;
         let before = self.idle_connections.len();
         self.idle_connections.retain_mut(|connection| !connection.is_closed());
@@ -316,7 +330,7 @@
         if let Some(at) = at.or_else(|| self.idle_connections.iter().rposition(same_account)) {
             return Some(self.idle_connections.remove(at));
         }
-        if self.open_count >= self.connection_limit {
+        if self.open_count >= self.current_limit(now) {
             close_oldest_idle(self);
         }
         self.open_count += 1;
@@ -338,10 +352,15 @@
         }
     }
 
-    /// Records a failure; the server gets no new jobs until the backoff has passed.
+    /// Records a failure; the server gets no new jobs until the backoff has passed. If it refused
+    /// this connection over its limit and others are open, jobs go on with those.
     pub fn record_failure(&self, fault: &Fault) {
         let now = self.pool.local.now();
         let failures = self.pool.with_server(self, |server| {
+            if *fault == Fault::Opening(ErrorCode::ConnectionLimit) && server.open_count > 1 {
+                server.accepted = Some((server.open_count - 1, now + CONNECTION_REFUSAL_PAUSE_MS));
+                return 0;
+            }
             let backoff = MIN_RECONNECT_BACKOFF_MS << server.failures.min(5);
             server.paused_until = now + backoff.min(MAX_RECONNECT_BACKOFF_MS);
             server.failures += 1;
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -6,11 +6,15 @@
 use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use auburnlug_gateway::{
+    connection::Fault,
     local_state::{InstanceIdentity, LocalState, View},
     metrics::GatewayMetrics,
     pool::{NoSlot, Pool, SlotRequest},
 };
-use auburnlug_protocol::{fleet::ConnectionOwner, job::SessionVariables};
+use auburnlug_protocol::{
+    fleet::ConnectionOwner,
+    job::{ErrorCode, SessionVariables},
+};
 use auburnlug_state::{
     Name,
     fleet::{Backend, Incarnation},
@@ -196,3 +200,30 @@
         assert_eq!(*order.borrow(), ["early", "late"]);
     });
 }
+
+/// Guards against a server that still counts connections of processes without power: it refuses
+/// further ones, and jobs were refused or waited although open connections could serve them.
+#[test]
+fn a_server_over_its_connection_limit_keeps_working_on_open_connections() {
+    run(async {
+        let local = local();
+        let pool = Pool::new(local.clone());
+        let mut view = view(4);
+        view.backends.get_mut("s").unwrap().slots = 4;
+        pool.apply_view(&view);
+        let open = pool.acquire(slot_request(&local, "a", 1, 60_000)).await.unwrap();
+        let refused = [
+            pool.acquire(slot_request(&local, "b", 1, 60_000)).await.unwrap(),
+            pool.acquire(slot_request(&local, "c", 1, 60_000)).await.unwrap(),
+        ];
+        for permit in refused {
+            permit.record_failure(&Fault::Opening(ErrorCode::ConnectionLimit));
+        }
+        let (other, request) = (pool.clone(), slot_request(&local, "d", 1, 60_000));
+        let waiting = spawn_local(async move { other.acquire(request).await });
+        tokio::task::yield_now().await;
+        drop(open);
+        let slot = timeout(Duration::from_millis(20), waiting).await.unwrap().unwrap();
+        assert!(slot.is_ok(), "{:?}", slot.err());
+    });
+}
