Admit an operation once a server may run it

Cause: an operation took its token on arrival and then waited for a primary, for up to its timeout, and was refused; its caller asked twice more, each time with a token. The router asks for the token now, when it has chosen a server; one that is full refuses without a token as well. The test checks the new place of the token; it cannot show the former one, which was in the session.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,6 +2,8 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use auburnlug_protocol::job::{Answer, ErrorCode};
+
 use crate::{local_state::LocalState, relay::Relay};
 
 /// Admits operations locally or through a regional limiter.
@@ -16,12 +18,21 @@
         Admission { local, relay }
     }
 
-    /// Whether the rate of a client account admits another operation. If no regional limiter
-    /// answers, the entry requests a token from the control leader.
-    pub async fn admit(&self, account: &Arc<str>) -> bool {
-        if !self.local.is_rate_limited(account) {
-            return true;
+    /// Admits an operation of a client account. If no regional limiter answers, the entry requests a
+    /// token from the control leader.
+    ///
+    /// # Errors
+    ///
+    /// The rate of the account does not admit another operation; the answer to the caller.
+    pub async fn admit(&self, account: &Arc<str>) -> Result<(), Answer> {
+        if !self.local.is_rate_limited(account) || self.take_token(account).await {
+            return Ok(());
         }
+        let usage = self.local.describe_rate(account);
+        Err(Answer::error(ErrorCode::Busy, format!("rate of the client account: {usage}")))
+    }
+
+    async fn take_token(&self, account: &Arc<str>) -> bool {
         let limiters = self.local.regional_limiters(account);
         if !limiters.is_empty() {
             self.local.record_forwarded(account);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -30,7 +30,6 @@
 };
 
 use crate::{
-    admission::Admission,
     executor::Executor,
     local_state::{InstanceIdentity, LocalState},
     metrics::GatewayMetrics,
@@ -129,7 +128,6 @@
     let shutdown = Rc::new(Shutdown::default());
     let sessions = Rc::new(SessionContext {
         local: local.clone(),
-        admission: Admission::new(local.clone(), relay.clone()),
         router: router.clone(),
         wire: options.caller_wire,
         shutdown: shutdown.clone(),
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    admission::Admission,
     local_state::{LocalState, View},
     relay::{Relay, TransactionRoute},
 };
@@ -61,6 +62,7 @@
 pub struct Router {
     local: Rc<LocalState>,
     relay: Rc<Relay>,
+    admission: Admission,
     server_records: RefCell<ServerRecords>,
     samples: RefCell<BTreeMap<Arc<str>, PositionSamples>>,
     /// Time since which servers are known to drain.
@@ -72,6 +74,7 @@
     /// A router that runs jobs through `relay`.
     pub fn new(local: Rc<LocalState>, relay: Rc<Relay>) -> Rc<Router> {
         Rc::new(Router {
+            admission: Admission::new(local.clone(), relay.clone()),
             local,
             relay,
             server_records: RefCell::default(),
@@ -115,14 +118,16 @@
         true
     }
 
-    /// Runs a single statement, or the first one of a transaction.
+    /// Runs a single statement, or the first one of a transaction. Its operation is admitted by
+    /// rate once a server may run it, so that operations without a server take no tokens from
+    /// others.
     pub async fn run_first(&self, task: StatementTask) -> (Answer, Option<TransactionRoute>) {
         let time_left = Duration::from_millis(task.job.remaining.saturating_sub(ANSWER_MARGIN_MS));
         let started = Instant::now();
         let until = started + time_left;
         let mut excluded: Option<Arc<str>> = None;
         let mut last = Answer::error(ErrorCode::Busy, "no server is known");
-        let mut attempts = 0;
+        let (mut attempts, mut admitted) = (0, false);
         while attempts < MAX_ATTEMPTS {
             let (server, after) = match self.choose_server(&task, excluded.as_deref()) {
                 ServerChoice::Server(server, after) => (server, after),
@@ -141,6 +146,14 @@
                     continue;
                 }
             };
+            if !admitted {
+                if let Err(refusal) = self.admission.admit(&task.job.account).await {
+                    return (refusal, None);
+                }
+                admitted = true;
+                // The view may have changed meanwhile.
+                continue;
+            }
             attempts += 1;
             let mut job = task.job.clone();
             job.server = server.clone();
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -20,7 +20,6 @@
 };
 
 use crate::{
-    admission::Admission,
     local_state::LocalState,
     relay::TransactionRoute,
     router::{Router, StatementTask},
@@ -48,8 +47,6 @@
 pub struct SessionContext {
     /// State of the entry.
     pub local: Rc<LocalState>,
-    /// Admission control by the rates of client accounts.
-    pub admission: Admission,
     /// Runs statements on servers.
     pub router: Rc<Router>,
     /// Wire protocol of callers.
@@ -403,9 +400,6 @@
         if self.transaction.is_some() {
             return self.run_in_transaction(id, arrival, text, writes, false).await;
         }
-        if let Some(refused) = self.admit().await {
-            return (refused, SessionState::Idle);
-        }
         let task = self.build_task(id, &database, TransactionStep::Single, text, writes, arrival);
         let (answer, route) = self.context.router.run_first(task).await;
         if let Some(route) = route {
@@ -437,16 +431,6 @@
             Some(_) => TransactionStep::Next,
             None => TransactionStep::First { read_only: transaction.read_only },
         };
-        if route.is_none()
-            && let Some(refused) = self.admit().await
-        {
-            if commits {
-                return (refused, SessionState::Idle);
-            }
-            transaction.state = SessionState::Failed;
-            self.transaction = Some(transaction);
-            return (refused, SessionState::Failed);
-        }
         let arrived = if route.is_some() { arrival } else { transaction.arrival };
         let mut task =
             self.build_task(id, &transaction.database, step, text, writes || commits, arrived);
@@ -488,15 +472,6 @@
         self.run_in_transaction(id, arrival, StatementText::Plain(text), false, true).await
     }
 
-    /// Refusal if the rate of the client account does not admit another operation.
-    async fn admit(&self) -> Option<Answer> {
-        if self.account.is_empty() || self.context.admission.admit(&self.account).await {
-            return None;
-        }
-        let usage = self.context.local.describe_rate(&self.account);
-        Some(Answer::error(ErrorCode::Busy, format!("rate of the client account: {usage}")))
-    }
-
     fn build_task(
         &self,
         id: &Arc<str>,
--- a/crates/gateway/tests/restart_backlog.rs
+++ b/crates/gateway/tests/restart_backlog.rs
@@ -1,5 +1,5 @@
-//! Restart of all instances with a backlog of callers: statements that arrive before the control
-//! leader has assigned connection owners.
+//! Statements that arrive while no server can run them: the backlog after a restart of all instances,
+//! before the control leader has assigned connection owners, and operations that need a lost primary.
 
 // The setting for tests in clippy.toml does not reach helper functions in test files.
 #![allow(clippy::unwrap_used)]
@@ -17,14 +17,16 @@
     wire::{DecodeError, ServerCall, ServerReply, ServerWire},
 };
 use auburnlug_protocol::{
-    fleet::{ConnectionOwner, FleetGrant, FleetUpdate, Forward, PrimaryView},
+    config_delta::EncodedConfigDelta,
+    fleet::{ConnectionOwner, FleetGrant, FleetUpdate, Forward, PrimaryView, RateShare},
     job::{
-        Answer, Completion, DataRequirement, Job, SessionVariables, StatementText, TransactionStep,
+        Answer, Completion, DataRequirement, ErrorCode, Job, SessionVariables, StatementText,
+        TransactionStep,
     },
 };
 use auburnlug_state::{
     Name,
-    fleet::{Backend, Incarnation},
+    fleet::{AccountConfig, Backend, FleetConfig, Incarnation},
 };
 use auburnlug_transport::{
     clock::SystemClock,
@@ -139,35 +141,46 @@
     StatementTask { job, need: DataRequirement::Primary, arrival: 0 }
 }
 
+/// An entry that can reach other entries.
+fn create_entry() -> (Rc<LocalState>, Rc<Router>) {
+    let identity = InstanceIdentity {
+        name: name("10.0.0.1"),
+        label: "entry".into(),
+        region: "r".into(),
+        domain: "d".into(),
+        incarnation: 1,
+    };
+    let clock = Arc::new(SystemClock::start());
+    let local = Rc::new(LocalState::new(identity, clock, Arc::new(GatewayMetrics::default())));
+    let executor =
+        Rc::new(Executor::new(local.clone(), Pool::new(local.clone()), Arc::new(UnusedWire)));
+    let (links, mut dialed) = unbounded_channel();
+    let relay = Relay::new(local.clone(), executor, Arc::new(ChannelDialer(links)), 1);
+    spawn_local(async move {
+        while let Some(link) = dialed.recv().await {
+            spawn_local(answer_jobs(link));
+        }
+    });
+    (local.clone(), Router::new(local, relay))
+}
+
+/// A lease, with tokens of the account "a" and none for later.
+fn grant(local: &LocalState, tokens: f64) -> FleetGrant {
+    let share =
+        RateShare { account: "a".into(), rate: 0.0, prefetch: 0.0, tokens, total_share: 0.0 };
+    let (sent, shares, positions) = (local.now(), vec![share], Vec::new());
+    FleetGrant { sent, duration: 4_500, index: 1, shares, positions }
+}
+
 /// Guards against a backlog that uses up its attempts in the milliseconds between the view and the
 /// assignment of connections, and is refused although it could run right after that.
 #[test]
 fn a_backlog_waits_for_the_assignment_of_connection_owners() {
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
-        let identity = InstanceIdentity {
-            name: name("10.0.0.1"),
-            label: "entry".into(),
-            region: "r".into(),
-            domain: "d".into(),
-            incarnation: 1,
-        };
-        let clock = Arc::new(SystemClock::start());
-        let local = Rc::new(LocalState::new(identity, clock, Arc::new(GatewayMetrics::default())));
-        let executor =
-            Rc::new(Executor::new(local.clone(), Pool::new(local.clone()), Arc::new(UnusedWire)));
-        let (links, mut dialed) = unbounded_channel();
-        let relay = Relay::new(local.clone(), executor, Arc::new(ChannelDialer(links)), 1);
-        let router = Router::new(local.clone(), relay);
-        spawn_local(async move {
-            while let Some(link) = dialed.recv().await {
-                spawn_local(answer_jobs(link));
-            }
-        });
+        let (local, router) = create_entry();
         assert!(local.apply_update(servers_update()));
-        let (sent, duration) = (local.now(), 4_500);
-        let (shares, positions) = (Vec::new(), Vec::new());
-        local.apply_grant(&FleetGrant { sent, duration, index: 1, shares, positions });
+        local.apply_grant(&grant(&local, 0.0));
         router.apply_view(&local.view());
         let backlog: Vec<_> = (0..BACKLOG)
             .map(|number| {
@@ -189,3 +202,45 @@
         }
     });
 }
+
+/// Guards against operations that need a lost primary and use up the tokens of their account, so
+/// that those that other servers could run are refused.
+#[test]
+fn operations_without_a_server_take_no_tokens() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let (local, router) = create_entry();
+        let account =
+            AccountConfig { keys: Default::default(), rate: Some(10.0), burst: 10.0, priority: 1 };
+        let config = FleetConfig {
+            version: 1,
+            accounts: [("a".into(), account)].into(),
+            ..FleetConfig::default()
+        };
+        let delta = EncodedConfigDelta::between(&FleetConfig::default(), &config).unwrap();
+        assert!(
+            local.apply_update(FleetUpdate { plan: Some(Arc::new(delta)), ..servers_update() })
+        );
+        assert!(local.apply_update(owners_update()));
+        // The bucket starts with the first operation.
+        assert!(!local.take_token("a"));
+        local.apply_grant(&grant(&local, 3.0));
+        router.apply_view(&local.view());
+        let lost: Vec<_> = (0..10)
+            .map(|number| {
+                let mut task = read_at_primary(number);
+                (task.job.group, task.job.remaining) = ("lost".into(), 300);
+                let router = router.clone();
+                spawn_local(async move { router.run_first(task).await.0 })
+            })
+            .collect();
+        sleep(Duration::from_millis(100)).await;
+        let (answer, _) = router.run_first(read_at_primary(10)).await;
+        assert!(matches!(answer.end, Completion::Done(_)), "{:?}", answer.end);
+        for operation in lost {
+            assert_eq!(operation.await.unwrap().code(), Some(ErrorCode::Busy));
+        }
+        // The operation that ran has taken one of the three tokens.
+        assert_eq!([(); 3].map(|()| local.take_token("a")), [true, true, false]);
+    });
+}
