Look at a server's queue again when a pause after a failure ends

Cause: a paused server's queue was looked at only when another job came or a slot was released. A job that waited alone at a server that had failed once waited until its deadline. Found while testing the pause after refused connections; the test fails on the code before.

The wait for a slot and the attempt on it are a function of their own, and a connection whose setup is refused over the limit is closed.

--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -372,13 +372,13 @@
         self.advance_first_assignment(now);
     }
 
-    /// Assigns connections early once every entry of an earlier leader has started again and is
-    /// recorded: none of them owns connections that it could still report.
+    /// Assigns connections early once every entry of an earlier leader has reported what it owns, or
+    /// has started again, which ends it, and is recorded.
     fn advance_first_assignment(&mut self, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
         let first = !leader.view.connection_owners.is_set();
-        let restarted = leader.unreported.is_empty() && leader.pending_entries.is_empty();
-        if first && restarted {
+        let complete = leader.unreported.is_empty() && leader.pending_entries.is_empty();
+        if first && complete {
             let at = now + ASSIGNMENT_DEBOUNCE_MS;
             leader.assign_at = Some(leader.assign_at.map_or(at, |due| due.min(at)));
         }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -75,22 +75,9 @@
     pub async fn run_first(&self, job: &Job) -> (Answer, Option<PinnedTransaction>) {
         let started = self.local.now();
         let until = Instant::now() + Duration::from_millis(job.remaining);
-        let mut refusals = 0;
-        let (mut permit, sent, attempt) = loop {
-            let mut permit = match self.acquire_slot(job, started, until).await {
-                Ok(permit) => permit,
-                Err(reason) => return (refusal(job, reason), None),
-            };
-            let sent = self.local.now();
-            match self.try_statement(&mut permit, job, until).await {
-                Attempt::NotSent(fault @ Fault::Opening(ErrorCode::ConnectionLimit))
-                    if refusals < MAX_CONNECTION_REFUSALS =>
-                {
-                    refusals += 1;
-                    permit.record_failure(&fault);
-                }
-                attempt => break (permit, sent, attempt),
-            }
+        let (mut permit, sent, attempt) = match self.try_on_slot(job, started, until).await {
+            Ok(tried) => tried,
+            Err(reason) => return (refusal(job, reason), None),
         };
         match attempt {
             Attempt::Answered(reply) => {
@@ -199,6 +186,31 @@
         });
     }
 
+    /// Tries a statement on the next free slot; also returns the time of the attempt. If the server
+    /// accepts no further connection, the job waits again, for one that is open.
+    async fn try_on_slot(
+        &self,
+        job: &Job,
+        arrival: Millis,
+        until: Instant,
+    ) -> Result<(SlotPermit, Millis, Attempt), NoSlot> {
+        let mut refusals = 0;
+        loop {
+            let mut permit = self.acquire_slot(job, arrival, until).await?;
+            let sent = self.local.now();
+            match self.try_statement(&mut permit, job, until).await {
+                Attempt::NotSent(fault @ Fault::Opening(ErrorCode::ConnectionLimit))
+                    if refusals < MAX_CONNECTION_REFUSALS =>
+                {
+                    refusals += 1;
+                    permit.close_connection();
+                    permit.record_failure(&fault);
+                }
+                attempt => return Ok((permit, sent, attempt)),
+            }
+        }
+    }
+
     /// Waits for a slot of the server of a job that arrived at `arrival`.
     async fn acquire_slot(
         &self,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,12 +1,12 @@
 //! Connection pools of this entry, one per server, with queues of waiting jobs.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use auburnlug_coordination::slot_queue::{SlotPlace, SlotQueue};
 use auburnlug_protocol::job::{ErrorCode, SessionVariables};
 use auburnlug_state::{Millis, fleet::Incarnation};
 use auburnlug_transport::event::{Event, log};
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
 use crate::{
     connection::{Connection, Fault, Target},
@@ -234,6 +234,15 @@
         }
     }
 
+    /// Gives free slots to waiting jobs once a pause of `delay` milliseconds has ended.
+    fn dispatch_after(self: &Rc<Self>, id: &Arc<str>, delay: Millis) {
+        let (pool, id) = (self.clone(), id.clone());
+        spawn_local(async move {
+            sleep(Duration::from_millis(delay)).await;
+            pool.dispatch(&id);
+        });
+    }
+
     /// Runs `act` on the pool that issued a permit, unless the server has restarted since.
     fn with_server<R>(
         &self,
@@ -356,22 +365,25 @@
     /// this connection over its limit and others are open, jobs go on with those.
     pub fn record_failure(&self, fault: &Fault) {
         let now = self.pool.local.now();
-        let failures = self.pool.with_server(self, |server| {
+        let outcome = self.pool.with_server(self, |server| {
             if *fault == Fault::Opening(ErrorCode::ConnectionLimit) && server.open_count > 1 {
                 server.accepted = Some((server.open_count - 1, now + CONNECTION_REFUSAL_PAUSE_MS));
-                return 0;
+                return (0, CONNECTION_REFUSAL_PAUSE_MS);
             }
             let backoff = MIN_RECONNECT_BACKOFF_MS << server.failures.min(5);
-            server.paused_until = now + backoff.min(MAX_RECONNECT_BACKOFF_MS);
+            let pause = backoff.min(MAX_RECONNECT_BACKOFF_MS);
+            server.paused_until = now + pause;
             server.failures += 1;
             // The idle connections lead to the same failed process.
             if matches!(fault, Fault::Refused | Fault::Unanswered) {
                 server.open_count -= u32::try_from(server.idle_connections.len()).unwrap_or(0);
                 server.idle_connections.clear();
             }
-            server.failures
+            (server.failures, pause)
         });
-        if failures == Some(1) {
+        let Some((failures, pause)) = outcome else { return };
+        self.pool.dispatch_after(&self.target.server, pause);
+        if failures == 1 {
             log(
                 Event::ServerLost,
                 format_args!(
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -227,3 +227,20 @@
         assert!(slot.is_ok(), "{:?}", slot.err());
     });
 }
+
+/// Guards against a job that waits until its deadline at a server that failed once, as nothing
+/// looked at the queue again when the pause after the failure had ended.
+#[test]
+fn a_waiting_job_runs_when_the_pause_after_a_failure_ends() {
+    run(async {
+        let local = local();
+        let pool = Pool::new(local.clone());
+        pool.apply_view(&view(4));
+        let failed = pool.acquire(slot_request(&local, "a", 1, 60_000)).await.unwrap();
+        failed.record_failure(&Fault::Broken);
+        drop(failed);
+        let waiting = pool.acquire(slot_request(&local, "a", 1, 60_000));
+        let slot = timeout(Duration::from_millis(500), waiting).await.unwrap();
+        assert!(slot.is_ok(), "{:?}", slot.err());
+    });
+}
