Try servers of other regions after the near ones

An unknown server whose connections are owned in other regions only is now expected to take 20 ms more than the fastest known one.

Ruled out: a fixed figure for remote servers, as known latencies include the work of the statements.

--- a/crates/coordination/src/server_choice.rs
+++ b/crates/coordination/src/server_choice.rs
@@ -13,9 +13,14 @@
 /// Weight of a new sample in the moving average of the latency.
 const LATENCY_SAMPLE_WEIGHT: f64 = 0.2;
 
-/// Expected latency of a server without a recent answer; low, so that it is tried.
+/// Expected latency of a server in the entry's region without a recent answer; low, so that it is
+/// tried.
 const UNKNOWN_LATENCY_MS: f64 = 2.0;
 
+/// Expected latency of a server in another region without a recent answer, above the lowest known
+/// one: a round trip between regions. It is tried once the known servers are loaded.
+const REMOTE_LATENCY_MS: f64 = 20.0;
+
 /// Time without an answer after which the latency of a server expires.
 const LATENCY_EXPIRY_MS: Millis = 2_000;
 
@@ -79,6 +84,8 @@
     pub slots: u32,
     /// Whether it is the primary of the group.
     pub primary: bool,
+    /// Whether its connections are owned in other regions only.
+    pub remote: bool,
 }
 
 impl ServerRecords {
@@ -99,9 +106,11 @@
         };
         let healthy =
             |c: &&Candidate| self.servers.get(&c.server).is_none_or(|r| now >= r.failed_until);
+        let known = candidates.iter().filter_map(|c| self.known_latency(&c.server, now));
+        let lowest = known.min_by(f64::total_cmp).unwrap_or(UNKNOWN_LATENCY_MS);
         let cost = |c: &Candidate| {
             let weight = if c.primary { PRIMARY_LATENCY_FACTOR } else { 1.0 };
-            self.expected_latency(c, now) * weight
+            self.expected_latency(c, lowest, now) * weight
         };
         let best = |list: Vec<&Candidate>| {
             let best = list.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
@@ -117,13 +126,19 @@
         now >= record.behind_until || record.position.is_some_and(|position| position >= required)
     }
 
-    fn expected_latency(&self, candidate: &Candidate, now: Millis) -> f64 {
-        let record = self.servers.get(&candidate.server);
-        let latency =
-            record.filter(|r| now < r.answered_at + LATENCY_EXPIRY_MS).and_then(|r| r.latency);
-        let running = record.map_or(0, |record| record.running);
-        let load = f64::from(running) / f64::from(candidate.slots.max(1));
-        latency.unwrap_or(UNKNOWN_LATENCY_MS) * (1.0 + load)
+    /// Average latency of a server that answered recently.
+    fn known_latency(&self, server: &str, now: Millis) -> Option<f64> {
+        let record = self.servers.get(server)?;
+        record.latency.filter(|_| now < record.answered_at + LATENCY_EXPIRY_MS)
+    }
+
+    /// Expected latency of a candidate, if the lowest known one is `lowest`.
+    fn expected_latency(&self, candidate: &Candidate, lowest: f64, now: Millis) -> f64 {
+        let unknown =
+            if candidate.remote { lowest + REMOTE_LATENCY_MS } else { UNKNOWN_LATENCY_MS };
+        let latency = self.known_latency(&candidate.server, now).unwrap_or(unknown);
+        let running = self.servers.get(&candidate.server).map_or(0, |record| record.running);
+        latency * (1.0 + f64::from(running) / f64::from(candidate.slots.max(1)))
     }
 
     /// Records that a statement was sent.
--- a/crates/coordination/tests/fleet.rs
+++ b/crates/coordination/tests/fleet.rs
@@ -268,7 +268,7 @@
 
 fn candidates() -> Vec<Candidate> {
     [("p", true), ("r1", false), ("r2", false)]
-        .map(|(id, primary)| Candidate { server: id.into(), slots: 3, primary })
+        .map(|(id, primary)| Candidate { server: id.into(), slots: 3, primary, remote: false })
         .into()
 }
 
@@ -290,11 +290,31 @@
     assert_eq!(choice(&records, 1_025).as_deref(), Some("p"));
 }
 
+/// Guards against an entry that opens links to the owners of all servers after a restart of
+/// everything, although a replica in its region answers.
+#[test]
+fn replicas_of_other_regions_are_tried_once_the_near_one_is_loaded() {
+    let replica =
+        |id: &str, remote| Candidate { server: id.into(), slots: 3, primary: false, remote };
+    let candidates = [replica("far", true), replica("near", false)];
+    let mut records = ServerRecords::default();
+    let choice = |records: &ServerRecords| records.choose(&candidates, Some(at(1, 1)), None, 1_000);
+    assert_eq!(choice(&records).as_deref(), Some("near"));
+    records.record_sent(&"near".into());
+    records.record_answer("near", 40, Some(at(1, 1)), 990);
+    records.record_ended("near");
+    assert_eq!(choice(&records).as_deref(), Some("near"));
+    for _ in 0..3 {
+        records.record_sent(&"near".into());
+    }
+    assert_eq!(choice(&records).as_deref(), Some("far"));
+}
+
 #[test]
 fn a_replica_that_stays_behind_is_tried_with_backoff() {
     let mut records = ServerRecords::default();
     records.record_sent(&"r1".into());
-    let only = [Candidate { server: "r1".into(), slots: 3, primary: false }];
+    let only = [Candidate { server: "r1".into(), slots: 3, primary: false, remote: false }];
     let (mut now, mut tried) = (0, 0);
     while now < 3_000 {
         if records.choose(&only, Some(at(1, 5)), None, now).is_some() {
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -74,6 +74,12 @@
     pub fn has_connection_owner(&self, server: &str) -> bool {
         self.connection_owners.get(server).is_some_and(|owners| !owners.is_empty())
     }
+
+    /// Whether an entry in a region owns connections to a server.
+    pub fn has_owner_in(&self, server: &str, region: &str) -> bool {
+        let owners = self.connection_owners.get(server);
+        owners.is_some_and(|owners| owners.iter().any(|owner| *owner.region == *region))
+    }
 }
 
 /// Place and identity of this instance.
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -290,7 +290,12 @@
             .values()
             .filter(usable)
             .filter(|backend| leads(backend) || !self.is_primary(&view, backend))
-            .map(|b| Candidate { server: b.id.clone(), slots: b.slots, primary: leads(b) })
+            .map(|b| Candidate {
+                server: b.id.clone(),
+                slots: b.slots,
+                primary: leads(b),
+                remote: !view.has_owner_in(&b.id, &self.local.me.region),
+            })
             .partition(|candidate| records.has_full_queue(&candidate.server, priority, now));
         match records.choose(&candidates, Some(required), excluded, now) {
             Some(server) => {
