--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -3,7 +3,7 @@
 // The setting for tests in clippy.toml does not reach helper functions in test files.
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use auburnlug_gateway::{
     connection::Fault,
@@ -145,59 +145,50 @@
     });
 }
 
+/// Order in which jobs get the only slot, if all of them wait for it.
+async fn serving_order(requests: [(&'static str, SlotRequest); 2]) -> Vec<&'static str> {
+    let local = local();
+    let pool = Pool::new(local.clone());
+    pool.apply_view(&view(4));
+    let busy = pool.acquire(slot_request(&local, "a", 1, 60_000)).await;
+    let order = Rc::new(RefCell::new(Vec::new()));
+    let mut waiting = Vec::new();
+    for (name, request) in requests {
+        let (pool, order) = (pool.clone(), order.clone());
+        waiting.push(spawn_local(async move {
+            let slot = pool.acquire(request).await;
+            order.borrow_mut().push(name);
+            drop(slot);
+        }));
+        tokio::task::yield_now().await;
+    }
+    drop(busy);
+    for task in waiting {
+        task.await.unwrap();
+    }
+    order.take()
+}
+
 /// Guards against a backlog that was asked during an outage and runs before operations that can
 /// still meet their objective.
 #[test]
 fn job_that_can_meet_its_objective_is_served_before_a_late_one() {
     run(async {
-        let local = local();
-        let pool = Pool::new(local.clone());
-        pool.apply_view(&view(4));
-        let busy = pool.acquire(slot_request(&local, "a", 1, 60_000)).await;
-        let order = Rc::new(std::cell::RefCell::new(Vec::new()));
-        let mut waiting = Vec::new();
-        for (name, objective) in [("backlog", 0), ("later", local.now() + 800)] {
-            let (pool, order) = (pool.clone(), order.clone());
-            let request = SlotRequest { objective, ..slot_request(&local, "a", 1, 60_000) };
-            waiting.push(spawn_local(async move {
-                let slot = pool.acquire(request).await;
-                order.borrow_mut().push(name);
-                drop(slot);
-            }));
-            tokio::task::yield_now().await;
-        }
-        drop(busy);
-        for task in waiting {
-            task.await.unwrap();
-        }
-        assert_eq!(*order.borrow(), ["later", "backlog"]);
+        let punctual = slot_request(&local(), "a", 1, 60_000);
+        let late = SlotRequest { objective: 0, ..punctual.clone() };
+        assert_eq!(
+            serving_order([("backlog", late), ("later", punctual)]).await,
+            ["later", "backlog"]
+        );
     });
 }
 
 #[test]
 fn higher_priority_is_served_before_earlier_arrival() {
     run(async {
-        let local = local();
-        let pool = Pool::new(local.clone());
-        pool.apply_view(&view(4));
-        let busy = pool.acquire(slot_request(&local, "a", 1, 60_000)).await;
-        let order = Rc::new(std::cell::RefCell::new(Vec::new()));
-        let mut waiting = Vec::new();
-        for (name, priority) in [("late", 2), ("early", 1)] {
-            let (pool, order) = (pool.clone(), order.clone());
-            let request = slot_request(&local, "a", priority, 60_000);
-            waiting.push(spawn_local(async move {
-                let slot = pool.acquire(request).await;
-                order.borrow_mut().push(name);
-                drop(slot);
-            }));
-            tokio::task::yield_now().await;
-        }
-        drop(busy);
-        for task in waiting {
-            task.await.unwrap();
-        }
-        assert_eq!(*order.borrow(), ["early", "late"]);
+        let requests = [("late", 2), ("early", 1)]
+            .map(|(name, priority)| (name, slot_request(&local(), "a", priority, 60_000)));
+        assert_eq!(serving_order(requests).await, ["early", "late"]);
     });
 }
 
