Cover the commits of replicas that have left before a promotion

Cause: a server with less than the demoted primary was promoted if every replica was compared, but only registered ones were. A replica that left, was replaced at its address or started again may have been the only one with a commit. The primary, which held everything and still answered, was demoted for it and was itself no candidate.

Ruled out: a failure of the primary (silent 249 ms, it answers), a status that is out of date (both are from the same 60 ms).

Change: departures are part of the agreed state until a position covers them; the leader pauses a replica that leaves or takes the primary's next status once its process has ended. A candidate must reach that position or the end of the demoted primary's log. A primary that answers is demoted only if a promotion can follow; one that was demoted and alone has all commits leads again after 1 s.

Why it works: a commit is on the primary and on a replica. Either the replica is still compared, or the position that covers it bounds what it had.

--- a/crates/bench/src/line_group.rs
+++ b/crates/bench/src/line_group.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Makes a replica receive nothing, or receive again.
+    pub fn set_deaf(&self, id: &str, deaf: bool) {
+        let mut state = self.state();
+        let received = state.commits.len();
+        if let Some(member) = state.servers.get_mut(id) {
+            member.paused = deaf.then_some(received);
+        }
+    }
+
     /// Id of the primary.
     pub fn primary(&self) -> String {
         self.state().primary.clone()
--- a/crates/coordination/src/external_failover.rs
+++ b/crates/coordination/src/external_failover.rs
@@ -60,8 +60,13 @@
     pub members: BTreeMap<Arc<str>, Member>,
     /// Number of replicas that must have received a commit before it is acknowledged.
     pub synchronous: u32,
+    /// Highest position that a replica that has left the group may have received; `None` while it
+    /// is unknown.
+    pub departed: Option<Position>,
     /// Whether every entry has stopped using the former primary.
     pub released: bool,
+    /// Time since the former primary was demoted, in milliseconds; 0 if it was not.
+    pub demoted_for: Millis,
     /// Server whose promotion was ordered, while the outcome is unknown.
     pub ordered: Option<Arc<str>>,
 }
@@ -141,31 +146,59 @@
     facts.members.iter().filter(|(id, _)| Some(*id) != facts.former.as_ref())
 }
 
-/// Server with the longest log that is certain to include every acknowledged commit.
+/// Server whose log is certain to include every acknowledged commit.
 ///
-/// An acknowledged commit is on at least one replica, but not necessarily on all. So either all
-/// replicas must be compared, or the chosen one must have everything that the former primary has.
+/// An acknowledged commit is on the former primary and on at least one replica, which may have left
+/// meanwhile. So the chosen server must have everything that the former primary has, or everything
+/// that any replica can have received. If the only server of that kind is the former primary itself,
+/// it leads again.
 fn choose_candidate(facts: &Facts) -> Result<Arc<str>, &'static str> {
     if let Some(id) = &facts.ordered {
         return Ok(id.clone());
     }
-    let complete = replicas(facts).all(|(_, member)| member.status.is_some() && member.reachable);
-    let former = facts.former.as_ref().and_then(|id| facts.members.get(id));
-    let end = former.filter(|m| m.fenced > facts.term).and_then(|m| m.status).map(|s| s.received);
-    let reachable = || replicas(facts).filter(|(_, member)| member.reachable);
-    let best = reachable().filter_map(|(_, m)| m.status).map(|s| s.received).max();
-    let Some(best) = best else { return Err("a reachable replica") };
-    let safe = end.is_some_and(|end| best >= end) || (complete && facts.synchronous > 0);
-    let lossy = facts.synchronous == 0 && complete;
-    if !safe && !lossy {
-        return Err("a replica that may hold acknowledged commits");
+    let demoted = facts.former.as_ref().and_then(|id| Some((id, facts.members.get(id)?)));
+    let demoted = demoted.filter(|(_, member)| member.fenced > facts.term);
+    let end = demoted.and_then(|(_, member)| member.status).map(|status| status.received);
+    let best = longest_log(facts);
+    if best.is_some_and(|best| end.is_some_and(|end| best >= end) || is_complete(facts, best)) {
+        let has_best = |member: &Member| member.status.map(|status| status.received) == best;
+        let candidates = || replicas(facts).filter(|(_, m)| m.reachable && has_best(m));
+        let chosen = candidates().find(|(_, m)| !m.draining).or_else(|| candidates().next());
+        return chosen.map(|(id, _)| id.clone()).ok_or("a reachable replica");
     }
-    let has_best = |member: &Member| member.status.is_some_and(|status| status.received == best);
-    let not_draining = reachable().filter(|(_, m)| has_best(m)).find(|(_, m)| !m.draining);
-    not_draining
-        .or_else(|| reachable().find(|(_, member)| has_best(member)))
-        .map(|(id, _)| id.clone())
-        .ok_or("a reachable replica")
+    match demoted {
+        Some((id, member))
+            if member.reachable && facts.demoted_for >= FORMER_REINSTATE_DELAY_MS =>
+        {
+            Ok(id.clone())
+        }
+        _ => Err("a server that has every acknowledged commit"),
+    }
+}
+
+/// End of the longest log of the reachable replicas.
+fn longest_log(facts: &Facts) -> Option<Position> {
+    let reachable = replicas(facts).filter(|(_, member)| member.reachable);
+    reachable.filter_map(|(_, member)| member.status).map(|status| status.received).max()
+}
+
+/// Whether no replica, present or departed, can have received a commit beyond `best`.
+fn is_complete(facts: &Facts, best: Position) -> bool {
+    let compared = replicas(facts).all(|(_, member)| member.status.is_some() && member.reachable);
+    let acknowledges_alone = facts.synchronous == 0;
+    compared && (acknowledges_alone || facts.departed.is_some_and(|end| best >= end))
+}
+
+/// Whether a promotion can follow once the present primary, which still answers, is demoted: the
+/// choice of [`next_step`] by the statuses known so far.
+///
+/// Without one, the group would only lose its primary.
+pub fn can_replace(facts: &Facts) -> bool {
+    let present = facts.former.as_ref().and_then(|id| facts.members.get(id));
+    let Some(end) = present.and_then(|member| member.status).map(|status| status.received) else {
+        return true;
+    };
+    longest_log(facts).is_some_and(|best| best >= end || is_complete(facts, best))
 }
 
 /// Observations of the current primary.
@@ -186,6 +219,10 @@
     pub unanswered: u32,
 }
 
+/// Time after which a demoted primary is promoted again if no replica is known to have all of its
+/// commits. Replicas that can be reached report their positions sooner.
+const FORMER_REINSTATE_DELAY_MS: Millis = 1_000;
+
 /// Time without an answer after which a primary counts as unreachable. Two lost packets in a row on
 /// a link between regions delay an answer by 600 ms.
 const UNREACHABLE_TIMEOUT_MS: Millis = 900;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -38,16 +38,5 @@
 pub mod standby_level;
 pub mod token_bucket;
 
-use serde::{Deserialize, Serialize};
-
-pub use auburnlug_state::{Millis, Term};
+pub use auburnlug_state::{Millis, Position, Term};
 pub use error::{Category, Error, Result};
-
-/// Position in the log of a database group. Positions are ordered by term, then by offset.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Position {
-    /// Term of the primary that wrote the record.
-    pub term: Term,
-    /// Offset in the log.
-    pub offset: u64,
-}
--- a/crates/coordination/tests/external_failover.rs
+++ b/crates/coordination/tests/external_failover.rs
@@ -4,7 +4,9 @@
 
 use auburnlug_coordination::{
     Position,
-    external_failover::{Cause, Facts, Member, Status, Step, Watch, next_step, replacement_cause},
+    external_failover::{
+        Cause, Facts, Member, Status, Step, Watch, can_replace, next_step, replacement_cause,
+    },
 };
 
 fn member(fenced: u64, received: u64) -> Member {
@@ -27,7 +29,9 @@
         cause,
         members,
         synchronous: 1,
+        departed: Some(Position::default()),
         released: true,
+        demoted_for: 0,
         ordered: None,
     }
 }
@@ -65,6 +69,60 @@
     assert!(matches!(next_step(&short), Step::Wait(_)));
 }
 
+fn position(offset: u64) -> Position {
+    Position { term: 3, offset }
+}
+
+/// A replica that had the last commits left, and the other one was promoted without them.
+#[test]
+fn replica_that_left_may_have_the_last_commit() {
+    for (departed, safe) in [(None, false), (Some(13), false), (Some(12), true)] {
+        let facts = Facts {
+            departed: departed.map(position),
+            ..facts(Cause::Unreachable, unreachable(), member(4, 10), member(4, 12))
+        };
+        assert_eq!(next_step(&facts) == Step::Promote("r2".into()), safe, "{departed:?}");
+    }
+    // The demoted primary shows that the other replica has all of its commits.
+    let facts = Facts {
+        departed: None,
+        ..facts(Cause::Stalled, member(4, 12), member(0, 10), member(0, 12))
+    };
+    assert_eq!(next_step(&facts), Step::Promote("r2".into()));
+}
+
+/// A primary whose replicas lag and that is the only server with all commits was demoted for good.
+#[test]
+fn demoted_primary_leads_again_if_no_replica_has_all_of_its_commits() {
+    let mut facts = Facts {
+        departed: None,
+        ..facts(Cause::Stalled, member(4, 13), member(0, 10), member(0, 12))
+    };
+    assert!(matches!(next_step(&facts), Step::Wait(_)));
+    facts.demoted_for = 1_000;
+    assert_eq!(next_step(&facts), Step::Promote("p".into()));
+}
+
+#[test]
+fn primary_that_answers_is_replaced_only_by_a_server_with_all_commits() {
+    let cases = [
+        // Both replicas are compared, and none has left.
+        (member(0, 10), member(0, 12), Some(0), true),
+        (member(0, 10), unreachable(), Some(0), false),
+        (member(0, 13), unreachable(), Some(0), true),
+        (member(0, 10), member(0, 12), None, false),
+        (member(0, 10), member(0, 12), Some(13), false),
+        (member(0, 10), member(0, 13), None, true),
+    ];
+    for (r1, r2, departed, expected) in cases {
+        let facts = Facts {
+            departed: departed.map(position),
+            ..facts(Cause::Stalled, member(0, 13), r1, r2)
+        };
+        assert_eq!(can_replace(&facts), expected, "{facts:?}");
+    }
+}
+
 #[test]
 fn leaving_primary_is_demoted_first() {
     let facts = facts(Cause::Leaving, member(0, 12), member(0, 12), member(0, 12));
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -2,17 +2,18 @@
 //! failover and orders the promotion from the authority.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::VecDeque,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use auburnlug_coordination::external_failover::{
-    Cause, Facts, Member, Status, Step, Watch, next_step, replacement_cause,
+    Cause, Facts, Member, Status, Step, Watch, can_replace, next_step, replacement_cause,
 };
 use auburnlug_protocol::{fleet::PositionSample, job::ErrorCode};
 use auburnlug_state::{
-    Millis, Term,
+    Millis, Position, Term,
+    departures::Departures,
     fleet::{Backend, FleetChange, GroupPrimary},
 };
 use auburnlug_transport::event::{Event, log};
@@ -28,7 +29,7 @@
 const STATUS_POLL_INTERVAL_MS: Millis = 250;
 
 /// Interval between two probes of a server while its group is in failover.
-const FAILOVER_POLL_INTERVAL_MS: Millis = 60;
+pub(crate) const FAILOVER_POLL_INTERVAL_MS: Millis = 60;
 
 /// Longest wait for the answer to a probe; a loaded server queues probes.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
@@ -62,6 +63,8 @@
     recent_statuses: VecDeque<(Status, Millis, Millis)>,
     /// Term below which the server was fenced by a pause or demotion; 0 if it is not fenced.
     fenced_term: Term,
+    /// Time since which it is fenced.
+    fenced_at: Millis,
     /// Whether the server is paused and must be resumed once a new primary leads.
     paused: bool,
 }
@@ -88,11 +91,43 @@
 /// Result of a probe.
 pub(crate) struct ProbeOutcome {
     group: Arc<str>,
-    server: Arc<str>,
-    action: ProbeAction,
+    pub(crate) server: Arc<str>,
+    pub(crate) action: ProbeAction,
     connection: Option<Connection>,
-    outcome: Result<Option<Status>, Fault>,
-    refusal: Option<ErrorCode>,
+    pub(crate) outcome: Result<Option<Status>, Fault>,
+    pub(crate) refusal: Option<ErrorCode>,
+}
+
+impl ServerMonitor {
+    /// Known facts about the server, for a failover.
+    fn member(&self, backend: &Backend, now: Millis) -> Member {
+        Member {
+            draining: backend.draining,
+            reachable: self.answered_at > 0 && now < self.answered_at + REACHABLE_TIMEOUT_MS,
+            status: self.last_status.map(|(status, _)| status),
+            fenced: self.fenced_term,
+        }
+    }
+
+    /// End of the log of a server that was paused or demoted in `term`: it receives nothing more.
+    pub(crate) fn fenced_end(&self, term: Term) -> Option<Position> {
+        let status = self.last_status.filter(|_| self.fenced_term > term);
+        status.map(|(status, _)| status.received)
+    }
+
+    /// End of the log of the primary of `term`, if it was asked at `since` or later.
+    pub(crate) fn leading_end(&self, term: Term, since: Millis) -> Option<Position> {
+        let (status, asked) = self.last_status?;
+        (status.leads && status.term == term && asked >= since).then_some(status.received)
+    }
+
+    /// Records that the server accepted a pause or demotion.
+    fn fence(&mut self, term: Term, now: Millis) {
+        if self.fenced_term != term {
+            self.fenced_at = now;
+        }
+        self.fenced_term = term;
+    }
 }
 
 impl Control {
@@ -111,8 +146,10 @@
             return;
         }
         self.probe_unknown_primaries(now);
+        self.drop_covered_departures();
         let groups: Vec<_> = self.fleet().leads.clone().into_iter().collect();
         for (group, lead) in groups {
+            self.cover_departures(&group, &lead, now);
             let Some(leader) = &self.leader else { return };
             if leader.failovers.contains_key(&group) {
                 self.advance_failover(&group, &lead, now);
@@ -155,7 +192,8 @@
         if self.is_probe_due(primary, STATUS_POLL_INTERVAL_MS, now) {
             self.probe(primary, ProbeAction::Status);
         }
-        if self.observe_primary(group, primary, now).stalled > 0 {
+        let watch = self.observe_primary(group, primary, now);
+        if watch.stalled > 0 || watch.draining {
             let ids: Vec<_> = self.fleet().backends_of(group).map(|b| b.id.clone()).collect();
             for id in ids {
                 if self.is_probe_due(&id, STATUS_POLL_INTERVAL_MS, now) {
@@ -171,6 +209,9 @@
         }
         let watch = self.observe_primary(group, primary, now);
         if let Some(cause) = replacement_cause(&watch) {
+            if cause != Cause::Unreachable && self.defers_failover(group, lead, cause, now) {
+                return;
+            }
             log(
                 Event::ExternalFailoverStarted,
                 format_args!(
@@ -182,6 +223,34 @@
         }
     }
 
+    /// Whether a primary that still answers stays, as no other server is known to have all of its
+    /// commits.
+    fn defers_failover(
+        &mut self,
+        group: &Arc<str>,
+        lead: &GroupPrimary,
+        cause: Cause,
+        now: Millis,
+    ) -> bool {
+        let former = lead.primary.clone();
+        let replaced = GroupPrimary { term: lead.term, primary: None, former };
+        let Some(facts) = self.collect_facts(group, &replaced, cause, now) else { return true };
+        let Some(leader) = &mut self.leader else { return true };
+        if can_replace(&facts) {
+            leader.deferrals.remove(group);
+            return false;
+        }
+        let logged_at = leader.deferrals.get(group).copied();
+        if logged_at.is_none_or(|at| now >= at + WAIT_LOG_INTERVAL_MS) {
+            leader.deferrals.insert(group.clone(), now);
+            log(
+                Event::ExternalFailoverDeferred,
+                format_args!("group={group} cause={cause:?} facts={facts:?}"),
+            );
+        }
+        true
+    }
+
     /// Updates the time since which no replica has received the primary's whole log.
     fn update_replication_state(&mut self, group: &Arc<str>, primary: &Arc<str>, now: Millis) {
         let fleet = &self.machine.fleet;
@@ -313,7 +382,9 @@
                 self.probe(id, ProbeAction::Status);
             }
         }
-        let Some(facts) = self.collect_facts(group, lead, now) else { return };
+        let cause = self.leader.as_ref().and_then(|leader| leader.failovers.get(group));
+        let Some(cause) = cause.map(|failover| failover.cause) else { return };
+        let Some(facts) = self.collect_facts(group, lead, cause, now) else { return };
         let step = next_step(&facts);
         self.log_step(group, &facts, &step, now);
         match step {
@@ -349,34 +420,37 @@
     }
 
     /// Input for the choice of the next failover step.
-    fn collect_facts(&self, group: &Arc<str>, lead: &GroupPrimary, now: Millis) -> Option<Facts> {
+    fn collect_facts(
+        &self,
+        group: &Arc<str>,
+        lead: &GroupPrimary,
+        cause: Cause,
+        now: Millis,
+    ) -> Option<Facts> {
         let leader = self.leader.as_ref()?;
-        let failover = leader.failovers.get(group)?;
-        let mut members = BTreeMap::new();
-        for backend in self.fleet().backends_of(group) {
+        let backends = self.fleet().backends_of(group);
+        let member = |backend: &Backend| {
             let monitor = leader.monitors.get(&backend.id);
-            let reachable = monitor
-                .is_some_and(|m| m.answered_at > 0 && now < m.answered_at + REACHABLE_TIMEOUT_MS);
-            let member = Member {
-                draining: backend.draining,
-                reachable,
-                status: monitor.and_then(|m| m.last_status).map(|(status, _)| status),
-                fenced: monitor.map_or(0, |m| m.fenced_term),
-            };
-            members.insert(backend.id.clone(), member);
-        }
+            monitor.map_or_else(Member::default, |monitor| monitor.member(backend, now))
+        };
+        let members = backends.map(|backend| (backend.id.clone(), member(backend))).collect();
         let published = leader.lead_index.get(group).copied().unwrap_or(leader.index);
+        let former = lead.former.as_ref().and_then(|former| leader.monitors.get(former));
+        let demoted_at = former.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at);
+        let departures = self.fleet().departures.get(group);
         Some(Facts {
             term: lead.term,
             former: lead.former.clone(),
-            cause: failover.cause,
+            cause,
             members,
             synchronous: self.fleet().plan.groups.get(group).map_or(1, |g| g.synchronous_replicas),
+            departed: departures.map_or(Some(Position::default()), Departures::end),
             released: match &lead.former {
                 Some(former) => leader.leases.is_released(former, published, now),
                 None => leader.leases.is_applied(published, now),
             },
-            ordered: failover.ordered_server.clone(),
+            demoted_for: demoted_at.map_or(0, |at| now.saturating_sub(at)),
+            ordered: leader.failovers.get(group).and_then(|f| f.ordered_server.clone()),
         })
     }
 
@@ -456,22 +530,23 @@
     }
 
     /// Whether a server has no probe in flight and was last probed `interval` ago or earlier.
-    fn is_probe_due(&self, server: &Arc<str>, interval: Millis, now: Millis) -> bool {
+    pub(crate) fn is_probe_due(&self, server: &Arc<str>, interval: Millis, now: Millis) -> bool {
         let monitor = self.leader.as_ref().and_then(|leader| leader.monitors.get(server));
         monitor.is_none_or(|m| !m.probing && now >= m.probed_at + interval)
     }
 
     /// Probes a server unless a probe is in flight.
-    fn probe(&mut self, server: &Arc<str>, action: ProbeAction) {
-        let now = self.now();
+    pub(crate) fn probe(&mut self, server: &Arc<str>, action: ProbeAction) {
         let Some(backend) = self.machine.fleet.backends.get(server) else { return };
-        let target = Target {
-            group: backend.group.clone(),
-            server: server.clone(),
-            address: backend.address,
-        };
+        let (group, address) = (backend.group.clone(), backend.address);
+        self.probe_target(Target { group, server: server.clone(), address }, action);
+    }
+
+    /// Probes a server at its address unless a probe is in flight.
+    pub(crate) fn probe_target(&mut self, target: Target, action: ProbeAction) {
+        let now = self.now();
         let Some(leader) = &mut self.leader else { return };
-        let monitor = leader.monitors.entry(server.clone()).or_default();
+        let monitor = leader.monitors.entry(target.server.clone()).or_default();
         if monitor.probing {
             return;
         }
@@ -489,6 +564,7 @@
     /// Handles the result of a probe.
     pub(crate) fn handle_probe(&mut self, probed: ProbeOutcome) {
         let now = self.now();
+        self.handle_departed_probe(&probed);
         let ProbeOutcome { group, server, action, connection, outcome, refusal } = probed;
         let Some(leader) = &mut self.leader else { return };
         let monitor = leader.monitors.entry(server.clone()).or_default();
@@ -524,11 +600,14 @@
         if refusal.is_none() {
             match action {
                 ProbeAction::Pause(term) => {
-                    monitor.fenced_term = term;
+                    monitor.fence(term, now);
                     monitor.paused = true;
                 }
-                ProbeAction::Demote(term) => monitor.fenced_term = term,
-                ProbeAction::Resume => monitor.paused = false,
+                ProbeAction::Demote(term) => monitor.fence(term, now),
+                ProbeAction::Resume => {
+                    monitor.fenced_term = 0;
+                    monitor.paused = false;
+                }
                 ProbeAction::Status => {}
             }
         }
@@ -551,7 +630,7 @@
 }
 
 /// Time within which a proposed change of a group's leader is expected to be committed.
-const LEAD_COMMIT_TIMEOUT_MS: Millis = 400;
+pub(crate) const LEAD_COMMIT_TIMEOUT_MS: Millis = 400;
 
 /// Sends one probe, on a new connection if there is none.
 async fn send_probe(
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -32,6 +32,7 @@
 
 use crate::{
     control::Control,
+    control_departures::DepartureWatch,
     control_failover::{ExternalFailover, ServerMonitor},
     control_handle::Heartbeat,
 };
@@ -72,6 +73,11 @@
     pub(crate) reports: ServerReports,
     pub(crate) monitors: BTreeMap<Arc<str>, ServerMonitor>,
     pub(crate) failovers: BTreeMap<Arc<str>, ExternalFailover>,
+    /// Replicas that left and may have held commits that no other replica holds.
+    pub(crate) departures: BTreeMap<Arc<str>, DepartureWatch>,
+    /// Groups whose primary stays although it should be replaced, with the time of the last log
+    /// line.
+    pub(crate) deferrals: BTreeMap<Arc<str>, Millis>,
     /// Time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
@@ -242,6 +248,8 @@
             reports: ServerReports::default(),
             monitors: BTreeMap::new(),
             failovers: BTreeMap::new(),
+            departures: BTreeMap::new(),
+            deferrals: BTreeMap::new(),
             unreplicated_since: BTreeMap::new(),
             connection_owners: BTreeMap::new(),
             regions: BTreeMap::new(),
--- a/crates/gateway/src/control_log.rs
+++ b/crates/gateway/src/control_log.rs
@@ -31,6 +31,13 @@
         FleetChange::Entries { joined, left } => {
             log(Event::EntriesRecorded, format_args!("joined={} left={}", joined.len(), left.len()))
         }
+        FleetChange::Cover { group, id, run, end } => log(
+            Event::DepartureCovered,
+            format_args!(
+                "group={group} server={id} run={} end={}.{} outcome={outcome}",
+                run.0, end.term, end.offset
+            ),
+        ),
         FleetChange::Record(_) | FleetChange::Forget { .. } => {}
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod control;
 mod control_configs;
+mod control_departures;
 mod control_failover;
 pub mod control_handle;
 mod control_lead;
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{Applied, Millis, Name, Term};
+use crate::{Applied, Millis, Name, Position, Term, departures::Departures};
 
 /// Fleet configuration published by an operator.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -165,6 +165,17 @@
         /// Incarnation that ended.
         run: Incarnation,
     },
+    /// Records that a replica that has left had received nothing beyond a position.
+    Cover {
+        /// Database group.
+        group: Arc<str>,
+        /// Identity of the replica.
+        id: Arc<str>,
+        /// Incarnation that left.
+        run: Incarnation,
+        /// Position that covers its log.
+        end: Position,
+    },
     /// Records the primary of a group, if the recorded term is `after`.
     Lead {
         /// Database group.
@@ -197,6 +208,9 @@
     /// Incarnations of the entries that may hold leases and rate shares.
     #[serde(default)]
     pub entries: BTreeMap<Name, u64>,
+    /// Replicas that have left, by group.
+    #[serde(default)]
+    pub departures: BTreeMap<Arc<str>, Departures>,
 }
 
 impl Fleet {
@@ -215,7 +229,13 @@
                 if self.backends.get(id).is_none_or(|known| known.run != *run) {
                     return Applied::Stale;
                 }
-                self.backends.remove(id);
+                self.remove_backend(id, false);
+            }
+            FleetChange::Cover { group, id, run, end } => {
+                let departures = self.departures.get_mut(group);
+                if !departures.is_some_and(|departures| departures.cover(id, *run, *end)) {
+                    return Applied::Stale;
+                }
             }
             FleetChange::Lead { group, after, lead } => {
                 let known = self.leads.entry(group.clone()).or_default();
@@ -234,8 +254,8 @@
 
     /// Adds or replaces a server, and removes another server that had the same address before.
     fn record_backend(&mut self, backend: &Backend) -> Applied {
-        let is_later = |known: &Backend| known.run > backend.run;
-        if self.backends.get(&backend.id).is_some_and(is_later) {
+        let known_run = self.backends.get(&backend.id).map(|known| known.run);
+        if known_run.is_some_and(|run| run > backend.run) {
             return Applied::Stale;
         }
         let has_same_address =
@@ -245,12 +265,30 @@
                 return Applied::Stale;
             }
             let id = replaced.id.clone();
-            self.backends.remove(&id);
+            self.remove_backend(&id, true);
+        }
+        // A server that starts again may have lost its log.
+        if known_run.is_some_and(|run| run < backend.run) {
+            self.remove_backend(&backend.id, true);
+        }
+        for departures in self.departures.values_mut() {
+            departures.register(backend);
         }
         self.backends.insert(backend.id.clone(), backend.clone());
         Applied::Done
     }
 
+    /// Removes a server; a replica counts as departed. `ended` tells whether its process is known
+    /// to have ended.
+    fn remove_backend(&mut self, id: &str, ended: bool) {
+        let Some(backend) = self.backends.remove(id) else { return };
+        let Some(lead) = self.leads.get(&backend.group) else { return };
+        let primary = lead.primary.as_ref().or(lead.former.as_ref());
+        if primary.is_none_or(|primary| *primary != backend.id) {
+            self.departures.entry(backend.group.clone()).or_default().record(&backend, ended);
+        }
+    }
+
     /// Returns the servers of a group.
     pub fn backends_of<'a>(&'a self, group: &'a str) -> impl Iterator<Item = &'a Backend> {
         self.backends.values().filter(move |backend| &*backend.group == group)
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod bytes;
 mod command;
 mod config;
+pub mod departures;
 mod error;
 pub mod fleet;
 pub mod fleet_config_delta;
 mod machine;
 mod machine_config;
 mod name;
+mod position;
 pub mod record;
 mod template;
 
@@ -23,6 +25,7 @@
 pub use machine::{Applied, GroupState, Machine};
 pub use machine_config::History;
 pub use name::Name;
+pub use position::Position;
 
 /// Index of an entry in the replicated log. The first entry has index 1.
 pub type Index = u64;
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use auburnlug_state::{
-    Applied, Command, Machine, Name,
+    Applied, Command, Machine, Name, Position,
     fleet::{Backend, Fleet, FleetChange, FleetConfig, GroupConfig, GroupPrimary, Incarnation},
     fleet_config_delta::FleetConfigDelta,
 };
@@ -112,3 +112,62 @@
     fleet.apply(&FleetChange::Entries { joined: entries(&[]), left });
     assert_eq!(fleet.entries, entries(&[("a", 2)]));
 }
+
+/// Group `g` with primary `p` and replicas `r1` and `r2`, all of incarnation 10.
+fn group() -> Fleet {
+    let mut fleet = Fleet::default();
+    for (id, port) in [("p", 1), ("r1", 2), ("r2", 3)] {
+        fleet.apply(&FleetChange::Record(backend(id, port, 10)));
+    }
+    let lead = GroupPrimary { term: 3, primary: Some("p".into()), former: None };
+    fleet.apply(&FleetChange::Lead { group: "g".into(), after: 0, lead });
+    fleet
+}
+
+fn cover(id: &str, run: u64, offset: u64) -> FleetChange {
+    let end = Position { term: 3, offset };
+    FleetChange::Cover { group: "g".into(), id: id.into(), run: Incarnation(run), end }
+}
+
+/// A failover after the departure of the only replica that had the last commits lost them.
+#[test]
+fn a_replica_that_left_counts_until_its_commits_are_covered() {
+    let mut fleet = group();
+    let removal = FleetChange::Forget { id: "r1".into(), run: Incarnation(10) };
+    fleet.apply(&removal);
+    assert_eq!(fleet.departures["g"].end(), None);
+    assert!(!fleet.departures["g"].pending["r1"].ended);
+    assert_eq!(fleet.apply(&cover("r1", 9, 7)), Applied::Stale);
+    assert_eq!(fleet.apply(&cover("r1", 10, 7)), Applied::Done);
+    assert_eq!(fleet.departures["g"].end(), Some(Position { term: 3, offset: 7 }));
+}
+
+/// A replica that was started again, or whose address another server has, ended with its log.
+#[test]
+fn a_replaced_or_restarted_replica_has_left() {
+    for next in [backend("r1", 2, 20), backend("new", 2, 20)] {
+        let mut fleet = group();
+        fleet.apply(&FleetChange::Record(next.clone()));
+        assert!(fleet.departures["g"].pending["r1"].ended, "{next:?}");
+        assert_eq!(fleet.departures["g"].end(), None);
+    }
+}
+
+#[test]
+fn a_server_that_registers_again_with_its_process_has_not_left() {
+    let mut fleet = group();
+    fleet.apply(&FleetChange::Forget { id: "r1".into(), run: Incarnation(10) });
+    fleet.apply(&FleetChange::Record(backend("r1", 2, 10)));
+    assert!(fleet.departures["g"].pending.is_empty());
+}
+
+/// Commits of a primary are on a replica too, so its departure hides none.
+#[test]
+fn only_replicas_count_as_departed() {
+    let mut fleet = group();
+    fleet.apply(&FleetChange::Record(backend("p", 1, 20)));
+    let lead = GroupPrimary { term: 3, primary: None, former: Some("p".into()) };
+    fleet.apply(&FleetChange::Lead { group: "g".into(), after: 3, lead });
+    fleet.apply(&FleetChange::Forget { id: "p".into(), run: Incarnation(20) });
+    assert!(fleet.departures.is_empty());
+}
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -111,6 +111,8 @@
     GroupPrimaryChanged = 713, Info, "leader of a group recorded";
     EntriesRecorded = 714, Info, "entries that may hold leases recorded";
     RegionalLimitersChanged = 715, Info, "delegates for rates changed";
+    ExternalFailoverDeferred = 716, Warn, "replacement of a primary deferred";
+    DepartureCovered = 717, Info, "commits of a departed replica covered";
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
 }
