Record the promotion to order in the agreed state

Cause: only the memory of a control leader held the server whose promotion it had ordered. Its successor chose anew among the fit servers and ordered another one while the first order was carried out; the first server led, was recorded and took writes, and the second promotion rolled them back.

Ruled out: the same leader choosing twice (it keeps the server), a short log of the second server when it is chosen (it has what the demoted primary has).

Change: the server and its incarnation are recorded before the order is sent, by a change that names the record that it replaces. A start or end of the failover in the same term has no effect on a recorded order. A new leader orders the recorded server again. While an order may take effect, no other server that leads is recorded, and of two later terms the latest is.

Why it works: an order is sent only from an applied record, and any later leader has applied it before it acts.

The stand-in group gets a delay between an order and its effect.

--- a/crates/bench/src/line_group.rs
+++ b/crates/bench/src/line_group.rs
@@ -12,7 +12,12 @@
     time::{Duration, Instant},
 };
 
-use axum::{Router, extract::State, http::StatusCode, routing::post};
+use axum::{
+    Router,
+    extract::State,
+    http::{HeaderMap, StatusCode},
+    routing::post,
+};
 use serde::Deserialize;
 use tokio::{
     io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
@@ -55,6 +60,17 @@
     commits: Vec<Commit>,
     servers: BTreeMap<String, Member>,
     executed_statements: Vec<ExecutedStatement>,
+    promotion_delay: Duration,
+    orders: Vec<Order>,
+}
+
+/// An order of promotion that the authority received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Server to promote.
+    pub server: String,
+    /// Instance that sent the order.
+    pub holder: String,
 }
 
 #[derive(Debug)]
@@ -90,6 +106,8 @@
             commits: Vec::new(),
             servers: BTreeMap::new(),
             executed_statements: Vec::new(),
+            promotion_delay: Duration::ZERO,
+            orders: Vec::new(),
         };
         Arc::new(LineGroup { name: name.into(), state: Mutex::new(state) })
     }
@@ -160,6 +178,16 @@
         }
     }
 
+    /// Sets the time between the answer to an order of promotion and its effect.
+    pub fn set_promotion_delay(&self, delay: Duration) {
+        self.state().promotion_delay = delay;
+    }
+
+    /// Orders of promotion that the authority received.
+    pub fn orders(&self) -> Vec<Order> {
+        self.state().orders.clone()
+    }
+
     /// Id of the primary.
     pub fn primary(&self) -> String {
         self.state().primary.clone()
@@ -170,6 +198,25 @@
         self.state().executed_statements.clone()
     }
 
+    /// Accepts an order of promotion, which takes effect after the delay that is set; `false` if the
+    /// server is not running.
+    fn order_promotion(self: &Arc<Self>, order: Order) -> bool {
+        let (delay, running) = {
+            let mut state = self.state();
+            state.orders.push(order.clone());
+            (state.promotion_delay, state.servers.contains_key(&order.server))
+        };
+        if delay.is_zero() || !running {
+            return self.promote(&order.server);
+        }
+        let group = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            group.promote(&order.server);
+        });
+        true
+    }
+
     /// Promotes a server; `false` if the server is not running.
     pub fn promote(&self, id: &str) -> bool {
         let mut state = self.state();
@@ -437,13 +484,15 @@
     address: SocketAddr,
     groups: Vec<Arc<LineGroup>>,
 ) -> std::io::Result<()> {
-    let promote = |State(groups): State<Vec<Arc<LineGroup>>>, body: String| async move {
+    let promote = |State(groups): State<Vec<Arc<LineGroup>>>, headers: HeaderMap, body: String| async move {
         let Ok(order) = serde_json::from_str::<Promotion>(&body) else {
             return StatusCode::BAD_REQUEST;
         };
+        let holder = headers.get("auburnlug-lease-holder").and_then(|text| text.to_str().ok());
+        let holder = holder.unwrap_or_default().to_owned();
         sleep(PROMOTION_TIME).await;
         let group = groups.iter().find(|group| group.name == order.service);
-        match group.map(|group| group.promote(&order.id)) {
+        match group.map(|group| group.order_promotion(Order { server: order.id, holder })) {
             Some(true) => StatusCode::OK,
             Some(false) => StatusCode::CONFLICT,
             None => StatusCode::NOT_FOUND,
--- a/crates/coordination/src/external_failover.rs
+++ b/crates/coordination/src/external_failover.rs
@@ -3,8 +3,9 @@
 //! The authority promotes the server that it is ordered to, with whatever that server's log has
 //! received. So before the order is sent, the former primary must be unable to acknowledge commits,
 //! every entry must have stopped using it, and the chosen server must have all acknowledged
-//! commits. [`next_step`] derives the next action from the known facts and keeps no state, so a new
-//! control leader continues where the previous one stopped.
+//! commits. A second order for another server would roll back what the first one committed, so one
+//! server at a time is ordered. [`next_step`] derives the next action from the known facts and keeps
+//! no state, so a new control leader continues where the previous one stopped.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -67,8 +68,19 @@
     pub released: bool,
     /// Time since the former primary was demoted, in milliseconds; 0 if it was not.
     pub demoted_for: Millis,
-    /// Server whose promotion was ordered, while the outcome is unknown.
-    pub ordered: Option<Arc<str>>,
+    /// Promotion that was ordered, while its outcome is unknown.
+    pub ordered: Option<Ordered>,
+}
+
+/// A promotion that was ordered by this control leader or an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ordered {
+    /// Server to promote.
+    pub server: Arc<str>,
+    /// Whether the process that was chosen still runs, as far as known.
+    pub running: bool,
+    /// Whether an order sent so far may still take effect.
+    pub pending: bool,
 }
 
 /// Next action in the replacement of a primary.
@@ -82,6 +94,8 @@
     Demote(Arc<str>),
     /// Order the promotion of this server.
     Promote(Arc<str>),
+    /// Give up the ordered promotion of this server, which can no longer take effect.
+    Withdraw(Arc<str>),
     /// Keep the former primary.
     Keep(Arc<str>),
     /// Wait for the named condition.
@@ -90,13 +104,20 @@
 
 /// Decides the next step.
 pub fn next_step(facts: &Facts) -> Step {
-    let leads = |member: &Member| member.status.filter(|status| status.leads);
-    let later = facts.members.iter().find_map(|(id, member)| {
-        leads(member).filter(|status| status.term > facts.term).map(|s| (id.clone(), s.term))
-    });
-    if let Some((id, term)) = later {
+    if let Some((id, term)) = later_primary(facts) {
+        // The other server, once it leads, would roll back what is committed until then.
+        let is_superseded = |ordered: &Ordered| ordered.pending && ordered.server != id;
+        if facts.ordered.as_ref().is_some_and(is_superseded) {
+            return Step::Wait("the ordered promotion to take effect");
+        }
         return Step::Adopt(id, term);
     }
+    if let Some(ordered) = facts.ordered.as_ref().filter(|ordered| !ordered.running) {
+        if ordered.pending {
+            return Step::Wait("the ordered promotion to take effect");
+        }
+        return Step::Withdraw(ordered.server.clone());
+    }
     if let Some(step) = next_fencing_step(facts) {
         return step;
     }
@@ -109,6 +130,15 @@
     }
 }
 
+/// Server that leads the latest term after the recorded one.
+fn later_primary(facts: &Facts) -> Option<(Arc<str>, Term)> {
+    let leading = facts.members.iter().filter_map(|(id, member)| {
+        let status = member.status.filter(|status| status.leads && status.term > facts.term)?;
+        Some((id.clone(), status.term))
+    });
+    leading.max_by_key(|(_, term)| *term)
+}
+
 /// Next action that is needed to keep the former primary from acknowledging commits, if any.
 fn next_fencing_step(facts: &Facts) -> Option<Step> {
     let fence_term = facts.term + 1;
@@ -153,8 +183,8 @@
 /// that any replica can have received. If the only server of that kind is the former primary itself,
 /// it leads again.
 fn choose_candidate(facts: &Facts) -> Result<Arc<str>, &'static str> {
-    if let Some(id) = &facts.ordered {
-        return Ok(id.clone());
+    if let Some(ordered) = &facts.ordered {
+        return Ok(ordered.server.clone());
     }
     let demoted = facts.former.as_ref().and_then(|id| Some((id, facts.members.get(id)?)));
     let demoted = demoted.filter(|(_, member)| member.fenced > facts.term);
--- a/crates/coordination/tests/external_failover.rs
+++ b/crates/coordination/tests/external_failover.rs
@@ -5,7 +5,8 @@
 use auburnlug_coordination::{
     Position,
     external_failover::{
-        Cause, Facts, Member, Status, Step, Watch, can_replace, next_step, replacement_cause,
+        Cause, Facts, Member, Ordered, Status, Step, Watch, can_replace, next_step,
+        replacement_cause,
     },
 };
 
@@ -156,10 +157,47 @@
 #[test]
 fn pending_order_is_repeated_for_the_same_server() {
     let mut facts = facts(Cause::Unreachable, unreachable(), member(4, 10), member(4, 12));
-    facts.ordered = Some("r1".into());
+    facts.ordered = ordered("r1", true, true);
     assert_eq!(next_step(&facts), Step::Promote("r1".into()));
 }
 
+fn ordered(server: &str, running: bool, pending: bool) -> Option<Ordered> {
+    Some(Ordered { server: server.into(), running, pending })
+}
+
+fn leads(term: u64, offset: u64) -> Member {
+    let received = Position { term, offset };
+    Member { status: Some(Status { leads: true, term, received }), ..member(4, 0) }
+}
+
+/// A server that led a later term was recorded while another one was still being promoted, which
+/// then rolled back its commits.
+#[test]
+fn no_other_server_is_adopted_while_an_order_may_take_effect() {
+    let mut facts = facts(Cause::Unreachable, unreachable(), member(4, 10), leads(4, 12));
+    facts.ordered = ordered("r1", true, true);
+    assert!(matches!(next_step(&facts), Step::Wait(_)));
+    facts.ordered = ordered("r1", true, false);
+    assert_eq!(next_step(&facts), Step::Adopt("r2".into(), 4));
+    facts.ordered = ordered("r2", true, true);
+    assert_eq!(next_step(&facts), Step::Adopt("r2".into(), 4));
+}
+
+#[test]
+fn latest_of_two_later_primaries_is_adopted() {
+    let facts = facts(Cause::Unreachable, unreachable(), leads(4, 10), leads(5, 12));
+    assert_eq!(next_step(&facts), Step::Adopt("r2".into(), 5));
+}
+
+#[test]
+fn another_server_is_chosen_only_after_the_ordered_one_cannot_be_promoted() {
+    let mut facts = facts(Cause::Unreachable, unreachable(), member(4, 12), member(4, 12));
+    facts.ordered = ordered("r1", false, true);
+    assert!(matches!(next_step(&facts), Step::Wait(_)));
+    facts.ordered = ordered("r1", false, false);
+    assert_eq!(next_step(&facts), Step::Withdraw("r1".into()));
+}
+
 #[test]
 fn server_that_leads_a_later_term_is_adopted() {
     let mut facts = facts(Cause::Unreachable, unreachable(), member(4, 10), member(4, 12));
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -42,7 +42,7 @@
     control_handle::{ControlReply, ControlRequest, Heartbeat},
     control_lead::Leader,
     control_links,
-    control_log::{log_applied, records_entries},
+    control_log::{log_applied, records_entries, records_promotion},
     local_state::InstanceIdentity,
     metrics::GatewayMetrics,
     wire::{Ports, Promoter, PromotionOutcome, ServerWire, socket_address},
@@ -492,6 +492,7 @@
             self.send_member(&to, message);
         }
         let entries_recorded = work.committed.iter().any(records_entries);
+        let promotion_recorded = work.committed.iter().any(records_promotion);
         let before = self.fleet().plan.version;
         if let Some(machine) = work.machine
             && machine.index >= self.machine.index
@@ -514,6 +515,9 @@
         if entries_recorded {
             self.handle_recorded_entries();
         }
+        if promotion_recorded {
+            self.monitor_groups(now);
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -8,13 +8,13 @@
 };
 
 use auburnlug_coordination::external_failover::{
-    Cause, Facts, Member, Status, Step, Watch, can_replace, next_step, replacement_cause,
+    Cause, Facts, Member, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
 };
 use auburnlug_protocol::{fleet::PositionSample, job::ErrorCode};
 use auburnlug_state::{
     Millis, Position, Term,
     departures::Departures,
-    fleet::{Backend, FleetChange, GroupPrimary},
+    fleet::{Backend, FleetChange, GroupPrimary, OrderedPromotion},
 };
 use auburnlug_transport::event::{Event, log};
 use tokio::time::timeout;
@@ -73,9 +73,16 @@
 pub(crate) struct ExternalFailover {
     cause: Cause,
     started_at: Millis,
-    ordered_server: Option<Arc<str>>,
+    /// Recorded promotion that the last proposal replaces, with the time of the proposal.
+    proposal: Option<(Option<OrderedPromotion>, Millis)>,
+    /// Time of the last order; 0 before the first.
     ordered_at: Millis,
+    /// Whether an order is unanswered.
     order_pending: bool,
+    /// Time until which an answered order, or one of an earlier control leader, may take effect.
+    effective_until: Millis,
+    /// Whether the recorded promotion is given up: its server is not running.
+    withdrawn: bool,
     last_log: (String, Millis),
 }
 
@@ -233,7 +240,7 @@
         now: Millis,
     ) -> bool {
         let former = lead.primary.clone();
-        let replaced = GroupPrimary { term: lead.term, primary: None, former };
+        let replaced = GroupPrimary { term: lead.term, primary: None, former, ordered: None };
         let Some(facts) = self.collect_facts(group, &replaced, cause, now) else { return true };
         let Some(leader) = &mut self.leader else { return true };
         if can_replace(&facts) {
@@ -348,15 +355,17 @@
         let failover = ExternalFailover {
             cause,
             started_at: now,
-            ordered_server: None,
+            proposal: None,
             ordered_at: 0,
             order_pending: false,
+            effective_until: lead.ordered.as_ref().map_or(0, |_| now + PROMOTION_RETRY_DELAY_MS),
+            withdrawn: false,
             last_log: (String::new(), 0),
         };
         leader.failovers.insert(group.clone(), failover);
         if lead.primary.is_some() {
             let former = lead.primary.clone();
-            let lead = GroupPrimary { term: lead.term, primary: None, former };
+            let lead = GroupPrimary { term: lead.term, primary: None, former, ordered: None };
             let after = lead.term;
             self.propose(FleetChange::Lead { group: group.clone(), after, lead }, None);
         }
@@ -382,8 +391,13 @@
                 self.probe(id, ProbeAction::Status);
             }
         }
-        let cause = self.leader.as_ref().and_then(|leader| leader.failovers.get(group));
-        let Some(cause) = cause.map(|failover| failover.cause) else { return };
+        let Some(leader) = &mut self.leader else { return };
+        let Some(failover) = leader.failovers.get_mut(group) else { return };
+        if lead.ordered.is_none() {
+            failover.withdrawn = false;
+            failover.ordered_at = 0;
+        }
+        let cause = failover.cause;
         let Some(facts) = self.collect_facts(group, lead, cause, now) else { return };
         let step = next_step(&facts);
         self.log_step(group, &facts, &step, now);
@@ -396,7 +410,9 @@
                 }
             }
             Step::Demote(id) => self.probe(&id, ProbeAction::Demote(lead.term + 1)),
-            Step::Promote(id) => self.order_promotion(group, &id, now),
+            Step::Promote(id) if lead.ordered.is_some() => self.order_promotion(group, &id, now),
+            Step::Promote(id) => self.propose_order(group, lead, Some(&id), now),
+            Step::Withdraw(_) => self.propose_order(group, lead, None, now),
             Step::Wait(_) => {}
         }
     }
@@ -450,7 +466,16 @@
                 None => leader.leases.is_applied(published, now),
             },
             demoted_for: demoted_at.map_or(0, |at| now.saturating_sub(at)),
-            ordered: leader.failovers.get(group).and_then(|f| f.ordered_server.clone()),
+            ordered: lead.ordered.as_ref().map(|ordered| {
+                let failover = leader.failovers.get(group);
+                let running = self.fleet().backends.get(&ordered.server);
+                let running = running.is_some_and(|backend| backend.run == ordered.run);
+                Ordered {
+                    server: ordered.server.clone(),
+                    running: running && failover.is_none_or(|f| !f.withdrawn),
+                    pending: failover.is_none_or(|f| f.order_pending || now < f.effective_until),
+                }
+            }),
         })
     }
 
@@ -467,11 +492,36 @@
             failover.started_at = leader.leading_since.max(self.clock.now());
         }
         let after = lead.term;
-        let lead = GroupPrimary { term, primary, former: None };
+        let lead = GroupPrimary { term, primary, ..GroupPrimary::default() };
         self.propose(FleetChange::Lead { group: group.clone(), after, lead }, None);
     }
 
-    /// Orders a promotion unless an order is pending or was sent less than
+    /// Proposes to record the promotion of `server`, or that the recorded one has had no effect.
+    fn propose_order(
+        &mut self,
+        group: &Arc<str>,
+        lead: &GroupPrimary,
+        server: Option<&Arc<str>>,
+        now: Millis,
+    ) {
+        let backend = server.and_then(|server| self.machine.fleet.backends.get(server));
+        let ordered = backend.map(|b| OrderedPromotion { server: b.id.clone(), run: b.run });
+        let Some(leader) = &mut self.leader else { return };
+        let Some(failover) = leader.failovers.get_mut(group) else { return };
+        let is_waiting = |(before, at): &(Option<OrderedPromotion>, Millis)| {
+            *before == lead.ordered && now < at + LEAD_COMMIT_TIMEOUT_MS
+        };
+        if failover.proposal.as_ref().is_some_and(is_waiting) {
+            return;
+        }
+        failover.proposal = Some((lead.ordered.clone(), now));
+        // Until the removal is committed, no order may be sent.
+        failover.withdrawn = ordered.is_none();
+        let (group, before) = (group.clone(), lead.ordered.clone());
+        self.propose(FleetChange::Order { group, after: lead.term, before, ordered }, None);
+    }
+
+    /// Orders the recorded promotion unless an order is pending or was sent less than
     /// [`PROMOTION_RETRY_DELAY_MS`] ago.
     fn order_promotion(&mut self, group: &Arc<str>, server: &Arc<str>, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
@@ -483,8 +533,6 @@
         }
         failover.order_pending = true;
         failover.ordered_at = now;
-        // From here on the promotion may take effect, even if the answer is lost.
-        failover.ordered_server = Some(server.clone());
         let order = PromotionOrder {
             group: group.clone(),
             server: server.clone(),
@@ -516,16 +564,14 @@
         let Some(leader) = &mut self.leader else { return };
         let Some(failover) = leader.failovers.get_mut(group) else { return };
         failover.order_pending = false;
+        let now = self.clock.now();
         match outcome {
-            PromotionOutcome::Accepted => {}
-            PromotionOutcome::NotRunning => {
-                failover.ordered_server = None;
-                failover.ordered_at = 0;
+            // An order without an answer may reach the authority late.
+            PromotionOutcome::Accepted | PromotionOutcome::Unknown => {
+                failover.effective_until = now + PROMOTION_RETRY_DELAY_MS;
             }
+            PromotionOutcome::NotRunning => failover.withdrawn = true,
             PromotionOutcome::Limited => failover.ordered_at = 0,
-            PromotionOutcome::Unknown => {
-                failover.ordered_at = failover.ordered_at.min(self.clock.now())
-            }
         }
     }
 
@@ -621,8 +667,8 @@
         let lead = self.fleet().leads.get(group).cloned().unwrap_or_default();
         let unknown = lead.term == 0 && lead.primary.is_none();
         if status.term > lead.term && (unknown || lead.primary.is_some()) {
-            let next =
-                GroupPrimary { term: status.term, primary: Some(server.clone()), former: None };
+            let primary = Some(server.clone());
+            let next = GroupPrimary { term: status.term, primary, ..GroupPrimary::default() };
             let after = lead.term;
             self.propose(FleetChange::Lead { group: group.clone(), after, lead: next }, None);
         }
--- a/crates/gateway/src/control_log.rs
+++ b/crates/gateway/src/control_log.rs
@@ -9,6 +9,11 @@
     matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Entries { .. })))
 }
 
+/// Whether a log entry records a promotion to order.
+pub(crate) fn records_promotion(entry: &Entry) -> bool {
+    matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Order { .. })))
+}
+
 /// Logs a committed change and its outcome.
 pub(crate) fn log_applied(change: &FleetChange, applied: Option<&Applied>) {
     let outcome = applied.map_or("none", |applied| match applied {
@@ -31,6 +36,13 @@
         FleetChange::Entries { joined, left } => {
             log(Event::EntriesRecorded, format_args!("joined={} left={}", joined.len(), left.len()))
         }
+        FleetChange::Order { group, after, ordered, .. } => log(
+            Event::PromotionRecorded,
+            format_args!(
+                "group={group} after={after} server={} outcome={outcome}",
+                ordered.as_ref().map_or("none", |ordered| &*ordered.server)
+            ),
+        ),
         FleetChange::Cover { group, id, run, end } => log(
             Event::DepartureCovered,
             format_args!(
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -2,8 +2,8 @@
 //! whose primaries are promoted by an external authority.
 //!
 //! The configuration with the highest version is in force. The primary of a group is recorded both
-//! before a promotion is ordered and after it took effect, so that a new control leader can
-//! continue an external failover.
+//! before a promotion is ordered and after it took effect, and the server to promote is recorded
+//! before the order is sent, so that a new control leader can continue an external failover.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -144,6 +144,18 @@
     pub primary: Option<Arc<str>>,
     /// Previous primary, while a replacement is being promoted.
     pub former: Option<Arc<str>>,
+    /// Promotion that may have been ordered; recorded before the order is sent.
+    #[serde(default)]
+    pub ordered: Option<OrderedPromotion>,
+}
+
+/// Server whose promotion is ordered from the authority.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderedPromotion {
+    /// Server.
+    pub server: Arc<str>,
+    /// Incarnation of its process, whose log was compared.
+    pub run: Incarnation,
 }
 
 /// A change to the state of the fleet.
@@ -185,6 +197,18 @@
         /// New record.
         lead: GroupPrimary,
     },
+    /// Records the promotion to order for a group without a primary, or that the recorded one has
+    /// had no effect, if the recorded term is `after` and the recorded promotion is `before`.
+    Order {
+        /// Database group.
+        group: Arc<str>,
+        /// Recorded term on which the decision is based.
+        after: Term,
+        /// Recorded promotion on which the decision is based.
+        before: Option<OrderedPromotion>,
+        /// New record.
+        ordered: Option<OrderedPromotion>,
+    },
     /// Adds entries before they are granted leases, and removes entries whose leases have ended.
     Entries {
         /// Incarnations of entries that joined.
@@ -239,11 +263,20 @@
             }
             FleetChange::Lead { group, after, lead } => {
                 let known = self.leads.entry(group.clone()).or_default();
-                if known.term != *after || lead.term < known.term {
+                // A promotion that may take effect is followed by a later term or by its removal.
+                let is_ordered = lead.term == known.term && known.ordered.is_some();
+                if known.term != *after || lead.term < known.term || is_ordered {
                     return Applied::Stale;
                 }
                 *known = lead.clone();
             }
+            FleetChange::Order { group, after, before, ordered } => {
+                let Some(known) = self.leads.get_mut(group) else { return Applied::Stale };
+                if known.term != *after || known.primary.is_some() || known.ordered != *before {
+                    return Applied::Stale;
+                }
+                known.ordered = ordered.clone();
+            }
             FleetChange::Entries { joined, left } => {
                 self.entries.retain(|name, run| left.get(name) != Some(run));
                 self.entries.extend(joined.iter().map(|(name, run)| (name.clone(), *run)));
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -7,7 +7,10 @@
 
 use auburnlug_state::{
     Applied, Command, Machine, Name, Position,
-    fleet::{Backend, Fleet, FleetChange, FleetConfig, GroupConfig, GroupPrimary, Incarnation},
+    fleet::{
+        Backend, Fleet, FleetChange, FleetConfig, GroupConfig, GroupPrimary, Incarnation,
+        OrderedPromotion,
+    },
     fleet_config_delta::FleetConfigDelta,
 };
 
@@ -67,7 +70,8 @@
 #[test]
 fn primary_is_recorded_only_if_the_term_is_unchanged() {
     let mut fleet = Fleet::default();
-    let lead = |term, id: &str| GroupPrimary { term, primary: Some(id.into()), former: None };
+    let lead =
+        |term, id: &str| GroupPrimary { term, primary: Some(id.into()), ..Default::default() };
     let change = |after, lead| FleetChange::Lead { group: "g".into(), after, lead };
     assert_eq!(fleet.apply(&change(0, lead(3, "a"))), Applied::Done);
     assert_eq!(fleet.apply(&change(0, lead(1, "b"))), Applied::Stale);
@@ -119,11 +123,45 @@
     for (id, port) in [("p", 1), ("r1", 2), ("r2", 3)] {
         fleet.apply(&FleetChange::Record(backend(id, port, 10)));
     }
-    let lead = GroupPrimary { term: 3, primary: Some("p".into()), former: None };
+    let lead = GroupPrimary { term: 3, primary: Some("p".into()), ..Default::default() };
     fleet.apply(&FleetChange::Lead { group: "g".into(), after: 0, lead });
     fleet
 }
 
+/// Removes the recorded primary.
+fn start_failover() -> FleetChange {
+    let lead = GroupPrimary { term: 3, former: Some("p".into()), ..Default::default() };
+    FleetChange::Lead { group: "g".into(), after: 3, lead }
+}
+
+fn order(before: Option<&str>, server: Option<&str>) -> FleetChange {
+    let promotion = |id: &str| OrderedPromotion { server: id.into(), run: Incarnation(10) };
+    let (before, ordered) = (before.map(promotion), server.map(promotion));
+    FleetChange::Order { group: "g".into(), after: 3, before, ordered }
+}
+
+/// Two control leaders ordered the promotion of different servers, and the later promotion rolled
+/// back what the earlier one had committed.
+#[test]
+fn one_promotion_at_a_time_is_recorded() {
+    let mut fleet = group();
+    assert_eq!(fleet.apply(&order(None, Some("r1"))), Applied::Stale);
+    fleet.apply(&start_failover());
+    assert_eq!(fleet.apply(&order(None, Some("r1"))), Applied::Done);
+    assert_eq!(fleet.apply(&order(None, Some("r2"))), Applied::Stale);
+    // A late start or end of the failover in the same term does not remove the promotion.
+    let kept = GroupPrimary { term: 3, primary: Some("p".into()), ..Default::default() };
+    let keep = FleetChange::Lead { group: "g".into(), after: 3, lead: kept };
+    assert_eq!(fleet.apply(&keep), Applied::Stale);
+    assert_eq!(fleet.apply(&start_failover()), Applied::Stale);
+    assert_eq!(fleet.leads["g"].ordered.as_ref().unwrap().server, "r1".into());
+    assert_eq!(fleet.apply(&order(Some("r1"), None)), Applied::Done);
+    assert_eq!(fleet.apply(&order(None, Some("r2"))), Applied::Done);
+    let lead = GroupPrimary { term: 4, primary: Some("r2".into()), ..Default::default() };
+    fleet.apply(&FleetChange::Lead { group: "g".into(), after: 3, lead });
+    assert_eq!(fleet.leads["g"].ordered, None);
+}
+
 fn cover(id: &str, run: u64, offset: u64) -> FleetChange {
     let end = Position { term: 3, offset };
     FleetChange::Cover { group: "g".into(), id: id.into(), run: Incarnation(run), end }
@@ -166,8 +204,7 @@
 fn only_replicas_count_as_departed() {
     let mut fleet = group();
     fleet.apply(&FleetChange::Record(backend("p", 1, 20)));
-    let lead = GroupPrimary { term: 3, primary: None, former: Some("p".into()) };
-    fleet.apply(&FleetChange::Lead { group: "g".into(), after: 3, lead });
+    fleet.apply(&start_failover());
     fleet.apply(&FleetChange::Forget { id: "p".into(), run: Incarnation(20) });
     assert!(fleet.departures.is_empty());
 }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -113,6 +113,7 @@
     RegionalLimitersChanged = 715, Info, "delegates for rates changed";
     ExternalFailoverDeferred = 716, Warn, "replacement of a primary deferred";
     DepartureCovered = 717, Info, "commits of a departed replica covered";
+    PromotionRecorded = 718, Info, "promotion to order recorded";
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
 }
