Compare only statuses reported after the fence

Cause: a server that answered BUSY to a probe counted as reachable with its last status of any age, here one of a replacement some seconds earlier. The replica that had received nothing since won the comparison.

Ruled out: a departed replica (four servers, the one that left had exited before the last commits), a second order (one order per replacement).

Change: a status counts for the comparison if it was asked for after the former primary was demoted or the server was paused; a failed probe discards it. The position in a refusal bounds the log from below: a loaded server whose refusal includes the end of the demoted primary's log is promoted without a status. A server that refuses connections is not reachable.

Why it works: a commit that was acknowledged before the fence had been received by its replica by then, so a later status includes it.

--- a/crates/bench/src/line_group.rs
+++ b/crates/bench/src/line_group.rs
@@ -84,6 +84,8 @@
     lag: Duration,
     /// Number of commits received when replication was paused.
     paused: Option<usize>,
+    /// Whether it refuses control calls for lack of a slot.
+    busy: bool,
     alive: watch::Sender<bool>,
 }
 
@@ -129,7 +131,7 @@
             if state.primary.is_empty() {
                 state.primary = id.into();
             }
-            let member = Member { lag: Duration::ZERO, paused: None, alive };
+            let member = Member { lag: Duration::ZERO, paused: None, busy: false, alive };
             state.servers.insert(id.into(), member);
         }
         let (group, id) = (self.clone(), id.to_owned());
@@ -178,6 +180,13 @@
         }
     }
 
+    /// Makes a server refuse control calls, as one without a free slot does.
+    pub fn set_busy(&self, id: &str, busy: bool) {
+        if let Some(member) = self.state().servers.get_mut(id) {
+            member.busy = busy;
+        }
+    }
+
     /// Sets the time between the answer to an order of promotion and its effect.
     pub fn set_promotion_delay(&self, delay: Duration) {
         self.state().promotion_delay = delay;
@@ -280,6 +289,11 @@
         }
         let words: Vec<&str> = text.splitn(4, ' ').collect();
         match words[0] {
+            "STATUS" | "PAUSE" | "RESUME" | "DEMOTE"
+                if state.servers.get(id).is_some_and(|member| member.busy) =>
+            {
+                Some(context.refuse(session, "BUSY"))
+            }
             "STATUS" | "PAUSE" | "RESUME" | "DEMOTE" => {
                 state.apply_control(id, &words);
                 let role = if state.primary == id { "primary" } else { "replica" };
--- a/crates/coordination/src/external_failover.rs
+++ b/crates/coordination/src/external_failover.rs
@@ -42,8 +42,13 @@
     pub draining: bool,
     /// Whether the server has answered recently.
     pub reachable: bool,
-    /// Status reported after the server was fenced, otherwise the latest one.
+    /// Latest status.
     pub status: Option<Status>,
+    /// Whether the status was reported after this server or the former primary was fenced, so that
+    /// it includes every acknowledged commit that the server received.
+    pub settled: bool,
+    /// Position that the log includes, by the status or by a refusal to report one.
+    pub holds: Position,
     /// Fencing term: the server refuses to receive commits or to lead up to this term.
     pub fenced: Term,
 }
@@ -189,10 +194,8 @@
     let demoted = facts.former.as_ref().and_then(|id| Some((id, facts.members.get(id)?)));
     let demoted = demoted.filter(|(_, member)| member.fenced > facts.term);
     let end = demoted.and_then(|(_, member)| member.status).map(|status| status.received);
-    let best = longest_log(facts);
-    if best.is_some_and(|best| end.is_some_and(|end| best >= end) || is_complete(facts, best)) {
-        let has_best = |member: &Member| member.status.map(|status| status.received) == best;
-        let candidates = || replicas(facts).filter(|(_, m)| m.reachable && has_best(m));
+    if let Some(position) = sufficient_position(facts, end) {
+        let candidates = || replicas(facts).filter(|(_, m)| m.reachable && m.holds >= position);
         let chosen = candidates().find(|(_, m)| !m.draining).or_else(|| candidates().next());
         return chosen.map(|(id, _)| id.clone()).ok_or("a reachable replica");
     }
@@ -206,29 +209,31 @@
     }
 }
 
-/// End of the longest log of the reachable replicas.
-fn longest_log(facts: &Facts) -> Option<Position> {
-    let reachable = replicas(facts).filter(|(_, member)| member.reachable);
-    reachable.filter_map(|(_, member)| member.status).map(|status| status.received).max()
-}
-
-/// Whether no replica, present or departed, can have received a commit beyond `best`.
-fn is_complete(facts: &Facts, best: Position) -> bool {
-    let compared = replicas(facts).all(|(_, member)| member.status.is_some() && member.reachable);
+/// Position that a reachable replica has reached and that covers every acknowledged commit. `end`
+/// is the end of the former primary's log, if it is known.
+fn sufficient_position(facts: &Facts, end: Option<Position>) -> Option<Position> {
+    let reached = |end: &Position| replicas(facts).any(|(_, m)| m.reachable && m.holds >= *end);
+    if let Some(end) = end.filter(reached) {
+        return Some(end);
+    }
+    let received = |member: &Member| {
+        let status = member.status.filter(|_| member.reachable && member.settled)?;
+        Some(status.received)
+    };
+    let compared: Option<Vec<_>> = replicas(facts).map(|(_, member)| received(member)).collect();
+    let longest = compared?.into_iter().max()?;
     let acknowledges_alone = facts.synchronous == 0;
-    compared && (acknowledges_alone || facts.departed.is_some_and(|end| best >= end))
+    (acknowledges_alone || facts.departed.is_some_and(|end| longest >= end)).then_some(longest)
 }
 
 /// Whether a promotion can follow once the present primary, which still answers, is demoted: the
-/// choice of [`next_step`] by the statuses known so far.
+/// choice of [`next_step`] by the statuses known so far, where recent ones count as settled.
 ///
 /// Without one, the group would only lose its primary.
 pub fn can_replace(facts: &Facts) -> bool {
     let present = facts.former.as_ref().and_then(|id| facts.members.get(id));
-    let Some(end) = present.and_then(|member| member.status).map(|status| status.received) else {
-        return true;
-    };
-    longest_log(facts).is_some_and(|best| best >= end || is_complete(facts, best))
+    let end = present.and_then(|member| member.status).map(|status| status.received);
+    end.is_none() || sufficient_position(facts, end).is_some()
 }
 
 /// Observations of the current primary.
--- a/crates/coordination/tests/external_failover.rs
+++ b/crates/coordination/tests/external_failover.rs
@@ -13,7 +13,7 @@
 fn member(fenced: u64, received: u64) -> Member {
     let received = Position { term: 3, offset: received };
     let status = Some(Status { leads: false, term: 3, received });
-    Member { draining: false, reachable: true, status, fenced }
+    Member { draining: false, reachable: true, status, settled: true, holds: received, fenced }
 }
 
 fn unreachable() -> Member {
@@ -124,6 +124,33 @@
     }
 }
 
+/// A status from before the former primary was fenced misses its last commits. Such a status of a
+/// server that answered `BUSY` since then let a shorter log win the comparison.
+#[test]
+fn old_status_is_not_compared() {
+    let old = Member { settled: false, ..member(4, 11) };
+    let waits = facts(Cause::Unreachable, unreachable(), member(4, 12), old.clone());
+    assert!(matches!(next_step(&waits), Step::Wait(_)));
+    let waits = facts(Cause::Leaving, member(4, 14), member(0, 12), old);
+    assert!(matches!(next_step(&waits), Step::Wait(_)));
+}
+
+/// A loaded server refuses to report its status, but the refusal tells a position of its log.
+#[test]
+fn loaded_replica_is_promoted_by_the_position_in_its_refusal() {
+    let loaded =
+        |offset| Member { status: None, settled: false, holds: position(offset), ..member(0, 0) };
+    let facts = |offset| facts(Cause::Leaving, member(4, 14), member(0, 12), loaded(offset));
+    assert!(matches!(next_step(&facts(13)), Step::Wait(_)));
+    assert_eq!(next_step(&facts(14)), Step::Promote("r2".into()));
+    // Without the end of the former primary's log, the position alone shows nothing.
+    let unknown = Facts { cause: Cause::Unreachable, ..facts(14) };
+    let members = [("p", unreachable()), ("r1", member(4, 12)), ("r2", loaded(14))];
+    let members = members.map(|(id, member)| (id.into(), Member { fenced: 4, ..member })).into();
+    let unknown = Facts { former: None, members, ..unknown };
+    assert!(matches!(next_step(&unknown), Step::Wait(_)));
+}
+
 #[test]
 fn leaving_primary_is_demoted_first() {
     let facts = facts(Cause::Leaving, member(0, 12), member(0, 12), member(0, 12));
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -63,8 +63,10 @@
     recent_statuses: VecDeque<(Status, Millis, Millis)>,
     /// Term below which the server was fenced by a pause or demotion; 0 if it is not fenced.
     fenced_term: Term,
-    /// Time since which it is fenced.
-    fenced_at: Millis,
+    /// Times of the probe that fenced it and of its answer.
+    fenced_at: (Millis, Millis),
+    /// Position that its log includes.
+    holds: Position,
     /// Whether the server is paused and must be resumed once a new primary leads.
     paused: bool,
 }
@@ -102,16 +104,31 @@
     pub(crate) action: ProbeAction,
     connection: Option<Connection>,
     pub(crate) outcome: Result<Option<Status>, Fault>,
+    /// Position that the answer tells; a server that refuses to report its status tells one too.
+    position: Option<Position>,
     pub(crate) refusal: Option<ErrorCode>,
 }
 
 impl ServerMonitor {
-    /// Known facts about the server, for a failover.
-    fn member(&self, backend: &Backend, now: Millis) -> Member {
+    /// Known facts about the server, for a failover. A status counts as settled if it was asked for
+    /// at `settled_at`, or after this server was fenced in `term`.
+    fn member(
+        &self,
+        backend: &Backend,
+        term: Term,
+        settled_at: Option<Millis>,
+        now: Millis,
+    ) -> Member {
+        let answered = self.answered_at > 0 && now < self.answered_at + REACHABLE_TIMEOUT_MS;
+        let fenced_at = (self.fenced_term > term).then_some(self.fenced_at.0);
+        let since = fenced_at.into_iter().chain(settled_at).min();
+        let is_settled = |(_, asked): (Status, Millis)| since.is_some_and(|since| asked >= since);
         Member {
             draining: backend.draining,
-            reachable: self.answered_at > 0 && now < self.answered_at + REACHABLE_TIMEOUT_MS,
+            reachable: answered && self.refusals == 0,
             status: self.last_status.map(|(status, _)| status),
+            settled: self.last_status.is_some_and(is_settled),
+            holds: self.holds,
             fenced: self.fenced_term,
         }
     }
@@ -131,7 +148,7 @@
     /// Records that the server accepted a pause or demotion.
     fn fence(&mut self, term: Term, now: Millis) {
         if self.fenced_term != term {
-            self.fenced_at = now;
+            self.fenced_at = (self.probed_at, now);
         }
         self.fenced_term = term;
     }
@@ -240,8 +257,11 @@
         now: Millis,
     ) -> bool {
         let former = lead.primary.clone();
+        let recent = now.saturating_sub(REACHABLE_TIMEOUT_MS);
         let replaced = GroupPrimary { term: lead.term, primary: None, former, ordered: None };
-        let Some(facts) = self.collect_facts(group, &replaced, cause, now) else { return true };
+        let Some(facts) = self.collect_facts(group, &replaced, cause, Some(recent), now) else {
+            return true;
+        };
         let Some(leader) = &mut self.leader else { return true };
         if can_replace(&facts) {
             leader.deferrals.remove(group);
@@ -398,7 +418,7 @@
             failover.ordered_at = 0;
         }
         let cause = failover.cause;
-        let Some(facts) = self.collect_facts(group, lead, cause, now) else { return };
+        let Some(facts) = self.collect_facts(group, lead, cause, None, now) else { return };
         let step = next_step(&facts);
         self.log_step(group, &facts, &step, now);
         match step {
@@ -435,24 +455,27 @@
         failover.last_log = (text, now);
     }
 
-    /// Input for the choice of the next failover step.
+    /// Input for the choice of the next failover step. Until the former primary is fenced, statuses
+    /// asked for at `recent` or later count as settled, if it is given.
     fn collect_facts(
         &self,
         group: &Arc<str>,
         lead: &GroupPrimary,
         cause: Cause,
+        recent: Option<Millis>,
         now: Millis,
     ) -> Option<Facts> {
         let leader = self.leader.as_ref()?;
-        let backends = self.fleet().backends_of(group);
+        let former = lead.former.as_ref().and_then(|former| leader.monitors.get(former));
+        let demoted_at = former.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at.1);
+        let settled_at = demoted_at.or(recent);
         let member = |backend: &Backend| {
             let monitor = leader.monitors.get(&backend.id);
-            monitor.map_or_else(Member::default, |monitor| monitor.member(backend, now))
+            let member = monitor.map(|m| m.member(backend, lead.term, settled_at, now));
+            (backend.id.clone(), member.unwrap_or_default())
         };
-        let members = backends.map(|backend| (backend.id.clone(), member(backend))).collect();
+        let members = self.fleet().backends_of(group).map(member).collect();
         let published = leader.lead_index.get(group).copied().unwrap_or(leader.index);
-        let former = lead.former.as_ref().and_then(|former| leader.monitors.get(former));
-        let demoted_at = former.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at);
         let departures = self.fleet().departures.get(group);
         Some(Facts {
             term: lead.term,
@@ -611,7 +634,7 @@
     pub(crate) fn handle_probe(&mut self, probed: ProbeOutcome) {
         let now = self.now();
         self.handle_departed_probe(&probed);
-        let ProbeOutcome { group, server, action, connection, outcome, refusal } = probed;
+        let ProbeOutcome { group, server, action, connection, outcome, position, refusal } = probed;
         let Some(leader) = &mut self.leader else { return };
         let monitor = leader.monitors.entry(server.clone()).or_default();
         monitor.probing = false;
@@ -624,8 +647,10 @@
                     // The process may have ended, so the server is probed again at once.
                     Fault::Broken | Fault::Opening(_) => monitor.probed_at = 0,
                 }
-                // A restarted process is neither paused nor demoted.
+                // A restarted process is neither paused nor demoted, and may have lost its log.
                 monitor.fenced_term = 0;
+                monitor.last_status = None;
+                monitor.holds = Position::default();
                 if fault == Fault::Refused {
                     monitor.probed_at = 0;
                 }
@@ -636,6 +661,8 @@
         monitor.answered_at = now;
         monitor.refusals = 0;
         monitor.timeouts = 0;
+        let received = status.map(|status| status.received);
+        monitor.holds = position.into_iter().chain(received).fold(monitor.holds, Position::max);
         if let Some(status) = status {
             monitor.last_status = Some((status, monitor.probed_at));
             monitor.recent_statuses.push_back((status, monitor.probed_at, now));
@@ -693,6 +720,7 @@
         action,
         connection: None,
         outcome: Err(fault),
+        position: None,
         refusal: None,
     };
     let mut connection = match connection {
@@ -724,6 +752,7 @@
             server: target.server,
             action,
             outcome: Ok(wire.status(&reply.answer)),
+            position: reply.answer.position,
             refusal: reply.answer.code(),
             connection: Some(connection),
         },
