Compare the server that took over the log of a crashed replica

With departures recorded, the former name had to be covered by a primary that was away, so nobody would have been promoted until it came back.

Cause: a server that is replaced at its address was treated as one whose log is gone. The same for the primary itself: it comes back as a server of another name that leads the same term, and was not taken for the former primary.

Change: a departure names the server that was started at the address. Once that server is fenced and has at least what the departed one had reported, its end covers the departure. The primary of a term is found by its role if its name is not registered any more; it may be kept like one that answers again. Ruled out: not recording such departures at all, as the log could be missing.

--- a/crates/gateway/src/control_departures.rs
+++ b/crates/gateway/src/control_departures.rs
@@ -2,7 +2,8 @@
 //!
 //! A replica that deregisters ends soon afterwards, and until then it may receive further commits.
 //! It is paused, which fixes the end of its log; or once its process has ended, the next status of
-//! the primary covers everything that it can have received.
+//! the primary covers everything that it can have received. A server that starts at the address of
+//! another one after a crash has its log, which is compared in its place.
 
 use std::sync::Arc;
 
@@ -53,7 +54,9 @@
         if departures.pending.is_empty() {
             return;
         }
-        for (id, departed) in departures.pending.clone() {
+        let pending = departures.pending.clone();
+        let primary = self.term_primary(group, lead);
+        for (id, departed) in pending {
             let Some(leader) = &mut self.leader else { return };
             let paused_end = leader.monitors.get(&id).and_then(|m| m.fenced_end(lead.term));
             let new = || DepartureWatch {
@@ -72,8 +75,9 @@
             }
             let proposed = watch.proposed_at.is_some_and(|at| now < at + LEAD_COMMIT_TIMEOUT_MS);
             let (ended_at, paused_end) = (watch.ended_at, watch.paused_end);
-            let primary = lead.primary.as_ref().or(lead.former.as_ref());
-            let end = paused_end.or_else(|| self.primary_end_since(primary?, lead.term, ended_at?));
+            let end = paused_end
+                .or_else(|| self.primary_end_since(primary.as_ref()?, lead.term, ended_at?))
+                .or_else(|| self.successor_end(&id, departed.successor.as_ref()?, lead.term));
             if let Some(end) = end {
                 if !proposed {
                     self.propose_cover(group, &id, departed.run, end, now);
@@ -84,7 +88,7 @@
                         Target { group: group.clone(), server: id, address: departed.address };
                     self.probe_target(target, ProbeAction::Pause(lead.term + 1));
                 }
-            } else if let Some(primary) = &lead.primary
+            } else if let Some(primary) = &primary
                 && self.is_probe_due(primary, FAILOVER_POLL_INTERVAL_MS, now)
             {
                 self.probe(primary, ProbeAction::Status);
@@ -99,6 +103,16 @@
         monitor.fenced_end(term).or_else(|| monitor.leading_end(term, since))
     }
 
+    /// End of the log of the server that was started at the address of a departed one, once it is
+    /// fenced. It counts if it shows that the log was taken over: it includes all that the departed
+    /// server has reported.
+    fn successor_end(&self, departed: &str, successor: &str, term: Term) -> Option<Position> {
+        let monitors = &self.leader.as_ref()?.monitors;
+        let reported = monitors.get(departed).map_or(Position::default(), |m| m.reported);
+        let end = monitors.get(successor)?.fenced_end(term)?;
+        (end.offset > 0 && end >= reported).then_some(end)
+    }
+
     fn propose_cover(
         &mut self,
         group: &Arc<str>,
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -67,6 +67,8 @@
     fenced_at: (Millis, Millis),
     /// Position that its log includes.
     holds: Position,
+    /// Highest position that it has reported.
+    pub(crate) reported: Position,
     /// Whether the server is paused and must be resumed once a new primary leads.
     paused: bool,
 }
@@ -233,6 +235,9 @@
         }
         let watch = self.observe_primary(group, primary, now);
         if let Some(cause) = replacement_cause(&watch) {
+            // Another server has its address, so its process has ended.
+            let is_registered = self.fleet().backends.contains_key(primary);
+            let cause = if is_registered { cause } else { Cause::Unreachable };
             if cause != Cause::Unreachable && self.defers_failover(group, lead, cause, now) {
                 return;
             }
@@ -455,6 +460,22 @@
         failover.last_log = (text, now);
     }
 
+    /// Primary of the recorded term, present or former. After a crash it comes back with its log, and
+    /// as a server of another name that leads the same term.
+    pub(crate) fn term_primary(&self, group: &str, lead: &GroupPrimary) -> Option<Arc<str>> {
+        let recorded = lead.primary.as_ref().or(lead.former.as_ref());
+        let is_registered = |id: &&Arc<str>| self.fleet().backends.contains_key(*id);
+        if let Some(recorded) = recorded.filter(is_registered) {
+            return Some(recorded.clone());
+        }
+        let monitors = &self.leader.as_ref()?.monitors;
+        let leads_term = |id: &Arc<str>| {
+            monitors.get(id).is_some_and(|monitor| monitor.leading_end(lead.term, 0).is_some())
+        };
+        let mut ids = self.fleet().backends_of(group).map(|backend| &backend.id);
+        ids.find(|id| leads_term(id)).or(recorded).cloned()
+    }
+
     /// Input for the choice of the next failover step. Until the former primary is fenced, statuses
     /// asked for at `recent` or later count as settled, if it is given.
     fn collect_facts(
@@ -465,9 +486,10 @@
         recent: Option<Millis>,
         now: Millis,
     ) -> Option<Facts> {
+        let former = self.term_primary(group, lead);
         let leader = self.leader.as_ref()?;
-        let former = lead.former.as_ref().and_then(|former| leader.monitors.get(former));
-        let demoted_at = former.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at.1);
+        let monitor = former.as_ref().and_then(|former| leader.monitors.get(former));
+        let demoted_at = monitor.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at.1);
         let settled_at = demoted_at.or(recent);
         let member = |backend: &Backend| {
             let monitor = leader.monitors.get(&backend.id);
@@ -479,7 +501,7 @@
         let departures = self.fleet().departures.get(group);
         Some(Facts {
             term: lead.term,
-            former: lead.former.clone(),
+            former,
             cause,
             members,
             synchronous: self.fleet().plan.groups.get(group).map_or(1, |g| g.synchronous_replicas),
@@ -663,6 +685,7 @@
         monitor.timeouts = 0;
         let received = status.map(|status| status.received);
         monitor.holds = position.into_iter().chain(received).fold(monitor.holds, Position::max);
+        monitor.reported = monitor.reported.max(monitor.holds);
         if let Some(status) = status {
             monitor.last_status = Some((status, monitor.probed_at));
             monitor.recent_statuses.push_back((status, monitor.probed_at, now));
--- a/crates/state/src/departures.rs
+++ b/crates/state/src/departures.rs
@@ -32,12 +32,21 @@
     pub run: Incarnation,
     /// Whether its process is known to have ended. A server that deregisters ends soon afterwards.
     pub ended: bool,
+    /// Replica that was started at its address, normally with its log.
+    #[serde(default)]
+    pub successor: Option<Arc<str>>,
 }
 
 impl Departures {
-    /// Records that a replica has left.
-    pub(crate) fn record(&mut self, backend: &Backend, ended: bool) {
-        let departed = Departed { address: backend.address, run: backend.run, ended };
+    /// Records that a replica has left. `started` is the server that took its name or address.
+    pub(crate) fn record(&mut self, backend: &Backend, started: Option<&Backend>) {
+        let successor = started.filter(|s| s.id != backend.id && s.group == backend.group);
+        let departed = Departed {
+            address: backend.address,
+            run: backend.run,
+            ended: started.is_some(),
+            successor: successor.map(|successor| successor.id.clone()),
+        };
         self.pending.insert(backend.id.clone(), departed);
     }
 
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -253,7 +253,7 @@
                 if self.backends.get(id).is_none_or(|known| known.run != *run) {
                     return Applied::Stale;
                 }
-                self.remove_backend(id, false);
+                self.remove_backend(id, None);
             }
             FleetChange::Cover { group, id, run, end } => {
                 let departures = self.departures.get_mut(group);
@@ -298,11 +298,11 @@
                 return Applied::Stale;
             }
             let id = replaced.id.clone();
-            self.remove_backend(&id, true);
+            self.remove_backend(&id, Some(backend));
         }
         // A server that starts again may have lost its log.
         if known_run.is_some_and(|run| run < backend.run) {
-            self.remove_backend(&backend.id, true);
+            self.remove_backend(&backend.id, Some(backend));
         }
         for departures in self.departures.values_mut() {
             departures.register(backend);
@@ -311,14 +311,14 @@
         Applied::Done
     }
 
-    /// Removes a server; a replica counts as departed. `ended` tells whether its process is known
-    /// to have ended.
-    fn remove_backend(&mut self, id: &str, ended: bool) {
+    /// Removes a server; a replica counts as departed. `started` is the server that took its name or
+    /// address.
+    fn remove_backend(&mut self, id: &str, started: Option<&Backend>) {
         let Some(backend) = self.backends.remove(id) else { return };
         let Some(lead) = self.leads.get(&backend.group) else { return };
         let primary = lead.primary.as_ref().or(lead.former.as_ref());
         if primary.is_none_or(|primary| *primary != backend.id) {
-            self.departures.entry(backend.group.clone()).or_default().record(&backend, ended);
+            self.departures.entry(backend.group.clone()).or_default().record(&backend, started);
         }
     }
 
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -180,13 +180,19 @@
     assert_eq!(fleet.departures["g"].end(), Some(Position { term: 3, offset: 7 }));
 }
 
-/// A replica that was started again, or whose address another server has, ended with its log.
+/// A replica that was started again, or whose address another server has, has ended.
 #[test]
 fn a_replaced_or_restarted_replica_has_left() {
-    for next in [backend("r1", 2, 20), backend("new", 2, 20)] {
+    for (next, successor) in [
+        (backend("r1", 2, 20), None),
+        (backend("new", 2, 20), Some("new")),
+        (Backend { group: "other".into(), ..backend("new", 2, 20) }, None),
+    ] {
         let mut fleet = group();
         fleet.apply(&FleetChange::Record(next.clone()));
-        assert!(fleet.departures["g"].pending["r1"].ended, "{next:?}");
+        let departed = &fleet.departures["g"].pending["r1"];
+        assert!(departed.ended, "{next:?}");
+        assert_eq!(departed.successor.as_deref(), successor, "{next:?}");
         assert_eq!(fleet.departures["g"].end(), None);
     }
 }
