Check the lease for later statements of a transaction at a primary

Cause: an entry took the position in an answer of a transaction at a replaced primary for one of the group. The owner of the connection checked its lease on the primary for the first statement of a transaction only, and the entry's own lease says nothing when it owns no connections to that server.

Ruled out: samples of the control leader (the entry is cut off from it), single statements (they are checked when their turn comes).

Change: the owner checks the lease for each statement of a transaction at a primary. Without it the answer tells no position, and the commit of a transaction that may write is not sent but rolled back and reported as aborted.

Why it works: a lease that is valid when a statement is sent on means that no other server was promoted before, so the position covers the group.

--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -35,6 +35,29 @@
 /// Connection that is pinned to an open transaction.
 pub struct PinnedTransaction {
     permit: Option<SlotPermit>,
+    kind: TransactionKind,
+}
+
+/// What an open transaction needs the lease on the primary for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TransactionKind {
+    /// It reads from a replica, up to a required position.
+    Replica,
+    /// It reads from the primary, so that its answers tell positions of the group.
+    PrimaryRead,
+    /// It may write, so that its commit must not reach a former primary.
+    Write,
+}
+
+impl TransactionKind {
+    /// Kind of the transaction that a job starts.
+    fn of(job: &Job) -> TransactionKind {
+        match (job.after, job.step) {
+            (Some(_), _) => TransactionKind::Replica,
+            (None, TransactionStep::First { read_only: true }) => TransactionKind::PrimaryRead,
+            (None, _) => TransactionKind::Write,
+        }
+    }
 }
 
 impl Drop for PinnedTransaction {
@@ -85,7 +108,7 @@
                 record_reply(&permit, &reply, ran);
                 let mut answer = with_server_name(reply.answer.clone(), job);
                 (answer.waited, answer.ran) = (sent.saturating_sub(started), ran);
-                (answer, pin_transaction(permit, job, &reply))
+                (answer, pin_transaction(permit, job, &reply, TransactionKind::of(job)))
             }
             Attempt::NotSent(fault) => {
                 permit.close_connection();
@@ -136,24 +159,37 @@
     ) -> (Answer, Option<PinnedTransaction>) {
         let lost =
             || with_server_name(Answer::error(ErrorCode::Aborted, "the connection was lost"), job);
+        let kind = pin.kind;
         let Some(mut permit) = pin.permit.take() else { return (lost(), None) };
         let until = Instant::now() + Duration::from_millis(job.remaining);
         permit.reclaim_slot();
         let sent = self.local.now();
-        match self.try_statement(&mut permit, job, until).await {
+        let leased = self.local.is_leased_primary(&job.group, &job.server);
+        let needs_lease = job.commits && kind == TransactionKind::Write;
+        match self.try_statement(&mut permit, job, needs_lease, until).await {
             Attempt::Answered(reply) => {
                 let ran = self.local.now().saturating_sub(sent);
                 record_reply(&permit, &reply, ran);
                 let mut answer = with_server_name(reply.answer.clone(), job);
                 answer.ran = ran;
-                (answer, pin_transaction(permit, job, &reply))
+                // A former primary goes on with its transactions, but its positions are not those
+                // of the group.
+                if kind != TransactionKind::Replica && !leased {
+                    answer.position = None;
+                }
+                (answer, pin_transaction(permit, job, &reply, kind))
             }
             Attempt::NotSent(fault) => {
                 permit.close_connection();
                 permit.record_failure(&fault);
                 (lost(), None)
             }
-            Attempt::TimedOutUnsent | Attempt::NotPrimary | Attempt::ConnectPending(_) => {
+            Attempt::NotPrimary => {
+                permit.close_connection();
+                let reason = "this entry has no lease on the primary";
+                (with_server_name(Answer::error(ErrorCode::Aborted, reason), job), None)
+            }
+            Attempt::TimedOutUnsent | Attempt::ConnectPending(_) => {
                 permit.close_connection();
                 (lost(), None)
             }
@@ -198,7 +234,7 @@
         loop {
             let mut permit = self.acquire_slot(job, arrival, until).await?;
             let sent = self.local.now();
-            match self.try_statement(&mut permit, job, until).await {
+            match self.try_statement(&mut permit, job, job.after.is_none(), until).await {
                 Attempt::NotSent(fault @ Fault::Opening(ErrorCode::ConnectionLimit))
                     if refusals < MAX_CONNECTION_REFUSALS =>
                 {
@@ -233,8 +269,15 @@
         permit.unwrap_or_else(|_| Err(NoSlot::TimedOut(self.pool.describe(&job.server))))
     }
 
-    /// Opens a connection if needed, prepares its session and sends the statement.
-    async fn try_statement(&self, permit: &mut SlotPermit, job: &Job, until: Instant) -> Attempt {
+    /// Opens a connection if needed, prepares its session and sends the statement, if this entry
+    /// may use the server as the primary or `needs_lease` is false.
+    async fn try_statement(
+        &self,
+        permit: &mut SlotPermit,
+        job: &Job,
+        needs_lease: bool,
+        until: Instant,
+    ) -> Attempt {
         let connection = match permit.connection.take() {
             Some(connection) => connection,
             None => {
@@ -262,7 +305,7 @@
             Err(_) => return Attempt::TimedOutUnsent,
         };
         // The job may have waited since the server was chosen, and another primary may lead by now.
-        if job.after.is_none() && !open && !self.local.is_leased_primary(&job.group, &job.server) {
+        if needs_lease && !self.local.is_leased_primary(&job.group, &job.server) {
             return Attempt::NotPrimary;
         }
         let mut after = job.after;
@@ -359,6 +402,7 @@
     mut permit: SlotPermit,
     job: &Job,
     reply: &ServerReply,
+    kind: TransactionKind,
 ) -> Option<PinnedTransaction> {
     if reply.state == SessionState::Idle {
         return None;
@@ -368,5 +412,5 @@
         return None;
     }
     permit.release_slot();
-    Some(PinnedTransaction { permit: Some(permit) })
+    Some(PinnedTransaction { permit: Some(permit), kind })
 }
