Apply an update of the fleet only to the one that it follows

Cause: after an update that did not fit, an entry applied the next one, which had no configuration, took its index and forgot the rejection. It kept the older configuration, servers and primaries until a later version.

Ruled out: a lost update (the link to the new leader is sound), a leader that sends the wrong base (it has the version that the entry told, and the entry changed it afterwards by an update of the former leader).

Change: an update names the update of its leader that its changes follow, 0 if it is complete. An entry applies it only on top of that one and otherwise asks for everything at once.

--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -578,6 +578,7 @@
         }
         let update = FleetUpdate {
             index: leader.index,
+            since: sent,
             term: leader.term,
             plan,
             backends: view.backends.since(sent),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -353,6 +353,7 @@
                     self.update_readiness();
                     return leads;
                 }
+                return self.local.needs_full_update();
             }
             FleetMessage::Leading => {
                 self.leader = Some(name);
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -177,14 +177,18 @@
         self.holds_lease() && primary(&self.view.borrow()).unwrap_or(false)
     }
 
-    /// Applies an update to the view. Returns false if the update is older than the view, or
-    /// changes a configuration that this entry does not have; the next renewal reports the latter.
+    /// Applies an update to the view. Returns false if the update is older than the view, does not
+    /// follow it, or changes a configuration that this entry does not have; the next renewal
+    /// requests everything unless the update is older.
     pub fn apply_update(&self, update: FleetUpdate) -> bool {
         let before = self.view();
         if (update.term, update.index) <= (before.term, before.index) {
             return false;
         }
-        let Some(config) = self.updated_config(&before, &update) else {
+        // Without a missed update, the view would hold a mixture that no index ever had.
+        let follows =
+            update.since == 0 || (update.term, update.since) == (before.term, before.index);
+        let Some(config) = self.updated_config(&before, &update).filter(|_| follows) else {
             self.update_rejected.set(true);
             return false;
         };
@@ -227,6 +231,11 @@
         self.update_rejected.set(true);
     }
 
+    /// Whether the next renewal requests everything.
+    pub fn needs_full_update(&self) -> bool {
+        self.update_rejected.get()
+    }
+
     /// Configuration after an update; `None` if the update starts from another configuration.
     fn updated_config(&self, view: &View, update: &FleetUpdate) -> Option<Arc<FleetConfig>> {
         let Some(part) = &update.plan else { return Some(view.config.clone()) };
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -208,6 +208,9 @@
 pub struct FleetUpdate {
     /// Number of the update; increases within the term of a control leader.
     pub index: u64,
+    /// Update of the same leader that the changes follow; 0 if the parts are complete.
+    #[serde(default)]
+    pub since: u64,
     /// Term of the control leader.
     pub term: Term,
     /// Fleet configuration.
