Move probes and orders of promotion into modules of their own

Change: control_probe holds what is known of each server and the probes, control_promotion records and sends orders. No behaviour changes; the items are moved as they are, with wider visibility inside the crate.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -38,11 +38,11 @@
 
 use crate::{
     control_configs::FleetConfigs,
-    control_failover::ProbeOutcome,
     control_handle::{ControlReply, ControlRequest, Heartbeat},
     control_lead::Leader,
     control_links,
     control_log::{log_applied, records_entries, records_promotion},
+    control_probe::ProbeOutcome,
     local_state::InstanceIdentity,
     metrics::GatewayMetrics,
     wire::{Ports, Promoter, PromotionOutcome, ServerWire, socket_address},
--- a/crates/gateway/src/control_departures.rs
+++ b/crates/gateway/src/control_departures.rs
@@ -17,9 +17,8 @@
 use crate::{
     connection::{Fault, Target},
     control::Control,
-    control_failover::{
-        FAILOVER_POLL_INTERVAL_MS, LEAD_COMMIT_TIMEOUT_MS, ProbeAction, ProbeOutcome,
-    },
+    control_failover::{FAILOVER_POLL_INTERVAL_MS, LEAD_COMMIT_TIMEOUT_MS},
+    control_probe::{ProbeAction, ProbeOutcome},
 };
 
 /// Time after which the process of a deregistered server that cannot be reached counts as ended. A
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -1,28 +1,23 @@
-//! Monitors primaries and replaces them by external failover: probes servers, runs the steps of a
-//! failover and orders the promotion from the authority.
+//! Monitors primaries and replaces them by external failover: detects failures and runs the steps of
+//! a failover.
 
-use std::{
-    collections::VecDeque,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::sync::Arc;
 
 use auburnlug_coordination::external_failover::{
-    Cause, Facts, Member, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
+    Cause, Facts, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
 };
-use auburnlug_protocol::{fleet::PositionSample, job::ErrorCode};
+use auburnlug_protocol::fleet::PositionSample;
 use auburnlug_state::{
     Millis, Position, Term,
     departures::Departures,
     fleet::{Backend, FleetChange, GroupPrimary, OrderedPromotion},
 };
 use auburnlug_transport::event::{Event, log};
-use tokio::time::timeout;
 
 use crate::{
-    connection::{Connection, Fault, Target},
-    control::{Control, Input},
-    wire::{PromotionOrder, PromotionOutcome, ServerCall},
+    control::Control,
+    control_probe::{ProbeAction, REACHABLE_TIMEOUT_MS},
+    control_promotion::PROMOTION_RETRY_DELAY_MS,
 };
 
 /// Interval between two probes of a primary.
@@ -31,129 +26,27 @@
 /// Interval between two probes of a server while its group is in failover.
 pub(crate) const FAILOVER_POLL_INTERVAL_MS: Millis = 60;
 
-/// Longest wait for the answer to a probe; a loaded server queues probes.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
-
-/// Statuses kept per server: as many as arrive between two renewals of an entry, with one late.
-const MAX_STATUS_SAMPLES: usize = 4;
-
-/// Time without an answer after which a server counts as unreachable.
-const REACHABLE_TIMEOUT_MS: Millis = 1_000;
-
-/// Time after which a promotion without effect is ordered again. A promoted server takes less time
-/// to lead.
-const PROMOTION_RETRY_DELAY_MS: Millis = 2_500;
-
 /// Interval between two log lines about the same failover step.
 const WAIT_LOG_INTERVAL_MS: Millis = 1_000;
 
-/// Connection to a server and its last known state.
-#[derive(Default)]
-pub(crate) struct ServerMonitor {
-    connection: Option<Connection>,
-    probing: bool,
-    probed_at: Millis,
-    /// Time of the last answer; 0 if there was none.
-    answered_at: Millis,
-    refusals: u32,
-    timeouts: u32,
-    /// Last status, with the time of the probe.
-    last_status: Option<(Status, Millis)>,
-    /// Recent statuses, oldest first, each with the times of the probe and of its answer.
-    recent_statuses: VecDeque<(Status, Millis, Millis)>,
-    /// Term below which the server was fenced by a pause or demotion; 0 if it is not fenced.
-    fenced_term: Term,
-    /// Times of the probe that fenced it and of its answer.
-    fenced_at: (Millis, Millis),
-    /// Position that its log includes.
-    holds: Position,
-    /// Highest position that it has reported.
-    pub(crate) reported: Position,
-    /// Whether the server is paused and must be resumed once a new primary leads.
-    paused: bool,
-}
+/// Time within which a proposed change of a group's leader is expected to be committed.
+pub(crate) const LEAD_COMMIT_TIMEOUT_MS: Millis = 400;
 
 /// External failover of a database group that is in progress.
 pub(crate) struct ExternalFailover {
-    cause: Cause,
-    started_at: Millis,
+    pub(crate) cause: Cause,
+    pub(crate) started_at: Millis,
     /// Recorded promotion that the last proposal replaces, with the time of the proposal.
-    proposal: Option<(Option<OrderedPromotion>, Millis)>,
+    pub(crate) proposal: Option<(Option<OrderedPromotion>, Millis)>,
     /// Time of the last order; 0 before the first.
-    ordered_at: Millis,
+    pub(crate) ordered_at: Millis,
     /// Whether an order is unanswered.
-    order_pending: bool,
+    pub(crate) order_pending: bool,
     /// Time until which an answered order, or one of an earlier control leader, may take effect.
-    effective_until: Millis,
+    pub(crate) effective_until: Millis,
     /// Whether the recorded promotion is given up: its server is not running.
-    withdrawn: bool,
-    last_log: (String, Millis),
-}
-
-/// Request that a probe sends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ProbeAction {
-    Status,
-    Pause(Term),
-    Resume,
-    Demote(Term),
-}
-
-/// Result of a probe.
-pub(crate) struct ProbeOutcome {
-    group: Arc<str>,
-    pub(crate) server: Arc<str>,
-    pub(crate) action: ProbeAction,
-    connection: Option<Connection>,
-    pub(crate) outcome: Result<Option<Status>, Fault>,
-    /// Position that the answer tells; a server that refuses to report its status tells one too.
-    position: Option<Position>,
-    pub(crate) refusal: Option<ErrorCode>,
-}
-
-impl ServerMonitor {
-    /// Known facts about the server, for a failover. A status counts as settled if it was asked for
-    /// at `settled_at`, or after this server was fenced in `term`.
-    fn member(
-        &self,
-        backend: &Backend,
-        term: Term,
-        settled_at: Option<Millis>,
-        now: Millis,
-    ) -> Member {
-        let answered = self.answered_at > 0 && now < self.answered_at + REACHABLE_TIMEOUT_MS;
-        let fenced_at = (self.fenced_term > term).then_some(self.fenced_at.0);
-        let since = fenced_at.into_iter().chain(settled_at).min();
-        let is_settled = |(_, asked): (Status, Millis)| since.is_some_and(|since| asked >= since);
-        Member {
-            draining: backend.draining,
-            reachable: answered && self.refusals == 0,
-            status: self.last_status.map(|(status, _)| status),
-            settled: self.last_status.is_some_and(is_settled),
-            holds: self.holds,
-            fenced: self.fenced_term,
-        }
-    }
-
-    /// End of the log of a server that was paused or demoted in `term`: it receives nothing more.
-    pub(crate) fn fenced_end(&self, term: Term) -> Option<Position> {
-        let status = self.last_status.filter(|_| self.fenced_term > term);
-        status.map(|(status, _)| status.received)
-    }
-
-    /// End of the log of the primary of `term`, if it was asked at `since` or later.
-    pub(crate) fn leading_end(&self, term: Term, since: Millis) -> Option<Position> {
-        let (status, asked) = self.last_status?;
-        (status.leads && status.term == term && asked >= since).then_some(status.received)
-    }
-
-    /// Records that the server accepted a pause or demotion.
-    fn fence(&mut self, term: Term, now: Millis) {
-        if self.fenced_term != term {
-            self.fenced_at = (self.probed_at, now);
-        }
-        self.fenced_term = term;
-    }
+    pub(crate) withdrawn: bool,
+    pub(crate) last_log: (String, Millis),
 }
 
 impl Control {
@@ -541,179 +434,13 @@
         self.propose(FleetChange::Lead { group: group.clone(), after, lead }, None);
     }
 
-    /// Proposes to record the promotion of `server`, or that the recorded one has had no effect.
-    fn propose_order(
-        &mut self,
-        group: &Arc<str>,
-        lead: &GroupPrimary,
-        server: Option<&Arc<str>>,
-        now: Millis,
-    ) {
-        let backend = server.and_then(|server| self.machine.fleet.backends.get(server));
-        let ordered = backend.map(|b| OrderedPromotion { server: b.id.clone(), run: b.run });
-        let Some(leader) = &mut self.leader else { return };
-        let Some(failover) = leader.failovers.get_mut(group) else { return };
-        let is_waiting = |(before, at): &(Option<OrderedPromotion>, Millis)| {
-            *before == lead.ordered && now < at + LEAD_COMMIT_TIMEOUT_MS
-        };
-        if failover.proposal.as_ref().is_some_and(is_waiting) {
-            return;
-        }
-        failover.proposal = Some((lead.ordered.clone(), now));
-        // Until the removal is committed, no order may be sent.
-        failover.withdrawn = ordered.is_none();
-        let (group, before) = (group.clone(), lead.ordered.clone());
-        self.propose(FleetChange::Order { group, after: lead.term, before, ordered }, None);
-    }
-
-    /// Orders the recorded promotion unless an order is pending or was sent less than
-    /// [`PROMOTION_RETRY_DELAY_MS`] ago.
-    fn order_promotion(&mut self, group: &Arc<str>, server: &Arc<str>, now: Millis) {
-        let Some(leader) = &mut self.leader else { return };
-        let Some(failover) = leader.failovers.get_mut(group) else { return };
-        let retries_early =
-            failover.ordered_at > 0 && now < failover.ordered_at + PROMOTION_RETRY_DELAY_MS;
-        if failover.order_pending || retries_early {
-            return;
-        }
-        failover.order_pending = true;
-        failover.ordered_at = now;
-        let order = PromotionOrder {
-            group: group.clone(),
-            server: server.clone(),
-            lease_holder: self.me.label.clone(),
-            fencing_token: leader.term,
-        };
-        self.metrics.promotion_orders.inc();
-        let (lease, clock) = (self.lease_end.clone(), self.clock.clone());
-        let permit = Box::new(move || clock.now() < lease.load(Ordering::Acquire));
-        let ordering = self.promoter.promote(order, permit);
-        let (input, group, server) = (self.input.clone(), group.clone(), server.clone());
-        tokio::spawn(async move {
-            let outcome = ordering.await;
-            let _ = input.send(Input::PromotionAnswered { group, server, outcome }).await;
-        });
-    }
-
-    /// Handles the answer to an order of promotion.
-    pub(crate) fn handle_promotion_answer(
+    /// Proposes a server that leads a later term than the recorded one as primary.
+    pub(crate) fn record_reported_primary(
         &mut self,
         group: &Arc<str>,
         server: &Arc<str>,
-        outcome: PromotionOutcome,
+        status: Status,
     ) {
-        log(
-            Event::PromotionAnswered,
-            format_args!("group={group} server={server} outcome={outcome:?}"),
-        );
-        let Some(leader) = &mut self.leader else { return };
-        let Some(failover) = leader.failovers.get_mut(group) else { return };
-        failover.order_pending = false;
-        let now = self.clock.now();
-        match outcome {
-            // An order without an answer may reach the authority late.
-            PromotionOutcome::Accepted | PromotionOutcome::Unknown => {
-                failover.effective_until = now + PROMOTION_RETRY_DELAY_MS;
-            }
-            PromotionOutcome::NotRunning => failover.withdrawn = true,
-            PromotionOutcome::Limited => failover.ordered_at = 0,
-        }
-    }
-
-    /// Whether a server has no probe in flight and was last probed `interval` ago or earlier.
-    pub(crate) fn is_probe_due(&self, server: &Arc<str>, interval: Millis, now: Millis) -> bool {
-        let monitor = self.leader.as_ref().and_then(|leader| leader.monitors.get(server));
-        monitor.is_none_or(|m| !m.probing && now >= m.probed_at + interval)
-    }
-
-    /// Probes a server unless a probe is in flight.
-    pub(crate) fn probe(&mut self, server: &Arc<str>, action: ProbeAction) {
-        let Some(backend) = self.machine.fleet.backends.get(server) else { return };
-        let (group, address) = (backend.group.clone(), backend.address);
-        self.probe_target(Target { group, server: server.clone(), address }, action);
-    }
-
-    /// Probes a server at its address unless a probe is in flight.
-    pub(crate) fn probe_target(&mut self, target: Target, action: ProbeAction) {
-        let now = self.now();
-        let Some(leader) = &mut self.leader else { return };
-        let monitor = leader.monitors.entry(target.server.clone()).or_default();
-        if monitor.probing {
-            return;
-        }
-        monitor.probing = true;
-        monitor.probed_at = now;
-        let connection = monitor.connection.take();
-        let (wire, input) = (self.wire.clone(), self.input.clone());
-        let name: Arc<str> = self.me.label.as_str().into();
-        tokio::spawn(async move {
-            let probed = send_probe(wire, target, name, connection, action).await;
-            let _ = input.send(Input::ProbeFinished(probed)).await;
-        });
-    }
-
-    /// Handles the result of a probe.
-    pub(crate) fn handle_probe(&mut self, probed: ProbeOutcome) {
-        let now = self.now();
-        self.handle_departed_probe(&probed);
-        let ProbeOutcome { group, server, action, connection, outcome, position, refusal } = probed;
-        let Some(leader) = &mut self.leader else { return };
-        let monitor = leader.monitors.entry(server.clone()).or_default();
-        monitor.probing = false;
-        monitor.connection = connection;
-        let status = match outcome {
-            Err(fault) => {
-                match fault {
-                    Fault::Refused => monitor.refusals += 1,
-                    Fault::Unanswered => monitor.timeouts += 1,
-                    // The process may have ended, so the server is probed again at once.
-                    Fault::Broken | Fault::Opening(_) => monitor.probed_at = 0,
-                }
-                // A restarted process is neither paused nor demoted, and may have lost its log.
-                monitor.fenced_term = 0;
-                monitor.last_status = None;
-                monitor.holds = Position::default();
-                if fault == Fault::Refused {
-                    monitor.probed_at = 0;
-                }
-                return;
-            }
-            Ok(status) => status,
-        };
-        monitor.answered_at = now;
-        monitor.refusals = 0;
-        monitor.timeouts = 0;
-        let received = status.map(|status| status.received);
-        monitor.holds = position.into_iter().chain(received).fold(monitor.holds, Position::max);
-        monitor.reported = monitor.reported.max(monitor.holds);
-        if let Some(status) = status {
-            monitor.last_status = Some((status, monitor.probed_at));
-            monitor.recent_statuses.push_back((status, monitor.probed_at, now));
-            if monitor.recent_statuses.len() > MAX_STATUS_SAMPLES {
-                monitor.recent_statuses.pop_front();
-            }
-        }
-        if refusal.is_none() {
-            match action {
-                ProbeAction::Pause(term) => {
-                    monitor.fence(term, now);
-                    monitor.paused = true;
-                }
-                ProbeAction::Demote(term) => monitor.fence(term, now),
-                ProbeAction::Resume => {
-                    monitor.fenced_term = 0;
-                    monitor.paused = false;
-                }
-                ProbeAction::Status => {}
-            }
-        }
-        if let Some(status) = status.filter(|status| status.leads) {
-            self.record_reported_primary(&group, &server, status);
-        }
-    }
-
-    /// Proposes a server that leads a later term than the recorded one as primary.
-    fn record_reported_primary(&mut self, group: &Arc<str>, server: &Arc<str>, status: Status) {
         let lead = self.fleet().leads.get(group).cloned().unwrap_or_default();
         let unknown = lead.term == 0 && lead.primary.is_none();
         if status.term > lead.term && (unknown || lead.primary.is_some()) {
@@ -724,60 +451,3 @@
         }
     }
 }
-
-/// Time within which a proposed change of a group's leader is expected to be committed.
-pub(crate) const LEAD_COMMIT_TIMEOUT_MS: Millis = 400;
-
-/// Sends one probe, on a new connection if there is none.
-async fn send_probe(
-    wire: Arc<dyn crate::wire::ServerWire>,
-    target: Target,
-    name: Arc<str>,
-    connection: Option<Connection>,
-    action: ProbeAction,
-) -> ProbeOutcome {
-    let (group, server) = (target.group.clone(), target.server.clone());
-    let failed = |fault| ProbeOutcome {
-        group: group.clone(),
-        server: server.clone(),
-        action,
-        connection: None,
-        outcome: Err(fault),
-        position: None,
-        refusal: None,
-    };
-    let mut connection = match connection {
-        Some(connection) => connection,
-        None => match Connection::open(wire.clone(), target.clone(), name).await {
-            Ok(connection) => connection,
-            // The process answered, so it is running.
-            Err(Fault::Opening(code)) => {
-                return ProbeOutcome {
-                    outcome: Ok(None),
-                    refusal: Some(code),
-                    ..failed(Fault::Broken)
-                };
-            }
-            Err(fault) => return failed(fault),
-        },
-    };
-    let call = match action {
-        ProbeAction::Status => ServerCall::Status,
-        ProbeAction::Pause(term) => ServerCall::Pause(term),
-        ProbeAction::Resume => ServerCall::Resume,
-        ProbeAction::Demote(term) => ServerCall::Demote(term),
-    };
-    match timeout(PROBE_TIMEOUT, connection.call(&call)).await {
-        Err(_) => failed(Fault::Unanswered),
-        Ok(Err(fault)) => failed(fault),
-        Ok(Ok(reply)) => ProbeOutcome {
-            group: target.group,
-            server: target.server,
-            action,
-            outcome: Ok(wire.status(&reply.answer)),
-            position: reply.answer.position,
-            refusal: reply.answer.code(),
-            connection: Some(connection),
-        },
-    }
-}
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -31,10 +31,8 @@
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
-    control::Control,
-    control_departures::DepartureWatch,
-    control_failover::{ExternalFailover, ServerMonitor},
-    control_handle::Heartbeat,
+    control::Control, control_departures::DepartureWatch, control_failover::ExternalFailover,
+    control_handle::Heartbeat, control_probe::ServerMonitor,
 };
 
 /// Time without a renewal after which an entry is removed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod control_lead;
 mod control_links;
 mod control_log;
+mod control_probe;
+mod control_promotion;
 pub mod entry;
 pub mod executor;
 pub mod local_state;
