Use no answers of earlier processes and failovers in a failover

Cause, found by reading, not shown: what the control leader knew of a server was kept by its name. A server that starts again under its name within a second of its last answer could count as fenced and compared with its former log. A late answer to an order of an earlier failover could mark the present order as given up.

Change: the monitor of a server belongs to an incarnation; answers to orders name the order by its time.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -117,8 +117,8 @@
     Message(Option<u64>, Name, FleetMessage),
     /// A probe of a server has finished.
     ProbeFinished(ProbeOutcome),
-    /// The promoting authority answered.
-    PromotionAnswered { group: Arc<str>, server: Arc<str>, outcome: PromotionOutcome },
+    /// The promoting authority answered the order that was sent at this time.
+    PromotionAnswered { group: Arc<str>, server: Arc<str>, sent: Millis, outcome: PromotionOutcome },
 }
 
 /// A proposal that is not committed yet.
@@ -260,8 +260,8 @@
             }
             Input::Message(link, from, message) => self.handle_message(link, from, message)?,
             Input::ProbeFinished(probed) => self.handle_probe(probed),
-            Input::PromotionAnswered { group, server, outcome } => {
-                self.handle_promotion_answer(&group, &server, outcome)
+            Input::PromotionAnswered { group, server, sent, outcome } => {
+                self.handle_promotion_answer(&group, &server, sent, outcome)
             }
         }
         Ok(())
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -385,7 +385,7 @@
         let demoted_at = monitor.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at.1);
         let settled_at = demoted_at.or(recent);
         let member = |backend: &Backend| {
-            let monitor = leader.monitors.get(&backend.id);
+            let monitor = leader.monitors.get(&backend.id).filter(|m| m.run == backend.run);
             let member = monitor.map(|m| m.member(backend, lead.term, settled_at, now));
             (backend.id.clone(), member.unwrap_or_default())
         };
--- a/crates/gateway/src/control_probe.rs
+++ b/crates/gateway/src/control_probe.rs
@@ -5,7 +5,10 @@
 
 use auburnlug_coordination::external_failover::{Member, Status};
 use auburnlug_protocol::job::ErrorCode;
-use auburnlug_state::{Millis, Position, Term, fleet::Backend};
+use auburnlug_state::{
+    Millis, Position, Term,
+    fleet::{Backend, Incarnation},
+};
 use tokio::time::timeout;
 
 use crate::{
@@ -26,6 +29,8 @@
 /// Connection to a server and its last known state.
 #[derive(Default)]
 pub(crate) struct ServerMonitor {
+    /// Incarnation of the process that is probed.
+    pub(crate) run: Incarnation,
     pub(crate) connection: Option<Connection>,
     pub(crate) probing: bool,
     pub(crate) probed_at: Millis,
@@ -126,6 +131,13 @@
     pub(crate) fn probe(&mut self, server: &Arc<str>, action: ProbeAction) {
         let Some(backend) = self.machine.fleet.backends.get(server) else { return };
         let (group, address) = (backend.group.clone(), backend.address);
+        if let Some(leader) = &mut self.leader {
+            let monitor = leader.monitors.entry(server.clone()).or_default();
+            // What an earlier process of the server answered does not hold for the present one.
+            if monitor.run != backend.run && !monitor.probing {
+                *monitor = ServerMonitor { run: backend.run, ..ServerMonitor::default() };
+            }
+        }
         self.probe_target(Target { group, server: server.clone(), address }, action);
     }
 
--- a/crates/gateway/src/control_promotion.rs
+++ b/crates/gateway/src/control_promotion.rs
@@ -69,15 +69,17 @@
         let (input, group, server) = (self.input.clone(), group.clone(), server.clone());
         tokio::spawn(async move {
             let outcome = ordering.await;
-            let _ = input.send(Input::PromotionAnswered { group, server, outcome }).await;
+            let _ =
+                input.send(Input::PromotionAnswered { group, server, sent: now, outcome }).await;
         });
     }
 
-    /// Handles the answer to the order of promotion
+    /// Handles the answer to the order of promotion that was sent at `sent`.
     pub(crate) fn handle_promotion_answer(
         &mut self,
         group: &Arc<str>,
         server: &Arc<str>,
+        sent: Millis,
         outcome: PromotionOutcome,
     ) {
         log(
@@ -86,6 +88,10 @@
         );
         let Some(leader) = &mut self.leader else { return };
         let Some(failover) = leader.failovers.get_mut(group) else { return };
+        // A late answer to an order of an earlier failover says nothing of the present one.
+        if failover.ordered_at != sent {
+            return;
+        }
         failover.order_pending = false;
         let now = self.clock.now();
         match outcome {
