Compute how many disk losses the control group tolerates now

Nothing told how many disks of control members may be lost at a moment: the configured number is what the group aims at, and an absent voter or one voter too many lowers it.

Nothing is decided by it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -28,6 +28,7 @@
 mod raft_log;
 mod raft_message;
 pub mod rate_share;
+pub mod redundancy;
 pub mod regional_limiters;
 pub mod retry;
 pub mod route;
