Log why the control membership changes and what a member knows of its leader

An operator who saw a group without a leader could not tell from the logs whether a successor was dropped as a learner, a running voter was removed, or a replacement stopped half-way: AL0204 shows the result of a change only, and no line says what a member outside the group believes.

Control members of both control cores now write

- AL0205 and AL0206 when the leader sees the tolerated disk losses fall below the configured ones for LOSSES_LOG_DELAY_MS, and when they are back, with all voters and learners;
- AL0207 for each step that the leader proposes, with the age of the member's last acknowledgement, and AL0208 once per reason that one is refused;
- AL0209 for each request to join that is new to the leader;
- AL0212 when a member's leader changes, and AL0213 when a member learns that the group does not list it.

The lines belong to MemberLog, which keeps what was logged last, so their number does not depend on messages or ticks. The step is derived from the two memberships; what is proposed does not change. Raft::last_heartbeat is an accessor only.

Evidence: tests/member_log.rs counts lines in a simulated group.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod membership;
+pub mod membership_step;
 pub mod pending_entries;
 pub mod position_samples;
 pub mod queue;
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -162,6 +162,12 @@
         self.log.members()
     }
 
+    /// Time at which the last message from a leader was received; the start of this member before
+    /// the first one.
+    pub fn last_heartbeat(&self) -> Millis {
+        self.last_heartbeat
+    }
+
     /// Advances the clock to `now` and handles the timeouts that have elapsed.
     pub fn tick(&mut self, now: Millis) {
         self.clock = self.clock.max(now);
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -14,6 +14,7 @@
     Result,
     disk::Disk,
     event::{Event, log},
+    member_log::MemberLog,
 };
 
 /// Number of log entries after which a snapshot replaces them.
@@ -41,6 +42,7 @@
     timing: Timing,
     /// Whether this member may bootstrap the group.
     founds: bool,
+    member_log: MemberLog,
 }
 
 /// How a member finds or bootstraps its group.
@@ -111,6 +113,8 @@
             format_args!("identity {identity}, {count} entries after index {snapshot_index}"),
         );
         let joining = BTreeMap::new();
+        let searching = matches!(state, State::Searching(_));
+        let member_log = MemberLog::new(identity.clone(), searching, now);
         let founds = founds && configured.contains(&instance);
         let mut member = Member {
             instance,
@@ -124,6 +128,7 @@
             seed,
             timing,
             founds,
+            member_log,
         };
         if let State::Searching(bootstrap) = &member.state {
             let decision = bootstrap.start();
@@ -249,6 +254,7 @@
     ///
     /// The disk failed.
     pub fn step(&mut self, now: Millis) -> Result<Work> {
+        self.observe(now);
         self.propose_membership(now);
         let mut work = Work::default();
         loop {
@@ -286,6 +292,16 @@
         }
     }
 
+    /// Logs changes of what this member knows about the group.
+    fn observe(&mut self, now: Millis) {
+        match &self.state {
+            State::Searching(_) => self.member_log.observe(None, false, now),
+            State::Member(raft, asks_to_join) => {
+                self.member_log.observe(Some(raft), *asks_to_join, now)
+            }
+        }
+    }
+
     fn receive_raft(&mut self, sender: &Name, message: Message, now: Millis) {
         let State::Member(raft, asks_to_join) = &mut self.state else { return };
         raft.receive(sender, message, now);
@@ -322,6 +338,9 @@
         if instance_of(&identity).as_ref() != Some(from) || !self.leads(now) {
             return;
         }
+        if let State::Member(raft, _) = &self.state {
+            self.member_log.record_join(from, &identity, raft.members());
+        }
         // An instance joins under one identity at a time; the disk of an earlier one is lost.
         self.joining.retain(|name, _| instance_of(name).as_ref() != Some(from));
         self.joining.insert(identity, now);
@@ -342,9 +361,11 @@
             progress: raft.progress(now),
             losses: self.losses,
         };
+        self.member_log.observe_group(&group, now);
         if let Some(next) = group.next_members() {
             // Refused while an earlier membership change is in progress; the next step retries.
-            let _ = raft.propose_members(next, now);
+            let proposed = raft.propose_members(next.clone(), now);
+            self.member_log.record_proposal(&group, &next, proposed, now);
         }
     }
 
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -55,8 +55,15 @@
     ControlGroupFormed = 202, Info, "control group formed";
     JoinRequested = 203, Warn, "member without its data asks to join under a new identity";
     MembersChanged = 204, Info, "control membership changed";
+    LossesReduced = 205, Warn, "control group tolerates fewer disk losses than configured";
+    LossesRestored = 206, Info, "control group tolerates the configured disk losses again";
+    MembershipProposed = 207, Info, "step of the control membership proposed";
+    MembershipRefused = 208, Info, "step of the control membership not possible yet";
+    JoinReceived = 209, Info, "control member asks to join";
     LeaderElected = 210, Info, "this member leads the control group";
     LeaderLost = 211, Warn, "this member no longer leads the control group";
+    KnownLeaderChanged = 212, Info, "control member knows another leader";
+    MemberUnlisted = 213, Warn, "control member is not listed by its group and asks to join again";
     LeaseLost = 220, Error, "lease ended: requests are refused until it is renewed";
     LeaseGained = 221, Info, "lease granted";
     ConfigApplied = 230, Info, "configuration in force";
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod link;
 mod log_writer;
 mod member;
+mod member_log;
 pub mod metrics;
 mod monitor;
 mod operator;
--- /dev/null
+++ b/crates/transport/src/member_log.rs
@@ -0,0 +1,257 @@
+//! Log lines about the control group as one member sees it.
+//!
+//! Lines are written when something changes, never for a repeated message or a periodic check, so
+//! their number does not depend on how often the member is called.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write,
+};
+
+use auburnlug_coordination::{
+    Category, Error,
+    membership::{ControlGroup, Progress},
+    membership_step::{MembershipStep, StepKind},
+    raft::{Members, Raft},
+    redundancy::Redundancy,
+};
+use auburnlug_state::{Index, Millis, Name, Term};
+
+use crate::event::{Event, log};
+
+/// Time for which the tolerated disk losses must differ from those logged last before they are
+/// logged again. One late acknowledgement is shorter.
+pub const LOSSES_LOG_DELAY_MS: Millis = 1_000;
+
+/// What a member has logged about its group.
+#[derive(Debug)]
+pub(crate) struct MemberLog {
+    identity: Name,
+    /// Leader that the member knew at the last call.
+    leader: Option<Name>,
+    /// Time since which the member knows this leader, or none.
+    leader_since: Millis,
+    /// Whether the member looked for the group at the last call.
+    searching: bool,
+    /// Whether it was logged that the group does not list the member.
+    unlisted: bool,
+    /// Present while the member leads its term.
+    leading: Option<LeaderLog>,
+}
+
+/// What a leader has logged in its term.
+#[derive(Debug)]
+struct LeaderLog {
+    term: Term,
+    since: Millis,
+    /// Tolerated disk losses logged last, at most the configured ones; `None` before the first
+    /// check.
+    losses: Option<usize>,
+    /// Time since which the tolerated disk losses differ from `losses`.
+    differs_since: Option<Millis>,
+    /// Identity of the last request to join, by instance.
+    requests: BTreeMap<Name, Name>,
+    /// Reasons for which proposals were refused since the last accepted one.
+    refusals: Vec<Category>,
+}
+
+impl MemberLog {
+    /// Starts the log of the member `identity`, which may look for its group.
+    pub(crate) fn new(identity: Name, searching: bool, now: Millis) -> MemberLog {
+        MemberLog {
+            identity,
+            leader: None,
+            leader_since: now,
+            searching,
+            unlisted: false,
+            leading: None,
+        }
+    }
+
+    /// Logs changes of what the member knows about its leader and its own membership. `raft` is
+    /// `None` while the member looks for the group.
+    pub(crate) fn observe(&mut self, raft: Option<&Raft>, asks_to_join: bool, now: Millis) {
+        let Some(raft) = raft else { return };
+        if raft.leader() != self.leader.as_ref() {
+            self.log_leader_change(raft, now);
+        }
+        if !raft.leads() {
+            self.leading = None;
+        } else if self.leading.as_ref().is_none_or(|leading| leading.term != raft.term()) {
+            self.leading = Some(LeaderLog::new(raft.term(), now));
+        }
+        // The first request to join of a member without state is logged as `JoinRequested`.
+        let first_request = std::mem::take(&mut self.searching);
+        if asks_to_join && !std::mem::replace(&mut self.unlisted, true) && !first_request {
+            self.log_unlisted(raft);
+        }
+        // Without a leader, answers of members that lag may make the request start and end often.
+        if !asks_to_join && raft.leader().is_some() {
+            self.unlisted = false;
+        }
+    }
+
+    /// Logs the first request to join from each identity.
+    pub(crate) fn record_join(&mut self, instance: &Name, identity: &Name, members: &Members) {
+        let Some(leading) = &mut self.leading else { return };
+        if leading.requests.get(instance.as_str()) == Some(identity) {
+            return;
+        }
+        leading.requests.insert(instance.clone(), identity.clone());
+        let (role, term) = (role(members, identity), leading.term);
+        log(
+            Event::JoinReceived,
+            format_args!("instance={instance} identity={identity} role={role} term={term}"),
+        );
+    }
+
+    /// Logs when the group starts or ceases to tolerate the configured disk losses.
+    pub(crate) fn observe_group(&mut self, group: &ControlGroup, now: Millis) {
+        let Some(leading) = &mut self.leading else { return };
+        let Redundancy { tolerated, configured } = Redundancy::of(group);
+        let losses = tolerated.min(configured);
+        if *leading.losses.get_or_insert(configured) == losses {
+            leading.differs_since = None;
+            return;
+        }
+        if now < *leading.differs_since.get_or_insert(now) + LOSSES_LOG_DELAY_MS {
+            return;
+        }
+        leading.differs_since = None;
+        leading.losses = Some(losses);
+        let reduced = losses < configured;
+        let event = if reduced { Event::LossesReduced } else { Event::LossesRestored };
+        let (term, led) = (leading.term, now.saturating_sub(leading.since));
+        let voters = describe_members(group, &group.members.voters);
+        let learners = describe_members(group, &group.members.learners);
+        log(
+            event,
+            format_args!(
+                "tolerated={tolerated} configured={configured} voters=[{voters}] \
+                 learners=[{learners}] term={term} led_ms={led}"
+            ),
+        );
+    }
+
+    /// Logs a proposed membership, and once per reason that it was refused.
+    pub(crate) fn record_proposal(
+        &mut self,
+        group: &ControlGroup,
+        next: &Members,
+        proposed: Result<Index, Error>,
+        now: Millis,
+    ) {
+        let Some(leading) = &mut self.leading else { return };
+        let Some(step) = MembershipStep::between(&group.members, next) else { return };
+        let (kind, member) = (step.kind.label(), &step.member);
+        let progress = describe_progress(group.progress.get(member.as_str()));
+        let (term, led) = (leading.term, now.saturating_sub(leading.since));
+        match proposed {
+            Ok(index) => {
+                leading.refusals.clear();
+                if matches!(step.kind, StepKind::LearnerRemoved | StepKind::VoterRemoved) {
+                    leading.requests.retain(|_, identity| identity != member);
+                }
+                log(
+                    Event::MembershipProposed,
+                    format_args!(
+                        "step={kind} member={member} {progress} index={index} term={term} \
+                         led_ms={led}"
+                    ),
+                );
+            }
+            Err(error) if !leading.refusals.contains(&error.category()) => {
+                leading.refusals.push(error.category());
+                log(
+                    Event::MembershipRefused,
+                    format_args!(
+                        "step={kind} member={member} {progress} reason=\"{error}\" term={term} \
+                         led_ms={led}"
+                    ),
+                );
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn log_leader_change(&mut self, raft: &Raft, now: Millis) {
+        let known = now.saturating_sub(std::mem::replace(&mut self.leader_since, now));
+        let from = std::mem::replace(&mut self.leader, raft.leader().cloned());
+        let heard = match &from {
+            Some(leader) if *leader != self.identity => {
+                now.saturating_sub(raft.last_heartbeat()).to_string()
+            }
+            _ => "none".to_string(),
+        };
+        let (from, to) = (name_or_none(&from), name_or_none(&self.leader));
+        let (role, term) = (role(raft.members(), &self.identity), raft.term());
+        log(
+            Event::KnownLeaderChanged,
+            format_args!(
+                "from={from} to={to} known_ms={known} heard_ms={heard} role={role} term={term}"
+            ),
+        );
+    }
+
+    fn log_unlisted(&self, raft: &Raft) {
+        let (identity, leader) = (&self.identity, name_or_none(&self.leader));
+        let (role, term) = (role(raft.members(), identity), raft.term());
+        log(
+            Event::MemberUnlisted,
+            format_args!("identity={identity} own_log={role} leader={leader} term={term}"),
+        );
+    }
+}
+
+impl LeaderLog {
+    fn new(term: Term, since: Millis) -> LeaderLog {
+        LeaderLog {
+            term,
+            since,
+            losses: None,
+            differs_since: None,
+            requests: BTreeMap::new(),
+            refusals: Vec::new(),
+        }
+    }
+}
+
+/// Members of a group with their progress, separated by commas.
+fn describe_members(group: &ControlGroup, names: &BTreeSet<Name>) -> String {
+    let mut text = String::new();
+    for name in names {
+        let separator = if text.is_empty() { "" } else { ", " };
+        // Writing to a string does not fail.
+        let _ = if *name == group.leader {
+            write!(text, "{separator}{name} leads")
+        } else {
+            let progress = describe_progress(group.progress.get(name.as_str()));
+            write!(text, "{separator}{name} {progress}")
+        };
+    }
+    text
+}
+
+fn describe_progress(progress: Option<&Progress>) -> String {
+    match progress {
+        Some(Progress { caught_up, ack_age, .. }) => {
+            format!("ack_age_ms={ack_age} caught_up={caught_up}")
+        }
+        None => "ack_age_ms=none caught_up=none".to_string(),
+    }
+}
+
+/// Role of `identity` in a membership.
+fn role(members: &Members, identity: &Name) -> &'static str {
+    if members.voters.contains(identity.as_str()) {
+        "voter"
+    } else if members.learners.contains(identity.as_str()) {
+        "learner"
+    } else {
+        "none"
+    }
+}
+
+fn name_or_none(name: &Option<Name>) -> &str {
+    name.as_ref().map_or("none", Name::as_str)
+}
--- /dev/null
+++ b/crates/transport/tests/member_log.rs
@@ -0,0 +1,274 @@
+//! Tests of the log lines of control members, in a simulated group with a simulated clock.
+
+// The exemption for tests in clippy.toml does not cover helper functions in test files.
+#![allow(clippy::expect_used)]
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    io::{self, Write},
+    sync::{Arc, Once},
+};
+
+use auburnlug_coordination::raft::Timing;
+use auburnlug_protocol::peer::ControlMessage;
+use auburnlug_state::{Millis, Name};
+use auburnlug_transport::{
+    control_member::{GroupOptions, Member},
+    disk_memory::MemoryDisk,
+};
+use spdlog::{Logger, sink::WriteSink};
+
+const TICK_MS: Millis = 10;
+const DELIVERY_MS: Millis = 30;
+const SEARCH_INTERVAL_MS: Millis = 200;
+
+thread_local! {
+    static LOG: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Writer that keeps the log of each test's thread apart.
+struct ThreadLog;
+
+impl Write for ThreadLog {
+    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
+        LOG.with_borrow_mut(|log| log.extend_from_slice(data));
+        Ok(data.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn capture_log() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        let sink = WriteSink::builder().target(ThreadLog).build_arc().expect("builds");
+        let logger = Logger::builder().sink(sink).build().expect("builds");
+        spdlog::set_default_logger(Arc::new(logger));
+    });
+    LOG.with_borrow_mut(Vec::clear);
+}
+
+/// Lines with an event number since the last call of [`clear_lines`].
+fn lines(event: &str) -> Vec<String> {
+    let text = LOG.with_borrow(|log| String::from_utf8_lossy(log).into_owned());
+    text.lines().filter(|line| line.contains(event)).map(str::to_string).collect()
+}
+
+fn clear_lines() {
+    LOG.with_borrow_mut(Vec::clear);
+}
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).expect("valid name")
+}
+
+/// Control members over a network that delivers messages after [`DELIVERY_MS`].
+struct Group {
+    now: Millis,
+    members: BTreeMap<Name, Member>,
+    /// Members that neither run nor receive messages.
+    silent: BTreeSet<Name>,
+    in_flight: Vec<(Millis, Name, Name, ControlMessage)>,
+}
+
+impl Group {
+    /// Starts members and runs them until one of them leads.
+    fn start(names: &[&str]) -> Group {
+        capture_log();
+        let mut group = Group {
+            now: 0,
+            members: BTreeMap::new(),
+            silent: BTreeSet::new(),
+            in_flight: Vec::new(),
+        };
+        for text in names {
+            group.add(text, names, true);
+        }
+        while group.leader().is_none() {
+            group.tick();
+        }
+        group.run(2_000);
+        group
+    }
+
+    /// Adds a member with an empty disk.
+    fn add(&mut self, text: &str, configured: &[&str], may_bootstrap: bool) {
+        let configured = configured.iter().map(|text| name(text)).collect();
+        let options = GroupOptions { configured, may_bootstrap, disk_losses: 1 };
+        let disk = Box::new(MemoryDisk::new(name(&format!("member-{text}"))));
+        let seed = self.members.len() as u64;
+        let (member, _) =
+            Member::open(name(text), options, disk, Timing::default(), seed, self.now)
+                .expect("opens");
+        self.members.insert(name(text), member);
+    }
+
+    fn leader(&self) -> Option<Name> {
+        let running = self.members.iter().filter(|(name, _)| !self.silent.contains(name.as_str()));
+        let mut leaders = running.filter(|(_, member)| member.leads(self.now));
+        leaders.next().map(|(name, _)| name.clone())
+    }
+
+    /// A member that does not lead.
+    fn follower(&self) -> Name {
+        let leader = self.leader();
+        let found = self.members.keys().find(|name| Some(*name) != leader.as_ref());
+        found.expect("has a follower").clone()
+    }
+
+    fn run(&mut self, millis: Millis) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK_MS;
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.in_flight).into_iter().partition(|m| m.0 <= now);
+        self.in_flight = later;
+        let due: Vec<(Millis, Name, Name, ControlMessage)> = due;
+        for (_, from, to, message) in due {
+            let lost = self.silent.contains(&from) || self.silent.contains(&to);
+            let Some(member) = self.members.get_mut(&to).filter(|_| !lost) else { continue };
+            if let Some(answer) = member.receive(&from, message, now).expect("works") {
+                self.in_flight.push((now + DELIVERY_MS, to, from, answer));
+            }
+        }
+        for (from, member) in &mut self.members {
+            if self.silent.contains(from.as_str()) {
+                continue;
+            }
+            let mut messages = member.step(now).expect("works").messages;
+            if now.is_multiple_of(SEARCH_INTERVAL_MS) {
+                messages.extend(member.discovery_messages());
+            }
+            let sent = messages.into_iter();
+            self.in_flight
+                .extend(sent.map(|(to, message)| (now + DELIVERY_MS, from.clone(), to, message)));
+        }
+    }
+}
+
+/// Guards against lines that are written periodically while nothing changes.
+#[test]
+fn healthy_group_writes_nothing() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    clear_lines();
+    group.run(60_000);
+    assert_eq!(lines("AL02"), Vec::<String>::new());
+}
+
+/// Guards against an operator who is not told that the loss of a disk would end the group, or is
+/// told so again and again.
+#[test]
+fn reduced_disk_losses_are_logged_once_at_the_leader() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let silent = group.follower();
+    clear_lines();
+    group.silent.insert(silent.clone());
+    group.run(30_000);
+    let reduced = lines("AL0205");
+    assert_eq!(reduced.len(), 1, "{reduced:?}");
+    assert!(reduced[0].contains("tolerated=0 configured=1"), "{reduced:?}");
+    assert!(reduced[0].contains(&format!("{silent}.member-{silent} ack_age_ms=")), "{reduced:?}");
+    group.silent.clear();
+    group.run(30_000);
+    assert_eq!(lines("AL0205").len(), 1);
+    let restored = lines("AL0206");
+    assert_eq!(restored.len(), 1, "{restored:?}");
+    assert!(restored[0].contains("tolerated=1 configured=1"), "{restored:?}");
+}
+
+/// Guards against a warning about a voter that answers late or whose process restarts quickly.
+#[test]
+fn short_silence_is_not_logged() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let silent = group.follower();
+    clear_lines();
+    for _ in 0..10 {
+        group.silent.insert(silent.clone());
+        group.run(1_200);
+        group.silent.clear();
+        group.run(2_000);
+    }
+    assert_eq!(lines("AL0205").len() + lines("AL0206").len(), 0);
+}
+
+/// Guards against a replacement of which the log shows the result only, and against a line for
+/// each repeated request to join or each refused proposal.
+#[test]
+fn replacement_is_logged_step_by_step() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let silent = group.follower();
+    group.silent.insert(silent.clone());
+    group.run(5_000);
+    clear_lines();
+    group.add("d", &["a", "b", "c"], false);
+    group.run(20_000);
+    let joins = lines("AL0209");
+    assert_eq!(joins.len(), 1, "{joins:?}");
+    assert!(joins[0].contains("instance=d identity=d.member-d role=none"), "{joins:?}");
+    let proposed = lines("AL0207");
+    let expected = [
+        "step=learner_added member=d.member-d ack_age_ms=none caught_up=none".to_string(),
+        "step=learner_promoted member=d.member-d ack_age_ms=".to_string(),
+        format!("step=voter_removed member={silent}.member-{silent} ack_age_ms="),
+    ];
+    assert_eq!(proposed.len(), expected.len(), "{proposed:?}");
+    for (line, text) in proposed.iter().zip(&expected) {
+        assert!(line.contains(text) && line.contains(" led_ms="), "{line} lacks {text}");
+    }
+    assert!(proposed[1].contains("caught_up=true"), "{proposed:?}");
+    assert!(proposed[2].contains("caught_up=false"), "{proposed:?}");
+    let refused = lines("AL0208");
+    assert!(refused.len() <= proposed.len(), "{refused:?}");
+    assert_eq!(lines("AL0206").len(), 1);
+}
+
+/// Guards against a member whose log does not show whom it follows, and against a line for each
+/// election timeout without a quorum.
+#[test]
+fn loss_of_the_leader_is_logged_once() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let leader = group.leader().expect("leads");
+    let other = group.follower();
+    clear_lines();
+    let lost: Vec<Name> = group.members.keys().filter(|name| **name != other).cloned().collect();
+    group.silent.extend(lost);
+    group.run(30_000);
+    let changes = lines("AL0212");
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    let text = format!("from={leader}.member-{leader} to=none");
+    assert!(changes[0].contains(&text) && changes[0].contains("role=voter"), "{changes:?}");
+    let heard = changes[0].split("heard_ms=").nth(1).and_then(|rest| rest.split(' ').next());
+    let heard: Millis = heard.and_then(|text| text.parse().ok()).expect("a time");
+    assert!((400..900).contains(&heard), "{changes:?}");
+}
+
+/// Guards against a member that is no longer in the group and does not say so, and against a line
+/// for each of its requests.
+#[test]
+fn member_that_was_replaced_logs_once_that_it_asks_again() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let replaced = group.follower();
+    group.silent.insert(replaced.clone());
+    group.run(5_000);
+    group.add("d", &["a", "b", "c"], false);
+    group.run(5_000);
+    clear_lines();
+    group.silent.clear();
+    group.run(20_000);
+    let unlisted = lines("AL0213");
+    assert_eq!(unlisted.len(), 1, "{unlisted:?}");
+    let identity = name(&format!("{replaced}.member-{replaced}"));
+    assert!(unlisted[0].contains(&format!("identity={identity} own_log=voter")), "{unlisted:?}");
+    let joins = lines("AL0209");
+    assert_eq!(joins.len(), 1, "{joins:?}");
+    assert!(joins[0].contains(&format!("identity={identity} role=none")), "{joins:?}");
+}
