--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -1,12 +1,15 @@
 //! A deployment of real processes on loopback: control members and entries, with a stand-in group
-//! and authority, and links between all of them that can be held up.
+//! and authority, and links between all of them that can be held up. Control members can be removed
+//! and replaced.
 //!
 //! Each control member is reached by each other instance over a link of its own: instance `n` uses
 //! the port `LINK_PORT + n` for its links, and a link forwards that port of each control member to
 //! the member's own one.
 
+mod losses;
+
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -47,9 +50,12 @@
 /// Port of the authority for its link.
 const AUTHORITY_INNER_PORT: u16 = 17_467;
 
-/// Hosts of the control members.
+/// Hosts of the control members at the start, which the settings of all instances name.
 pub const CONTROL_HOSTS: [u8; 3] = [1, 2, 3];
 
+/// Hosts for control members that replace others.
+pub const SUCCESSOR_HOSTS: [u8; 3] = [4, 5, 6];
+
 /// Host of the first entry.
 pub const ENTRY_HOST: u8 = 10;
 
@@ -74,6 +80,8 @@
     /// Links between two instances, by the hosts of the dialing and the accepting one.
     pub members: BTreeMap<(u8, u8), Arc<HeldLink>>,
     children: BTreeMap<u8, Child>,
+    /// Hosts that were removed for good.
+    removed: BTreeSet<u8>,
     runtime: Runtime,
     keeps_logs: bool,
 }
@@ -95,7 +103,7 @@
         let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
         let address = |host: u8, port: u16| SocketAddr::from(([127, net[0], net[1], host], port));
         let group = LineGroup::new("g1");
-        let dialing = CONTROL_HOSTS.into_iter().chain((0..entries).map(|n| ENTRY_HOST + n));
+        let entry_hosts = (0..entries).map(|n| ENTRY_HOST + n);
         let (authority, servers, members) = runtime.block_on(async {
             let mut servers = BTreeMap::new();
             for server in 1..=3 {
@@ -108,8 +116,8 @@
             serve_authority(inner, vec![group.clone()]).await?;
             let authority = HeldLink::open(address(9, AUTHORITY_PORT), inner).await?;
             let mut members = BTreeMap::new();
-            for from in dialing.clone() {
-                for to in CONTROL_HOSTS.into_iter().filter(|to| *to != from) {
+            for from in control_hosts().chain(entry_hosts.clone()) {
+                for to in control_hosts().filter(|to| *to != from) {
                     let listen = address(to, LINK_PORT + u16::from(from));
                     let target = address(to, LINK_PORT + u16::from(to));
                     members.insert((from, to), HeldLink::open(listen, target).await?);
@@ -127,10 +135,11 @@
             servers,
             members,
             children: BTreeMap::new(),
+            removed: BTreeSet::new(),
             runtime,
             keeps_logs: false,
         };
-        for host in dialing {
+        for host in CONTROL_HOSTS.into_iter().chain(entry_hosts) {
             deployment.spawn(host, true)?;
         }
         deployment.publish(&deployment.config(1))?;
@@ -165,14 +174,13 @@
             return Ok(());
         }
         let ip = self.address(host, 0).ip();
-        let is_control = CONTROL_HOSTS.contains(&host);
+        let is_control = control_hosts().any(|control| control == host);
         let seeds = CONTROL_HOSTS.map(|seed| self.address(seed, OPERATOR_PORT).to_string());
         let listen = if is_control {
             format!("operator = {ip}:{OPERATOR_PORT}")
         } else {
             format!("callers = {ip}:{CALLER_PORT}\nready = {ip}:{READINESS_PORT}")
         };
-        let data = self.folder.join(format!("data-{host}"));
         let text = format!(
             "[instance]\nname = {}\nip = {ip}\nregion = r1\ndomain = d1\ngrace = 6\n\
              [listen]\n{listen}\nlinks = {}\n\
@@ -181,13 +189,12 @@
             LineProcesses::label(host),
             LINK_PORT + u16::from(host),
             seeds.join(","),
-            data.display(),
+            self.data_folder(host).display(),
             self.address(9, AUTHORITY_PORT),
         );
         let settings = self.folder.join(format!("settings-{host}.ini"));
         fs::write(&settings, text)?;
-        let log = self.folder.join(format!("node-{host}.log"));
-        let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let log = fs::OpenOptions::new().create(true).append(true).open(self.log_file(host))?;
         let child = Command::new(&self.program)
             .arg("serve")
             .arg(&settings)
@@ -244,15 +251,9 @@
         Ok(())
     }
 
-    /// Holds up all links of a control member to other instances.
-    pub fn isolate(&self, host: u8) {
-        let affected = self.members.iter().filter(|((from, to), _)| [*from, *to].contains(&host));
-        affected.for_each(|(_, link)| link.hold(""));
-    }
-
-    /// Heals the links between instances.
-    pub fn rejoin(&self) {
-        self.members.values().for_each(|link| link.heal());
+    /// Control members that were started and not killed.
+    fn members_running(&self) -> impl Iterator<Item = u8> {
+        control_hosts().filter(|host| self.children.contains_key(host))
     }
 
     /// Control member that leads: it answers a read of the configuration itself.
@@ -260,7 +261,14 @@
         let leads = |host: &u8| {
             call_http(self.address(*host, OPERATOR_PORT), "GET", "/-/config", "").0 == 200
         };
-        CONTROL_HOSTS.into_iter().find(leads)
+        self.members_running().find(leads)
+    }
+
+    /// Version of the configuration that the leader reads.
+    pub fn config_version(&self) -> Option<u64> {
+        let read = |host| call_http(self.address(host, OPERATOR_PORT), "GET", "/-/config", "");
+        let (_, body) = self.members_running().map(read).find(|(status, _)| *status == 200)?;
+        serde_json::from_str::<Value>(&body).ok()?["version"].as_u64()
     }
 
     /// A valid configuration with one route per kind of consistency.
@@ -300,7 +308,7 @@
     fn put(&self, path: &str, body: &str) -> io::Result<()> {
         self.eventually("a control member accepts the call", |d| {
             let call = |host| call_http(d.address(host, OPERATOR_PORT), "PUT", path, body).0;
-            CONTROL_HOSTS.into_iter().any(|host| call(host) == 200)
+            d.members_running().any(|host| call(host) == 200)
         })
     }
 
@@ -321,9 +329,23 @@
     ///
     /// It is not met in time.
     pub fn eventually(&self, what: &str, check: impl Fn(&LineProcesses) -> bool) -> io::Result<()> {
+        self.within(WAIT_TIMEOUT, what, check)
+    }
+
+    /// Waits at most for `limit` for a condition.
+    ///
+    /// # Errors
+    ///
+    /// It is not met in time.
+    pub fn within(
+        &self,
+        limit: Duration,
+        what: &str,
+        check: impl Fn(&LineProcesses) -> bool,
+    ) -> io::Result<()> {
         let started = Instant::now();
         while !check(self) {
-            if started.elapsed() > WAIT_TIMEOUT {
+            if started.elapsed() > limit {
                 let text = format!("not in time: {what}; logs in {}", self.folder.display());
                 return Err(io::Error::new(io::ErrorKind::TimedOut, text));
             }
@@ -332,6 +354,14 @@
         Ok(())
     }
 
+    fn data_folder(&self, host: u8) -> PathBuf {
+        self.folder.join(format!("data-{host}"))
+    }
+
+    fn log_file(&self, host: u8) -> PathBuf {
+        self.folder.join(format!("node-{host}.log"))
+    }
+
     /// Keeps the logs once the deployment ends.
     pub fn keep_logs(&mut self) {
         self.keeps_logs = true;
@@ -343,6 +373,11 @@
     }
 }
 
+/// Hosts on which control members may run.
+fn control_hosts() -> impl Iterator<Item = u8> + Clone {
+    CONTROL_HOSTS.into_iter().chain(SUCCESSOR_HOSTS)
+}
+
 impl Drop for LineProcesses {
     fn drop(&mut self) {
         for child in self.children.values_mut() {
--- /dev/null
+++ b/crates/bench/src/line_processes/losses.rs
@@ -0,0 +1,64 @@
+//! Losses of instances: links that are held up, machines that are removed, lost disks, and the end
+//! of all processes at once.
+
+use std::{fs, io};
+
+use crate::line_processes::LineProcesses;
+
+impl LineProcesses {
+    /// Holds up all links of a control member to other instances.
+    pub fn isolate(&self, host: u8) {
+        let affected = self.members.iter().filter(|((from, to), _)| [*from, *to].contains(&host));
+        affected.for_each(|(_, link)| link.hold(""));
+    }
+
+    /// Heals the links between instances, but those of removed ones.
+    pub fn rejoin(&self) {
+        let is_left = |host: &u8| !self.removed.contains(host);
+        let links = self.members.iter().filter(|((from, to), _)| is_left(from) && is_left(to));
+        links.for_each(|(_, link)| link.heal());
+    }
+
+    /// Ends the process of an instance for good; its links lead nowhere from now on.
+    ///
+    /// # Errors
+    ///
+    /// The process has been waited for already.
+    pub fn remove(&mut self, host: u8) -> io::Result<()> {
+        self.isolate(host);
+        self.removed.insert(host);
+        self.kill(host)
+    }
+
+    /// Ends the process of an instance, and removes its data.
+    ///
+    /// # Errors
+    ///
+    /// The process has been waited for already, or the data cannot be removed.
+    pub fn lose_disk(&mut self, host: u8) -> io::Result<()> {
+        self.kill(host)?;
+        fs::remove_dir_all(self.data_folder(host))
+    }
+
+    /// Ends all processes at the same moment; returns the hosts on which one ran.
+    ///
+    /// # Errors
+    ///
+    /// A process has been waited for already.
+    pub fn kill_all(&mut self) -> io::Result<Vec<u8>> {
+        for child in self.children.values_mut() {
+            child.kill()?;
+        }
+        let hosts: Vec<u8> = self.children.keys().copied().collect();
+        for host in &hosts {
+            self.kill(*host)?;
+        }
+        Ok(hosts)
+    }
+
+    /// Lines that an instance has logged for the event `code` since its first start.
+    pub fn logged(&self, host: u8, code: &str) -> Vec<String> {
+        let text = fs::read_to_string(self.log_file(host)).unwrap_or_default();
+        text.lines().filter(|line| line.contains(code)).map(str::to_owned).collect()
+    }
+}
