Forget a leader that a learner does not hear from

Callers and operators saw a control group without a leader after the loss of one disk: the successor of a replaced control member was no voter, although all looked calm.

Cause: the leader removes a learner that has acknowledged nothing for 3 s, and stops sending to it at once. The learner's log still lists it, and only voters had an election timeout, so it knew the former leader for ever. A member asks others for the membership only while it knows no leader. The two voters that were left could not replace the one that had gone, and the loss of one of them ended the group. In the other control core such a learner also ignores the updates of the leader, so it never has a lease again.

A learner now forgets its leader at the election timeout, as a voter does, so it asks the others, learns that it is not listed, and asks to join. It starts no election. A learner that only lost some heartbeats knows the leader again with the next one. Ruled out: a notice of the leader to the removed learner, which is lost exactly when the learner is suspended or cut off; keeping silent learners, which would keep those of replaced machines for ever.

--- a/crates/auburnlug/tests/member_replacement.rs
+++ b/crates/auburnlug/tests/member_replacement.rs
@@ -73,7 +73,6 @@
 /// A successor that was suspended while it was a learner was dropped from the group and never asked
 /// to join it again: the group had lost its quorum with the loss of one more disk.
 #[test]
-#[ignore = "fails: a learner that was dropped while it was suspended never asks to join again"]
 fn a_suspended_successor_joins_the_group() {
     let mut deployment = start(1);
     let (followers, _) = roles(&deployment);
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -132,7 +132,7 @@
         Ok(raft)
     }
 
-    /// Leader of the current term, if known.
+    /// Leader of the current term, if one is known and was heard from within the election timeout.
     pub fn leader(&self) -> Option<&Name> {
         self.leader.as_ref()
     }
@@ -173,8 +173,13 @@
         self.clock = self.clock.max(now);
         if self.leads() {
             self.tick_leader();
-        } else if self.clock >= self.election_deadline && self.log.is_voter(&self.id) {
-            self.start_pre_vote();
+        } else if self.clock >= self.election_deadline {
+            if self.log.is_voter(&self.id) {
+                self.start_pre_vote();
+            } else {
+                // A leader that removes a learner stops sending to it without notice.
+                self.leader = None;
+            }
         }
     }
 
--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -366,6 +366,24 @@
     }
 }
 
+/// Guards against a learner that never looks for the group again after the leader has removed it.
+#[test]
+fn learner_without_heartbeats_knows_no_leader() {
+    let timing = Timing::default();
+    let voters = ["m0", "m1", "m2"].map(name).into();
+    let initial = Members { voters, learners: [name("m3")].into() };
+    let mut raft = Raft::new(name("m3"), initial, Saved::default(), timing, 1, 0).unwrap();
+    let append =
+        Message::Append { term: 1, index: 0, last: 0, entries: vec![], commit: 0, sent: 0 };
+    raft.receive(&name("m1"), append.clone(), 100);
+    raft.tick(100 + timing.election_min - 1);
+    assert_eq!(raft.leader(), Some(&name("m1")));
+    raft.tick(100 + timing.election_max);
+    assert_eq!((raft.leader(), raft.term()), (None, 1));
+    raft.receive(&name("m1"), append, 1_000);
+    assert_eq!(raft.leader(), Some(&name("m1")));
+}
+
 #[test]
 fn overwritten_entries_lose_all_effects() {
     // Guards against an entry that counts as durable because the entry it overwrote was, and
--- a/crates/transport/tests/control_faults.rs
+++ b/crates/transport/tests/control_faults.rs
@@ -1,10 +1,12 @@
 //! Fault tests of the control thread: suspended and partitioned members, lost disks, restarts.
 
+use std::time::Duration;
+
 use auburnlug_coordination::lease::INSTANCE_LEASE_MS;
 use auburnlug_state::{Applied, Command};
 use auburnlug_transport::{control::Handle, disk_memory::MemoryDisk, view::Control};
 
-use tokio::sync::mpsc::error::TryRecvError;
+use tokio::{sync::mpsc::error::TryRecvError, time::timeout};
 
 mod control_group;
 
@@ -95,6 +97,56 @@
     watcher.await.expect("the state never reverts");
 }
 
+/// Time within which a member that is suspended no longer is in the group again.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+/// Starts four members; three of them become voters and one a learner. Returns the learner and the
+/// others.
+async fn start_with_learner(cluster: &mut Cluster) -> (Node, Vec<Node>) {
+    let mut nodes = cluster.start_all();
+    loop {
+        let listed = nodes[leader(&nodes).await].members().learners;
+        let is_learner = |node: &Node| {
+            let identity = node.identity();
+            listed.contains(&identity) && node.members().learners.contains(&identity)
+        };
+        if let Some(at) = nodes.iter().position(is_learner) {
+            return (nodes.remove(at), nodes);
+        }
+        poll_delay().await;
+    }
+}
+
+/// Suspends a member until the leader among `others` has removed it, and checks that it joins again.
+async fn check_return(member: &Node, others: &[Node]) {
+    let version = publish(&others[0].handle, "first", 0).await;
+    member.wait_for_version(version).await;
+    member.clock.suspend();
+    let leading = leader(others).await;
+    let identity = member.identity();
+    while others[leading].members().all().any(|listed| *listed == identity) {
+        poll_delay().await;
+    }
+    member.clock.resume();
+    let joins = async {
+        while !others[leading].members().all().any(|listed| *listed == identity) {
+            poll_delay().await;
+        }
+    };
+    timeout(CATCH_UP_TIME, joins).await.expect("the member is in the group again");
+    let next = publish(&others[leading].handle, "second", version).await;
+    timeout(CATCH_UP_TIME, member.wait_for_version(next)).await.expect("the member has the change");
+}
+
+/// Guards against a learner that is removed while it is suspended and never joins again, so that it
+/// cannot replace a voter, and that ignores the updates of the leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn learner_that_was_removed_while_suspended_joins_again() {
+    let mut cluster = Cluster::new(4);
+    let (learner, others) = start_with_learner(&mut cluster).await;
+    check_return(&learner, &others).await;
+}
+
 /// Asserts until the instance ends that its applied index never decreases.
 async fn assert_index_never_decreases(handle: Handle) {
     let mut view = handle.view();
--- a/crates/transport/tests/control_group/mod.rs
+++ b/crates/transport/tests/control_group/mod.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 
+use auburnlug_coordination::raft::{Members, Payload};
 use auburnlug_protocol::{
     auth::{Purpose, Secret},
     peer,
@@ -22,7 +23,7 @@
 use auburnlug_transport::{
     clock::{Clock, SystemClock},
     control::{self, Handle, Options},
-    disk::Disk,
+    disk::{Disk, Loaded},
     disk_memory::MemoryDisk,
     link::{Dial, Dialing, Link},
     socket::{Dialer, Identity},
@@ -202,18 +203,30 @@
         view.wait_for(|view| view.machine.version == version).await.expect("runs");
     }
 
-    /// Whether the member is a voter according to its own log.
-    pub fn is_voter(&self) -> bool {
-        use auburnlug_coordination::raft::Payload;
-        let mut disk = self.disk.clone().expect("control member");
-        let loaded = disk.load().expect("works");
-        let me = name(&format!("{}.{}", self.name, loaded.identity));
-        let first = loaded.saved.snapshot.map(|snapshot| snapshot.members);
-        let logged = loaded.saved.entries.into_iter().filter_map(|entry| match entry.payload {
+    /// Identity of the member.
+    pub fn identity(&self) -> Name {
+        name(&format!("{}.{}", self.name, self.load().identity))
+    }
+
+    /// Membership according to the member's own log.
+    pub fn members(&self) -> Members {
+        let saved = self.load().saved;
+        let first = saved.snapshot.map(|snapshot| snapshot.members);
+        let logged = saved.entries.into_iter().filter_map(|entry| match entry.payload {
             Payload::Members(members) => Some(members),
             _ => None,
         });
-        first.into_iter().chain(logged).last().is_some_and(|m| m.voters.contains(me.as_str()))
+        first.into_iter().chain(logged).last().unwrap_or_default()
+    }
+
+    /// Whether the member is a voter according to its own log.
+    pub fn is_voter(&self) -> bool {
+        self.members().voters.contains(self.identity().as_str())
+    }
+
+    fn load(&self) -> Loaded {
+        let mut disk = self.disk.clone().expect("control member");
+        disk.load().expect("works")
     }
 }
 
