Keep the request to join until the leader lists the member

A voter that was replaced while it was suspended, cut off, or by mistake while it ran never was a member again: the group had one member less from then on, and nothing told so.

Cause: such a member knows from the answers of others that it is not listed, and asks to join at the next search, up to 200 ms later. Any Raft message in between ended the request if the member's own log lists it, which it does. The refusals of its own pre-votes, sent every 80 to 200 ms, came in between nearly always.

Evidence, before: voter_that_was_replaced_while_suspended_joins_again ended after 4 s without the voter; in a trace of real processes each request was ended 25 to 150 ms after it was noted, and no request to join was sent in 10 s.

The own log counts only while the member hears from a leader, whose messages bring the log up to date.

--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -305,7 +305,9 @@
     fn receive_raft(&mut self, sender: &Name, message: Message, now: Millis) {
         let State::Member(raft, asks_to_join) = &mut self.state else { return };
         raft.receive(sender, message, now);
-        *asks_to_join = *asks_to_join && !is_member(raft.members(), &self.identity);
+        // Without a leader, the membership in the log may be outdated.
+        let listed = raft.leader().is_some() && is_member(raft.members(), &self.identity);
+        *asks_to_join = *asks_to_join && !listed;
     }
 
     fn apply_decision(&mut self, decision: BootstrapDecision, now: Millis) -> Result<()> {
--- a/crates/transport/tests/control_faults.rs
+++ b/crates/transport/tests/control_faults.rs
@@ -147,6 +147,18 @@
     check_return(&learner, &others).await;
 }
 
+/// Guards against a voter that is replaced while it is suspended and never joins again: the answers
+/// to its pre-votes must not end its request to join.
+#[tokio::test(flavor = "multi_thread")]
+async fn voter_that_was_replaced_while_suspended_joins_again() {
+    let mut cluster = Cluster::new(4);
+    let (learner, mut others) = start_with_learner(&mut cluster).await;
+    let leading = leader(&others).await;
+    let voter = others.remove(if leading == 0 { 1 } else { 0 });
+    others.push(learner);
+    check_return(&voter, &others).await;
+}
+
 /// Asserts until the instance ends that its applied index never decreases.
 async fn assert_index_never_decreases(handle: Handle) {
     let mut view = handle.view();
