Remove a voter only on evidence about the voters that stay

With four voters in the middle of a replacement, a newly elected leader could remove a running voter and keep the one that had gone. The loss of one more disk then ended the group.

Cause: the voter with the oldest acknowledgement went at once. A new leader has its lease as soon as a majority has answered its first messages; these were sent at its election, from which the ages of the others are counted too. So all ages were equal, and the greatest name decided.

Now a voter goes if it has been silent for the replacement time under this leader, or if all others that stay have caught up and answered, whether it has answered or not. So a replacement is completed by a new leader at once, and no voter goes while others are unheard. Ruled out: waiting for 3 s after each election, in which the group would tolerate no loss for longer than its time to catch up.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -93,7 +93,8 @@
     /// A voter whose instance has lost its disk is removed once the instance's new identity has
     /// caught up, and before the new identity votes, so that an instance never has two votes.
     /// Otherwise, if there are too many voters, the one that has been unresponsive for longest is
-    /// removed, but never the leader.
+    /// removed. If none has been for long enough, one is removed only if all that stay have caught
+    /// up: a new leader has not heard from all voters yet, and the ages tell nothing about those.
     fn voter_to_remove(&self) -> Option<&Name> {
         let voters = &self.members.voters;
         if let Some(former) = voters.iter().find(|name| self.is_replaced(name)) {
@@ -102,8 +103,15 @@
         if voters.len() <= self.target_voters() {
             return None;
         }
-        let ack_age = |name: &&Name| (self.progress(name).ack_age, (*name).clone());
-        voters.iter().filter(|name| **name != self.leader).max_by_key(ack_age)
+        let others = voters.iter().filter(|name| **name != self.leader);
+        let priority = |name: &&Name| {
+            let progress = self.progress(name);
+            (!progress.caught_up, progress.ack_age, (*name).clone())
+        };
+        let name = others.clone().max_by_key(priority)?;
+        let stays = |other: &&Name| *other != name;
+        let others_caught_up = others.filter(stays).all(|other| self.progress(other).caught_up);
+        (self.progress(name).unresponsive() || others_caught_up).then_some(name)
     }
 
     /// Whether the instance of a voter has returned without its disk and has caught up again.
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -117,6 +117,41 @@
     }
 }
 
+/// Group led by `a.1` right after its election: the ages of all acknowledgements are equal, and the
+/// voters in `unheard` have not answered yet.
+fn elected(voters: &[&str], losses: usize, unheard: &[&str]) -> ControlGroup {
+    let mut group = group(members(voters, &[]), losses, &[], &[]);
+    for (name, progress) in &mut group.progress {
+        progress.caught_up = !unheard.contains(&name.as_str());
+    }
+    group
+}
+
+/// Guards against a leader elected during a replacement that removes a voter by its name instead of
+/// the one that has gone, so that the loss of one more disk ends the group.
+#[test]
+fn new_leader_removes_only_the_voter_that_did_not_answer() {
+    for gone in ["b.1", "c.1", "d.1"] {
+        let next = elected(&["a.1", "b.1", "c.1", "d.1"], 1, &[gone]).next_members().unwrap();
+        let remaining = ["a.1", "b.1", "c.1", "d.1"].into_iter().filter(|name| *name != gone);
+        assert_eq!(next, members(&remaining.collect::<Vec<_>>(), &[]));
+    }
+}
+
+/// Guards against a new leader that removes a voter before the others have answered.
+#[test]
+fn no_voter_is_removed_while_several_have_not_answered() {
+    let voters = ["a.1", "b.1", "c.1", "d.1", "e.1", "f.1"];
+    for unheard in [["b.1", "c.1"], ["c.1", "f.1"], ["e.1", "f.1"]] {
+        assert_eq!(elected(&voters, 2, &unheard).next_members(), None);
+    }
+    let mut one_silent = elected(&voters, 2, &["b.1", "c.1"]);
+    let silent = Progress { caught_up: false, ack_age: MEMBER_REPLACEMENT_TIMEOUT_MS };
+    one_silent.progress.insert(name("b.1"), silent);
+    let next = one_silent.next_members().unwrap();
+    assert_eq!(next, members(&["a.1", "c.1", "d.1", "e.1", "f.1"], &[]));
+}
+
 fn voters(cluster: &Cluster) -> BTreeSet<Name> {
     let leader = cluster.leader().unwrap();
     cluster.nodes[leader].raft.members().voters.clone()
