Count the silence of a member from its last answer

A member that had been suspended for 3 s and answered could be removed for its silence right after.

Cause: its silence was counted from the sending time of the last message that it had acknowledged. A process that wakes answers the queued messages in order, so its first acknowledgements carry sending times from before.

Evidence, before: late_acknowledgement_ends_the_silence_of_a_member saw an age of 4060 ms 10 ms after an acknowledgement. Found by reading.

The age is counted from the arrival of the last acknowledgement. The leader lease and whether a member has caught up still rest on sending times.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -25,7 +25,8 @@
     /// Whether the member has all entries that were committed when the leader started to track it,
     /// and has acknowledged a message recently.
     pub caught_up: bool,
-    /// Time since the last message that the member acknowledged was sent, in milliseconds.
+    /// Time since the last acknowledgement arrived, or since this leader tracks the member if none
+    /// has, in milliseconds.
     pub ack_age: Millis,
 }
 
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -42,6 +42,8 @@
     since: Millis,
     /// Sending time of the latest message that the member acknowledged.
     acknowledged: Option<Millis>,
+    /// Time at which the last acknowledgement arrived.
+    heard: Option<Millis>,
     /// Time at which `next` was last moved back.
     rewound_at: Millis,
     /// Time at which a snapshot was sent, while it is not acknowledged.
@@ -77,7 +79,7 @@
         let Role::Leader(leader) = &self.role else { return BTreeMap::new() };
         let progress = |peer: &Peer| Progress {
             caught_up: peer.is_caught_up(now, self.timing.election_max),
-            ack_age: now.saturating_sub(peer.acknowledged.unwrap_or(peer.since)),
+            ack_age: now.saturating_sub(peer.heard.unwrap_or(peer.since)),
         };
         leader.peers.iter().map(|(name, peer)| (name.clone(), progress(peer))).collect()
     }
@@ -165,6 +167,7 @@
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(peer) = leader.peers.get_mut(from) else { return };
         peer.acknowledged = peer.acknowledged.max(Some(sent));
+        peer.heard = Some(clock);
         if accepted {
             peer.matched = peer.matched.max(index.min(self.log.last()));
             peer.next = peer.next.max(peer.matched + 1);
@@ -257,6 +260,7 @@
                 sent_commit: 0,
                 since,
                 acknowledged: None,
+                heard: None,
                 rewound_at: 0,
                 snapshot_sent: None,
                 message_due: true,
--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -384,6 +384,24 @@
     assert_eq!(raft.leader(), Some(&name("m1")));
 }
 
+/// Guards against a member that counts as silent although it has just answered: the acknowledgements
+/// that a suspended process sends first carry old sending times.
+#[test]
+fn late_acknowledgement_ends_the_silence_of_a_member() {
+    let mut raft = follower();
+    elect(&mut raft, 3, 900);
+    for now in (900..5_000).step_by(100) {
+        raft.tick(now);
+        let reply = Message::AppendReply { term: 3, accepted: true, index: 4, sent: now };
+        raft.receive(&name("m1"), reply, now);
+    }
+    assert_eq!(raft.progress(5_000)[&name("m2")].ack_age, 4_100);
+    let late = Message::AppendReply { term: 3, accepted: true, index: 4, sent: 950 };
+    raft.receive(&name("m2"), late, 5_000);
+    let progress = raft.progress(5_010)[&name("m2")];
+    assert_eq!((progress.ack_age, progress.caught_up), (10, false));
+}
+
 #[test]
 fn overwritten_entries_lose_all_effects() {
     // Guards against an entry that counts as durable because the entry it overwrote was, and
