Look for the group at members that others have named, without a leader

A member that had been removed while it was away looked for its group only at the members that it knew and at the seeds of its settings. If these had been replaced at other addresses meanwhile, its request to join never reached the leader.

Cause: names from other members were left out for every member that its own log lists, however old the log is.

Evidence: member_without_a_leader_looks_at_named_members fails with the former condition. Found by reading.

They are left out only while the member hears from a leader. The choice moves to the member, so that tests use the same one.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -449,14 +449,9 @@
         self.run_leader_tasks(now);
     }
 
-    /// All known control members: in the group, from the settings, or named by other members.
+    /// All control members at which this one may find the group.
     fn candidate_members(&self) -> BTreeSet<Name> {
-        let members = self.member.instances();
-        // A member of the group knows the others; names from elsewhere may be outdated.
-        if self.member.is_in_group() {
-            return &members | &self.seeds;
-        }
-        &(&members | &self.seeds) | &self.known_members
+        self.member.candidates(&self.seeds, &self.known_members)
     }
 
     fn dial_members(&mut self) {
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -228,6 +228,19 @@
         members.map(Iterator::collect).unwrap_or_default()
     }
 
+    /// Instances at which this member looks for the group: its members, `seeds`, and those that
+    /// other members have `named`.
+    ///
+    /// A member that hears from the leader knows the others, and names from elsewhere may be
+    /// outdated. Without a leader, its own membership may be outdated.
+    pub fn candidates(&self, seeds: &BTreeSet<Name>, named: &BTreeSet<Name>) -> BTreeSet<Name> {
+        let members = self.instances();
+        if self.is_in_group() && self.leader().is_some() {
+            return &members | seeds;
+        }
+        &(&members | seeds) | named
+    }
+
     /// Replaces the set of configured members.
     pub fn set_configured(&mut self, configured: BTreeSet<Name>) {
         self.configured = configured;
--- /dev/null
+++ b/crates/transport/tests/member_discovery.rs
@@ -0,0 +1,46 @@
+//! Tests of how a control member finds its group again.
+
+use std::collections::BTreeSet;
+
+use auburnlug_coordination::raft::{Members, Message, Ready, Snapshot, Timing};
+use auburnlug_protocol::{encode, peer::ControlMessage};
+use auburnlug_state::{Machine, Name};
+use auburnlug_transport::{
+    control_member::{GroupOptions, Member},
+    disk::Disk,
+    disk_memory::MemoryDisk,
+};
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).expect("valid name")
+}
+
+fn names<const N: usize>(list: [&str; N]) -> BTreeSet<Name> {
+    list.map(name).into()
+}
+
+/// Guards against a member that looks for its group only at the members that it knew, although all
+/// of them have been replaced meanwhile.
+#[test]
+fn member_without_a_leader_looks_at_named_members() {
+    let mut disk = MemoryDisk::new(name("1"));
+    let members = Members { voters: names(["a.1", "b.1", "c.1"]), learners: names(["d.1"]) };
+    let data = encode(&Machine::default()).expect("encodes");
+    let snapshot = Some(Snapshot { index: 0, term: 0, members, data });
+    disk.store(&Ready { snapshot, ..Ready::default() }).expect("works");
+    disk.sync().expect("works");
+    let (seeds, named) = (names(["a", "b"]), names(["e", "f"]));
+    let options = GroupOptions { configured: seeds.clone(), may_bootstrap: false, disk_losses: 1 };
+    let timing = Timing::default();
+    let (mut member, _) =
+        Member::open(name("d"), options, Box::new(disk), timing, 1, 0).expect("opens");
+    let all = names(["a", "b", "c", "d", "e", "f"]);
+    assert_eq!(member.candidates(&seeds, &named), all);
+    let message =
+        Message::Append { term: 1, index: 0, last: 0, entries: vec![], commit: 0, sent: 0 };
+    let append = ControlMessage::Raft { from: name("a.1"), to: name("d.1"), message };
+    member.receive(&name("a"), append, 100).expect("works");
+    assert_eq!(member.candidates(&seeds, &named), names(["a", "b", "c", "d"]));
+    member.step(100 + timing.election_max).expect("works");
+    assert_eq!(member.candidates(&seeds, &named), all);
+}
