Test the choice of the voter to remove, and its return, with real processes

Two faults ended in the same outage as the removed successor: the group kept a voter that was gone, and the loss of one more disk took its quorum.

A promotion that cannot be committed ends the lease of the leader, and four voters elect another one; the test holds the link from the leader to the successor just before the promotion. A removed voter asks for pre-votes every 80 to 160 ms and probes the others every 200 ms; the test cuts a voter off until a spare member has replaced it.

--- a/crates/auburnlug/tests/member_replacement.rs
+++ b/crates/auburnlug/tests/member_replacement.rs
@@ -3,15 +3,25 @@
 // The setting for tests in clippy.toml does not reach helper functions in test files.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
-use std::{path::Path, thread, time::Duration};
+use std::{
+    collections::BTreeSet,
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
 
 use auburnlug_bench::line_processes::{CONTROL_HOSTS, LineProcesses, SUCCESSOR_HOSTS};
 use rustix::process::Signal;
 
+const SUCCESSOR: u8 = SUCCESSOR_HOSTS[0];
+
 /// Time for which a process is suspended: longer than an absence after which another member may
 /// replace a voter.
 const SUSPENSION_TIME: Duration = Duration::from_millis(3_300);
 
+/// Time just before the promotion of a successor, counted from the last sign of the former member.
+const BEFORE_PROMOTION_TIME: Duration = Duration::from_millis(2_800);
+
 /// Time without trouble after which an instance that was absent counts as present.
 const CALM_TIME: Duration = Duration::from_secs(5);
 
@@ -28,32 +38,40 @@
     LineProcesses::start(Path::new(env!("CARGO_BIN_EXE_auburnlug")), &folder, net, 1).unwrap()
 }
 
-/// Hosts of the original members that do not lead and of the one that does.
-fn roles(deployment: &LineProcesses) -> (Vec<u8>, u8) {
-    let leader = deployment.leader().unwrap();
-    (CONTROL_HOSTS.into_iter().filter(|host| *host != leader).collect(), leader)
+fn leader(deployment: &LineProcesses) -> u8 {
+    deployment.eventually("a member leads", |d| d.leader().is_some()).unwrap();
+    deployment.leader().unwrap()
+}
+
+/// Original members that do not lead.
+fn followers(deployment: &LineProcesses) -> Vec<u8> {
+    let leader = leader(deployment);
+    CONTROL_HOSTS.into_iter().filter(|host| *host != leader).collect()
 }
 
-/// Whether a member has logged a membership whose part `role` contains `host`.
-fn has_logged(deployment: &LineProcesses, member: u8, role: &str, host: u8) -> bool {
-    let name = format!("{}.", deployment.address(host, 0).ip());
+/// Hosts in a part of the membership that a member logged last.
+fn members(deployment: &LineProcesses, member: u8, part: &str) -> BTreeSet<u8> {
     let lines = deployment.logged(member, MEMBERS_CHANGED);
-    let part = |line: &String| line.split_once(role).is_some_and(|(_, part)| part.contains(&name));
-    lines.iter().any(part)
+    let part = lines.last().and_then(|line| line.split_once(part));
+    let names = part.and_then(|(_, rest)| rest.split('}').next()).unwrap_or_default();
+    let is_named = |host: &u8| names.contains(&format!("{}.", deployment.address(*host, 0).ip()));
+    CONTROL_HOSTS.into_iter().chain(SUCCESSOR_HOSTS).filter(is_named).collect()
 }
 
-/// Replaces an original member, and suspends the successor while it is a learner.
-fn replace_with_suspension(deployment: &mut LineProcesses, former: u8, successor: u8) {
-    deployment.remove(former).unwrap();
-    deployment.spawn(successor, false).unwrap();
+fn voters(deployment: &LineProcesses, member: u8) -> BTreeSet<u8> {
+    members(deployment, member, "voters=")
+}
+
+fn learners(deployment: &LineProcesses, member: u8) -> BTreeSet<u8> {
+    members(deployment, member, "learners=")
+}
+
+/// Starts another member, and waits until its own log names it as a learner.
+fn join(deployment: &mut LineProcesses, host: u8) {
+    deployment.spawn(host, false).unwrap();
     deployment
-        .eventually("the successor knows that it is a learner", |d| {
-            has_logged(d, successor, "learners=", successor)
-        })
+        .eventually("the member is a learner", |d| learners(d, host).contains(&host))
         .unwrap();
-    deployment.signal(successor, Signal::STOP).unwrap();
-    thread::sleep(SUSPENSION_TIME);
-    deployment.signal(successor, Signal::CONT).unwrap();
 }
 
 /// Publishes a configuration; at once a member loses its disk and all processes end and are started
@@ -75,8 +93,57 @@
 #[test]
 fn a_suspended_successor_joins_the_group() {
     let mut deployment = start(1);
-    let (followers, _) = roles(&deployment);
-    replace_with_suspension(&mut deployment, followers[0], SUCCESSOR_HOSTS[0]);
+    let followers = followers(&deployment);
+    deployment.remove(followers[0]).unwrap();
+    join(&mut deployment, SUCCESSOR);
+    deployment.signal(SUCCESSOR, Signal::STOP).unwrap();
+    thread::sleep(SUSPENSION_TIME);
+    deployment.signal(SUCCESSOR, Signal::CONT).unwrap();
     thread::sleep(CALM_TIME);
     check_loss(&mut deployment, followers[1], 2);
 }
+
+/// A leader that was elected while a promotion was in progress removed a voter that runs in place of
+/// the one that had vanished, if the name of the latter came first.
+#[test]
+fn a_new_leader_removes_the_voter_that_vanished() {
+    let mut deployment = start(2);
+    let [vanished, others @ ..] = CONTROL_HOSTS;
+    deployment.remove(vanished).unwrap();
+    let former = leader(&deployment);
+    let missed_since = Instant::now();
+    join(&mut deployment, SUCCESSOR);
+    thread::sleep(BEFORE_PROMOTION_TIME.saturating_sub(missed_since.elapsed()));
+    // The promotion makes four voters, but cannot be committed.
+    let link = deployment.members[&(former, SUCCESSOR)].clone();
+    link.hold("");
+    deployment
+        .eventually("another member leads", |d| d.leader().is_some_and(|l| l != former))
+        .unwrap();
+    link.heal();
+    thread::sleep(CALM_TIME);
+    let present = leader(&deployment);
+    let running = others.into_iter().chain([SUCCESSOR]).collect();
+    assert_eq!(voters(&deployment, present), running);
+    check_loss(&mut deployment, present, 2);
+}
+
+/// A voter that was replaced while it was cut off never asked to join the group again.
+#[test]
+fn a_removed_voter_joins_the_group_again() {
+    let mut deployment = start(3);
+    let (leader, followers) = (leader(&deployment), followers(&deployment));
+    join(&mut deployment, SUCCESSOR);
+    deployment.isolate(followers[0]);
+    deployment
+        .eventually("the voter is replaced", |d| {
+            voters(d, leader) == BTreeSet::from([leader, followers[1], SUCCESSOR])
+        })
+        .unwrap();
+    deployment.rejoin();
+    deployment
+        .within(CALM_TIME, "the voter is a learner", |d| {
+            learners(d, leader).contains(&followers[0])
+        })
+        .unwrap();
+}
