Measure silence by the time for which the control leader could hear

A control leader whose disk stalled for 1.5 s replaced a primary that had answered all the time, and took the connections of an entry that had renewed all the time: entries were told that the group had no primary. By the same code, a suspension of the process would have this effect, too.

Cause: the time since the last answer included the time for which the leader did not run. It had sent no probe meanwhile, and renewals waited in its queue. In a group with several voters such a leader steps down after 500 ms, and the next one counts from its election; a leader that is the only voter keeps its lease. With several voters, too, the periodic tasks ran before the leader noticed that its lease had ended, so they could drop entries or assign connections without it.

Before the change, `a_primary_is_kept_while_the_disk_stalls` fails with `[None, Some("s1")]`; the log shows `cause=Unreachable watch=Watch { silent: 1507, ... }` and `healthy=0 before=1`.

Silence of servers and entries is now measured in observation time: of the time between two runs of the leader under its lease, at most 250 ms count. The periodic tasks need the lease. No time-out is longer, and a leader that runs detects a crash, a dark machine or a cut as soon as before: observation time then equals the clock (`without_an_interruption_all_time_counts`).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lease;
 pub mod membership;
 pub mod membership_step;
+pub mod observation;
 pub mod pending_entries;
 pub mod position_samples;
 pub mod queue;
--- /dev/null
+++ b/crates/coordination/src/observation.rs
@@ -0,0 +1,42 @@
+//! Time for which a leader was able to hear others.
+//!
+//! A leader that is suspended or waits for its disk hears nobody, and answers that arrived meanwhile
+//! wait in its queue. So silence counts in observation time, which stands still while the leader
+//! is interrupted.
+
+use auburnlug_state::Millis;
+
+/// Longest time between two runs that counts as observed. It is within the tolerance of all
+/// timeouts, so that a leader that always runs late still detects failures.
+const MAX_RUN_GAP_MS: Millis = 250;
+
+/// Clock that stands still while its leader is interrupted.
+#[derive(Debug)]
+pub struct ObservationClock {
+    ran_at: Millis,
+    /// Total time that was not observed.
+    interrupted: Millis,
+}
+
+impl ObservationClock {
+    /// Starts at `now`, which is the observation time, too.
+    pub fn new(now: Millis) -> ObservationClock {
+        ObservationClock { ran_at: now, interrupted: 0 }
+    }
+
+    /// Records that the leader runs.
+    pub fn record_run(&mut self, now: Millis) {
+        self.interrupted += self.interruption(now);
+        self.ran_at = self.ran_at.max(now);
+    }
+
+    /// Observation time at `now`.
+    pub fn at(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.interrupted + self.interruption(now))
+    }
+
+    /// Length of the interruption since the last run.
+    fn interruption(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.ran_at + MAX_RUN_GAP_MS)
+    }
+}
--- a/crates/gateway/src/control_departures.rs
+++ b/crates/gateway/src/control_departures.rs
@@ -28,6 +28,7 @@
 /// A departed replica, as the control leader observes it.
 pub(crate) struct DepartureWatch {
     run: Incarnation,
+    /// Observation time of the first look at it.
     since: Millis,
     /// Time at which its process is known to have ended.
     ended_at: Option<Millis>,
@@ -57,10 +58,11 @@
         let primary = self.term_primary(group, lead);
         for (id, departed) in pending {
             let Some(leader) = &mut self.leader else { return };
+            let observed = leader.observation.at(now);
             let paused_end = leader.monitors.get(&id).and_then(|m| m.fenced_end(lead.term));
             let new = || DepartureWatch {
                 run: departed.run,
-                since: now,
+                since: observed,
                 ended_at: None,
                 paused_end,
                 proposed_at: None,
@@ -69,7 +71,7 @@
             if watch.run != departed.run {
                 *watch = new();
             }
-            if departed.ended || now >= watch.since + DEPARTED_TIMEOUT_MS {
+            if departed.ended || observed >= watch.since + DEPARTED_TIMEOUT_MS {
                 watch.ended_at.get_or_insert(now);
             }
             let proposed = watch.proposed_at.is_some_and(|at| now < at + LEAD_COMMIT_TIMEOUT_MS);
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -194,7 +194,7 @@
         if !behind {
             leader.unreplicated_since.remove(group);
         } else if !leader.unreplicated_since.contains_key(group) {
-            leader.unreplicated_since.insert(group.clone(), now);
+            leader.unreplicated_since.insert(group.clone(), leader.observation.at(now));
         }
     }
 
@@ -208,6 +208,7 @@
     ) -> Watch {
         let draining = self.fleet().backends.get(primary).is_none_or(|b| b.draining);
         let Some(leader) = &self.leader else { return Watch::default() };
+        let observed = leader.observation.at(now);
         let monitor = leader.monitors.get(primary);
         let heartbeat_at =
             leader.heartbeats.get(primary).map_or(0, |heartbeat| heartbeat.received_at);
@@ -220,13 +221,13 @@
         Watch {
             draining,
             demoted: monitor.and_then(|m| m.last_status).is_some_and(is_replica),
-            silent: now.saturating_sub(last),
+            silent: observed.saturating_sub(last),
             refused: monitor.map_or(0, |m| m.refusals),
-            stalled: leader.reports.stalled_commits(primary, now),
+            stalled: leader.reports.stalled_commits(primary, observed),
             apart: leader
                 .unreplicated_since
                 .get(group)
-                .map_or(0, |since| now.saturating_sub(*since)),
+                .map_or(0, |since| observed.saturating_sub(*since)),
             unanswered: monitor.map_or(0, |m| m.timeouts),
         }
     }
@@ -393,9 +394,10 @@
         let monitor = former.as_ref().and_then(|former| leader.monitors.get(former));
         let demoted_at = monitor.filter(|m| m.fenced_term > lead.term).map(|m| m.fenced_at.1);
         let settled_at = demoted_at.or(recent);
+        let observed = leader.observation.at(now);
         let member = |backend: &Backend| {
             let monitor = leader.monitors.get(&backend.id).filter(|m| m.run == backend.run);
-            let member = monitor.map(|m| m.member(backend, lead.term, settled_at, now));
+            let member = monitor.map(|m| m.member(backend, lead.term, settled_at, observed));
             (backend.id.clone(), member.unwrap_or_default())
         };
         let members = self.fleet().backends_of(group).map(member).collect();
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -10,6 +10,7 @@
     changes::ChangeTracker,
     connection_owners::{self, Location, ServerLimit, ServerOwners},
     entry_leases::{self, ENTRY_LEASE_MS, EntryLeases},
+    observation::ObservationClock,
     pending_entries::PendingEntries,
     rate_share::{
         RateLimit, RateShares, SHARE_RECLAIM_DELAY_MS, ShareGrant, ShareRequest as ShareAsk,
@@ -65,6 +66,8 @@
     pub(crate) term: Term,
     /// Time at which the leadership started.
     pub(crate) leading_since: Millis,
+    /// Observation time, in which the silence of entries and servers is measured.
+    pub(crate) observation: ObservationClock,
     /// Lease of this leadership; a later one of the same member has another.
     pub(crate) lease: LeaderLease,
     pub(crate) leases: EntryLeases,
@@ -78,7 +81,7 @@
     /// Groups whose primary stays although it should be replaced, with the time of the last log
     /// line.
     pub(crate) deferrals: BTreeMap<Arc<str>, Millis>,
-    /// Time since which no replica of a group has received the primary's whole log.
+    /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
     /// Region of each failure domain.
@@ -96,7 +99,7 @@
     latest_restart: Option<Millis>,
     /// Renewals of entries whose registration is not committed yet, with their links.
     pending_entries: PendingEntries<(u64, FleetRenewal)>,
-    /// Time since which registered entries have not renewed their lease.
+    /// Observation time since which registered entries have not renewed their lease.
     absent_since: BTreeMap<Name, Millis>,
     /// Index of the newest update.
     pub(crate) index: u64,
@@ -130,10 +133,11 @@
     sent_index: u64,
     /// Configuration version that the entry has after all updates sent on this link.
     config_version: u64,
+    /// Observation time of the last renewal.
     renewed_at: Millis,
     /// Time of the last grant with position samples.
     sampled_at: Millis,
-    /// Time since which the entry has no link to this member.
+    /// Observation time since which the entry has no link to this member.
     disconnected_at: Option<Millis>,
     /// Whether the entry is shutting down and should own no connections.
     leaving: bool,
@@ -142,11 +146,11 @@
 }
 
 impl EntryState {
-    /// Whether the entry may own connections.
-    fn is_healthy(&self, now: Millis) -> bool {
+    /// Whether the entry may own connections at an observation time.
+    fn is_healthy(&self, observed: Millis) -> bool {
         !self.leaving
-            && now < self.renewed_at + RENEWAL_TIMEOUT_MS
-            && self.disconnected_at.is_none_or(|since| now < since + RECONNECT_TIMEOUT_MS)
+            && observed < self.renewed_at + RENEWAL_TIMEOUT_MS
+            && self.disconnected_at.is_none_or(|since| observed < since + RECONNECT_TIMEOUT_MS)
     }
 }
 
@@ -155,6 +159,7 @@
 pub(crate) struct LastHeartbeat {
     incarnation: Incarnation,
     sequence: u64,
+    /// Observation time of its arrival.
     pub(crate) received_at: Millis,
     /// Whether the server reported itself as primary.
     pub(crate) claims_primary: bool,
@@ -212,7 +217,7 @@
         let heartbeat = LastHeartbeat {
             incarnation,
             sequence,
-            received_at: now,
+            received_at: self.observation.at(now),
             claims_primary: beat.claims_primary,
             timed_out: false,
         };
@@ -242,6 +247,7 @@
         self.leader = Some(Leader {
             term,
             leading_since: now,
+            observation: ObservationClock::new(now),
             lease: LeaderLease::new(self.clock.clone()),
             leases: EntryLeases::new(now, recorded.clone()),
             entries: BTreeMap::new(),
@@ -308,7 +314,7 @@
             location,
             sent_index,
             config_version,
-            renewed_at: now,
+            renewed_at: leader.observation.at(now),
             sampled_at,
             disconnected_at: None,
             leaving: msg.leaving,
@@ -356,8 +362,10 @@
             return;
         }
         let joined = leader.pending_entries.incarnations();
+        let observed = leader.observation.at(now);
         let is_expired = |name: &Name| {
-            leader.absent_since.get(name).is_some_and(|since| now >= since + SHARE_RECLAIM_DELAY_MS)
+            let since = leader.absent_since.get(name);
+            since.is_some_and(|since| observed >= since + SHARE_RECLAIM_DELAY_MS)
         };
         let left = self.machine.fleet.entries.iter().filter(|(name, _)| is_expired(name));
         let left: BTreeMap<Name, u64> = left.map(|(name, run)| (name.clone(), *run)).collect();
@@ -398,11 +406,12 @@
         let recorded = &self.machine.fleet.entries;
         let Some(leader) = &mut self.leader else { return };
         let entries = &leader.entries;
+        let observed = leader.observation.at(now);
         leader
             .absent_since
             .retain(|name, _| recorded.contains_key(name) && !entries.contains_key(name));
         for name in recorded.keys().filter(|name| !entries.contains_key(*name)) {
-            leader.absent_since.entry(name.clone()).or_insert(now);
+            leader.absent_since.entry(name.clone()).or_insert(observed);
         }
         if leader.unreported.is_empty() {
             leader.shares.mark_all_reported(leader.latest_restart, now);
@@ -412,9 +421,10 @@
     /// Records what an entry reported about primaries.
     fn record_evidence(&mut self, from: &Name, evidence: Vec<PrimaryObservation>, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
+        let observed = leader.observation.at(now);
         for report in evidence {
-            let answered = report.answer_age.map(|age| now.saturating_sub(age));
-            leader.reports.add(&report.server, from, answered, report.unanswered_commits, now);
+            let answered = report.answer_age.map(|age| observed.saturating_sub(age));
+            leader.reports.add(&report.server, from, answered, report.unanswered_commits, observed);
         }
     }
 
@@ -450,11 +460,12 @@
     /// Handles the end of a link from an entry.
     pub(crate) fn handle_link_loss(&mut self, link: u64) {
         let Some(leader) = &mut self.leader else { return };
+        let observed = leader.observation.at(self.clock.now());
         // The lease stays valid; only updates sent on the link may be lost.
         for (name, entry) in leader.entries.iter_mut().filter(|(_, entry)| entry.link == link) {
             leader.leases.reset_applied(name);
             entry.sent_index = 0;
-            entry.disconnected_at = Some(self.clock.now());
+            entry.disconnected_at = Some(observed);
         }
     }
 
@@ -504,10 +515,11 @@
         for entry in leader.entries.values() {
             leader.regions.insert(entry.location.domain.clone(), entry.location.region.clone());
         }
+        let observed = leader.observation.at(now);
         let places: BTreeMap<Name, Location> = leader
             .entries
             .iter()
-            .filter(|(_, entry)| entry.is_healthy(now))
+            .filter(|(_, entry)| entry.is_healthy(observed))
             .map(|(name, entry)| (name.clone(), entry.location.clone()))
             .collect();
         if places.is_empty() {
@@ -601,8 +613,13 @@
 
     /// Runs the periodic work of the leader: expiry, assignment and the monitoring of groups.
     pub(crate) fn run_leader_tasks(&mut self, now: Millis) {
+        // Without its lease, this member may be unable to hear others, and another one may lead.
+        if !self.member.leads(now) {
+            return;
+        }
         let instances = self.member.instances();
         let Some(leader) = &mut self.leader else { return };
+        leader.observation.record_run(now);
         if leader.members != instances {
             leader.members = instances;
             leader.index += 1;
@@ -611,13 +628,15 @@
         }
         let Some(leader) = &mut self.leader else { return };
         let before = leader.healthy_entries;
+        let observed = leader.observation.at(now);
         leader.leases.remove_expired(now);
-        leader.entries.retain(|_, entry| now < entry.renewed_at + ENTRY_EXPIRY_MS);
+        leader.entries.retain(|_, entry| observed < entry.renewed_at + ENTRY_EXPIRY_MS);
         self.update_absent_entries(now);
         self.propose_entry_changes(now);
         let Some(leader) = &mut self.leader else { return };
         for (id, heartbeat) in &mut leader.heartbeats {
-            if !heartbeat.timed_out && now >= heartbeat.received_at + SERVER_HEARTBEAT_TIMEOUT_MS {
+            let timeout_at = heartbeat.received_at + SERVER_HEARTBEAT_TIMEOUT_MS;
+            if !heartbeat.timed_out && observed >= timeout_at {
                 heartbeat.timed_out = true;
                 log(
                     Event::BackendUnresponsive,
@@ -626,7 +645,7 @@
             }
         }
         leader.healthy_entries =
-            leader.entries.values().filter(|entry| entry.is_healthy(now)).count();
+            leader.entries.values().filter(|entry| entry.is_healthy(observed)).count();
         if leader.healthy_entries != before {
             log(
                 Event::EntryChanged,
--- a/crates/gateway/src/control_probe.rs
+++ b/crates/gateway/src/control_probe.rs
@@ -35,7 +35,7 @@
     pub(crate) connection: Option<Connection>,
     pub(crate) probing: bool,
     pub(crate) probed_at: Millis,
-    /// Time of the last answer; 0 if there was none.
+    /// Observation time of the last answer; 0 if there was none.
     pub(crate) answered_at: Millis,
     pub(crate) refusals: u32,
     pub(crate) timeouts: u32,
@@ -77,16 +77,16 @@
 }
 
 impl ServerMonitor {
-    /// Known facts about the server, for a failover. A status counts as settled if it was asked for
-    /// at `settled_at`, or after this server was fenced in `term`.
+    /// Known facts about the server at an observation time, for a failover. A status counts as
+    /// settled if it was asked for at `settled_at`, or after this server was fenced in `term`.
     pub(crate) fn member(
         &self,
         backend: &Backend,
         term: Term,
         settled_at: Option<Millis>,
-        now: Millis,
+        observed: Millis,
     ) -> Member {
-        let answered = self.answered_at > 0 && now < self.answered_at + REACHABLE_TIMEOUT_MS;
+        let answered = self.answered_at > 0 && observed < self.answered_at + REACHABLE_TIMEOUT_MS;
         let fenced_at = (self.fenced_term > term).then_some(self.fenced_at.0);
         let since = fenced_at.into_iter().chain(settled_at).min();
         let is_settled = |(_, asked): (Status, Millis)| since.is_some_and(|since| asked >= since);
@@ -200,7 +200,7 @@
             }
             Ok(status) => status,
         };
-        monitor.answered_at = now;
+        monitor.answered_at = leader.observation.at(now);
         monitor.refusals = 0;
         monitor.timeouts = 0;
         let received = status.map(|status| status.received);
