Keep the instances when their control leader resumes

A control leader that had been suspended for more than a lease removed instances whose renewals waited in its queue, although no other member led meanwhile: their shards would move, and they get no lease until they are registered again. A leader that waits for its disk runs the same code.

Cause: `LeaseTable` compares the end of a lease with the clock, also of a leader that was unable to handle renewals. In a group with several voters, too, the plan was made before the leader noticed that its lease had ended, and its commands stayed in its log.

Before the change, `resumed_leader_keeps_the_instances` fails with "the instance was removed".

The leader's tables now use observation time, which stands still while the leader does not run, and the plan needs the leader lease. Observation time never runs faster than the clock, so a lease still expires at its holder first. A leader that runs removes an instance as soon as before.

--- a/crates/transport/src/control_leader.rs
+++ b/crates/transport/src/control_leader.rs
@@ -6,6 +6,7 @@
     assign::{Assigner, ReleaseRequest},
     directory::Directory,
     lease::{Lease, LeaseTable, RenewalReply},
+    observation::ObservationClock,
 };
 use auburnlug_protocol::peer::{ControlMessage, LeaseGrant, LeaseRenewal};
 use auburnlug_state::{Command, Index, Machine, Millis, Name, Server};
@@ -30,8 +31,9 @@
 /// are replaced under new names, so the table would grow without bound otherwise.
 const UNRECORDED_EXPIRY_MS: Millis = 10_000;
 
-/// State that only the control leader keeps.
+/// State that only the control leader keeps. All times are observation times.
 pub(crate) struct Leader {
+    observation: ObservationClock,
     pub(crate) ledger: LeaseTable,
     directory: Directory,
     assigner: Assigner,
@@ -62,6 +64,7 @@
                 let term = self.member.as_ref().map_or(0, Member::term);
                 log(Event::LeaderElected, format_args!("term {term}"));
                 self.leader = Some(Leader {
+                    observation: ObservationClock::new(now),
                     ledger: LeaseTable::new(now),
                     directory: Directory::new(now),
                     assigner: Assigner::default(),
@@ -88,6 +91,7 @@
             return;
         }
         let Some(leader) = &mut self.leader else { return };
+        let now = leader.observation.at(now);
         let subscriber =
             Subscriber { link, sent_index: renew.index, last_renewal: now, last_probe: now };
         leader.subscribers.insert(from.clone(), subscriber);
@@ -160,7 +164,11 @@
 
     /// Plans shard moves and probes unresponsive instances.
     pub(crate) fn run_leader_periodic(&mut self, now: Millis) {
-        let Some(leader) = &mut self.leader else { return };
+        // The end of the leadership is not noticed until the member's next step.
+        let leads = self.member.as_ref().is_some_and(|member| member.leads(now));
+        let Some(leader) = self.leader.as_mut().filter(|_| leads) else { return };
+        leader.observation.record_run(now);
+        let now = leader.observation.at(now);
         if now < leader.last_planning + PLANNING_INTERVAL_MS
             || self.machine.index < leader.planned_index
         {
@@ -191,7 +199,7 @@
     pub(crate) fn handle_leave(&mut self, from: &Name, incarnation: u64) {
         let now = self.now();
         if let Some(leader) = &mut self.leader {
-            leader.ledger.record_stopped(from, incarnation, now);
+            leader.ledger.record_stopped(from, incarnation, leader.observation.at(now));
             leader.subscribers.remove(from.as_str());
         }
     }
@@ -200,7 +208,7 @@
     pub(crate) fn handle_connect_refused(&mut self, instance: &Name, incarnation: u64) {
         let now = self.now();
         if let Some(leader) = &mut self.leader {
-            leader.ledger.record_refused(instance, incarnation, now);
+            leader.ledger.record_refused(instance, incarnation, leader.observation.at(now));
         }
     }
 
@@ -216,6 +224,7 @@
             }
             return AnnouncementResult::Accepted;
         };
+        let now = leader.observation.at(now);
         match leader.directory.announce(&server, &self.machine, now) {
             Ok(commands) => {
                 for command in commands {
@@ -258,8 +267,9 @@
         }
     }
 
-    /// Connects to instances that stopped renewing. A refused connection proves that the process
-    /// has ended, so its shards move without waiting for the end of the lease.
+    /// Connects to instances that have stopped renewing by the observation time `now`. A refused
+    /// connection proves that the process has ended, so its shards move without waiting for the end
+    /// of the lease.
     fn probe_unresponsive(&mut self, now: Millis) {
         if !self.trust_refused {
             return;
--- a/crates/transport/tests/control_faults.rs
+++ b/crates/transport/tests/control_faults.rs
@@ -378,3 +378,33 @@
     assert!(previous.inbox.recv().await.is_none());
     assert!(other.inbox.try_recv().is_err_and(|e| e == TryRecvError::Empty), "another instance");
 }
+
+/// Guards against a leader that resumes after more than a lease and removes instances whose renewals
+/// it has not handled yet. It is the only voter, so that no other member leads meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_leader_keeps_the_instances() {
+    let mut cluster = Cluster::new(1);
+    let node = cluster.start_all().remove(0);
+    let entry = cluster.start(&name("e1"), 1, None);
+    entry.wait_for_lease().await;
+    let mut view = node.handle.view();
+    view.mark_unchanged();
+    let watcher = tokio::spawn(async move {
+        while view.changed().await.is_ok() {
+            let machine = view.borrow_and_update().machine.clone();
+            assert!(machine.instances.contains_key("e1"), "the instance was removed");
+        }
+    });
+    for _ in 0..3 {
+        node.clock.suspend();
+        let since = entry.clock.time();
+        while entry.clock.time() < since + INSTANCE_LEASE_MS + 400 {
+            poll_delay().await;
+        }
+        node.clock.resume();
+        entry.wait_for_lease().await;
+    }
+    node.handle.stop().await;
+    drop(node);
+    watcher.await.expect("the instance stays recorded");
+}
