Keep a link whose end was blocked

An end of a link closed it after its thread had been blocked for more than four ping intervals, although messages had arrived meanwhile: jobs in flight on it end with an unknown outcome, and a control member loses its followers.

Cause: the end compares the time since it last read with the time-out. After the block, both the data and the check of the time-out are due, and their order is random.

The end now counts the intervals in which it ran and read nothing; those in which it was unable to run are skipped. A link whose other end is dark is closed at the same check as before: the fifth one after the last data.

--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -23,7 +23,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::mpsc,
-    time::{Instant, timeout},
+    time::{MissedTickBehavior, timeout},
 };
 use tokio_tungstenite::{
     WebSocketStream, accept_async_with_config, client_async_with_config,
@@ -396,20 +396,25 @@
     meter: Meter,
     ping_interval: Duration,
 ) {
-    let mut last_received = Instant::now();
     let mut check = tokio::time::interval(ping_interval);
+    // Intervals in which this task was unable to run are skipped: what arrived meanwhile has not been
+    // read yet.
+    check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut silent_intervals = 0;
     loop {
         let message = tokio::select! {
             message = stream.next() => message,
             _ = out.closed() => return,
             _ = check.tick() => {
-                if last_received.elapsed() > ping_interval * MAX_MISSED_PINGS {
+                silent_intervals += 1;
+                if silent_intervals > MAX_MISSED_PINGS {
                     return;
                 }
                 continue;
             }
         };
-        last_received = Instant::now();
+        // Time spent waiting for a full channel is skipped, too.
+        silent_intervals = 0;
         match message {
             Some(Ok(Message::Binary(bytes))) => {
                 meter.count(bytes.len());
@@ -417,8 +422,6 @@
                 if out.send(message).await.is_err() {
                     return;
                 }
-                // Time spent waiting for a full channel does not count towards the timeout.
-                last_received = Instant::now();
             }
             Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
             _ => return,
--- a/crates/transport/tests/socket.rs
+++ b/crates/transport/tests/socket.rs
@@ -1,6 +1,6 @@
 //! Tests of links over loopback sockets.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use auburnlug_protocol::{
     auth::{Purpose, Secret},
@@ -11,23 +11,36 @@
     link::Dial,
     socket::{self, Accepted, Dialer, Identity},
 };
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
 
 fn name(text: &str) -> Name {
     Name::try_from(text).expect("valid name")
 }
 
 fn identity(text: &str, secret: &str) -> Arc<Identity> {
+    pinging_identity(text, secret, auburnlug_transport::socket::DEFAULT_PING_INTERVAL)
+}
+
+fn pinging_identity(text: &str, secret: &str, ping_interval: Duration) -> Arc<Identity> {
     Arc::new(Identity {
         name: name(text),
         secret: Secret::new(secret),
         source: None,
         links: Default::default(),
-        control_ping: auburnlug_transport::socket::DEFAULT_PING_INTERVAL,
-        traffic_ping: auburnlug_transport::socket::DEFAULT_PING_INTERVAL,
+        control_ping: ping_interval,
+        traffic_ping: ping_interval,
     })
 }
 
+fn single_thread() -> Runtime {
+    Builder::new_current_thread().enable_all().build().expect("starts")
+}
+
 struct LinkListener {
     address: SocketAddr,
     control: mpsc::Receiver<Accepted>,
@@ -120,3 +133,34 @@
     assert!(auburnlug_transport::socket::retry_on_timeout(&[250, 400], attempt).await.is_err());
     assert_eq!(attempt_count.get(), 1);
 }
+
+/// Guards against an end of a link that closes it after its own thread has been blocked, although
+/// messages have arrived meanwhile.
+#[test]
+fn a_blocked_thread_does_not_close_its_links() {
+    let ping_interval = Duration::from_millis(100);
+    let (address_out, address) = oneshot::channel();
+    thread::spawn(move || {
+        single_thread().block_on(async move {
+            let mut listening =
+                listen(pinging_identity("c1", "same", Duration::from_secs(10))).await;
+            address_out.send(listening.address).expect("is awaited");
+            let far = listening.control.recv().await.expect("accepted").link::<ControlMessage>();
+            while far.out.send(ControlMessage::Leave { incarnation: 1 }).await.is_ok() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+    });
+    single_thread().block_on(async move {
+        let identity = pinging_identity("e4", "same", ping_interval);
+        let dialer = Dialer::<ControlMessage>::new(identity, Purpose::Control);
+        let dialing = dialer.dial(name("c1"), address.await.expect("listens"));
+        let mut near = dialing.await.expect("link");
+        for round in 0..8 {
+            thread::sleep(6 * ping_interval);
+            for _ in 0..50 {
+                assert!(near.inbox.recv().await.is_some(), "the link is closed in round {round}");
+            }
+        }
+    });
+}
