Resign only after an owner was able to hear its servers

The owner of a database group resigned at its first tick after its thread had been blocked for 2 s: no server had answered within the time, as none had been asked. Its shard would move, although the lease of the instance, which the control thread renews, was in force. If the whole process is suspended, its lease ends first.

Before the change, `an_interrupted_owner_does_not_resign` fails with `Some(4009)`, the first tick.

The time without a majority is observation time. An owner that runs resigns after 2 s as before, which the test checks, too.

--- a/crates/coordination/src/failover.rs
+++ b/crates/coordination/src/failover.rs
@@ -9,7 +9,7 @@
 
 use auburnlug_state::{GroupState, Millis, Name, Role, Term};
 
-use crate::Position;
+use crate::{Position, observation::ObservationClock};
 
 pub use crate::failover_step::{FailoverStep, Gap, Status};
 
@@ -112,7 +112,9 @@
     poll_eagerly: bool,
     /// Minimum time since the last answer of the primary before another server is promoted.
     delay: Millis,
-    /// Last time at which a quorum was reachable.
+    /// Observation time of this owner.
+    observation: ObservationClock,
+    /// Last observation time at which a quorum was reachable.
     quorum_seen: Millis,
     /// Server that reported itself as primary before the group had a recorded one.
     claimant: Option<Name>,
@@ -138,6 +140,7 @@
             first,
             poll_eagerly: false,
             delay: 0,
+            observation: ObservationClock::new(now),
             quorum_seen: now,
             claimant: None,
             sent: BTreeMap::new(),
@@ -280,9 +283,11 @@
     /// Returns the steps that are due. Must be called after each input and every few milliseconds.
     pub fn tick(&mut self, now: Millis) -> Vec<FailoverStep> {
         let mut steps = self.poll_servers(now);
+        self.observation.record_run(now);
+        let observed = self.observation.at(now);
         if self.reachable(now).count() >= self.quorum() {
-            self.quorum_seen = now;
-        } else if now.saturating_sub(self.quorum_seen) >= RESIGN_TIMEOUT_MS {
+            self.quorum_seen = observed;
+        } else if observed.saturating_sub(self.quorum_seen) >= RESIGN_TIMEOUT_MS {
             steps.push(FailoverStep::Resign);
             return steps;
         }
--- a/crates/coordination/src/observation.rs
+++ b/crates/coordination/src/observation.rs
@@ -1,16 +1,16 @@
-//! Time for which a leader was able to hear others.
+//! Time for which an observer, such as the control leader, was able to hear others.
 //!
-//! A leader that is suspended or waits for its disk hears nobody, and answers that arrived meanwhile
-//! wait in its queue. So silence counts in observation time, which stands still while the leader
-//! is interrupted.
+//! An observer that is suspended or waits for its disk hears nobody, and answers that arrived
+//! meanwhile wait in its queue. So silence counts in observation time, which stands still while the
+//! observer is interrupted.
 
 use auburnlug_state::Millis;
 
 /// Longest time between two runs that counts as observed. It is within the tolerance of all
-/// timeouts, so that a leader that always runs late still detects failures.
+/// timeouts, so that an observer that always runs late still detects failures.
 const MAX_RUN_GAP_MS: Millis = 250;
 
-/// Clock that stands still while its leader is interrupted.
+/// Clock that stands still while its observer is interrupted.
 #[derive(Debug)]
 pub struct ObservationClock {
     ran_at: Millis,
@@ -24,7 +24,7 @@
         ObservationClock { ran_at: now, interrupted: 0 }
     }
 
-    /// Records that the leader runs.
+    /// Records that the observer runs.
     pub fn record_run(&mut self, now: Millis) {
         self.interrupted += self.interruption(now);
         self.ran_at = self.ran_at.max(now);
--- a/crates/coordination/tests/failover.rs
+++ b/crates/coordination/tests/failover.rs
@@ -226,3 +226,26 @@
     });
     assert_eq!(started, Some(SLOW_FAILOVER_DELAY_MS));
 }
+
+/// Guards against an owner that resigns right after an interruption, before it can have heard its
+/// servers, and against one that does not resign without a majority.
+#[test]
+fn an_interrupted_owner_does_not_resign() {
+    let names: Vec<_> = (0..3).map(name).collect();
+    let recorded = GroupState { term: 1, primary: Some(name(0)) };
+    let mut owner = Failover::new(3, &names, recorded, 0);
+    let mut resigned_at = None;
+    let runs = (10..=1_000).chain(4_000..=8_000).step_by(10);
+    for now in runs {
+        for (i, role) in [(0, Role::Primary), (1, Role::Replica), (2, Role::Replica)] {
+            if now < 1_000 || (4_050..5_000).contains(&now) {
+                let status = Status { term: 1, role, received: at(1, 5), upstream_age: Some(10) };
+                owner.record_status(&name(i), status, now);
+            }
+        }
+        if owner.tick(now).contains(&FailoverStep::Resign) {
+            resigned_at.get_or_insert(now);
+        }
+    }
+    assert!(resigned_at.is_some_and(|at| (7_000..7_500).contains(&at)), "{resigned_at:?}");
+}
