Add a model test that drives the real control members

The model of the coordination package joins members on their behalf, so it cannot see a member that fails to ask. This one runs control_member::Member with in-memory disks as the control thread of the gateway does: 25 ms of periodic work, a search every 200 ms, links that are dialed, and queues that keep messages for a suspended process.

Invariants: nothing acknowledged is lost; at most one lease; four seconds after the last fault the group survives the loss of any permitted disks together with a restart of all processes, and every running member is in the group; a responsive voter is not removed while one that has been lost for longer stays.

Tests that fail on the present code are marked as ignored, with the fault:

- an election between the promotion of a successor and the removal of the vanished voter (18 of 24 orders of names): a running voter is removed.

--- /dev/null
+++ b/crates/transport/tests/member_group/network.rs
@@ -0,0 +1,140 @@
+//! Links of the simulated group, and their faults.
+
+use super::*;
+
+/// Delay before an instance is dialed again.
+const REDIAL_DELAY_MS: Millis = 200;
+
+impl Group {
+    /// Cuts the links of an instance to all others.
+    pub fn isolate(&mut self, instance: &Name) {
+        self.instance(instance).isolated = Some(self.now);
+        self.note_lost();
+    }
+
+    /// Ends the cuts of an instance.
+    pub fn heal(&mut self, instance: &Name) {
+        let Some(since) = self.instance(instance).isolated.take() else { return };
+        if self.now >= since + LINK_TIMEOUT_MS {
+            self.close_links(instance);
+        }
+        self.release_held();
+        self.note_lost();
+    }
+
+    /// Partitions the instances; an empty side ends the partition.
+    pub fn split(&mut self, side: &BTreeSet<Name>) {
+        for (instance, state) in &mut self.instances {
+            state.side = side.contains(instance.as_str());
+        }
+        self.release_held();
+    }
+
+    fn release_held(&mut self) {
+        for (sent, envelope) in std::mem::take(&mut self.held) {
+            if self.is_cut(&envelope.from, &envelope.to) {
+                self.held.push((sent, envelope));
+            } else if self.now < sent + LINK_TIMEOUT_MS {
+                self.enqueue(self.now, envelope);
+            }
+        }
+    }
+
+    pub(super) fn close_links(&mut self, instance: &Name) {
+        for (owner, state) in &mut self.instances {
+            let Some(process) = &mut state.process else { continue };
+            process.links.retain(|name, _| owner != instance && name != instance);
+        }
+    }
+
+    fn is_cut(&self, one: &Name, other: &Name) -> bool {
+        let state = |name: &Name| self.instances.get(name.as_str());
+        match (state(one), state(other)) {
+            (Some(one), Some(other)) => {
+                one.isolated.is_some() || other.isolated.is_some() || one.side != other.side
+            }
+            _ => true,
+        }
+    }
+
+    fn enqueue(&mut self, due: Millis, envelope: Envelope) {
+        self.counter += 1;
+        self.queue.insert((due, self.counter), envelope);
+    }
+
+    pub(super) fn deliver(&mut self) {
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let envelope = entry.remove();
+            let capacity = self.settings.queue;
+            let Some(state) = self.instances.get_mut(envelope.to.as_str()) else { continue };
+            if let Some(process) = &mut state.process
+                && process.run == envelope.to_run
+                && process.inbox.len() < capacity
+            {
+                process.inbox.push_back(envelope);
+            }
+        }
+    }
+
+    /// Ends attempts to dial that are due.
+    pub(super) fn open_links(&mut self, instance: &Name) {
+        let now = self.now;
+        let reachable: BTreeMap<Name, u64> = self
+            .instances
+            .iter()
+            .filter(|(other, state)| state.suspended.is_none() && !self.is_cut(instance, other))
+            .filter_map(|(other, state)| Some((other.clone(), state.process.as_ref()?.run)))
+            .collect();
+        let Some(process) = &mut self.instance(instance).process else { return };
+        for (other, link) in &mut process.links {
+            if link.run.is_none() && link.ready <= now {
+                link.run = reachable.get(other.as_str()).copied();
+                link.ready = now + REDIAL_DELAY_MS;
+            }
+        }
+    }
+
+    /// Sends messages on the links of an instance; those without an open link are dropped.
+    pub(super) fn send(&mut self, from: &Name, messages: Vec<(Name, ControlMessage)>) {
+        for (to, message) in messages {
+            let current = self.instances.get(to.as_str());
+            let to_run =
+                current.and_then(|state| state.process.as_ref()).map(|process| process.run);
+            let arrival = self.now + self.delay(from, &to);
+            let Some(process) = &mut self.instance(from).process else { return };
+            let from_run = process.run;
+            let Some(link) = process.links.get_mut(to.as_str()) else { continue };
+            match (link.run, to_run) {
+                (None, _) => {}
+                (Some(run), Some(to_run)) if run == to_run => {
+                    link.arrival = link.arrival.max(arrival);
+                    let (due, from) = (link.arrival, from.clone());
+                    self.transmit(due, Envelope { from, from_run, to, to_run, message });
+                }
+                (Some(_), _) => drop(process.links.remove(to.as_str())),
+            }
+        }
+    }
+
+    fn delay(&mut self, from: &Name, to: &Name) -> Millis {
+        let usual = self.rng.random_range(1..=self.settings.delay);
+        self.slow_links.get(&(from.clone(), to.clone())).copied().unwrap_or(usual)
+    }
+
+    pub(super) fn transmit(&mut self, due: Millis, envelope: Envelope) {
+        let receiver = self.instances.get(envelope.to.as_str());
+        let suspended = receiver.and_then(|state| state.suspended);
+        if suspended.is_some_and(|(since, _)| self.now >= since + LINK_TIMEOUT_MS) {
+            return;
+        }
+        if self.is_cut(&envelope.from, &envelope.to) {
+            if self.settings.holds {
+                self.held.push((self.now, envelope));
+            }
+            return;
+        }
+        self.enqueue(due, envelope);
+    }
+}
