--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -207,6 +207,23 @@
     group.report(TRACE_LINES)
 }
 
+/// Guards against a replacement that takes longer than the catch-up time after all processes have
+/// restarted, as the next leader has to observe the silence of the vanished voter anew.
+#[test]
+fn a_restart_of_all_members_does_not_delay_a_replacement() {
+    check_seeds(|seed| {
+        let mut group = group_of_three(seed);
+        let former = follower(&group);
+        replace(&mut group, &former, "d");
+        group.run(100 + 400 * seed);
+        let running: Vec<Name> = group.instances.keys().cloned().collect();
+        running.iter().for_each(|instance| group.kill(instance));
+        group.run(300);
+        running.iter().for_each(|instance| group.start(instance, false));
+        check_recovered(&mut group)
+    });
+}
+
 /// Guards against a learner that is dropped for good, or never replaces the vanished voter, as its
 /// answers to queued messages arrive late.
 #[test]
