Report voters, learners and tolerated disk losses of the control group as metrics

No alert could tell that the loss of one more disk would end the control group: membership was in the log only. Control members of both cores now report gauges for voters, learners, the tolerated and the configured disk losses and whether the member leads, and a counter of the membership steps that it proposed. Only a leader with a lease knows the tolerated losses; the others report -1, so the largest value of all members is the group's.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -174,8 +174,9 @@
     let (may_bootstrap, disk_losses) = (options.may_bootstrap, options.disk_losses);
     let group_options = GroupOptions { configured, may_bootstrap, disk_losses };
     let name = options.me.name.clone();
-    let (member, machine) =
+    let (mut member, machine) =
         Member::open(name, group_options, options.disk, RAFT_TIMING, seed, now)?;
+    member.set_metrics(options.metrics.control.clone());
     let replayed_index = member.last_index();
     let mut control = Control {
         orders: OrderThread::start()?,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use auburnlug_protocol::job::ErrorCode;
+use auburnlug_transport::control_metrics::ControlMetrics;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -43,6 +44,8 @@
     pub promotion_orders: Counter,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64, AtomicU64>,
+    /// Membership of the control group.
+    pub control: ControlMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -59,6 +62,7 @@
             slot_wait: Histogram::new(LATENCY_BUCKETS_SECONDS),
             promotion_orders: Counter::default(),
             config_version: Gauge::default(),
+            control: ControlMetrics::default(),
             registry: Registry::default(),
         };
         registry.register("requests_served", "Requests answered", metrics.served.clone());
@@ -75,6 +79,7 @@
         registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
         registry.register("promotions", "Orders of promotion", metrics.promotion_orders.clone());
         registry.register("config_version", "Configuration", metrics.config_version.clone());
+        metrics.control.register(&mut registry);
         GatewayMetrics { registry, ..metrics }
     }
 }
--- a/crates/transport/src/control.rs
+++ b/crates/transport/src/control.rs
@@ -13,6 +13,7 @@
     thread,
 };
 
+use auburnlug_coordination::redundancy::Redundancy;
 use auburnlug_protocol::peer;
 use auburnlug_state::{Applied, Command, Instance, Machine, Millis, Name, Server};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -21,6 +22,7 @@
     Result,
     clock::Clock,
     control_core::Core,
+    control_metrics::ControlMetrics,
     disk::Disk,
     link::{Dial, Link},
     socket::{Accepted, Identity},
@@ -49,6 +51,8 @@
     pub traffic: mpsc::Sender<std::net::TcpStream>,
     /// Identity on links, and source address of outbound connections.
     pub identity: Arc<Identity>,
+    /// Metrics of the control member.
+    pub metrics: ControlMetrics,
 }
 
 /// An input of the control thread.
@@ -80,6 +84,8 @@
     pub leads: bool,
     /// Member that leads, as far as known.
     pub leader: Option<Name>,
+    /// Disk losses that the control group tolerates; `None` unless this instance leads it.
+    pub redundancy: Option<Redundancy>,
     /// Raft term of this control member; 0 on other instances.
     pub term: u64,
     /// Time at which the version in force was last confirmed; 0 for never.
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -110,7 +110,8 @@
                 seed,
                 now,
             )?;
-            member = Some(opened.0);
+            let member = member.insert(opened.0);
+            member.set_metrics(options.metrics);
             machine = opened.1;
         }
         Ok(Core {
@@ -374,10 +375,11 @@
     fn publish_status(&mut self, now: Millis) {
         let leader = self.known_leader().filter(|_| self.lease_holder.valid(now));
         let term = self.member.as_ref().map_or(0, Member::term);
+        let redundancy = self.member.as_ref().and_then(Member::redundancy);
         // The lease takes effect once its index is applied, so the version in force was current
         // when the renewal that started the lease was sent.
         let confirmed = self.lease_holder.until().saturating_sub(INSTANCE_LEASE_MS);
-        let status = Status { leads: self.leader.is_some(), leader, term, confirmed };
+        let status = Status { leads: self.leader.is_some(), leader, redundancy, term, confirmed };
         self.outputs.status.send_if_modified(|old| {
             let changed = *old != status;
             *old = status;
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -6,12 +6,14 @@
     bootstrap::{Bootstrap, BootstrapDecision, instance_of},
     membership::ControlGroup,
     raft::{Entry, Members, Message, Raft, Ready, Saved, Snapshot, Timing},
+    redundancy::Redundancy,
 };
 use auburnlug_protocol::{decode, encode, peer::ControlMessage};
 use auburnlug_state::{Command, Index, Machine, Millis, Name};
 
 use crate::{
     Result,
+    control_metrics::ControlMetrics,
     disk::Disk,
     event::{Event, log},
     member_log::MemberLog,
@@ -137,6 +139,16 @@
         Ok((member, machine))
     }
 
+    /// Reports the state of the group to `metrics` from the next step on.
+    pub fn set_metrics(&mut self, metrics: ControlMetrics) {
+        self.member_log.set_metrics(metrics, self.losses);
+    }
+
+    /// Disk losses that the group tolerated at the last step; `None` unless this member leads.
+    pub fn redundancy(&self) -> Option<Redundancy> {
+        self.member_log.redundancy()
+    }
+
     /// Whether this member leads and may act for the group at `now`.
     pub fn leads(&self, now: Millis) -> bool {
         self.raft().is_some_and(|raft| raft.lease_valid(now))
--- /dev/null
+++ b/crates/transport/src/control_metrics.rs
@@ -0,0 +1,100 @@
+//! Metrics of a control member.
+
+use auburnlug_coordination::{membership_step::StepKind, raft::Members, redundancy::Redundancy};
+use prometheus_client::{
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+use crate::metrics::Label;
+
+/// Value of the tolerated disk losses at members that do not lead.
+const NOT_LEADING: i64 = -1;
+
+/// Metrics of a control member. Clones share their values.
+#[derive(Debug, Clone)]
+pub struct ControlMetrics {
+    voters: Gauge,
+    learners: Gauge,
+    leads: Gauge,
+    tolerated: Gauge,
+    configured: Gauge,
+    steps: Family<Label, Counter>,
+}
+
+impl Default for ControlMetrics {
+    fn default() -> ControlMetrics {
+        let metrics = ControlMetrics {
+            voters: Gauge::default(),
+            learners: Gauge::default(),
+            leads: Gauge::default(),
+            tolerated: Gauge::default(),
+            configured: Gauge::default(),
+            steps: Family::default(),
+        };
+        metrics.tolerated.set(NOT_LEADING);
+        // A step that was not proposed yet shows as 0.
+        for kind in StepKind::ALL {
+            metrics.steps.get_or_create(&Label { kind: kind.label() }).inc_by(0);
+        }
+        metrics
+    }
+}
+
+impl ControlMetrics {
+    /// Adds the metrics to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("control_voters", "Voters of the control group", self.voters.clone());
+        registry.register(
+            "control_learners",
+            "Learners of the control group",
+            self.learners.clone(),
+        );
+        registry.register(
+            "control_leads",
+            "Whether this member leads the control group",
+            self.leads.clone(),
+        );
+        registry.register(
+            "control_losses_tolerated",
+            "Disk losses that the control group tolerates now; -1 unless this member leads",
+            self.tolerated.clone(),
+        );
+        registry.register(
+            "control_losses_configured",
+            "Disk losses that the control group must tolerate",
+            self.configured.clone(),
+        );
+        registry.register(
+            "control_membership_steps",
+            "Membership steps that this member proposed as leader",
+            self.steps.clone(),
+        );
+    }
+
+    /// Sets the disk losses that the group must tolerate.
+    pub(crate) fn set_configured(&self, losses: usize) {
+        self.configured.set(gauge_value(losses));
+    }
+
+    /// Sets the membership that this member knows, and whether it leads.
+    pub(crate) fn set_members(&self, members: &Members, leads: bool) {
+        self.voters.set(gauge_value(members.voters.len()));
+        self.learners.set(gauge_value(members.learners.len()));
+        self.leads.set(i64::from(leads));
+    }
+
+    /// Sets the tolerated disk losses; `None` unless this member leads.
+    pub(crate) fn set_redundancy(&self, redundancy: Option<Redundancy>) {
+        self.tolerated.set(redundancy.map_or(NOT_LEADING, |known| gauge_value(known.tolerated)));
+    }
+
+    /// Counts a membership step that this member proposed.
+    pub(crate) fn count_step(&self, kind: StepKind) {
+        self.steps.get_or_create(&Label { kind: kind.label() }).inc();
+    }
+}
+
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/transport/src/instance.rs
+++ b/crates/transport/src/instance.rs
@@ -71,8 +71,8 @@
     let callers = settings.callers.map(bind).transpose()?;
     let (sockets_out, sockets) = mpsc::channel(MAX_QUEUED_LINKS);
     let (failed, failure) = oneshot::channel();
-    let started =
-        control_options(settings, &identity, sockets_out).and_then(|o| control::start(o, failed));
+    let started = control_options(settings, &identity, &metrics, sockets_out)
+        .and_then(|o| control::start(o, failed));
     let control = Arc::new(started.inspect_err(|e| {
         if e.category() == Category::Disk {
             log(Event::DiskFailed, format_args!("{e}"));
@@ -152,6 +152,7 @@
 fn control_options(
     settings: &Settings,
     identity: &Arc<Identity>,
+    metrics: &Metrics,
     traffic: mpsc::Sender<std::net::TcpStream>,
 ) -> Result<Options> {
     let disk = match &settings.data {
@@ -168,6 +169,7 @@
         listener: bind(settings.peer.bind)?,
         traffic,
         identity: identity.clone(),
+        metrics: metrics.control.clone(),
     })
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 mod control_leader;
 mod control_links;
 pub mod control_member;
+pub mod control_metrics;
 mod control_propose;
 pub mod disk;
 mod disk_error;
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -1,4 +1,4 @@
-//! Log lines about the control group as one member sees it.
+//! Log lines and metrics about the control group as one member sees it.
 //!
 //! Lines are written when something changes, never for a repeated message or a periodic check, so
 //! their number does not depend on how often the member is called.
@@ -17,7 +17,10 @@
 };
 use auburnlug_state::{Index, Millis, Name, Term};
 
-use crate::event::{Event, log};
+use crate::{
+    control_metrics::ControlMetrics,
+    event::{Event, log},
+};
 
 /// Time for which the tolerated disk losses must differ from those logged last before they are
 /// logged again. One late acknowledgement is shorter.
@@ -37,6 +40,9 @@
     unlisted: bool,
     /// Present while the member leads its term.
     leading: Option<LeaderLog>,
+    /// Present while the member may act for the group.
+    redundancy: Option<Redundancy>,
+    metrics: ControlMetrics,
 }
 
 /// What a leader has logged in its term.
@@ -65,13 +71,31 @@
             searching,
             unlisted: false,
             leading: None,
+            redundancy: None,
+            metrics: ControlMetrics::default(),
         }
     }
 
+    /// Replaces the metrics, which from now on are those of the member.
+    pub(crate) fn set_metrics(&mut self, metrics: ControlMetrics, losses: usize) {
+        metrics.set_configured(losses);
+        self.metrics = metrics;
+    }
+
+    /// Disk losses that the group tolerates; `None` unless this member leads it.
+    pub(crate) fn redundancy(&self) -> Option<Redundancy> {
+        self.redundancy
+    }
+
     /// Logs changes of what the member knows about its leader and its own membership. `raft` is
     /// `None` while the member looks for the group.
     pub(crate) fn observe(&mut self, raft: Option<&Raft>, asks_to_join: bool, now: Millis) {
         let Some(raft) = raft else { return };
+        let leads = raft.lease_valid(now);
+        self.metrics.set_members(raft.members(), leads);
+        if !leads {
+            self.set_redundancy(None);
+        }
         if raft.leader() != self.leader.as_ref() {
             self.log_leader_change(raft, now);
         }
@@ -105,10 +129,13 @@
         );
     }
 
-    /// Logs when the group starts or ceases to tolerate the configured disk losses.
+    /// Records the redundancy of the group, and logs when the group starts or ceases to tolerate the
+    /// configured disk losses.
     pub(crate) fn observe_group(&mut self, group: &ControlGroup, now: Millis) {
+        let redundancy = Redundancy::of(group);
+        self.set_redundancy(Some(redundancy));
         let Some(leading) = &mut self.leading else { return };
-        let Redundancy { tolerated, configured } = Redundancy::of(group);
+        let Redundancy { tolerated, configured } = redundancy;
         let losses = tolerated.min(configured);
         if *leading.losses.get_or_insert(configured) == losses {
             leading.differs_since = None;
@@ -133,7 +160,7 @@
         );
     }
 
-    /// Logs a proposed membership, and once per reason that it was refused.
+    /// Counts and logs a proposed membership, and logs once per reason that it was refused.
     pub(crate) fn record_proposal(
         &mut self,
         group: &ControlGroup,
@@ -148,6 +175,7 @@
         let (term, led) = (leading.term, now.saturating_sub(leading.since));
         match proposed {
             Ok(index) => {
+                self.metrics.count_step(step.kind);
                 leading.refusals.clear();
                 if matches!(step.kind, StepKind::LearnerRemoved | StepKind::VoterRemoved) {
                     leading.requests.retain(|_, identity| identity != member);
@@ -174,6 +202,11 @@
         }
     }
 
+    fn set_redundancy(&mut self, redundancy: Option<Redundancy>) {
+        self.redundancy = redundancy;
+        self.metrics.set_redundancy(redundancy);
+    }
+
     fn log_leader_change(&mut self, raft: &Raft, now: Millis) {
         let known = now.saturating_sub(std::mem::replace(&mut self.leader_since, now));
         let from = std::mem::replace(&mut self.leader, raft.leader().cloned());
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -10,6 +10,8 @@
     registry::Registry,
 };
 
+use crate::control_metrics::ControlMetrics;
+
 /// Label of a metric that is split by reason, outcome or part.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Label {
@@ -93,6 +95,8 @@
     pub failover: Family<Label, Histogram>,
     /// Bytes and messages on links.
     pub links: LinkMetrics,
+    /// Membership of the control group.
+    pub control: ControlMetrics,
 }
 
 impl Default for Metrics {
@@ -123,6 +127,8 @@
         let links = LinkMetrics::default();
         registry.register("link_bytes", "Bytes on links between instances", links.bytes.clone());
         registry.register("link_messages", "Messages on links", links.messages.clone());
+        let control = ControlMetrics::default();
+        control.register(&mut registry);
         Metrics {
             registry,
             refusals,
@@ -135,6 +141,7 @@
             connections,
             failover,
             links,
+            control,
         }
     }
 }
--- a/crates/transport/tests/control.rs
+++ b/crates/transport/tests/control.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::BTreeMap, net::TcpListener, sync::Arc, time::Duration};
 
+use auburnlug_coordination::redundancy::Redundancy;
 use auburnlug_protocol::auth::{Purpose, Secret};
 use auburnlug_state::{Applied, Change, Command, Edit, Instance, Name, Role, Server};
 use auburnlug_transport::{
     clock::SystemClock,
     control::{self, Handle, Options},
+    control_metrics::ControlMetrics,
     disk_memory::MemoryDisk,
     socket::{Dialer, Identity},
     view::Control,
@@ -68,6 +70,7 @@
             listener,
             traffic: mpsc::channel(1).0,
             identity,
+            metrics: ControlMetrics::default(),
         };
         control::start(options, oneshot::channel().0).expect("starts")
     };
@@ -161,3 +164,24 @@
         assert_eq!(change(handle, "first", 0).await, first);
     }
 }
+
+/// Guards against a status of the leader that lacks the tolerated disk losses or does not follow a
+/// member that has stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_reports_the_tolerated_losses() {
+    let handles = start(3);
+    let at = leader(&handles).await;
+    let wait_for = async |tolerated| loop {
+        let reported = handles[at].status().redundancy;
+        if reported == Some(Redundancy { tolerated, configured: 1 }) {
+            return;
+        }
+        assert!(handles[at].status().leads, "the leader changed");
+        poll_delay().await;
+    };
+    wait_for(1).await;
+    let follower = (at + 1) % 3;
+    assert_eq!(handles[follower].status().redundancy, None);
+    handles[follower].stop().await;
+    wait_for(0).await;
+}
--- a/crates/transport/tests/control_group/mod.rs
+++ b/crates/transport/tests/control_group/mod.rs
@@ -23,6 +23,7 @@
 use auburnlug_transport::{
     clock::{Clock, SystemClock},
     control::{self, Handle, Options},
+    control_metrics::ControlMetrics,
     disk::{Disk, Loaded},
     disk_memory::MemoryDisk,
     link::{Dial, Dialing, Link},
@@ -315,6 +316,7 @@
             listener,
             traffic: mpsc::channel(1).0,
             identity,
+            metrics: ControlMetrics::default(),
         };
         let (failed_out, failed) = oneshot::channel();
         let handle = control::start(options, failed_out).expect("starts");
--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -1,4 +1,5 @@
-//! Tests of the log lines of control members, in a simulated group with a simulated clock.
+//! Tests of the log lines and metrics of control members, in a simulated group with a simulated
+//! clock.
 
 // The exemption for tests in clippy.toml does not cover helper functions in test files.
 #![allow(clippy::expect_used)]
@@ -15,8 +16,10 @@
 use auburnlug_state::{Millis, Name};
 use auburnlug_transport::{
     control_member::{GroupOptions, Member},
+    control_metrics::ControlMetrics,
     disk_memory::MemoryDisk,
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use spdlog::{Logger, sink::WriteSink};
 
 const TICK_MS: Millis = 10;
@@ -69,6 +72,7 @@
 struct Group {
     now: Millis,
     members: BTreeMap<Name, Member>,
+    registries: BTreeMap<Name, Registry>,
     /// Members that neither run nor receive messages.
     silent: BTreeSet<Name>,
     in_flight: Vec<(Millis, Name, Name, ControlMessage)>,
@@ -81,6 +85,7 @@
         let mut group = Group {
             now: 0,
             members: BTreeMap::new(),
+            registries: BTreeMap::new(),
             silent: BTreeSet::new(),
             in_flight: Vec::new(),
         };
@@ -100,10 +105,14 @@
         let options = GroupOptions { configured, may_bootstrap, disk_losses: 1 };
         let disk = Box::new(MemoryDisk::new(name(&format!("member-{text}"))));
         let seed = self.members.len() as u64;
-        let (member, _) =
+        let (mut member, _) =
             Member::open(name(text), options, disk, Timing::default(), seed, self.now)
                 .expect("opens");
+        let (metrics, mut registry) = (ControlMetrics::default(), Registry::default());
+        metrics.register(&mut registry);
+        member.set_metrics(metrics);
         self.members.insert(name(text), member);
+        self.registries.insert(name(text), registry);
     }
 
     fn leader(&self) -> Option<Name> {
@@ -119,6 +128,13 @@
         found.expect("has a follower").clone()
     }
 
+    /// Values of a metric at the members that are not silent, in the order of their names.
+    fn values(&self, metric: &str) -> Vec<i64> {
+        let running =
+            self.registries.iter().filter(|(name, _)| !self.silent.contains(name.as_str()));
+        running.map(|(_, registry)| value(registry, metric)).collect()
+    }
+
     fn run(&mut self, millis: Millis) {
         let end = self.now + millis;
         while self.now < end {
@@ -155,6 +171,14 @@
     }
 }
 
+/// Value of a metric, by its name and labels in the text format.
+fn value(registry: &Registry, metric: &str) -> i64 {
+    let mut text = String::new();
+    encode(&mut text, registry).expect("encodes");
+    let values = text.lines().find_map(|line| line.strip_prefix(metric)?.strip_prefix(' '));
+    values.and_then(|value| value.parse().ok()).expect("has the metric")
+}
+
 /// Guards against lines that are written periodically while nothing changes.
 #[test]
 fn healthy_group_writes_nothing() {
@@ -272,3 +296,62 @@
     assert_eq!(joins.len(), 1, "{joins:?}");
     assert!(joins[0].contains(&format!("identity={identity} role=none")), "{joins:?}");
 }
+
+/// Guards against an alert on tolerated disk losses that stays silent while a voter is gone, or
+/// lasts after it has been replaced, and against a number from a member that does not lead.
+#[test]
+fn tolerated_losses_follow_the_voters() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let silent = group.follower();
+    let tolerated = |group: &Group| {
+        let mut values = group.values("control_losses_tolerated");
+        values.sort_unstable();
+        values
+    };
+    assert_eq!(tolerated(&group), [-1, -1, 1]);
+    assert_eq!(group.values("control_losses_configured"), [1, 1, 1]);
+    group.silent.insert(silent);
+    group.run(5_000);
+    assert_eq!(tolerated(&group), [-1, 0]);
+    assert_eq!(group.values("control_voters"), [3, 3]);
+    group.add("d", &["a", "b", "c"], false);
+    group.run(5_000);
+    assert_eq!(tolerated(&group), [-1, -1, 1]);
+    assert_eq!(group.values("control_voters"), [3, 3, 3]);
+    assert_eq!(group.values("control_learners"), [0, 0, 0]);
+}
+
+/// Guards against a member without a lease that still reports what it knew as the leader.
+#[test]
+fn former_leader_reports_no_tolerated_losses() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let leader = group.leader().expect("leads");
+    let others: Vec<Name> = group.members.keys().filter(|name| **name != leader).cloned().collect();
+    assert_eq!(value(&group.registries[leader.as_str()], "control_leads"), 1);
+    group.silent.extend(others);
+    group.run(1_000);
+    assert_eq!(group.values("control_leads"), [0]);
+    assert_eq!(group.values("control_losses_tolerated"), [-1]);
+}
+
+/// Guards against a membership change that is counted under the wrong step or more than once.
+#[test]
+fn membership_steps_are_counted_at_the_leader() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let silent = group.follower();
+    let leader = group.leader().expect("leads");
+    group.silent.insert(silent);
+    group.run(5_000);
+    group.add("d", &["a", "b", "c"], false);
+    group.run(5_000);
+    for (kind, count) in [
+        ("learner_added", 1),
+        ("learner_removed", 0),
+        ("learner_promoted", 1),
+        ("voter_removed", 1),
+    ] {
+        let metric = format!("control_membership_steps_total{{kind=\"{kind}\"}}");
+        assert_eq!(group.values(&metric).iter().sum::<i64>(), count, "{kind}");
+        assert_eq!(value(&group.registries[leader.as_str()], &metric), count, "{kind}");
+    }
+}
