Show the tolerated disk losses in the operator status

auburnlugctl status asks the leader if it is known, so it is the place where an operator looks before touching a member, but it did not tell whether the group could bear that. The status of the leader now has the tolerated and the configured disk losses; other instances leave the field out, so their answers are unchanged.

Evidence: the golden sessions status and status-follower.

--- a/crates/auburnlugctl/src/run.rs
+++ b/crates/auburnlugctl/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, io, path::Path};
 
-use auburnlug_protocol::operator::{Difference, Request, Status};
+use auburnlug_protocol::operator::{Difference, LossStatus, Request, Status};
 use auburnlug_state::{Change, Config, Edit, Index, Name, parse_key_hash};
 use rand::{Rng, distr::Alphanumeric};
 use serde_json::json;
@@ -182,6 +182,9 @@
         format!("version {version} age {age} ms"),
         format!("index {}", status.index),
     ];
+    if let Some(LossStatus { tolerated, configured }) = status.losses {
+        lines.push(format!("disk losses tolerated {tolerated} configured {configured}"));
+    }
     for (name, shards) in &status.instances {
         lines.push(format!("instance {name} shards {shards}"));
     }
--- a/crates/auburnlugctl/tests/sessions.rs
+++ b/crates/auburnlugctl/tests/sessions.rs
@@ -16,7 +16,7 @@
     thread,
 };
 
-use auburnlug_protocol::operator::{Answer, Status};
+use auburnlug_protocol::operator::{Answer, LossStatus, Status};
 use auburnlug_state::{Machine, Name};
 
 const SECRET: &str = "operator-secret";
@@ -28,8 +28,8 @@
 enum Reply {
     /// Answers a change.
     Answer(Answer),
-    /// Answers with the status.
-    Status,
+    /// Answers with the status, with the disk losses that the leader reports.
+    Status(Option<LossStatus>),
     /// Closes the connection after it has read the whole request.
     Close,
 }
@@ -120,7 +120,10 @@
     if request.bearer != format!("Bearer {SECRET}") {
         Reply::Answer(Answer::Denied)
     } else if request.target.starts_with("GET") {
-        Reply::Status
+        match &script[0] {
+            status @ Reply::Status(_) => status.clone(),
+            _ => Reply::Status(None),
+        }
     } else if script.len() > 1 {
         script.remove(0)
     } else {
@@ -135,7 +138,7 @@
             Reply::Answer(answer) => {
                 Some((answer.status(), String::from_utf8(answer.encode().unwrap()).unwrap()))
             }
-            Reply::Status => Some((200, serde_json::to_string(&status()).unwrap())),
+            Reply::Status(losses) => Some((200, serde_json::to_string(&status(*losses)).unwrap())),
             Reply::Close => None,
         }
     }
@@ -153,9 +156,9 @@
     }
 }
 
-fn status() -> Status {
+fn status(losses: Option<LossStatus>) -> Status {
     let machine = Machine { version: 4, index: 6, ..Machine::default() };
-    Status::new(&name("c1"), None, &machine, 80)
+    Status { losses, ..Status::new(&name("c1"), None, &machine, 80) }
 }
 
 fn name(text: &str) -> Name {
@@ -231,6 +234,16 @@
     run_session("publish", script, &[PUBLISH, &with_base, &json]);
 }
 
+/// Guards against a status that does not say how many disk losses the control group tolerates, and
+/// against a number from an instance that does not know it.
+#[test]
+fn status_shows_tolerated_losses() {
+    let command = "--control ADDRESS --secret-file operator.secret status";
+    let losses = LossStatus { tolerated: 0, configured: 1 };
+    run_session("status", vec![Reply::Status(Some(losses))], &[command]);
+    run_session("status-follower", vec![Reply::Status(None)], &[command]);
+}
+
 /// Guards against a conflicting change that is retried from the winner's version and overwrites it.
 #[test]
 fn conflict() {
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -351,12 +351,24 @@
     pub age: Millis,
     /// Index of the last applied entry.
     pub index: Index,
+    /// Disk losses that the control group tolerates, if the instance that answers leads it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub losses: Option<LossStatus>,
     /// Number of owned shards by registered instance.
     pub instances: BTreeMap<Name, usize>,
     /// Database groups.
     pub groups: BTreeMap<Name, GroupStatus>,
 }
 
+/// Simultaneous disk losses of control members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossStatus {
+    /// Number that the group tolerates now.
+    pub tolerated: usize,
+    /// Number that the group must tolerate.
+    pub configured: usize,
+}
+
 /// State of a database group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupStatus {
@@ -397,6 +409,7 @@
             version: machine.version,
             age,
             index: machine.index,
+            losses: None,
             instances: machine.instances.keys().map(|n| (n.clone(), owned(n))).collect(),
             groups: machine.config.groups.keys().map(|n| (n.clone(), group(n))).collect(),
         }
--- a/crates/transport/src/operator.rs
+++ b/crates/transport/src/operator.rs
@@ -1,7 +1,8 @@
 //! Operator interface: changes, status and the configuration in force.
 
+use auburnlug_coordination::redundancy::Redundancy;
 use auburnlug_protocol::operator::{
-    ActiveConfig, Answer, CHANGE_PATH, CONFIG_PATH, Request, STATUS_PATH, Status,
+    ActiveConfig, Answer, CHANGE_PATH, CONFIG_PATH, LossStatus, Request, STATUS_PATH, Status,
 };
 use auburnlug_state::{Command, Machine, Millis, Name};
 use axum::{
@@ -42,7 +43,11 @@
     }
     let view = state.control.view().borrow().clone();
     let leader = leader(&state, &view.machine);
-    Json(Status::new(&view.instance, leader, &view.machine, config_age(&state))).into_response()
+    let status = Status::new(&view.instance, leader, &view.machine, config_age(&state));
+    let losses = state.control.status().redundancy;
+    let losses =
+        losses.map(|Redundancy { tolerated, configured }| LossStatus { tolerated, configured });
+    Json(Status { losses, ..status }).into_response()
 }
 
 async fn config(Shared(state): Shared<State>, headers: HeaderMap) -> Response {
