Do not count a departed replica that answers as ended

A replica that had deregistered, went on running and refused to be paused counted as ended after 10 s, although it answered every probe. Its position was then taken from the primary, but it went on to receive commits. With the primary lost, a replica without an acknowledged commit was promoted.

Cause: the 10 s ran from the deregistration, while they stand for a process that cannot be reached.

The time now runs from the last answer. A replica whose process ends is noticed by the refused connection as before.

--- a/crates/gateway/src/control_departures.rs
+++ b/crates/gateway/src/control_departures.rs
@@ -21,15 +21,15 @@
     control_probe::{ProbeAction, ProbeOutcome},
 };
 
-/// Time after which the process of a deregistered server that cannot be reached counts as ended. A
+/// Time without an answer after which the process of a deregistered server counts as ended. A
 /// server whose deregistration is not acknowledged ends after some seconds.
 const DEPARTED_TIMEOUT_MS: Millis = 10_000;
 
 /// A departed replica, as the control leader observes it.
 pub(crate) struct DepartureWatch {
     run: Incarnation,
-    /// Observation time of the first look at it.
-    since: Millis,
+    /// Observation time since which its process has not answered.
+    silent_since: Millis,
     /// Time at which its process is known to have ended.
     ended_at: Option<Millis>,
     /// End of its log, once it is paused.
@@ -62,7 +62,7 @@
             let paused_end = leader.monitors.get(&id).and_then(|m| m.fenced_end(lead.term));
             let new = || DepartureWatch {
                 run: departed.run,
-                since: observed,
+                silent_since: observed,
                 ended_at: None,
                 paused_end,
                 proposed_at: None,
@@ -71,7 +71,7 @@
             if watch.run != departed.run {
                 *watch = new();
             }
-            if departed.ended || observed >= watch.since + DEPARTED_TIMEOUT_MS {
+            if departed.ended || observed >= watch.silent_since + DEPARTED_TIMEOUT_MS {
                 watch.ended_at.get_or_insert(now);
             }
             let proposed = watch.proposed_at.is_some_and(|at| now < at + LEAD_COMMIT_TIMEOUT_MS);
@@ -146,7 +146,9 @@
             (Ok(Some(Status { received, .. })), None, ProbeAction::Pause(_)) => {
                 watch.paused_end = Some(*received);
             }
-            _ => {}
+            // It refuses to be paused, but it is running.
+            (Ok(_), ..) => watch.silent_since = leader.observation.at(now),
+            (Err(_), ..) => {}
         }
     }
 }
