Reproduce a joining member that restarts and never finds the leader

A member without its disk that has heard of the group stores an empty membership and asks to join. If it restarts before the leader has added it, it has forgotten the names that others told it, and as it only sends requests to join, which members that do not lead ignore, nobody tells it again. While the leader is not among its seeds, as after a machine was replaced, it stays outside, and the group does not survive the next loss of a disk.

--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -87,6 +87,21 @@
     others.next().expect("more than one instance").clone()
 }
 
+/// Stops other leaders until the given instance leads.
+fn make_leader(group: &mut Group, instance: &Name) {
+    wait_until(group, 60_000, |group| {
+        let Some(leader) = group.leader() else { return false };
+        if leader == *instance {
+            return true;
+        }
+        group.kill(&leader);
+        group.run(1_500);
+        group.start(&leader, false);
+        group.run(1_000);
+        false
+    });
+}
+
 /// Replaces an instance by a new one that starts at once.
 fn replace(group: &mut Group, instance: &Name, successor: &str) -> Name {
     let successor = name(successor);
@@ -151,6 +166,30 @@
     });
 }
 
+/// Guards against a joining member that restarts and then asks only its seeds, none of which leads.
+#[test]
+#[ignore = "fails: a member with a stored request to join asks only its seeds after a restart"]
+fn a_joining_member_that_restarts_finds_a_leader_outside_its_seeds() {
+    check_seeds(|seed| {
+        let mut group = group_of_three(seed);
+        let former = follower(&group);
+        let successor = replace(&mut group, &former, "d");
+        group.run(5_000);
+        make_leader(&mut group, &successor);
+        let joining = follower(&group);
+        group.lose_disk(&joining);
+        group.start(&joining, false);
+        wait_until(&mut group, 1_000, |group| {
+            let process = &mut group.instance(&joining).process;
+            process.as_mut().is_some_and(|process| process.members().is_some())
+        });
+        group.kill(&joining);
+        group.run(200);
+        group.start(&joining, false);
+        check_recovered(&mut group)
+    });
+}
+
 /// Order in which the names of the leader, a follower, a vanished voter and its successor sort.
 fn orders() -> Vec<[&'static str; 4]> {
     let names = ["a", "b", "c", "d"];
@@ -185,17 +224,7 @@
     let [leader, other, gone, successor] = order;
     let mut group = Group::new(&[leader, other, gone], Settings::new(1), seed);
     group.run(3_000);
-    // Lets the intended member lead.
-    for _ in 0..20 {
-        let Some(current) = group.leader() else { continue };
-        if current.as_str() == leader {
-            break;
-        }
-        group.kill(&current);
-        group.run(1_500);
-        group.start(&current, false);
-        group.run(1_000);
-    }
+    make_leader(&mut group, &name(leader));
     replace(&mut group, &name(gone), successor);
     wait_until(&mut group, 5_000, |group| group.members().voters.len() == 4);
     group.kill(&name(leader));
