Resume the replicas that a former control leader paused

A control leader paused the replicas of a group and was lost. Its successor found the former primary running again, demoted it and ended the fail-over without pausing anybody, so it resumed nobody either: a replica that the promotion does not resume receives nothing until it restarts.

Cause: only the leader that paused a server knows it, and forgets it with its leadership.

A leader that finds a group without a recorded primary now takes all servers of the group for paused, and resumes them once a new primary leads, as it does with those that it paused itself. Nothing waits for this. A leader that is lost after the end of the fail-over and before the resumption still leaves the replica paused.

--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -78,7 +78,10 @@
                 Some(primary) => self.monitor_primary(&group, &lead, &primary, now),
                 // An earlier control leader may have ordered a promotion that takes effect late, so
                 // the former primary must not be kept.
-                None => self.start_failover(&group, &lead, Cause::Stalled, now),
+                None => {
+                    self.inherit_pauses(&group);
+                    self.start_failover(&group, &lead, Cause::Stalled, now);
+                }
             }
         }
     }
@@ -277,6 +280,14 @@
         }
     }
 
+    /// Records that an earlier control leader may have paused any server of a group.
+    fn inherit_pauses(&mut self, group: &Arc<str>) {
+        let Some(leader) = &mut self.leader else { return };
+        for backend in self.machine.fleet.backends_of(group) {
+            leader.monitor(backend).paused = true;
+        }
+    }
+
     /// Starts a failover and proposes to remove the recorded primary.
     fn start_failover(&mut self, group: &Arc<str>, lead: &GroupPrimary, cause: Cause, now: Millis) {
         let Some(leader) = &mut self.leader else { return };
--- a/crates/gateway/src/control_probe.rs
+++ b/crates/gateway/src/control_probe.rs
@@ -14,6 +14,7 @@
 use crate::{
     connection::{Connection, Fault, Target},
     control::{Control, Input},
+    control_lead::Leader,
     leader_lease::{LeaderLease, Sending},
     wire::{ServerCall, ServerWire},
 };
@@ -51,7 +52,7 @@
     pub(crate) holds: Position,
     /// Highest position that it has reported.
     pub(crate) reported: Position,
-    /// Whether the server is paused and must be resumed once a new primary leads.
+    /// Whether the server may be paused and must be resumed once a new primary leads.
     pub(crate) paused: bool,
 }
 
@@ -121,6 +122,18 @@
     }
 }
 
+impl Leader {
+    /// Monitor of the present process of a server. What an earlier process answered does not hold
+    /// for it.
+    pub(crate) fn monitor(&mut self, backend: &Backend) -> &mut ServerMonitor {
+        let monitor = self.monitors.entry(backend.id.clone()).or_default();
+        if monitor.run != backend.run && !monitor.probing {
+            *monitor = ServerMonitor { run: backend.run, ..ServerMonitor::default() };
+        }
+        monitor
+    }
+}
+
 impl Control {
     /// Whether a server has no probe in flight and was last probed `interval` ago or earlier.
     pub(crate) fn is_probe_due(&self, server: &Arc<str>, interval: Millis, now: Millis) -> bool {
@@ -133,11 +146,7 @@
         let Some(backend) = self.machine.fleet.backends.get(server) else { return };
         let (group, address) = (backend.group.clone(), backend.address);
         if let Some(leader) = &mut self.leader {
-            let monitor = leader.monitors.entry(server.clone()).or_default();
-            // What an earlier process of the server answered does not hold for the present one.
-            if monitor.run != backend.run && !monitor.probing {
-                *monitor = ServerMonitor { run: backend.run, ..ServerMonitor::default() };
-            }
+            leader.monitor(backend);
         }
         self.probe_target(Target { group, server: server.clone(), address }, action);
     }
