Contact a leader that the own log does not list

A member that was away while another one joined and became the leader heard its heartbeats and never answered: it was counted as silent, and its log never listed the leader. A voter in this state does not count towards a majority.

Cause: a member answers over links that it opened itself, and opens them to the members of its own log and to its seeds only.

--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -240,17 +240,21 @@
         members.map(Iterator::collect).unwrap_or_default()
     }
 
-    /// Instances at which this member looks for the group: its members, `seeds`, and those that
-    /// other members have `named`.
+    /// Instances that this member contacts: the leader, the members of the group, `seeds`, and those
+    /// that other members have `named`.
     ///
     /// A member that hears from the leader knows the others, and names from elsewhere may be
     /// outdated. Without a leader, its own membership may be outdated.
     pub fn candidates(&self, seeds: &BTreeSet<Name>, named: &BTreeSet<Name>) -> BTreeSet<Name> {
-        let members = self.instances();
-        if self.is_in_group() && self.leader().is_some() {
-            return &members | seeds;
+        let leader = self.leader();
+        let follows = self.is_in_group() && leader.is_some();
+        let mut candidates = &self.instances() | seeds;
+        // A log that lags may not list the leader, which needs the answers of this member.
+        candidates.extend(leader);
+        if !follows {
+            candidates.extend(named.iter().cloned());
         }
-        &(&members | seeds) | named
+        candidates
     }
 
     /// Replaces the set of configured members.
--- a/crates/transport/tests/member_discovery.rs
+++ b/crates/transport/tests/member_discovery.rs
@@ -19,28 +19,47 @@
     list.map(name).into()
 }
 
-/// Guards against a member that looks for its group only at the members that it knew, although all
-/// of them have been replaced meanwhile.
-#[test]
-fn member_without_a_leader_looks_at_named_members() {
+/// Learner `d.1` of a group, with the seeds `a` and `b`.
+fn open_learner(timing: Timing) -> Member {
     let mut disk = MemoryDisk::new(name("1"));
     let members = Members { voters: names(["a.1", "b.1", "c.1"]), learners: names(["d.1"]) };
     let data = encode(&Machine::default()).expect("encodes");
     let snapshot = Some(Snapshot { index: 0, term: 0, members, data });
     disk.store(&Ready { snapshot, ..Ready::default() }).expect("works");
     disk.sync().expect("works");
-    let (seeds, named) = (names(["a", "b"]), names(["e", "f"]));
-    let options = GroupOptions { configured: seeds.clone(), may_bootstrap: false, disk_losses: 1 };
+    let configured = names(["a", "b"]);
+    let options = GroupOptions { configured, may_bootstrap: false, disk_losses: 1 };
+    Member::open(name("d"), options, Box::new(disk), timing, 1, 0).expect("opens").0
+}
+
+/// Heartbeat of a leader to the learner `d.1`.
+fn heartbeat(leader: &str) -> ControlMessage {
+    let message =
+        Message::Append { term: 1, index: 0, last: 0, entries: vec![], commit: 0, sent: 0 };
+    ControlMessage::Raft { from: name(leader), to: name("d.1"), message }
+}
+
+/// Guards against a member that looks for its group only at the members that it knew, although all
+/// of them have been replaced meanwhile.
+#[test]
+fn member_without_a_leader_looks_at_named_members() {
     let timing = Timing::default();
-    let (mut member, _) =
-        Member::open(name("d"), options, Box::new(disk), timing, 1, 0).expect("opens");
+    let mut member = open_learner(timing);
+    let (seeds, named) = (names(["a", "b"]), names(["e", "f"]));
     let all = names(["a", "b", "c", "d", "e", "f"]);
     assert_eq!(member.candidates(&seeds, &named), all);
-    let message =
-        Message::Append { term: 1, index: 0, last: 0, entries: vec![], commit: 0, sent: 0 };
-    let append = ControlMessage::Raft { from: name("a.1"), to: name("d.1"), message };
-    member.receive(&name("a"), append, 100).expect("works");
+    member.receive(&name("a"), heartbeat("a.1"), 100).expect("works");
     assert_eq!(member.candidates(&seeds, &named), names(["a", "b", "c", "d"]));
     member.step(100 + timing.election_max).expect("works");
     assert_eq!(member.candidates(&seeds, &named), all);
 }
+
+/// Guards against a member that never answers a leader which joined while it was away, so that its
+/// log never lists that leader.
+#[test]
+fn member_contacts_a_leader_that_its_log_does_not_list() {
+    let mut member = open_learner(Timing::default());
+    let seeds = names(["a", "b"]);
+    member.receive(&name("m"), heartbeat("m.1"), 100).expect("works");
+    assert_eq!(member.candidates(&seeds, &seeds), names(["a", "b", "c", "d", "m"]));
+}
