Let a learner vote only with all that the leader had at its election

A leader that had just restarted could make a voter of a learner without any entry. In a group of which one voter has gone, no change is committed then until the learner has received the log.

Cause: a learner counted as caught up with the commit index of the leader at its election.

What counts now is the last index of the leader at its election, which includes all that was committed.

--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -22,7 +22,7 @@
     Busy,
     /// The proposed membership is not exactly one permitted step from the current one.
     Membership,
-    /// The learner has not replicated all entries that were committed when it joined.
+    /// The learner has not replicated all entries that the leader had when it joined.
     Lagging,
     /// The timeouts do not have the order that the leader lease relies on.
     Timing,
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -22,7 +22,7 @@
 /// Replication progress of a member as the leader knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
-    /// Whether the member has all entries that were committed when the leader started to track it,
+    /// Whether the member has all entries that the leader had when it started to track the member,
     /// and has acknowledged a message recently.
     pub caught_up: bool,
     /// Time since the last acknowledgement arrived, or since this leader tracks the member if none
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -33,8 +33,8 @@
     matched: Index,
     /// Next entry to send.
     next: Index,
-    /// Commit index of the leader when it started to track the member; a learner must reach it
-    /// before it may vote.
+    /// Last index of the leader when it started to track the member; a learner must reach it before
+    /// it may vote. The commit index would not do: a leader that has just restarted knows none.
     target: Index,
     /// Commit index last sent to the member.
     sent_commit: Index,
@@ -248,7 +248,7 @@
 
     /// Tracks exactly the other members of the current membership.
     fn refresh_peers(&mut self) {
-        let (last, commit, since) = (self.log.last(), self.commit, self.clock);
+        let (last, since) = (self.log.last(), self.clock);
         let Role::Leader(leader) = &mut self.role else { return };
         let members = self.log.members();
         leader.peers.retain(|name, _| members.all().any(|m| m == name));
@@ -256,7 +256,7 @@
             leader.peers.entry(name.clone()).or_insert(Peer {
                 matched: 0,
                 next: last,
-                target: commit,
+                target: last,
                 sent_commit: 0,
                 since,
                 acknowledged: None,
@@ -270,7 +270,7 @@
 }
 
 impl Peer {
-    /// Whether the member has all that was committed when tracking began, and has acknowledged a
+    /// Whether the member has all that the leader had when tracking began, and has acknowledged a
     /// message sent within the last `span`.
     fn is_caught_up(&self, now: Millis, span: Millis) -> bool {
         let responsive = self.acknowledged.is_some_and(|sent| now < sent + span);
--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -402,6 +402,29 @@
     assert_eq!((progress.ack_age, progress.caught_up), (10, false));
 }
 
+/// Guards against a learner without entries that becomes a voter, and holds up all commits if a voter
+/// has gone: a leader that has just restarted does not know what was committed before.
+#[test]
+fn learner_without_entries_has_not_caught_up() {
+    let voters = ["m0", "m1", "m2"].map(name).into();
+    let initial = Members { voters, learners: [name("m3")].into() };
+    let entries = (1..=900).map(|index| Entry { index, term: 2, payload: Payload::Noop }).collect();
+    let saved = Saved { vote: Vote { term: 2, candidate: None }, snapshot: None, entries };
+    let mut raft = Raft::new(name("m0"), initial, saved, Timing::default(), 1, 0).unwrap();
+    elect(&mut raft, 3, 900);
+    raft.ready();
+    raft.persisted();
+    let reply = |accepted, index| Message::AppendReply { term: 3, accepted, index, sent: 900 };
+    raft.receive(&name("m1"), reply(true, 901), 930);
+    assert_eq!(raft.commit_index(), 901);
+    raft.receive(&name("m3"), reply(false, 0), 930);
+    assert!(!raft.progress(940)[&name("m3")].caught_up);
+    let voters = ["m0", "m1", "m2", "m3"].map(name).into();
+    let next = Members { voters, learners: BTreeSet::new() };
+    let error = raft.propose_members(next, 940).unwrap_err();
+    assert_eq!(error.category(), Category::Lagging);
+}
+
 #[test]
 fn overwritten_entries_lose_all_effects() {
     // Guards against an entry that counts as durable because the entry it overwrote was, and
