--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -62,7 +62,7 @@
     JoinReceived = 209, Info, "control member asks to join";
     LeaderElected = 210, Info, "this member leads the control group";
     LeaderLost = 211, Warn, "this member no longer leads the control group";
-    KnownLeaderChanged = 212, Info, "control member knows another leader";
+    KnownLeaderChanged = 212, Info, "known control leader changed";
     MemberUnlisted = 213, Warn, "control member is not listed by its group and asks to join again";
     LeaseLost = 220, Error, "lease ended: requests are refused until it is renewed";
     LeaseGained = 221, Info, "lease granted";
