--- a/crates/transport/tests/member_group/mod.rs
+++ b/crates/transport/tests/member_group/mod.rs
@@ -86,6 +86,8 @@
     pub acknowledged: Index,
     /// Delay of messages between two instances in place of the usual one.
     pub slow_links: BTreeMap<(Name, Name), Millis>,
+    /// Pairs of instances whose links are cut in both directions, each in order.
+    cut_pairs: BTreeSet<(Name, Name)>,
     rng: StdRng,
     committed: BTreeMap<Index, Entry>,
     queue: BTreeMap<(Millis, u64), Envelope>,
@@ -121,6 +123,7 @@
             violation: None,
             acknowledged: 0,
             slow_links: BTreeMap::new(),
+            cut_pairs: BTreeSet::new(),
             rng: StdRng::seed_from_u64(seed),
             committed: BTreeMap::new(),
             queue: BTreeMap::new(),
--- a/crates/transport/tests/member_group/network.rs
+++ b/crates/transport/tests/member_group/network.rs
@@ -22,6 +22,17 @@
         self.note_lost();
     }
 
+    /// Cuts the links between two instances, or ends that cut.
+    pub fn set_pair_cut(&mut self, one: &Name, other: &Name, cut: bool) {
+        let pair = (one.min(other).clone(), one.max(other).clone());
+        if cut {
+            self.cut_pairs.insert(pair);
+        } else {
+            self.cut_pairs.remove(&pair);
+            self.release_held();
+        }
+    }
+
     /// Partitions the instances; an empty side ends the partition.
     pub fn split(&mut self, side: &BTreeSet<Name>) {
         for (instance, state) in &mut self.instances {
@@ -48,6 +59,9 @@
     }
 
     fn is_cut(&self, one: &Name, other: &Name) -> bool {
+        if self.cut_pairs.contains(&(one.min(other).clone(), one.max(other).clone())) {
+            return true;
+        }
         let state = |name: &Name| self.instances.get(name.as_str());
         match (state(one), state(other)) {
             (Some(one), Some(other)) => {
