Check the tolerated losses during losses, too, with up to six instances

While fewer members are lost than permitted, the group must survive the loss of the remaining number of disks together with a restart of all others. A restart that loses no disk is checked as well.

--- a/crates/transport/tests/member_group/checks.rs
+++ b/crates/transport/tests/member_group/checks.rs
@@ -129,11 +129,17 @@
         }
     }
 
-    /// Requires that the group survives each permitted loss of disks, with a restart of all.
+    /// Requires that the group survives each permitted loss of disks after calm.
     pub fn check_tolerance(&mut self) {
         let running = self.instances.iter().filter(|(_, state)| state.lost_since.is_none());
         let running: Vec<Name> = running.map(|(name, _)| name.clone()).collect();
-        for lost in subsets(&running, self.settings.losses) {
+        self.check_losses(&running, self.settings.losses);
+    }
+
+    /// Requires that the group survives a restart of all processes in which up to `count` of the
+    /// `candidates` lose their disks. Instances that cannot serve now stay down.
+    pub fn check_losses(&mut self, candidates: &[Name], count: usize) {
+        for lost in subsets(candidates, count) {
             let members = self.members();
             let mut fork = self.fork(&lost);
             let end = fork.now + RECOVERY_LIMIT_MS;
@@ -142,11 +148,11 @@
             }
             let leads = fork.leader().is_some();
             if let Some(text) = fork.violation {
-                return self.fail(format_args!("after the loss of {lost:?}: {text}"));
+                return self.fail(format_args!("after the loss of [{}]: {text}", list(&lost)));
             }
             if !leads {
                 return self.fail(format_args!(
-                    "tolerance: none leads after the loss of {}; voters {} learners {}",
+                    "tolerance: none leads after the loss of [{}]; voters {} learners {}",
                     list(&lost),
                     list(&members.voters),
                     list(&members.learners)
@@ -167,7 +173,9 @@
                 let copy = fork.instance(instance);
                 (copy.identity, copy.disk) = (state.identity.clone(), copy_disk(&state.disk));
             }
-            fork.start(instance, false);
+            if state.lost_since.is_none() {
+                fork.start(instance, false);
+            }
         }
         fork
     }
@@ -190,7 +198,7 @@
     copy
 }
 
-/// Subsets of `names` with one to `size` elements.
+/// Subsets of `names` with at most `size` elements.
 fn subsets(names: &[Name], size: usize) -> Vec<BTreeSet<Name>> {
     let mut subsets = vec![BTreeSet::new()];
     for name in names {
@@ -201,7 +209,6 @@
             .collect();
         subsets.extend(larger);
     }
-    subsets.retain(|subset| !subset.is_empty());
     subsets
 }
 
--- a/crates/transport/tests/member_group/schedule.rs
+++ b/crates/transport/tests/member_group/schedule.rs
@@ -64,10 +64,10 @@
 impl Walk {
     pub fn new(seed: u64, catch_up: Millis) -> Walk {
         let mut rng = StdRng::seed_from_u64(seed);
-        let size = rng.random_range(3..=5);
-        let mut names = ["a", "b", "c", "d", "e"];
+        let size = rng.random_range(3..=6);
+        let mut names = ["a", "b", "c", "d", "e", "f"];
         rand::seq::SliceRandom::shuffle(&mut names[..], &mut rng);
-        let mut settings = Settings::new(if size == 5 && rng.random() { 2 } else { 1 });
+        let mut settings = Settings::new(if size >= 5 && rng.random() { 2 } else { 1 });
         if rng.random_ratio(1, 3) {
             settings.timing = Timing::default();
         }
@@ -101,6 +101,7 @@
                 _ => self.start_fault(),
             }
             self.check_if_calm(2);
+            self.check_during_losses();
         }
         self.wait_until_calm();
         self.check_if_calm(1);
@@ -138,6 +139,25 @@
         }
     }
 
+    /// Checks that the group survives as many more losses of disks as are left to it, while some
+    /// members are lost.
+    fn check_during_losses(&mut self) {
+        let now = self.group.now;
+        self.lost.retain(|_, until| *until > now);
+        let absent = self.lost.keys().any(|name| {
+            // A successor and the machine that it replaces count as two while it is down.
+            self.successors.contains(name.as_str()) && !self.healthy().contains(name)
+        });
+        let spare = self.group.settings.losses.checked_sub(self.lost.len());
+        let Some(spare) = spare.filter(|_| now >= self.unsettled && !absent) else { return };
+        if self.group.violation.is_none() && self.rng.random_ratio(1, 4) {
+            self.checks += 1;
+            let mut candidates = self.healthy();
+            candidates.retain(|name| !self.lost.contains_key(name.as_str()));
+            self.group.check_losses(&candidates, spare);
+        }
+    }
+
     fn end(&mut self, end: End) {
         self.last_end = self.group.now;
         self.group.note(format_args!("{end:?}"));
