Wake a suspended entry before the soak expects its end

A suspension that overlapped a graceful stop was reported as an entry that has not stopped in time: the soak waited for the process before it woke it. The time to stop counts from the moment at which the process runs again, and is the same.

--- a/crates/auburnlug/tests/soak/trouble.rs
+++ b/crates/auburnlug/tests/soak/trouble.rs
@@ -133,6 +133,8 @@
             Trouble::Stop(host) => {
                 let stopped = self.stopped.remove(&host).flatten();
                 let is_stopping = stopped.is_some() && stopped == d.pid(host);
+                // Another trouble may have suspended the process.
+                let _ = d.signal(host, Signal::CONT);
                 if is_stopping && !d.wait(host, GRACE_TIME).unwrap() {
                     self.record.report(format!("instance {host} has not stopped in time"));
                     d.kill(host).unwrap();
