Lose disks and replace control members in the soak

The soak never lost a disk, so it could not show that a group stays below the number of voters that it needs. A round may now begin with a control member that loses its disk or is replaced at another address, as all members count as present then; half of these members are suspended as they join. Other troubles of the round may overlap.

Settings that are written after a replacement name the successor.

--- a/crates/auburnlug/tests/soak/main.rs
+++ b/crates/auburnlug/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! A randomized soak of real processes: links are held up, processes are killed, suspended and
-//! restarted, and servers fail, in series and overlapping, while callers and an operator check what
-//! they are promised.
+//! restarted, control members lose their disks or are replaced, and servers fail, in series and
+//! overlapping, while callers and an operator check what they are promised. At the end all processes
+//! are killed, and a control member loses its disk.
 //!
 //! `SOAK_SEEDS=FIRST-LAST` and `SOAK_SECONDS` choose a longer run, and `SOAK_PROGRAM` another build;
 //! see `scripts/soak`.
@@ -23,7 +24,7 @@
 use auburnlug_bench::{
     line_group::LineGroup,
     line_processes::{
-        CALLER_PORT, CONTROL_HOSTS, ENTRY_HOST, LineProcesses, OPERATOR_PORT, SERVER_PORT,
+        CALLER_PORT, ENTRY_HOST, LineProcesses, OPERATOR_PORT, SERVER_PORT, control_hosts,
     },
 };
 use rand::SeedableRng;
@@ -49,7 +50,8 @@
     seed: u64,
 ) -> Vec<JoinHandle<()>> {
     let group = deployment.group.clone();
-    let members = CONTROL_HOSTS.map(|host| deployment.address(host, OPERATOR_PORT));
+    let members: Vec<_> =
+        control_hosts().map(|host| deployment.address(host, OPERATOR_PORT)).collect();
     let mut tasks = Vec::new();
     let mut start = |task: Box<dyn FnOnce(&Record) + Send>| {
         let record = record.clone();
@@ -63,11 +65,12 @@
         }
         start(Box::new(move |record| check_entry(record, entry)));
     }
-    for member in members {
+    for member in members.clone() {
         start(Box::new(move |record| check_member(record, member)));
     }
     for server in SERVERS {
         let (group, address) = (group.clone(), deployment.address(20 + server, SERVER_PORT));
+        let members = members.clone();
         start(Box::new(move |record| run_heartbeats(record, &group, server, address, &members)));
     }
     let template = deployment.config(1);
@@ -89,8 +92,17 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut disturber = Disturber::new(deployment, record.clone());
     disturber.play(&mut rng, length);
+    let version = record.version.load(Ordering::Acquire);
+    disturber.end_all(&mut rng);
     let over = Instant::now();
-    while (0..ENTRIES).any(|entry| !disturber.deployment.try_write(entry, "last")) {
+    let deployment = &disturber.deployment;
+    while deployment.config_version() < Some(version) {
+        if over.elapsed() > RECOVERY_TIME {
+            record.report(format!("RECOVER configuration {version} is not read"));
+            break;
+        }
+    }
+    while (0..ENTRIES).any(|entry| !deployment.try_write(entry, "last")) {
         if over.elapsed() > RECOVERY_TIME {
             record.report("RECOVER no write is served".into());
             break;
--- a/crates/auburnlug/tests/soak/trouble.rs
+++ b/crates/auburnlug/tests/soak/trouble.rs
@@ -8,9 +8,12 @@
 };
 
 use auburnlug_bench::line_processes::{
-    CONTROL_HOSTS, ENTRY_HOST, LineProcesses, SERVER_INNER_PORT,
+    ENTRY_HOST, LineProcesses, SERVER_INNER_PORT, control_hosts,
+};
+use rand::{
+    Rng,
+    seq::{IndexedMutRandom, IndexedRandom},
 };
-use rand::{Rng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
@@ -22,6 +25,9 @@
 /// Time within which an entry that was told to stop must have ended.
 const GRACE_TIME: Duration = Duration::from_millis(6_500);
 
+/// Probability of the loss of a disk in a round.
+const LOSS_PROBABILITY: f64 = 0.4;
+
 /// One trouble; it starts at a time of its own and ends after another.
 #[derive(Debug, Clone, Copy)]
 enum Trouble {
@@ -46,12 +52,17 @@
     Drain(u8),
     /// Replica that receives nothing.
     Deaf(u8),
+    /// Control member that loses its disk and starts again.
+    Disk(u8),
+    /// Control member that is removed for good, and its successor at another address.
+    Replace(u8, u8),
 }
 
 impl Trouble {
-    fn draw(rng: &mut ChaCha8Rng) -> Trouble {
+    /// Draws a trouble that loses no disk; `members` are the hosts of the control members.
+    fn draw(rng: &mut ChaCha8Rng, members: [u8; 3]) -> Trouble {
         let entry = ENTRY_HOST + rng.random_range(0..ENTRIES);
-        let control = *CONTROL_HOSTS.choose(rng).unwrap();
+        let control = *members.choose(rng).unwrap();
         let instance = if rng.random_bool(0.5) { entry } else { control };
         let server = *SERVERS.choose(rng).unwrap();
         match rng.random_range(0..10) {
@@ -69,6 +80,23 @@
     }
 }
 
+/// Start or end of a trouble in a round.
+struct RoundEvent {
+    /// Time since the start of the round, in milliseconds.
+    at: u64,
+    /// Number of the trouble in the round.
+    number: usize,
+    begins: bool,
+    trouble: Trouble,
+}
+
+/// Adds a trouble that begins at `at` and takes `length` milliseconds.
+fn push_trouble(events: &mut Vec<RoundEvent>, trouble: Trouble, at: u64, length: u64) {
+    let number = events.len() / 2;
+    events.push(RoundEvent { at, number, begins: true, trouble });
+    events.push(RoundEvent { at: at + length, number, begins: false, trouble });
+}
+
 /// Starts and ends troubles.
 pub struct Disturber {
     pub deployment: LineProcesses,
@@ -120,6 +148,8 @@
                     d.group.set_deaf(&format!("s{server}"), true);
                 }
             }
+            Trouble::Disk(host) => d.lose_disk(host).unwrap(),
+            Trouble::Replace(host, _) => d.remove(host).unwrap(),
         }
     }
 
@@ -128,7 +158,8 @@
         let d = &mut self.deployment;
         match trouble {
             Trouble::Cut(_) => d.rejoin(),
-            Trouble::Kill(host) => d.spawn(host, false).unwrap(),
+            Trouble::Kill(host) | Trouble::Disk(host) => d.spawn(host, false).unwrap(),
+            Trouble::Replace(host, successor) => d.replace(host, successor).unwrap(),
             Trouble::Suspend(host) => drop(d.signal(host, Signal::CONT)),
             Trouble::Stop(host) => {
                 let stopped = self.stopped.remove(&host).flatten();
@@ -151,7 +182,7 @@
                     _ => {}
                 }
                 // A suspended process cannot take back what the link holds.
-                for host in CONTROL_HOSTS {
+                for host in control_hosts() {
                     let _ = d.signal(host, Signal::CONT);
                 }
                 thread::sleep(Duration::from_millis(100));
@@ -173,28 +204,65 @@
         }
     }
 
+    /// Draws the troubles of a round.
+    fn draw_round(&self, rng: &mut ChaCha8Rng, planned: bool) -> Vec<RoundEvent> {
+        let mut events = Vec::new();
+        let mut members = self.deployment.seeds();
+        // A disk is lost only once the group has recovered from the trouble before.
+        if !planned && rng.random_bool(LOSS_PROBABILITY) {
+            let host = members.choose_mut(rng).unwrap();
+            let back = rng.random_range(100..2_000);
+            let loss = match self.deployment.unused_host() {
+                Some(successor) if rng.random_bool(0.5) => {
+                    let trouble = Trouble::Replace(*host, successor);
+                    *host = successor;
+                    trouble
+                }
+                _ => Trouble::Disk(*host),
+            };
+            push_trouble(&mut events, loss, 0, back);
+            if rng.random_bool(0.5) {
+                let suspended = back + rng.random_range(0..1_500);
+                let length = rng.random_range(2_000..4_500);
+                push_trouble(&mut events, Trouble::Suspend(*host), suspended, length);
+            }
+        }
+        for number in 0..rng.random_range(1..5_u8) {
+            let at = rng.random_range(0..2_500);
+            let trouble = match planned {
+                true => Trouble::Stop(ENTRY_HOST + number % ENTRIES),
+                false => Trouble::draw(rng, members),
+            };
+            if planned && number >= ENTRIES {
+                break;
+            }
+            push_trouble(&mut events, trouble, at, rng.random_range(100..5_000));
+        }
+        events.sort_by_key(|event| (event.at, event.number, !event.begins));
+        events
+    }
+
+    /// Ends all processes at the same moment, one control member loses its disk, and all start again.
+    pub fn end_all(&mut self, rng: &mut ChaCha8Rng) {
+        let d = &mut self.deployment;
+        let host = *d.seeds().choose(rng).unwrap();
+        self.record.seen().trouble = Some(Instant::now());
+        println!("all end, {host} without its disk");
+        let hosts = d.kill_all().unwrap();
+        d.lose_disk(host).unwrap();
+        hosts.into_iter().for_each(|host| d.spawn(host, false).unwrap());
+        self.record.seen().trouble = Some(Instant::now());
+    }
+
     /// Plays overlapping troubles in rounds, each followed by a time without any.
     pub fn play(&mut self, rng: &mut ChaCha8Rng, length: Duration) {
         let started = Instant::now();
         while started.elapsed() < length {
-            let mut events = Vec::new();
             let planned = rng.random_bool(0.2);
-            for number in 0..rng.random_range(1..5_usize) {
-                let at = rng.random_range(0..2_500_u64);
-                let trouble = match planned {
-                    true => Trouble::Stop(ENTRY_HOST + number as u8 % ENTRIES),
-                    false => Trouble::draw(rng),
-                };
-                if planned && number >= usize::from(ENTRIES) {
-                    break;
-                }
-                events.push((at, number, true, trouble));
-                events.push((at + rng.random_range(100..5_000), number, false, trouble));
-            }
+            let events = self.draw_round(rng, planned);
             self.record.seen().planned = planned;
-            events.sort_by_key(|(at, number, begins, _)| (*at, *number, !*begins));
             let round = Instant::now();
-            for (at, _, begins, trouble) in events {
+            for RoundEvent { at, begins, trouble, .. } in events {
                 thread::sleep(Duration::from_millis(at).saturating_sub(round.elapsed()));
                 self.record.seen().trouble = Some(Instant::now());
                 println!("{:?} {} {trouble:?}", started.elapsed(), if begins { "+" } else { "-" });
--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -80,6 +80,8 @@
     /// Links between two instances, by the hosts of the dialing and the accepting one.
     pub members: BTreeMap<(u8, u8), Arc<HeldLink>>,
     children: BTreeMap<u8, Child>,
+    /// Hosts of the control members that the settings of an instance name.
+    seeds: [u8; 3],
     /// Hosts that were removed for good.
     removed: BTreeSet<u8>,
     runtime: Runtime,
@@ -135,6 +137,7 @@
             servers,
             members,
             children: BTreeMap::new(),
+            seeds: CONTROL_HOSTS,
             removed: BTreeSet::new(),
             runtime,
             keeps_logs: false,
@@ -162,12 +165,15 @@
         format!("node-{host}")
     }
 
-    /// Starts the process of an instance unless it runs.
+    /// Starts the process of an instance unless it runs or was removed.
     ///
     /// # Errors
     ///
     /// The settings cannot be written, or the process cannot be started.
     pub fn spawn(&mut self, host: u8, first_start: bool) -> io::Result<()> {
+        if self.removed.contains(&host) {
+            return Ok(());
+        }
         if let Some(child) = self.children.get_mut(&host)
             && child.try_wait()?.is_none()
         {
@@ -175,7 +181,7 @@
         }
         let ip = self.address(host, 0).ip();
         let is_control = control_hosts().any(|control| control == host);
-        let seeds = CONTROL_HOSTS.map(|seed| self.address(seed, OPERATOR_PORT).to_string());
+        let seeds = self.seeds.map(|seed| self.address(seed, OPERATOR_PORT).to_string());
         let listen = if is_control {
             format!("operator = {ip}:{OPERATOR_PORT}")
         } else {
@@ -374,7 +380,7 @@
 }
 
 /// Hosts on which control members may run.
-fn control_hosts() -> impl Iterator<Item = u8> + Clone {
+pub fn control_hosts() -> impl Iterator<Item = u8> + Clone {
     CONTROL_HOSTS.into_iter().chain(SUCCESSOR_HOSTS)
 }
 
--- a/crates/bench/src/line_processes/losses.rs
+++ b/crates/bench/src/line_processes/losses.rs
@@ -3,7 +3,7 @@
 
 use std::{fs, io};
 
-use crate::line_processes::LineProcesses;
+use crate::line_processes::{LineProcesses, SUCCESSOR_HOSTS};
 
 impl LineProcesses {
     /// Holds up all links of a control member to other instances.
@@ -30,6 +30,28 @@
         self.kill(host)
     }
 
+    /// Host for another control member, if one is left.
+    pub fn unused_host(&self) -> Option<u8> {
+        let is_unused = |host: &u8| !self.removed.contains(host) && !self.seeds.contains(host);
+        SUCCESSOR_HOSTS.into_iter().find(is_unused)
+    }
+
+    /// Starts the successor of a control member. Settings that are written from now on name it in
+    /// place of the former one.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn replace(&mut self, former: u8, successor: u8) -> io::Result<()> {
+        self.seeds = self.seeds.map(|seed| if seed == former { successor } else { seed });
+        self.spawn(successor, false)
+    }
+
+    /// Hosts of the present control members.
+    pub fn seeds(&self) -> [u8; 3] {
+        self.seeds
+    }
+
     /// Ends the process of an instance, and removes its data.
     ///
     /// # Errors
@@ -37,7 +59,10 @@
     /// The process has been waited for already, or the data cannot be removed.
     pub fn lose_disk(&mut self, host: u8) -> io::Result<()> {
         self.kill(host)?;
-        fs::remove_dir_all(self.data_folder(host))
+        match fs::remove_dir_all(self.data_folder(host)) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+            _ => Ok(()),
+        }
     }
 
     /// Ends all processes at the same moment; returns the hosts on which one ran.
