Test a new leader that removes a voter before its first answer

With five voters and a successor that has just been promoted, a leader has its lease once three of the five others have answered, one of whom need not be the fourth that runs. It and the vanished voter have the same age then.

--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -23,6 +23,9 @@
 /// Seeds of each order of names.
 const ORDER_SEEDS: u64 = 2;
 
+/// Delay of the answers of one voter, longer than an answer of the others takes.
+const LATE_ANSWER_MS: Millis = 150;
+
 const TRACE_LINES: usize = 40;
 
 fn env(key: &str) -> Option<u64> {
@@ -219,6 +222,36 @@
     }
 }
 
+/// Guards against a new leader that removes a voter from which it has not heard yet, although it has
+/// the lease.
+#[test]
+fn a_new_leader_keeps_a_voter_whose_first_answer_is_late() {
+    for late in ["a", "z"] {
+        check_seeds(|seed| {
+            let names = ["b", "c", "d", "e", late];
+            let mut group = Group::new(&names, Settings::new(2), seed);
+            wait_until(&mut group, 3_000, |group| group.leader().is_some());
+            let leader = if seed % 2 == 0 { "b" } else { "e" };
+            make_leader(&mut group, &name(leader));
+            group.run(1_000);
+            replace(&mut group, &name("d"), "f");
+            wait_until(&mut group, 5_000, |group| group.members().voters.len() == 6);
+            for other in ["b", "c", "e", "f"] {
+                group.slow_links.insert((name(late), name(other)), LATE_ANSWER_MS);
+            }
+            group.kill(&name(leader));
+            group.run(50);
+            group.start(&name(leader), false);
+            wait_until(&mut group, 8_000, |group| group.members().voters.len() == 5);
+            let identity = group.instance(&name(late)).identity.clone();
+            if !group.members().voters.contains(identity.as_str()) {
+                group.fail(format_args!("removal: {identity} is no voter"));
+            }
+            group.report(TRACE_LINES)
+        });
+    }
+}
+
 /// Restarts the leader between the promotion of a successor and the removal of the former voter.
 fn elect_during_replacement(order: [&str; 4], seed: u64) -> Option<String> {
     let [leader, other, gone, successor] = order;
