--- a/crates/transport/tests/member_group/checks.rs
+++ b/crates/transport/tests/member_group/checks.rs
@@ -9,6 +9,9 @@
 /// to be lost before that one must be removed first.
 const RESPONSE_AGE_MS: Millis = 1_000;
 
+/// Entries that a member may be behind the last acknowledged one.
+const MAX_LAG_ENTRIES: Index = 20;
+
 impl Group {
     pub fn fail(&mut self, text: impl std::fmt::Display) {
         let text = text.to_string();
@@ -106,7 +109,7 @@
         process.and_then(Process::members).unwrap_or_default()
     }
 
-    /// Requires a leader and that every running instance is in the group.
+    /// Requires a leader and that every running instance is in the group and follows it.
     pub fn check_membership(&mut self) {
         let Some(leader) = self.leader() else { return self.fail("leader: none leads") };
         let members = self.members();
@@ -115,16 +118,26 @@
             list(&members.voters),
             list(&members.learners)
         );
+        let expected = self.acknowledged.saturating_sub(MAX_LAG_ENTRIES);
         let outside = self.instances.iter().find(|(_, state)| {
             let known = members.all().any(|member| *member == state.identity);
-            let in_group = state.process.as_ref().is_some_and(|p| p.member.is_in_group());
-            state.lost_since.is_none() && !(known && in_group)
+            let follows = state.process.as_ref().is_some_and(|process| {
+                let member = &process.member;
+                member.is_in_group()
+                    && member.leader().as_ref() == Some(&leader)
+                    && process.machine.index >= expected
+            });
+            state.lost_since.is_none() && !(known && follows)
         });
         if let Some((name, state)) = outside {
-            let identity = state.identity.clone();
-            let text = format!("membership: {identity} runs outside the group; {describe}");
-            let believed = state.process.as_ref().and_then(|process| process.member.leader());
-            let text = format!("{text}; {name} believes that {believed:?} leads");
+            let process = state.process.as_ref();
+            let believed = process.and_then(|process| process.member.leader());
+            let applied = process.map(|process| process.machine.index);
+            let text = format!(
+                "membership: {name} runs as {} and does not follow; {describe}; it knows the leader \
+                 {believed:?} and has applied {applied:?} of {}",
+                state.identity, self.acknowledged
+            );
             self.fail(text);
         }
     }
--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -222,6 +222,22 @@
     }
 }
 
+/// Guards against a member that hears a leader that its log does not list, and never answers it.
+#[test]
+fn a_member_that_was_away_follows_a_leader_that_joined_meanwhile() {
+    check_seeds(|seed| {
+        let mut group = Group::new(&["a", "b", "c", "d", "e"], Settings::new(2), seed);
+        wait_until(&mut group, 3_000, |group| group.leader().is_some());
+        group.run(1_000);
+        group.isolate(&name("a"));
+        let successor = replace(&mut group, &name("b"), "f");
+        group.run(5_000);
+        make_leader(&mut group, &successor);
+        group.heal(&name("a"));
+        check_recovered(&mut group)
+    });
+}
+
 /// Guards against a new leader that removes a voter from which it has not heard yet, although it has
 /// the lease.
 #[test]
