Test a learner whose answers are slow with the real members

The leader sends it the messages that it answers ever longer ago, up to 3.6 s, while its answers arrive all the time.

--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -345,6 +345,27 @@
     });
 }
 
+/// Guards against a learner that is dropped although its answers arrive all the time, as the leader
+/// sent the messages that they answer long ago.
+#[test]
+fn a_learner_whose_answers_are_slow_stays_in_the_group() {
+    check_seeds(|seed| {
+        let (mut group, learner) = group_with_learner(seed);
+        let changes = group.trace.len();
+        for delay in (400..=3_600).step_by(400) {
+            for other in ["a", "b", "c"] {
+                group.slow_links.insert((learner.clone(), name(other)), delay);
+            }
+            group.run(1_000);
+        }
+        group.run(4_000);
+        if let Some(change) = group.trace[changes..].first().cloned() {
+            group.fail(format_args!("evidence: membership changed: {change}"));
+        }
+        group.report(TRACE_LINES)
+    });
+}
+
 /// Guards against a leader that takes its own absence for one of the others.
 #[test]
 fn a_leader_that_was_suspended_removes_no_running_member() {
