--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -100,7 +100,7 @@
     /// caught up, and before the new identity votes, so that an instance never has two votes.
     /// Otherwise, if there are too many voters, the one that has been unresponsive for longest is
     /// removed. If none has been for long enough, one is removed only if all that stay have caught
-    /// up: a new leader has not heard from all voters yet, and the ages tell nothing about those.
+    /// up. Right after an election the ages are about equal, so that age alone must not decide.
     fn voter_to_remove(&self) -> Option<&Name> {
         let voters = &self.members.voters;
         if let Some(former) = voters.iter().find(|name| self.is_replaced(name)) {
--- a/crates/coordination/src/observation.rs
+++ b/crates/coordination/src/observation.rs
@@ -6,8 +6,8 @@
 
 use auburnlug_state::Millis;
 
-/// Longest time between two runs that counts as observed. It is within the tolerance of all
-/// timeouts, so that an observer that always runs late still detects failures.
+/// Longest time between two runs that counts as observed. Shorter than every silence timeout; it
+/// counts so that an observer which always runs late still detects failures.
 const MAX_RUN_GAP_MS: Millis = 250;
 
 /// Clock that stands still while its observer is interrupted.
--- a/crates/transport/src/control_leader.rs
+++ b/crates/transport/src/control_leader.rs
@@ -91,15 +91,20 @@
             return;
         }
         let Some(leader) = &mut self.leader else { return };
-        let now = leader.observation.at(now);
-        let subscriber =
-            Subscriber { link, sent_index: renew.index, last_renewal: now, last_probe: now };
+        let observed = leader.observation.at(now);
+        let subscriber = Subscriber {
+            link,
+            sent_index: renew.index,
+            last_renewal: observed,
+            last_probe: observed,
+        };
         leader.subscribers.insert(from.clone(), subscriber);
         for name in &renew.heard {
-            leader.directory.record_announcement(name, now);
+            leader.directory.record_announcement(name, observed);
         }
         let index = self.machine.index;
-        let answer = leader.ledger.renew(&renew.instance, renew.sent, index, &self.machine, now);
+        let answer =
+            leader.ledger.renew(&renew.instance, renew.sent, index, &self.machine, observed);
         let lease = match answer {
             RenewalReply::Granted(lease) => Some(lease),
             RenewalReply::Register => {
@@ -168,21 +173,21 @@
         let leads = self.member.as_ref().is_some_and(|member| member.leads(now));
         let Some(leader) = self.leader.as_mut().filter(|_| leads) else { return };
         leader.observation.record_run(now);
-        let now = leader.observation.at(now);
-        if now < leader.last_planning + PLANNING_INTERVAL_MS
+        let observed = leader.observation.at(now);
+        if observed < leader.last_planning + PLANNING_INTERVAL_MS
             || self.machine.index < leader.planned_index
         {
             return;
         }
-        leader.last_planning = now;
+        leader.last_planning = observed;
         let machine = &self.machine;
         leader.subscribers.retain(|name, subscriber| {
             machine.instances.contains_key(name)
-                || now < subscriber.last_renewal + UNRECORDED_EXPIRY_MS
+                || observed < subscriber.last_renewal + UNRECORDED_EXPIRY_MS
         });
-        let plan = leader.assigner.plan(&self.machine, &mut leader.ledger, now);
+        let plan = leader.assigner.plan(&self.machine, &mut leader.ledger, observed);
         let mut commands = plan.commands;
-        commands.extend(leader.directory.tick(&self.machine, now));
+        commands.extend(leader.directory.tick(&self.machine, observed));
         if let Some(release) = plan.release {
             self.request_release(release);
         }
@@ -192,7 +197,7 @@
             }
         }
         self.record_planned_index();
-        self.probe_unresponsive(now);
+        self.probe_unresponsive(observed);
     }
 
     /// Ends the lease of an instance that reports that it stops.
@@ -224,8 +229,8 @@
             }
             return AnnouncementResult::Accepted;
         };
-        let now = leader.observation.at(now);
-        match leader.directory.announce(&server, &self.machine, now) {
+        let observed = leader.observation.at(now);
+        match leader.directory.announce(&server, &self.machine, observed) {
             Ok(commands) => {
                 for command in commands {
                     self.propose(command, Waiter::Nobody);
@@ -267,10 +272,9 @@
         }
     }
 
-    /// Connects to instances that have stopped renewing by the observation time `now`. A refused
-    /// connection proves that the process has ended, so its shards move without waiting for the end
-    /// of the lease.
-    fn probe_unresponsive(&mut self, now: Millis) {
+    /// Connects to instances that have stopped renewing by an observation time. A refused connection
+    /// proves that the process has ended, so its shards move without waiting for the end of the lease.
+    fn probe_unresponsive(&mut self, observed: Millis) {
         if !self.trust_refused {
             return;
         }
@@ -278,11 +282,11 @@
         let Some(leader) = &mut self.leader else { return };
         for (name, subscriber) in &mut leader.subscribers {
             if subscriber.link == 0
-                || now < subscriber.last_renewal.max(subscriber.last_probe) + PROBE_DELAY_MS
+                || observed < subscriber.last_renewal.max(subscriber.last_probe) + PROBE_DELAY_MS
             {
                 continue;
             }
-            subscriber.last_probe = now;
+            subscriber.last_probe = observed;
             let Some(instance) = self.machine.instances.get(name) else { continue };
             let (input, name, peer) = (self.input.clone(), name.clone(), instance.peer);
             let incarnation = instance.incarnation;
