Do not let a server of the stand-in group lead without a promotion

A stand-in server that started again while no server led, as the primary had been demoted, became the primary of the old term. Only the first server of a group leads without a promotion now.

--- a/crates/bench/src/line_group.rs
+++ b/crates/bench/src/line_group.rs
@@ -143,7 +143,8 @@
         let (alive, mut alive_changes) = watch::channel(true);
         {
             let mut state = self.state();
-            if state.primary.is_empty() {
+            // A server that returns while the primary is demoted waits for a promotion.
+            if state.primary.is_empty() && state.servers.is_empty() {
                 state.primary = id.into();
             }
             let member = Member { lag: Duration::ZERO, paused: None, busy: false, alive };
