Extend the harness of real processes: size of the group, one-way cuts, who acknowledged

Deployments may have up to five control members and a number of disk losses. Links can hold up the bytes of one direction while the other one passes, a member can be cut off from one other member or from all members but not the entries, and a published configuration names the member that has acknowledged it. The soak and the other tests start the same deployments as before.

--- a/crates/auburnlug/tests/soak/trouble.rs
+++ b/crates/auburnlug/tests/soak/trouble.rs
@@ -60,7 +60,7 @@
 
 impl Trouble {
     /// Draws a trouble that loses no disk; `members` are the hosts of the control members.
-    fn draw(rng: &mut ChaCha8Rng, members: [u8; 3]) -> Trouble {
+    fn draw(rng: &mut ChaCha8Rng, members: &[u8]) -> Trouble {
         let entry = ENTRY_HOST + rng.random_range(0..ENTRIES);
         let control = *members.choose(rng).unwrap();
         let instance = if rng.random_bool(0.5) { entry } else { control };
@@ -207,7 +207,7 @@
     /// Draws the troubles of a round.
     fn draw_round(&self, rng: &mut ChaCha8Rng, planned: bool) -> Vec<RoundEvent> {
         let mut events = Vec::new();
-        let mut members = self.deployment.seeds();
+        let mut members = self.deployment.seeds().to_vec();
         // A disk is lost only once the group has recovered from the trouble before.
         if !planned && rng.random_bool(LOSS_PROBABILITY) {
             let host = members.choose_mut(rng).unwrap();
@@ -231,7 +231,7 @@
             let at = rng.random_range(0..2_500);
             let trouble = match planned {
                 true => Trouble::Stop(ENTRY_HOST + number % ENTRIES),
-                false => Trouble::draw(rng, members),
+                false => Trouble::draw(rng, &members),
             };
             if planned && number >= ENTRIES {
                 break;
--- a/crates/bench/src/held_link.rs
+++ b/crates/bench/src/held_link.rs
@@ -41,6 +41,15 @@
     lost: AtomicUsize,
 }
 
+/// Direction of the bytes on a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Way {
+    /// To the target.
+    Forth,
+    /// From the target.
+    Back,
+}
+
 /// What is held up. Texts are in lower case.
 #[derive(Debug, Default)]
 struct Rules {
@@ -48,6 +57,8 @@
     labels: BTreeSet<String>,
     /// Text in the bytes of the next connection to hold up.
     next: Option<String>,
+    /// Ways on which the bytes of all connections are held up.
+    ways: BTreeSet<Way>,
     /// Number of times that the link was healed.
     heals: u64,
 }
@@ -84,6 +95,20 @@
         });
     }
 
+    /// Holds up the bytes of all connections one way, while the others pass.
+    pub fn hold_way(&self, way: Way) {
+        self.rules.send_modify(|rules| {
+            rules.ways.insert(way);
+        });
+    }
+
+    /// Holds up no bytes one way any more, unless their connection is held up both ways.
+    pub fn pass_way(&self, way: Way) {
+        self.rules.send_modify(|rules| {
+            rules.ways.remove(&way);
+        });
+    }
+
     /// Holds up the next connection on which bytes with `text` are sent, from these bytes on.
     pub fn hold_next(&self, text: &str) {
         self.rules.send_modify(|rules| rules.next = Some(text.to_lowercase()));
@@ -116,8 +141,8 @@
         far.set_nodelay(true)?;
         let outcome = {
             let ((near_read, near_write), (far_read, far_write)) = (near.split(), far.split());
-            let forth = Direction { link: self, connection: &connection, is_forth: true };
-            let back = Direction { link: self, connection: &connection, is_forth: false };
+            let forth = Direction { link: self, connection: &connection, way: Way::Forth };
+            let back = Direction { link: self, connection: &connection, way: Way::Back };
             tokio::try_join!(
                 forth.copy(first, near_read, far_write),
                 back.copy(BytesMut::with_capacity(CHUNK_BYTES), far_read, near_write)
@@ -152,8 +177,9 @@
         });
     }
 
-    fn is_held(&self, rules: &Rules) -> bool {
-        self.since.load(Ordering::Acquire) == rules.heals
+    fn is_held(&self, rules: &Rules, way: Way) -> bool {
+        rules.ways.contains(&way)
+            || self.since.load(Ordering::Acquire) == rules.heals
             || rules.labels.iter().any(|text| self.label.contains(text.as_str()))
     }
 }
@@ -166,8 +192,7 @@
 struct Direction<'a> {
     link: &'a HeldLink,
     connection: &'a Held,
-    /// Whether the bytes are on their way to the target.
-    is_forth: bool,
+    way: Way,
 }
 
 impl Direction<'_> {
@@ -182,10 +207,10 @@
         let mut finished = false;
         let mut counted = 0;
         loop {
-            if self.is_forth {
+            if self.way == Way::Forth {
                 self.connection.match_next(&self.link.rules, &pending);
             }
-            let held = self.connection.is_held(&rules.borrow_and_update());
+            let held = self.connection.is_held(&rules.borrow_and_update(), self.way);
             if !held {
                 to.write_all(&pending).await?;
                 pending.clear();
@@ -222,7 +247,7 @@
     }
 
     fn count(&self, counter: &AtomicUsize, bytes: usize) {
-        if self.is_forth {
+        if self.way == Way::Forth {
             counter.fetch_add(bytes, Ordering::AcqRel);
         }
     }
--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -9,6 +9,7 @@
 mod losses;
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet},
     fs, io,
     net::SocketAddr,
@@ -50,7 +51,8 @@
 /// Port of the authority for its link.
 const AUTHORITY_INNER_PORT: u16 = 17_467;
 
-/// Hosts of the control members at the start, which the settings of all instances name.
+/// Hosts of the control members at the start, unless there are more; the settings of all instances
+/// name them.
 pub const CONTROL_HOSTS: [u8; 3] = [1, 2, 3];
 
 /// Hosts for control members that replace others.
@@ -64,7 +66,17 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// A deployment with three control members and three servers, `s1` to `s3`.
+/// Number of instances of a deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Control members at the start, on the first control hosts; at most 5.
+    pub members: u8,
+    /// Disks of control members that may be lost at once.
+    pub losses: u8,
+    pub entries: u8,
+}
+
+/// A deployment with control members and three servers, `s1` to `s3`.
 #[derive(Debug)]
 pub struct LineProcesses {
     program: PathBuf,
@@ -81,7 +93,9 @@
     pub members: BTreeMap<(u8, u8), Arc<HeldLink>>,
     children: BTreeMap<u8, Child>,
     /// Hosts of the control members that the settings of an instance name.
-    seeds: [u8; 3],
+    seeds: Vec<u8>,
+    /// Disks of control members that may be lost at once.
+    losses: u8,
     /// Hosts that were removed for good.
     removed: BTreeSet<u8>,
     runtime: Runtime,
@@ -89,19 +103,35 @@
 }
 
 impl LineProcesses {
-    /// Starts control members and `entries` entries of `program`, and waits until they serve. The
-    /// logs are kept in `folder`; `net` must differ between deployments that run at the same time.
+    /// Starts three control members and `entries` entries, as [`LineProcesses::start_sized`] does.
     ///
     /// # Errors
     ///
-    /// An address cannot be used, a process cannot be started, or the deployment is not ready in
-    /// time.
+    /// As for [`LineProcesses::start_sized`].
     pub fn start(
         program: &Path,
         folder: &Path,
         net: [u8; 2],
         entries: u8,
     ) -> io::Result<LineProcesses> {
+        LineProcesses::start_sized(program, folder, net, Size { members: 3, losses: 1, entries })
+    }
+
+    /// Starts control members and entries of `program`, and waits until they serve. The logs are
+    /// kept in `folder`; `net` must differ between deployments that run at the same time.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be used, a process cannot be started, or the deployment is not ready in
+    /// time.
+    pub fn start_sized(
+        program: &Path,
+        folder: &Path,
+        net: [u8; 2],
+        size: Size,
+    ) -> io::Result<LineProcesses> {
+        let Size { members: count, losses, entries } = size;
+        let seeds: Vec<u8> = control_hosts().take(count.into()).collect();
         let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
         let address = |host: u8, port: u16| SocketAddr::from(([127, net[0], net[1], host], port));
         let group = LineGroup::new("g1");
@@ -137,12 +167,13 @@
             servers,
             members,
             children: BTreeMap::new(),
-            seeds: CONTROL_HOSTS,
+            seeds: seeds.clone(),
+            losses,
             removed: BTreeSet::new(),
             runtime,
             keeps_logs: false,
         };
-        for host in CONTROL_HOSTS.into_iter().chain(entry_hosts) {
+        for host in seeds.into_iter().chain(entry_hosts) {
             deployment.spawn(host, true)?;
         }
         deployment.publish(&deployment.config(1))?;
@@ -181,7 +212,7 @@
         }
         let ip = self.address(host, 0).ip();
         let is_control = control_hosts().any(|control| control == host);
-        let seeds = self.seeds.map(|seed| self.address(seed, OPERATOR_PORT).to_string());
+        let seeds = self.seeds.iter().map(|seed| self.address(*seed, OPERATOR_PORT).to_string());
         let listen = if is_control {
             format!("operator = {ip}:{OPERATOR_PORT}")
         } else {
@@ -190,12 +221,13 @@
         let text = format!(
             "[instance]\nname = {}\nip = {ip}\nregion = r1\ndomain = d1\ngrace = 6\n\
              [listen]\n{listen}\nlinks = {}\n\
-             [control]\nmembers = {}\ndata = {}\nfirst_start = {first_start}\nlosses = 1\n\
+             [control]\nmembers = {}\ndata = {}\nfirst_start = {first_start}\nlosses = {}\n\
              promotion = {}\n",
             LineProcesses::label(host),
             LINK_PORT + u16::from(host),
-            seeds.join(","),
+            seeds.collect::<Vec<_>>().join(","),
             self.data_folder(host).display(),
+            self.losses,
             self.address(9, AUTHORITY_PORT),
         );
         let settings = self.folder.join(format!("settings-{host}.ini"));
@@ -289,12 +321,12 @@
         })
     }
 
-    /// Publishes a configuration at any control member that leads.
+    /// Publishes a configuration; returns the control member that has acknowledged it.
     ///
     /// # Errors
     ///
     /// It was not accepted in time.
-    pub fn publish(&self, config: &Value) -> io::Result<()> {
+    pub fn publish(&self, config: &Value) -> io::Result<u8> {
         self.put("/-/config", &config.to_string())
     }
 
@@ -307,15 +339,18 @@
         let id = format!("s{server}");
         let role = if self.group.primary() == id { "primary" } else { "replica" };
         let body = json!({"service": "g1", "address": self.address(20 + server, SERVER_PORT), "zone": "d1", "slots": 3, "state": state, "db-role": role, "seq": sequence, "born": 1});
-        self.put(&format!("/-/instances/{id}"), &body.to_string())
+        self.put(&format!("/-/instances/{id}"), &body.to_string()).map(drop)
     }
 
-    /// Repeats a call until a control member accepts it.
-    fn put(&self, path: &str, body: &str) -> io::Result<()> {
+    /// Repeats a call until a control member accepts it; returns that member.
+    fn put(&self, path: &str, body: &str) -> io::Result<u8> {
+        let accepting = Cell::new(None);
         self.eventually("a control member accepts the call", |d| {
             let call = |host| call_http(d.address(host, OPERATOR_PORT), "PUT", path, body).0;
-            d.members_running().any(|host| call(host) == 200)
-        })
+            accepting.set(d.members_running().find(|host| call(*host) == 200));
+            accepting.get().is_some()
+        })?;
+        accepting.get().ok_or_else(|| io::ErrorKind::TimedOut.into())
     }
 
     /// Opens a session at an entry.
--- a/crates/bench/src/line_processes/losses.rs
+++ b/crates/bench/src/line_processes/losses.rs
@@ -3,7 +3,10 @@
 
 use std::{fs, io};
 
-use crate::line_processes::{LineProcesses, SUCCESSOR_HOSTS};
+use crate::{
+    held_link::{HeldLink, Way},
+    line_processes::{LineProcesses, SUCCESSOR_HOSTS, control_hosts},
+};
 
 impl LineProcesses {
     /// Holds up all links of a control member to other instances.
@@ -12,6 +15,54 @@
         affected.for_each(|(_, link)| link.hold(""));
     }
 
+    /// Holds up the links between two instances, both ways.
+    pub fn separate(&self, one: u8, other: u8) {
+        let pairs = [(one, other), (other, one)];
+        let links = pairs.iter().filter_map(|pair| self.members.get(pair));
+        links.for_each(|link| link.hold(""));
+    }
+
+    /// Holds up all links between a control member and the others; entries reach both sides.
+    pub fn isolate_from_members(&self, host: u8) {
+        control_hosts().for_each(|other| self.separate(host, other));
+    }
+
+    /// Holds up what others send to a control member on the links that they dial. It can ask to join
+    /// the group, and hears the answers, but no update of its log reaches it.
+    pub fn hold_updates(&self, host: u8) {
+        self.dialed_to(host).for_each(|link| link.hold_way(Way::Forth));
+    }
+
+    /// Ends [`LineProcesses::hold_updates`].
+    pub fn pass_updates(&self, host: u8) {
+        self.dialed_to(host).for_each(|link| link.pass_way(Way::Forth));
+    }
+
+    fn dialed_to(&self, host: u8) -> impl Iterator<Item = &HeldLink> {
+        self.members.iter().filter(move |((_, to), _)| *to == host).map(|(_, link)| &**link)
+    }
+
+    /// Holds up all bytes from other instances to a control member, while its own bytes pass.
+    pub fn hold_inbound(&self, host: u8) {
+        self.hold_one_way(host, Way::Forth, Way::Back);
+    }
+
+    /// Holds up all bytes from a control member to other instances, while their bytes pass.
+    pub fn hold_outbound(&self, host: u8) {
+        self.hold_one_way(host, Way::Back, Way::Forth);
+    }
+
+    /// Holds up one way on the links that a control member accepts, and one on those that it dials.
+    fn hold_one_way(&self, host: u8, accepted: Way, dialed: Way) {
+        for ((from, to), link) in &self.members {
+            if *to == host {
+                link.hold_way(accepted);
+            } else if *from == host {
+                link.hold_way(dialed);
+            }
+        }
+    }
+
     /// Heals the links between instances, but those of removed ones.
     pub fn rejoin(&self) {
         let is_left = |host: &u8| !self.removed.contains(host);
@@ -43,13 +94,15 @@
     ///
     /// The process cannot be started.
     pub fn replace(&mut self, former: u8, successor: u8) -> io::Result<()> {
-        self.seeds = self.seeds.map(|seed| if seed == former { successor } else { seed });
+        for seed in self.seeds.iter_mut().filter(|seed| **seed == former) {
+            *seed = successor;
+        }
         self.spawn(successor, false)
     }
 
     /// Hosts of the present control members.
-    pub fn seeds(&self) -> [u8; 3] {
-        self.seeds
+    pub fn seeds(&self) -> &[u8] {
+        &self.seeds
     }
 
     /// Ends the process of an instance, and removes its data.
