Add a table of second disk losses, played by hand with real processes

Kinds are products of the number of voters, what the leader knows, what keeps the returned member away (suspension, cuts both ways and one way), and which member loses its disk first.

--- a/crates/auburnlug/tests/second_lost_disk/main.rs
+++ b/crates/auburnlug/tests/second_lost_disk/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod play;
+mod table;
 
 use std::{path::Path, time::Duration};
 
@@ -15,6 +16,7 @@
 const TOLD: Play = Play {
     losses: 1,
     loss: Loss::Follower,
+    told: true,
     absence: Absence::Suspended,
     absence_time: Duration::from_secs(6),
     gap: Duration::ZERO,
--- a/crates/auburnlug/tests/second_lost_disk/play.rs
+++ b/crates/auburnlug/tests/second_lost_disk/play.rs
@@ -34,15 +34,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Absence {
     Suspended,
+    /// Cut off from all.
+    Cut,
+    /// Cut off from the other members, but not from the entries.
+    CutFromMembers,
     /// Cut off from the leader only.
     CutFromLeader,
+    /// Hears nobody, but is heard.
+    Deaf,
+    /// Is heard by nobody, but hears.
+    Mute,
 }
 
 impl Absence {
     fn begin(self, deployment: &LineProcesses, host: u8, leader: u8) -> io::Result<()> {
         match self {
             Absence::Suspended => deployment.signal(host, Signal::STOP)?,
+            Absence::Cut => deployment.isolate(host),
+            Absence::CutFromMembers => deployment.isolate_from_members(host),
             Absence::CutFromLeader => deployment.separate(host, leader),
+            Absence::Deaf => deployment.hold_inbound(host),
+            Absence::Mute => deployment.hold_outbound(host),
         }
         Ok(())
     }
@@ -62,6 +74,8 @@
     /// Disks that may be lost at once, and are lost at the end.
     pub losses: u8,
     pub loss: Loss,
+    /// Whether the leader knows that the disk is lost before the absence begins.
+    pub told: bool,
     pub absence: Absence,
     pub absence_time: Duration,
     /// Time between the end of the absence and the change.
@@ -120,7 +134,7 @@
         Ok(outcome)
     }
 
-    /// A member loses its disk, starts again, and is absent once the leader knows; returns its host.
+    /// A member loses its disk, starts again, and is absent; returns its host.
     fn lose_first(self, deployment: &mut LineProcesses) -> io::Result<u8> {
         let former = find(deployment, "a member leads", LineProcesses::leader)?;
         let host = match self.loss {
@@ -128,12 +142,23 @@
             Loss::Follower => others(deployment, &[former])[0],
         };
         deployment.lose_disk(host)?;
-        // On an idle machine, it would be a voter again within 20 ms.
-        deployment.hold_updates(host);
-        deployment.spawn(host, false)?;
-        let leader = find(deployment, "the member asks to join", |d| told_member(d, host))?;
-        self.absence.begin(deployment, host, leader)?;
-        deployment.pass_updates(host);
+        if self.told {
+            // On an idle machine, it would be a voter again within 20 ms.
+            deployment.hold_updates(host);
+            deployment.spawn(host, false)?;
+            let leader = find(deployment, "the member asks to join", |d| told_member(d, host))?;
+            self.absence.begin(deployment, host, leader)?;
+            if self.absence != Absence::Deaf {
+                deployment.pass_updates(host);
+            }
+        } else if self.absence == Absence::Suspended {
+            deployment.spawn(host, false)?;
+            self.absence.begin(deployment, host, former)?;
+        } else {
+            let leader = find(deployment, "a member leads", LineProcesses::leader)?;
+            self.absence.begin(deployment, host, leader)?;
+            deployment.spawn(host, false)?;
+        }
         Ok(host)
     }
 }
