Ignore the empty membership of a member that waits to be added

Callers saw AL0213 "control member is not listed by its group" at the only survivor of two lost disks, which its group does list, and requests to join from it in place of probes.

Cause: a member that has heard of the group and waits to be added holds a membership without voters. It answers probes with it, and any membership without this member counted as a group that has ended its own.

Such an answer now counts for nothing.

--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -216,8 +216,10 @@
                 }
                 State::Member(raft, asks_to_join) => {
                     // A member that lags may not know this one yet; an unneeded request to join has
-                    // no effect.
-                    let unknown = |members: &Members| !is_member(members, &self.identity);
+                    // no effect. One that waits to be added knows no members.
+                    let unknown = |members: &Members| {
+                        !members.voters.is_empty() && !is_member(members, &self.identity)
+                    };
                     *asks_to_join |=
                         raft.leader().is_none() && members.as_ref().is_some_and(unknown);
                 }
--- a/crates/transport/tests/member_discovery.rs
+++ b/crates/transport/tests/member_discovery.rs
@@ -63,3 +63,20 @@
     member.receive(&name("m"), heartbeat("m.1"), 100).expect("works");
     assert_eq!(member.candidates(&seeds, &seeds), names(["a", "b", "c", "d", "m"]));
 }
+
+/// Guards against a listed member that asks to join, and logs that its group does not list it,
+/// because a member without any group has answered its probe.
+#[test]
+fn member_without_a_group_does_not_make_others_ask_to_join() {
+    let mut member = open_learner(Timing::default());
+    let answer = |members| ControlMessage::Probed { identity: name("a.2"), members };
+    for members in [None, Some(Members::default())] {
+        member.receive(&name("a"), answer(members), 100).expect("works");
+        let probe = ControlMessage::Probe { identity: name("d.1") };
+        assert_eq!(member.discovery_messages()[0].1, probe);
+    }
+    let others = Members { voters: names(["a.2", "b.1", "c.1"]), learners: BTreeSet::new() };
+    member.receive(&name("a"), answer(Some(others)), 100).expect("works");
+    let join = ControlMessage::Join { identity: name("d.1") };
+    assert_eq!(member.discovery_messages()[0].1, join);
+}
--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -101,9 +101,18 @@
 
     /// Adds a member with an empty disk.
     fn add(&mut self, text: &str, configured: &[&str], may_bootstrap: bool) {
+        self.open(text, "member", configured, may_bootstrap);
+    }
+
+    /// Replaces the disk of a member by an empty one, under the identity that starts with `disk`.
+    fn lose_disk(&mut self, instance: &Name, disk: &str) {
+        self.open(instance.as_str(), disk, &["a", "b", "c"], true);
+    }
+
+    fn open(&mut self, text: &str, disk: &str, configured: &[&str], may_bootstrap: bool) {
         let configured = configured.iter().map(|text| name(text)).collect();
         let options = GroupOptions { configured, may_bootstrap, disk_losses: 1 };
-        let disk = Box::new(MemoryDisk::new(name(&format!("member-{text}"))));
+        let disk = Box::new(MemoryDisk::new(name(&format!("{disk}-{text}"))));
         let seed = self.members.len() as u64;
         let (mut member, _) =
             Member::open(name(text), options, disk, Timing::default(), seed, self.now)
@@ -297,6 +306,20 @@
     assert!(joins[0].contains(&format!("identity={identity} role=none")), "{joins:?}");
 }
 
+/// Guards against the claim that a group does not list its only survivor, from answers of members
+/// that have no group.
+#[test]
+fn survivor_of_two_lost_disks_does_not_log_that_it_is_unlisted() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    clear_lines();
+    for instance in ["b", "c"] {
+        group.lose_disk(&name(instance), "empty");
+    }
+    group.run(10_000);
+    assert_eq!(lines("AL0203").len(), 2);
+    assert_eq!(lines("AL0213"), Vec::<String>::new());
+}
+
 /// Guards against an alert on tolerated disk losses that stays silent while a voter is gone, or
 /// lasts after it has been replaced, and against a number from a member that does not lead.
 #[test]
