Keep searching when only a member without a group answers

A member without state that heard an empty membership asked to join at once and stored an empty membership for good. If it was a voter of the founded group, it never adopted the group, as the answer of the founder came second.

An empty membership comes from a member that has heard of the group and waits to be added. It shows that a group exists or has existed, not who is in it. It still rules out a bootstrap, and now does so for the rest of the search, also if the same member answers without state later.

Both new tests in bootstrap.rs fail without the change, with Join in place of Wait.

--- a/crates/coordination/src/bootstrap.rs
+++ b/crates/coordination/src/bootstrap.rs
@@ -3,7 +3,7 @@
 //! A member without a data directory cannot tell its first start from the loss of its disk, so it
 //! probes the other configured members. It bootstraps the group only if its name is the first in
 //! order and every other member answers that it has no state either. One member with state is
-//! enough to rule that out.
+//! enough to rule that out, even if it only waits to be added and cannot tell who is in the group.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,6 +31,8 @@
     identity: Name,
     /// Other configured instances, each with its identity once it has answered without state.
     others: BTreeMap<Name, Option<Name>>,
+    /// Whether a member has answered that has heard of the group.
+    group_exists: bool,
 }
 
 impl Bootstrap {
@@ -39,7 +41,7 @@
     pub fn new(instance: Name, identity: Name, configured: &BTreeSet<Name>) -> Bootstrap {
         let others = configured.iter().filter(|name| **name != instance);
         let others = others.map(|name| (name.clone(), None)).collect();
-        Bootstrap { instance, identity, others }
+        Bootstrap { instance, identity, others, group_exists: false }
     }
 
     /// Decision before any answer was received; a single configured member needs none.
@@ -58,6 +60,11 @@
             Some(members) if members.voters.contains(self.identity.as_str()) => {
                 return BootstrapDecision::Adopt(members);
             }
+            // It waits to be added: the group may list this member nevertheless.
+            Some(members) if members.voters.is_empty() => {
+                self.group_exists = true;
+                return BootstrapDecision::Wait;
+            }
             Some(_) => return BootstrapDecision::Join,
             None => {}
         }
@@ -71,7 +78,7 @@
         let first = self.others.keys().all(|other| self.instance < *other);
         let answers: Option<BTreeSet<Name>> = self.others.values().cloned().collect();
         match answers {
-            Some(mut voters) if first => {
+            Some(mut voters) if first && !self.group_exists => {
                 voters.insert(self.identity.clone());
                 BootstrapDecision::Bootstrap(Members { voters, learners: BTreeSet::new() })
             }
--- a/crates/coordination/tests/bootstrap.rs
+++ b/crates/coordination/tests/bootstrap.rs
@@ -63,6 +63,37 @@
     );
 }
 
+/// Guards against a founded voter that joins with an empty membership instead of adopting its group,
+/// because a member that waits to be added has answered first.
+#[test]
+fn member_without_a_group_does_not_end_the_search() {
+    let founded = members(&["c1.a", "c2.b", "c3.c"], &[]);
+    let mut second = formation("c2", "c2.b");
+    assert_eq!(
+        second.record_answer(&name("c4"), name("c4.d"), Some(Members::default())),
+        BootstrapDecision::Wait
+    );
+    assert_eq!(
+        second.record_answer(&name("c1"), name("c1.a"), Some(founded.clone())),
+        BootstrapDecision::Adopt(founded)
+    );
+}
+
+/// Guards against a second group founded among members that lost their disks, one of which has
+/// heard of the group.
+#[test]
+fn member_that_waits_to_be_added_rules_out_a_bootstrap() {
+    let mut first = formation("c1", "c1.x");
+    let (second, third) = (name("c2"), name("c3"));
+    assert_eq!(first.record_answer(&third, name("c3.z"), None), BootstrapDecision::Wait);
+    assert_eq!(
+        first.record_answer(&third, name("c3.z"), Some(Members::default())),
+        BootstrapDecision::Wait
+    );
+    assert_eq!(first.record_answer(&second, name("c2.y"), None), BootstrapDecision::Wait);
+    assert_eq!(first.record_answer(&third, name("c3.w"), None), BootstrapDecision::Wait);
+}
+
 #[test]
 fn identity_names_its_instance() {
     assert_eq!(instance_of(&name("c1.oman.1f")), Some(name("c1.oman")));
