Log why the control group has no leader (AL0214)

After a restart in which nobody leads, no line told why: which voters answer, which are silent, and which have returned under another identity, so that their disks are lost.

A member whose log lists voters now logs this once it has known no leader for 2 s, and again when the state of a voter changes, at most every 5 s. Ages, term and index are in the line and do not count as a change. A voter counts as lost if its instance was first heard under another identity after it; a late message of an earlier identity thus proves nothing.

Tested in a simulated group: one line in 30 s with a lost disk and a silent voter, at most 6 in 30 s with a voter that comes and goes every 3 s.

--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -202,6 +202,7 @@
         message: ControlMessage,
         now: Millis,
     ) -> Result<Option<ControlMessage>> {
+        self.member_log.record_message(from, &message, now);
         match message {
             ControlMessage::Raft { from: sender, to, message }
                 if to == self.identity && instance_of(&sender).as_ref() == Some(from) =>
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -64,6 +64,7 @@
     LeaderLost = 211, Warn, "this member no longer leads the control group";
     KnownLeaderChanged = 212, Info, "known control leader changed";
     MemberUnlisted = 213, Warn, "control member is not listed by its group and asks to join again";
+    LeaderMissed = 214, Warn, "control group has no leader";
     LeaseLost = 220, Error, "lease ended: requests are refused until it is renewed";
     LeaseGained = 221, Info, "lease granted";
     ConfigApplied = 230, Info, "configuration in force";
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -15,13 +15,18 @@
     raft::{Members, Raft},
     redundancy::Redundancy,
 };
+use auburnlug_protocol::peer::ControlMessage;
 use auburnlug_state::{Index, Millis, Name, Term};
 
 use crate::{
     control_metrics::ControlMetrics,
     event::{Event, log},
+    member_log::{heard::HeardMembers, leaderless::LeaderlessLog},
 };
 
+mod heard;
+mod leaderless;
+
 /// Time for which the tolerated disk losses must differ from those logged last before they are
 /// logged again. One late acknowledgement is shorter.
 pub const LOSSES_LOG_DELAY_MS: Millis = 1_000;
@@ -38,6 +43,8 @@
     searching: bool,
     /// Whether it was logged that the group does not list the member.
     unlisted: bool,
+    heard: HeardMembers,
+    leaderless: LeaderlessLog,
     /// Present while the member leads its term.
     leading: Option<LeaderLog>,
     /// Present while the member may act for the group.
@@ -65,11 +72,13 @@
     /// Starts the log of the member `identity`, which may look for its group.
     pub(crate) fn new(identity: Name, searching: bool, now: Millis) -> MemberLog {
         MemberLog {
+            heard: HeardMembers::new(&identity, now),
             identity,
             leader: None,
             leader_since: now,
             searching,
             unlisted: false,
+            leaderless: LeaderlessLog::default(),
             leading: None,
             redundancy: None,
             metrics: ControlMetrics::default(),
@@ -87,6 +96,11 @@
         self.redundancy
     }
 
+    /// Records who has sent a message from the instance `from`.
+    pub(crate) fn record_message(&mut self, from: &Name, message: &ControlMessage, now: Millis) {
+        self.heard.record(from, message, now);
+    }
+
     /// Logs changes of what the member knows about its leader and its own membership. `raft` is
     /// `None` while the member looks for the group.
     pub(crate) fn observe(&mut self, raft: Option<&Raft>, asks_to_join: bool, now: Millis) {
@@ -99,6 +113,12 @@
         if raft.leader() != self.leader.as_ref() {
             self.log_leader_change(raft, now);
         }
+        if raft.leader().is_some() {
+            self.leaderless.end();
+        } else {
+            let since = self.leader_since;
+            self.leaderless.observe(&self.identity, raft, &self.heard, since, now);
+        }
         if !raft.leads() {
             self.leading = None;
         } else if self.leading.as_ref().is_none_or(|leading| leading.term != raft.term()) {
--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -75,6 +75,8 @@
     registries: BTreeMap<Name, Registry>,
     /// Members that neither run nor receive messages.
     silent: BTreeSet<Name>,
+    /// Whether Raft messages are lost, so that members answer and elect nobody.
+    raft_lost: bool,
     in_flight: Vec<(Millis, Name, Name, ControlMessage)>,
 }
 
@@ -87,6 +89,7 @@
             members: BTreeMap::new(),
             registries: BTreeMap::new(),
             silent: BTreeSet::new(),
+            raft_lost: false,
             in_flight: Vec::new(),
         };
         for text in names {
@@ -159,7 +162,9 @@
         self.in_flight = later;
         let due: Vec<(Millis, Name, Name, ControlMessage)> = due;
         for (_, from, to, message) in due {
-            let lost = self.silent.contains(&from) || self.silent.contains(&to);
+            let raft = matches!(message, ControlMessage::Raft { .. });
+            let silent = self.silent.contains(&from) || self.silent.contains(&to);
+            let lost = silent || (raft && self.raft_lost);
             let Some(member) = self.members.get_mut(&to).filter(|_| !lost) else { continue };
             if let Some(answer) = member.receive(&from, message, now).expect("works") {
                 self.in_flight.push((now + DELIVERY_MS, to, from, answer));
@@ -320,6 +325,54 @@
     assert_eq!(lines("AL0213"), Vec::<String>::new());
 }
 
+/// Guards against a restart after which no line tells why nobody leads, and against a line for each
+/// election timeout or moved age.
+#[test]
+fn lack_of_a_leader_is_logged_with_its_reason() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    clear_lines();
+    group.silent.insert(name("c"));
+    group.lose_disk(&name("b"), "empty");
+    group.run(1_500);
+    assert_eq!(lines("AL0214"), Vec::<String>::new());
+    group.run(30_000);
+    let missed = lines("AL0214");
+    let missed: Vec<&String> = missed.iter().filter(|line| line.contains("=a.member-a")).collect();
+    assert_eq!(missed.len(), 1, "{missed:?}");
+    for text in [
+        "role=voter last_index=",
+        " leaderless_ms=",
+        "needed=2 answering=1",
+        "a.member-a self, ",
+        "b.member-b lost now=b.empty-b heard_ms=",
+        "c.member-c silent heard_ms=",
+    ] {
+        assert!(missed[0].contains(text), "{missed:?} lacks {text}");
+    }
+    group.silent.clear();
+    group.run(10_000);
+    assert!(group.leader().is_some());
+}
+
+/// Guards against a flood of lines while a voter comes and goes.
+#[test]
+fn lack_of_a_leader_is_logged_rarely() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    group.silent.extend(["b", "c"].map(name));
+    group.raft_lost = true;
+    clear_lines();
+    for _ in 0..10 {
+        group.run(2_000);
+        group.silent.remove("b");
+        group.run(1_000);
+        group.silent.insert(name("b"));
+    }
+    let missed = lines("AL0214 control group has no leader: identity=a.member-a");
+    assert!((2..=6).contains(&missed.len()), "{missed:?}");
+    let answers = missed.iter().filter(|line| line.contains("answering=2")).count();
+    assert!(answers > 0 && answers < missed.len(), "{missed:?}");
+}
+
 /// Guards against an alert on tolerated disk losses that stays silent while a voter is gone, or
 /// lasts after it has been replaced, and against a number from a member that does not lead.
 #[test]
