Remove a voter that has lost its disk at once, and let the survivor of two go on

What operators saw: after the loss of a second disk, before the first one had healed, the configuration could not be read again. The survivor held everything, but nobody led.

Cause: a voter whose disk was lost stayed a voter until its instance had caught up under its new identity. While the instance was suspended or cut off this took without limit, and the loss of one more disk left one of three voters. The leader had proof of the first loss all the time. The class of fault: a decision waits for a member although the evidence is complete without it.

- Evidence (`loss_proof`): an instance that names another identity than the listed one is asked for its identity with a random number.
Only the answer proves the loss, so late, duplicated or reordered messages of former processes prove nothing.
Members tell the leader what they know; a proof never expires, as identities never return.
- A voter that is proven gone is removed before anything else.
Changes of the voters take two entries now: until the first one is committed, the former voters must agree as well (joint consensus).
- A quorum is a majority, or half of an even number of voters beside a voter proven gone (`quorum`).
- A leader that is a quorum by itself acknowledges nothing, grants nothing and shows nothing until a second voter has its log (AL0217, AL0218).
Of two voters, the lost one stays until then.
- A request to join takes effect after an answer, too, so a late one of an earlier identity no longer removes the learner of the present one.

Ruled out: to count silence as evidence. It would cost the group if the silent voter is the one that returns. To let the survivor go on without the second entry: a stale leader could store the removal alone, and what the others acknowledged since would be lost.

--- a/crates/auburnlug/tests/second_lost_disk/main.rs
+++ b/crates/auburnlug/tests/second_lost_disk/main.rs
@@ -37,21 +37,18 @@
 /// A member that had lost its disk kept its vote while its process was suspended: the group had lost
 /// its quorum with the loss of one more disk.
 #[test]
-#[ignore = "known to fail: see KNOWN-RED.txt"]
 fn a_second_disk_may_be_lost_while_the_first_heals() {
     check(1, TOLD);
 }
 
 /// As above, with the disk of the leader as the first one: the next leader has the proof.
 #[test]
-#[ignore = "known to fail: see KNOWN-RED.txt"]
 fn a_second_disk_may_be_lost_after_that_of_the_leader() {
     check(2, Play { loss: Loss::Leader, ..TOLD });
 }
 
 /// A member that had lost its disk kept its vote while the leader could not reach it.
 #[test]
-#[ignore = "known to fail: see KNOWN-RED.txt"]
 fn a_second_disk_may_be_lost_while_the_leader_cannot_reach_the_first() {
     check(3, Play { absence: Absence::CutFromLeader, ..TOLD });
 }
--- a/crates/coordination/src/bootstrap.rs
+++ b/crates/coordination/src/bootstrap.rs
@@ -80,7 +80,7 @@
         match answers {
             Some(mut voters) if first && !self.group_exists => {
                 voters.insert(self.identity.clone());
-                BootstrapDecision::Bootstrap(Members { voters, learners: BTreeSet::new() })
+                BootstrapDecision::Bootstrap(Members::new(voters, BTreeSet::new()))
             }
             _ => BootstrapDecision::Wait,
         }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pending_entries;
 pub mod position_samples;
 pub mod queue;
+mod quorum;
 pub mod raft;
 mod raft_leader;
 mod raft_log;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -5,6 +5,10 @@
 //! two has a majority. An unresponsive voter may return with its disk, so it stays a voter until a
 //! learner that has caught up has become a voter as well: an absence never lowers the number of
 //! disk losses that the group tolerates.
+//!
+//! A voter that is known to have lost its disk adds nothing by staying. It is removed at once, so that
+//! each of the others has all later changes if two are left, and the loss of one more disk leaves a
+//! quorum; see [`crate::raft`].
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -50,6 +54,8 @@
     pub leader: Name,
     /// Members that ask to join, by the newest identity of each instance.
     pub joining: BTreeSet<Name>,
+    /// Members that are known to have lost their disks.
+    pub lost: BTreeSet<Name>,
     /// Progress of the other members, by identity.
     pub progress: BTreeMap<Name, Progress>,
     /// Number of simultaneous disk losses that the group must tolerate.
@@ -59,10 +65,13 @@
 impl ControlGroup {
     /// Next membership, one step from the current one; `None` if no change is needed.
     ///
-    /// Steps in order of priority: remove learners that will not return, add joining members as
-    /// learners, remove voters that have been replaced, promote learners to voters.
+    /// Steps in order of priority: remove voters without their disks, remove learners that will not
+    /// return, add joining members as learners, remove voters too many, promote learners to voters.
     pub fn next_members(&self) -> Option<Members> {
         let next = self.members.clone();
+        if let Some(name) = self.surplus_voter(|name| self.lost.contains(name)) {
+            return Some(without_voter(next, name));
+        }
         if let Some(name) = self.members.learners.iter().find(|name| self.is_abandoned(name)) {
             return Some(without_learner(next, name));
         }
@@ -89,23 +98,31 @@
 
     /// Whether a learner has since lost its disk, or is unresponsive.
     fn is_abandoned(&self, name: &Name) -> bool {
-        let instance = instance_of(name);
-        let newer = |other: &Name| other != name && instance_of(other) == instance;
+        let newer = |other: &Name| is_other_identity(other, name);
         self.joining.iter().any(newer) || self.progress(name).unresponsive()
     }
 
+    /// Voter without its disk, as `is_lost` tells, that can be removed.
+    ///
+    /// Of two voters, it stays until a learner has become a voter: a single voter would acknowledge
+    /// what no other disk has.
+    fn surplus_voter(&self, is_lost: impl Fn(&Name) -> bool) -> Option<&Name> {
+        let voters = &self.members.voters;
+        voters.iter().filter(|_| voters.len() > 2).find(|name| is_lost(name))
+    }
+
     /// Voter to remove, if any.
     ///
-    /// A voter whose instance has lost its disk is removed once the instance's new identity has
-    /// caught up, and before the new identity votes, so that an instance never has two votes.
-    /// Otherwise, if there are too many voters, the one that has been unresponsive for longest is
-    /// removed. If none has been for long enough, one is removed only if all that stay have caught
-    /// up. Right after an election the ages are about equal, so that age alone must not decide.
+    /// A voter whose instance takes part under another identity is removed first, so that an instance
+    /// never has two votes. Otherwise, if there are too many voters, the one that has been
+    /// unresponsive for longest is removed. If none has been for long enough, one is removed only if
+    /// all that stay have caught up. Right after an election the ages are about equal, so that age
+    /// alone must not decide.
     fn voter_to_remove(&self) -> Option<&Name> {
-        let voters = &self.members.voters;
-        if let Some(former) = voters.iter().find(|name| self.is_replaced(name)) {
+        if let Some(former) = self.surplus_voter(|name| self.is_replaced(name)) {
             return Some(former);
         }
+        let voters = &self.members.voters;
         if voters.len() <= self.target_voters() {
             return None;
         }
@@ -120,31 +137,35 @@
         (self.progress(name).unresponsive() || others_caught_up).then_some(name)
     }
 
-    /// Whether the instance of a voter has returned without its disk and has caught up again.
+    /// Whether the instance of a voter takes part under another identity.
     fn is_replaced(&self, name: &Name) -> bool {
-        self.new_identity(name).is_some_and(|learner| self.progress(learner).caught_up)
-    }
-
-    /// Learner of the same instance as the voter `name`.
-    fn new_identity(&self, name: &Name) -> Option<&Name> {
-        let instance = instance_of(name)?;
-        let same = |learner: &&Name| instance_of(learner).as_ref() == Some(&instance);
-        self.members.learners.iter().find(same)
+        let present = |other: &Name| *other == self.leader || self.progress(other).caught_up;
+        self.members.all().any(|other| is_other_identity(other, name) && present(other))
     }
 
     /// Learner to promote, if the group has too few voters or a voter is silent.
+    ///
+    /// One whose instance has no voter goes first: an instance has two identities among the voters
+    /// only if one of them has lost its disk, and then only for one step.
     fn learner_to_promote(&self) -> Option<&Name> {
         let voters = &self.members.voters;
         let is_silent = |name: &Name| {
             *name != self.leader && self.progress(name).ack_age >= PROMOTION_TIMEOUT_MS
         };
         let caught_up = |name: &&Name| self.progress(name).caught_up;
-        let learner = self.members.learners.iter().find(caught_up)?;
+        let replaces = |name: &&Name| voters.iter().any(|voter| is_other_identity(name, voter));
+        let learners = self.members.learners.iter().filter(caught_up);
+        let learner = learners.min_by_key(replaces)?;
         let needs_voter = voters.len() < self.target_voters() || voters.iter().any(is_silent);
         needs_voter.then_some(learner)
     }
 }
 
+/// Whether two names are different identities of one instance.
+fn is_other_identity(one: &Name, other: &Name) -> bool {
+    one != other && instance_of(one).is_some_and(|instance| instance_of(other) == Some(instance))
+}
+
 fn with_learner(mut members: Members, name: &Name) -> Members {
     members.learners.insert(name.clone());
     members
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -61,6 +61,8 @@
     pub(crate) outbox: Vec<(Name, Message)>,
     /// Latest time passed in by the caller.
     pub(crate) clock: Millis,
+    /// Members that are known to have lost their disks.
+    pub(crate) lost: BTreeSet<Name>,
     candidate: Option<Name>,
     vote_changed: bool,
     leader: Option<Name>,
@@ -118,6 +120,7 @@
             role: Role::Follower,
             outbox: Vec::new(),
             clock: now,
+            lost: BTreeSet::new(),
             candidate: vote.candidate,
             vote_changed: false,
             leader: None,
@@ -168,13 +171,38 @@
         self.last_heartbeat
     }
 
+    /// Members that are known to have lost their disks.
+    pub fn lost(&self) -> &BTreeSet<Name> {
+        &self.lost
+    }
+
+    /// Records that a member has lost its disk for good, so that it never votes or acknowledges
+    /// again; returns whether this is new. Names outside the membership are not kept.
+    pub fn record_loss(&mut self, name: &Name) -> bool {
+        let members = self.log.members();
+        self.lost.retain(|lost| members.all().any(|member| member == lost));
+        let is_other = *name != self.id && members.all().any(|member| member == name);
+        let is_new = is_other && self.lost.insert(name.clone());
+        if is_new {
+            self.advance();
+        }
+        is_new
+    }
+
+    /// Whether this member leads and is a quorum without any other voter of its group.
+    pub fn leads_alone(&self) -> bool {
+        let members = self.log.members();
+        let alone = BTreeSet::from([self.id.clone()]);
+        self.leads() && members.voters.len() > 1 && members.is_quorum(&alone, &self.lost)
+    }
+
     /// Advances the clock to `now` and handles the timeouts that have elapsed.
     pub fn tick(&mut self, now: Millis) {
         self.clock = self.clock.max(now);
         if self.leads() {
             self.tick_leader();
         } else if self.clock >= self.election_deadline {
-            if self.log.is_voter(&self.id) {
+            if self.log.members().is_voter(&self.id) {
                 self.start_pre_vote();
             } else {
                 // A leader that removes a learner stops sending to it without notice.
@@ -377,26 +405,27 @@
     }
 
     fn send_to_voters(&mut self, message: &Message) {
-        for voter in self.log.members().voters.clone() {
+        let members = self.log.members().clone();
+        for voter in members.voters.union(&members.former).cloned() {
             if voter != self.id {
                 self.send(&voter, message.clone());
             }
         }
     }
 
-    /// Counts a vote or pre-vote. Only those of voters count towards the majority.
+    /// Counts a vote or pre-vote. Only those of voters count towards the quorum.
     fn count_vote(&mut self, from: &Name) {
         let members = self.log.members();
         match &mut self.role {
             Role::PreCandidate(granted) => {
                 granted.insert(from.clone());
-                if members.is_majority(granted) {
+                if members.is_quorum(granted, &self.lost) {
                     self.start_election();
                 }
             }
             Role::Candidate(granted) => {
                 granted.insert(from.clone());
-                if members.is_majority(granted) {
+                if members.is_quorum(granted, &self.lost) {
                     self.leader = Some(self.id.clone());
                     self.become_leader();
                 }
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -1,6 +1,6 @@
 //! The part of Raft that only the leader runs: replication, commit, lease and membership changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use auburnlug_state::{Index, Millis, Name};
 
@@ -53,14 +53,14 @@
 }
 
 impl Raft {
-    /// Whether the leader lease is valid: a majority has acknowledged a heartbeat recently enough
+    /// Whether the leader lease is valid: a quorum has acknowledged a heartbeat recently enough
     /// that no other member can have been elected.
     ///
     /// Requires a committed entry of the current term as well. Before that, the commit index may be
     /// lower than what an earlier leader has committed.
     pub fn lease_valid(&self, now: Millis) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
-        let acknowledged = self.majority_acknowledged(leader, None, now);
+        let acknowledged = self.quorum_acknowledged(leader, None, now);
         self.committed_in_term() && acknowledged.is_some_and(|sent| now < sent + self.timing.lease)
     }
 
@@ -68,9 +68,8 @@
     /// or has no lease yet.
     pub fn lease_end(&self) -> Option<Millis> {
         let Role::Leader(leader) = &self.role else { return None };
-        let acknowledged = self
-            .majority_acknowledged(leader, None, self.clock)
-            .filter(|_| self.committed_in_term());
+        let acknowledged =
+            self.quorum_acknowledged(leader, None, self.clock).filter(|_| self.committed_in_term());
         acknowledged.map(|sent| sent + self.timing.lease)
     }
 
@@ -85,7 +84,7 @@
     }
 
     /// Appends a membership change and returns its index. The new membership takes effect as soon
-    /// as it is appended.
+    /// as it is appended; after a change of the voters, the former ones count until it is committed.
     ///
     /// A change is one of these steps: add a learner, promote a learner that has caught up to
     /// voter, or remove a member.
@@ -98,13 +97,17 @@
         self.require_leader()?;
         // Without a committed entry of this term, an uncommitted change of an earlier leader could
         // still be committed, and the majorities of the two memberships might not overlap.
-        if self.log.members_index() > self.commit || !self.committed_in_term() {
+        let current = self.log.members();
+        let in_progress = self.log.members_index() > self.commit || !current.former.is_empty();
+        if in_progress || !self.committed_in_term() {
             return Err(ErrorKind::Busy.into());
         }
-        if let Some(name) = check_membership_step(self.log.members(), &members)? {
+        let former = current.voters.clone();
+        if let Some(name) = check_membership_step(current, &members)? {
             self.check_caught_up(&name)?;
         }
-        let index = self.log.push(self.term, Payload::Members(members));
+        let former = if former == members.voters { BTreeSet::new() } else { former };
+        let index = self.log.push(self.term, Payload::Members(Members { former, ..members }));
         self.refresh_peers();
         Ok(index)
     }
@@ -117,11 +120,11 @@
         self.refresh_peers();
     }
 
-    /// Schedules heartbeats that are due; steps down if no majority has answered in time.
+    /// Schedules heartbeats that are due; steps down if no quorum has answered in time.
     pub(crate) fn tick_leader(&mut self) {
         let clock = self.clock;
         let Role::Leader(leader) = &self.role else { return };
-        let acknowledged = self.majority_acknowledged(leader, Some(leader.elected), clock);
+        let acknowledged = self.quorum_acknowledged(leader, Some(leader.elected), clock);
         if acknowledged.is_none_or(|sent| clock >= sent + self.timing.election_max) {
             return self.step_down();
         }
@@ -188,7 +191,7 @@
         peer.message_due = true;
     }
 
-    /// Advances the commit index to what is durable on a majority of the voters.
+    /// Advances the commit index to what is durable on a quorum of the voters.
     pub(crate) fn advance(&mut self) {
         let Role::Leader(leader) = &self.role else { return };
         let members = self.log.members();
@@ -197,15 +200,22 @@
             None if *name == self.id => self.log.stable(),
             None => 0,
         };
-        let mut indexes: Vec<Index> = members.voters.iter().map(durable).collect();
-        indexes.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&index) = indexes.get(members.quorum() - 1) else { return };
+        let Some(index) = members.quorum_value(&self.lost, durable) else { return };
         // An entry of an earlier term can still be overwritten even when a majority has it.
         if index <= self.commit || self.log.term(index) != Some(self.term) {
             return;
         }
         self.commit = index;
-        if !self.log.is_voter(&self.id) && self.log.members_index() <= index {
+        if self.log.members_index() > index {
+            return;
+        }
+        let members = self.log.members();
+        if !members.former.is_empty() {
+            // The change is committed, so the former voters need not agree any more.
+            let complete = Members { former: BTreeSet::new(), ..members.clone() };
+            self.log.push(self.term, Payload::Members(complete));
+            self.refresh_peers();
+        } else if !members.is_voter(&self.id) {
             self.replicate();
             self.step_down();
         }
@@ -216,22 +226,19 @@
         self.log.term(self.commit) == Some(self.term)
     }
 
-    /// Sending time of the latest message that a majority of the voters has acknowledged. `unknown`
+    /// Sending time of the latest message that a quorum of the voters has acknowledged. `unknown`
     /// stands for members that have acknowledged nothing yet.
-    fn majority_acknowledged(
+    fn quorum_acknowledged(
         &self,
         leader: &LeaderState,
         unknown: Option<Millis>,
         now: Millis,
     ) -> Option<Millis> {
-        let members = self.log.members();
         let sent = |name: &Name| match leader.peers.get(name) {
             Some(peer) => peer.acknowledged.or(unknown),
             None => Some(now),
         };
-        let mut times: Vec<Option<Millis>> = members.voters.iter().map(sent).collect();
-        times.sort_unstable_by(|a, b| b.cmp(a));
-        times.get(members.quorum() - 1).copied().flatten()
+        self.log.members().quorum_value(&self.lost, sent).flatten()
     }
 
     fn check_caught_up(&mut self, name: &Name) -> Result<()> {
--- a/crates/coordination/src/raft_log.rs
+++ b/crates/coordination/src/raft_log.rs
@@ -1,6 +1,6 @@
 //! The in-memory part of a member's log, and the changes to it that are not yet stored.
 
-use auburnlug_state::{Index, Name, Term};
+use auburnlug_state::{Index, Term};
 
 use crate::{
     Result,
@@ -194,11 +194,6 @@
         (0, self.snapshot.as_ref().map_or(&self.initial, |s| &s.members))
     }
 
-    /// Whether `name` is a voter.
-    pub(crate) fn is_voter(&self, name: &Name) -> bool {
-        self.members.voters.contains(name)
-    }
-
     /// Whether the caller has not yet confirmed that the last work is durable.
     pub(crate) fn sync_pending(&self) -> bool {
         self.in_flight.is_some()
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -5,6 +5,8 @@
 use auburnlug_state::{Command, Index, Millis, Name, Term};
 use serde::{Deserialize, Serialize};
 
+use crate::quorum::{quorum_size, quorum_value};
+
 /// An entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -28,12 +30,18 @@
 }
 
 /// Membership of the control group; a change adds, promotes or removes one member.
+///
+/// A change of the voters takes two entries. Until the first one is committed, every decision needs a
+/// quorum of the former voters, too.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Members {
     /// Identities of the members that vote.
     pub voters: BTreeSet<Name>,
     /// Identities of the members that replicate the log without a vote.
     pub learners: BTreeSet<Name>,
+    /// Voters before a change that is not complete; empty otherwise.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub former: BTreeSet<Name>,
 }
 
 /// Term and vote. Must be durable before a message that depends on them is sent.
@@ -161,19 +169,50 @@
 }
 
 impl Members {
+    /// Membership in which no change is in progress.
+    pub fn new(voters: BTreeSet<Name>, learners: BTreeSet<Name>) -> Members {
+        Members { voters, learners, former: BTreeSet::new() }
+    }
+
     /// Number of voters in a majority.
-    pub fn quorum(&self) -> usize {
+    pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
 
-    /// Whether `names` include a majority of the voters.
-    pub fn is_majority(&self, names: &BTreeSet<Name>) -> bool {
-        self.voters.intersection(names).count() >= self.quorum()
+    /// Whether `names` are a quorum if the members in `lost` have lost their disks.
+    pub fn is_quorum(&self, names: &BTreeSet<Name>, lost: &BTreeSet<Name>) -> bool {
+        self.voter_sets().all(|voters| {
+            let present = voters.iter().filter(|name| names.contains(*name));
+            present.filter(|name| !lost.contains(*name)).count() >= quorum_size(voters, lost)
+        })
+    }
+
+    /// Greatest value that a quorum has reached; `None` if none can form.
+    pub(crate) fn quorum_value<T: Ord>(
+        &self,
+        lost: &BTreeSet<Name>,
+        value: impl Fn(&Name) -> T,
+    ) -> Option<T> {
+        let values = self.voter_sets().map(|voters| quorum_value(voters, lost, &value));
+        values.min().flatten()
     }
 
-    /// Voters and learners.
+    /// Whether `name` votes.
+    pub fn is_voter(&self, name: &Name) -> bool {
+        self.voter_sets().any(|voters| voters.contains(name))
+    }
+
+    /// Voters, learners and former voters.
     pub fn all(&self) -> impl Iterator<Item = &Name> {
-        self.voters.union(&self.learners)
+        let gone = self.former.difference(&self.voters);
+        let gone = gone.filter(|name| !self.learners.contains(*name));
+        self.voters.union(&self.learners).chain(gone)
+    }
+
+    /// The sets of voters that must agree.
+    fn voter_sets(&self) -> impl Iterator<Item = &BTreeSet<Name>> {
+        let former = Some(&self.former).filter(|former| !former.is_empty());
+        std::iter::once(&self.voters).chain(former)
     }
 }
 
--- a/crates/coordination/src/redundancy.rs
+++ b/crates/coordination/src/redundancy.rs
@@ -21,7 +21,7 @@
     /// Redundancy of a group as its leader sees it.
     pub fn of(group: &ControlGroup) -> Redundancy {
         let healthy = group.members.voters.iter().filter(|name| is_healthy(group, name)).count();
-        let tolerated = healthy.saturating_sub(group.members.quorum());
+        let tolerated = healthy.saturating_sub(group.members.majority());
         Redundancy { tolerated, configured: group.losses }
     }
 
--- a/crates/coordination/tests/bootstrap.rs
+++ b/crates/coordination/tests/bootstrap.rs
@@ -17,7 +17,7 @@
 }
 
 fn members(voters: &[&str], learners: &[&str]) -> Members {
-    Members { voters: names(voters), learners: names(learners) }
+    Members::new(names(voters), names(learners))
 }
 
 fn formation(instance: &str, identity: &str) -> Bootstrap {
--- a/crates/coordination/tests/cluster/mod.rs
+++ b/crates/coordination/tests/cluster/mod.rs
@@ -12,6 +12,7 @@
 
 use auburnlug_coordination::{
     Category,
+    bootstrap::instance_of,
     membership::ControlGroup,
     raft::{Entry, Members, Message, Payload, Raft, Ready, Saved, Timing},
 };
@@ -91,7 +92,7 @@
     }
 
     fn with_voters(voters: BTreeSet<Name>, seed: u64) -> Cluster {
-        let initial = Members { voters: voters.clone(), learners: BTreeSet::new() };
+        let initial = Members::new(voters.clone(), BTreeSet::new());
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let mut cluster = Cluster {
             nodes: Vec::new(),
@@ -325,9 +326,24 @@
         node.raft.compact(snapshot).unwrap();
     }
 
+    /// Every running member learns which identities were lost from the instances that reach it.
+    fn tell_losses(&mut self) {
+        for slot in self.running() {
+            let reaching = |other: &usize| !self.faults.cuts.contains(&(*other, slot));
+            let reaching: Vec<usize> = self.running().into_iter().filter(reaching).collect();
+            let instances: BTreeSet<Option<Name>> =
+                reaching.iter().map(|other| instance_of(&self.nodes[*other].id)).collect();
+            let lost = self.lost_ids.iter().filter(|id| instances.contains(&instance_of(id)));
+            for id in lost.cloned().collect::<Vec<_>>() {
+                self.nodes[slot].raft.record_loss(&id);
+            }
+        }
+    }
+
     /// Simulates a group that chooses its voters: the leader proposes changes, and members outside
     /// the group ask it to join.
     fn update_voters(&mut self, losses: usize) {
+        self.tell_losses();
         let Some(slot) = self.leader() else { return };
         let now = self.clock(slot);
         let members = self.nodes[slot].raft.members().clone();
@@ -338,6 +354,7 @@
         let group = ControlGroup {
             leader: self.nodes[slot].id.clone(),
             joining: joining.cloned().collect(),
+            lost: raft.lost().clone(),
             progress: raft.progress(now),
             members,
             losses,
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -22,7 +22,7 @@
 
 fn members(voters: &[&str], learners: &[&str]) -> Members {
     let names = |list: &[&str]| list.iter().map(|text| name(text)).collect();
-    Members { voters: names(voters), learners: names(learners) }
+    Members::new(names(voters), names(learners))
 }
 
 /// A group led by `a.1` in which all members except `unresponsive` have caught up and are
@@ -37,7 +37,8 @@
     };
     let standing = members.all().map(|id| (id.clone(), progress(id))).collect();
     let joining = joining.iter().map(|text| name(text)).collect();
-    ControlGroup { members, leader: name("a.1"), joining, progress: standing, losses }
+    let (leader, lost) = (name("a.1"), BTreeSet::new());
+    ControlGroup { members, leader, joining, lost, progress: standing, losses }
 }
 
 /// Applies steps until the membership no longer changes, and returns each membership.
--- a/crates/coordination/tests/membership_step.rs
+++ b/crates/coordination/tests/membership_step.rs
@@ -15,7 +15,7 @@
 
 fn members(voters: &[&str], learners: &[&str]) -> Members {
     let names = |list: &[&str]| list.iter().map(|text| name(text)).collect();
-    Members { voters: names(voters), learners: names(learners) }
+    Members::new(names(voters), names(learners))
 }
 
 /// Guards against a step that is logged and counted under the wrong kind or member.
--- a/crates/coordination/tests/raft.rs
+++ b/crates/coordination/tests/raft.rs
@@ -329,7 +329,7 @@
     ];
     let raft = &mut cluster.nodes[leader].raft;
     for (voters, learners, category) in table {
-        let error = raft.propose_members(Members { voters, learners }, now).unwrap_err();
+        let error = raft.propose_members(Members::new(voters, learners), now).unwrap_err();
         assert_eq!(error.category(), category);
     }
     let one = Members { learners: set(&["m3"]), ..old.clone() };
@@ -338,7 +338,7 @@
     assert_eq!(error.category(), Category::Busy);
     cluster.run(200);
     let voters = set(&["m0", "m1", "m2", "m3"]);
-    let members = Members { voters, learners: set(&[]) };
+    let members = Members::new(voters, set(&[]));
     let now = cluster.clock(leader);
     let error = cluster.nodes[leader].raft.propose_members(members, now).unwrap_err();
     assert_eq!(error.category(), Category::Lagging);
@@ -347,7 +347,7 @@
 /// One of three members, just started, with three entries of term 2.
 fn follower() -> Raft {
     let voters = ["m0", "m1", "m2"].map(name).into();
-    let initial = Members { voters, learners: BTreeSet::new() };
+    let initial = Members::new(voters, BTreeSet::new());
     let entries = (1..=3).map(|index| Entry { index, term: 2, payload: Payload::Noop }).collect();
     let saved = Saved { vote: Vote { term: 2, candidate: None }, snapshot: None, entries };
     Raft::new(name("m0"), initial, saved, Timing::default(), 1, 0).unwrap()
@@ -371,7 +371,7 @@
 fn learner_without_heartbeats_knows_no_leader() {
     let timing = Timing::default();
     let voters = ["m0", "m1", "m2"].map(name).into();
-    let initial = Members { voters, learners: [name("m3")].into() };
+    let initial = Members::new(voters, [name("m3")].into());
     let mut raft = Raft::new(name("m3"), initial, Saved::default(), timing, 1, 0).unwrap();
     let append =
         Message::Append { term: 1, index: 0, last: 0, entries: vec![], commit: 0, sent: 0 };
@@ -407,7 +407,7 @@
 #[test]
 fn learner_without_entries_has_not_caught_up() {
     let voters = ["m0", "m1", "m2"].map(name).into();
-    let initial = Members { voters, learners: [name("m3")].into() };
+    let initial = Members::new(voters, [name("m3")].into());
     let entries = (1..=900).map(|index| Entry { index, term: 2, payload: Payload::Noop }).collect();
     let saved = Saved { vote: Vote { term: 2, candidate: None }, snapshot: None, entries };
     let mut raft = Raft::new(name("m0"), initial, saved, Timing::default(), 1, 0).unwrap();
@@ -420,7 +420,7 @@
     raft.receive(&name("m3"), reply(false, 0), 930);
     assert!(!raft.progress(940)[&name("m3")].caught_up);
     let voters = ["m0", "m1", "m2", "m3"].map(name).into();
-    let next = Members { voters, learners: BTreeSet::new() };
+    let next = Members::new(voters, BTreeSet::new());
     let error = raft.propose_members(next, 940).unwrap_err();
     assert_eq!(error.category(), Category::Lagging);
 }
@@ -492,7 +492,7 @@
 fn nothing_is_committed_or_returned_before_the_sync() {
     // Guards against a leader that counts its own log towards the majority before it is durable.
     let voters = BTreeSet::from([name("m0")]);
-    let initial = Members { voters, learners: BTreeSet::new() };
+    let initial = Members::new(voters, BTreeSet::new());
     let timing = Timing::default();
     let mut raft = Raft::new(name("m0"), initial, Saved::default(), timing, 1, 0).unwrap();
     raft.tick(timing.election_max);
--- a/crates/coordination/tests/redundancy.rs
+++ b/crates/coordination/tests/redundancy.rs
@@ -18,7 +18,7 @@
 
 fn members(voters: &[&str], learners: &[&str]) -> Members {
     let names = |list: &[&str]| list.iter().map(|text| name(text)).collect();
-    Members { voters: names(voters), learners: names(learners) }
+    Members::new(names(voters), names(learners))
 }
 
 /// A group led by `a.1`, with the progress of the members other than `silent` and `lagging`.
@@ -31,7 +31,8 @@
     let leader = name("a.1");
     let others = members.all().filter(|id| **id != leader);
     let progress = others.map(|id| (id.clone(), progress(id))).collect();
-    Redundancy::of(&ControlGroup { members, leader, joining: BTreeSet::new(), progress, losses })
+    let (joining, lost) = (BTreeSet::new(), BTreeSet::new());
+    Redundancy::of(&ControlGroup { members, leader, joining, lost, progress, losses })
 }
 
 /// Guards against a group that counts members which cannot contribute to a quorum.
@@ -67,6 +68,7 @@
         members: members(&["b.1", "c.1", "d.1"], &["a.1"]),
         leader: name("a.1"),
         joining: BTreeSet::new(),
+        lost: BTreeSet::new(),
         progress: ["b.1", "c.1"]
             .into_iter()
             .map(|id| (name(id), Progress { caught_up: true, ack_age: 50 }))
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -3,6 +3,8 @@
 //! Control and traffic messages use separate connections, so that large answers never delay lease
 //! renewals.
 
+use std::collections::BTreeSet;
+
 use auburnlug_coordination::{Position, dedup::RequestKey, raft};
 use auburnlug_state::{
     Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard,
@@ -38,6 +40,20 @@
         /// Identity of the sender.
         identity: Name,
     },
+    /// Asks an instance for its present identity.
+    Identify {
+        /// Number that the answer repeats.
+        nonce: u64,
+    },
+    /// Answer to [`ControlMessage::Identify`].
+    Identified {
+        /// Identity of the sender.
+        identity: Name,
+        /// Number of the question.
+        nonce: u64,
+    },
+    /// Names members that the sender knows to have lost their disks.
+    Lost(BTreeSet<Name>),
     /// An instance requests the renewal of its lease.
     Renew(LeaseRenewal),
     /// The control leader grants a lease.
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -16,6 +16,7 @@
     control_metrics::ControlMetrics,
     disk::Disk,
     event::{Event, log},
+    loss_proof::{LossProofs, Proof, identities_of, replaced_voters},
     member_log::MemberLog,
 };
 
@@ -27,6 +28,9 @@
 /// the earlier identity is never repeated.
 const JOIN_REQUEST_TIMEOUT_MS: Millis = 2_000;
 
+/// Interval at which a member repeats what it knows about lost disks of voters.
+const LOSS_REPORT_INTERVAL_MS: Millis = 200;
+
 /// Control member of this instance.
 pub struct Member {
     instance: Name,
@@ -36,6 +40,9 @@
     state: State,
     /// Members that ask to join, with the time at which they asked last.
     joining: BTreeMap<Name, Millis>,
+    loss_proofs: LossProofs,
+    /// Time at which lost disks were last reported to other members.
+    reported_at: Millis,
     /// Disks that may be lost at once.
     losses: usize,
     /// Index of the last snapshot.
@@ -125,6 +132,8 @@
             disk,
             state,
             joining,
+            loss_proofs: LossProofs::new(seed),
+            reported_at: 0,
             losses,
             snapshot_index,
             seed,
@@ -150,13 +159,17 @@
     }
 
     /// Whether this member leads and may act for the group at `now`.
+    ///
+    /// A leader that is the only one with the data may not: what it acknowledged would be on a single
+    /// disk.
     pub fn leads(&self, now: Millis) -> bool {
-        self.raft().is_some_and(|raft| raft.lease_valid(now))
+        self.raft().is_some_and(|raft| raft.lease_valid(now) && !raft.leads_alone())
     }
 
-    /// End of the leader lease on the clock of the member; `None` unless this member leads.
+    /// End of the leader lease on the clock of the member; `None` unless this member may act for the
+    /// group.
     pub fn lease_end(&self) -> Option<Millis> {
-        self.raft().and_then(Raft::lease_end)
+        self.raft().filter(|raft| !raft.leads_alone()).and_then(Raft::lease_end)
     }
 
     /// Whether this member leads its term, with or without a valid lease.
@@ -184,9 +197,12 @@
         self.raft().map_or(0, Raft::term)
     }
 
-    /// Proposes a command; `None` if this member does not lead.
+    /// Proposes a command; `None` if this member does not lead, or leads alone.
     pub fn propose(&mut self, command: Command, now: Millis) -> Option<(u64, Index)> {
         let State::Member(raft, _) = &mut self.state else { return None };
+        if raft.leads_alone() {
+            return None;
+        }
         let index = raft.propose(command, now).ok()?;
         Some((raft.term(), index))
     }
@@ -209,11 +225,17 @@
             {
                 self.receive_raft(&sender, message, now);
             }
-            ControlMessage::Probe { .. } => return Ok(Some(self.probe_answer())),
+            ControlMessage::Probe { identity } => {
+                let question = self.question(from, &identity, false);
+                return Ok(Some(question.unwrap_or_else(|| self.probe_answer())));
+            }
             ControlMessage::Probed { identity, members } => match &mut self.state {
                 State::Searching(bootstrap) => {
                     let decision = bootstrap.record_answer(from, identity, members);
                     self.apply_decision(decision, now)?;
+                    if let State::Member(_, true) = &self.state {
+                        return Ok(Some(ControlMessage::Join { identity: self.identity.clone() }));
+                    }
                 }
                 State::Member(raft, asks_to_join) => {
                     // A member that lags may not know this one yet; an unneeded request to join has
@@ -223,20 +245,95 @@
                     };
                     *asks_to_join |=
                         raft.leader().is_none() && members.as_ref().is_some_and(unknown);
+                    return Ok(self.question(from, &identity, false));
                 }
             },
             ControlMessage::Join { identity } => {
+                if let Some(question) = self.question(from, &identity, true) {
+                    return Ok(Some(question));
+                }
                 self.join(from, identity, now);
                 // Names the leader among the members.
                 if !self.leads_term() {
                     return Ok(Some(self.probe_answer()));
                 }
             }
+            ControlMessage::Identify { nonce } => {
+                let identity = self.identity.clone();
+                return Ok(Some(ControlMessage::Identified { identity, nonce }));
+            }
+            ControlMessage::Identified { identity, nonce } => {
+                return Ok(self.handle_identity(from, identity, nonce, now));
+            }
+            ControlMessage::Lost(lost) => self.record_losses(&lost, from),
             _ => {}
         }
         Ok(None)
     }
 
+    /// Question to an instance that names its identity, unless there is nothing to learn from the
+    /// answer: the instance has answered so already, or `may_join` is not set and the membership
+    /// lists no other identity of it.
+    fn question(&mut self, from: &Name, identity: &Name, may_join: bool) -> Option<ControlMessage> {
+        let State::Member(raft, _) = &self.state else { return None };
+        if instance_of(identity).as_ref() != Some(from) || *from == self.instance {
+            return None;
+        }
+        let members = raft.members();
+        let listed = identities_of(from, members);
+        let is_news = |name: &Name| name != identity && !raft.lost().contains(name);
+        let joins = may_join && raft.leads() && !self.loss_proofs.is_present(from, identity);
+        (joins || listed.iter().any(is_news)).then(|| self.loss_proofs.ask(from, members, may_join))
+    }
+
+    /// Handles the answer to a question; returns the membership as the answer to what the instance
+    /// asked before.
+    fn handle_identity(
+        &mut self,
+        from: &Name,
+        identity: Name,
+        nonce: u64,
+        now: Millis,
+    ) -> Option<ControlMessage> {
+        let Proof { lost, joins } = self.loss_proofs.record_answer(from, &identity, nonce)?;
+        self.record_losses(&lost, from);
+        if joins {
+            self.join(from, identity, now);
+        }
+        Some(self.probe_answer())
+    }
+
+    /// Records that members have lost their disks, as `source` says or has shown.
+    fn record_losses(&mut self, lost: &BTreeSet<Name>, source: &Name) {
+        let State::Member(raft, _) = &mut self.state else { return };
+        for name in lost {
+            if raft.record_loss(name) {
+                self.member_log.record_loss(name, source, raft.members());
+            }
+        }
+    }
+
+    /// Messages that tell others which voters have lost their disks: the leader, which removes them,
+    /// or the voters, one of which may lead.
+    fn loss_reports(&mut self, now: Millis) -> Vec<(Name, ControlMessage)> {
+        let State::Member(raft, _) = &self.state else { return Vec::new() };
+        let members = raft.members();
+        let lost = raft.lost().iter().filter(|name| members.is_voter(name));
+        let lost: BTreeSet<Name> = lost.cloned().collect();
+        let is_due = now >= self.reported_at + LOSS_REPORT_INTERVAL_MS;
+        if lost.is_empty() || raft.leads() || !is_due {
+            return Vec::new();
+        }
+        self.reported_at = now;
+        let receivers = match raft.leader() {
+            Some(leader) => vec![leader.clone()],
+            None => members.all().filter(|name| members.is_voter(name)).cloned().collect(),
+        };
+        let others = receivers.iter().filter(|name| !lost.contains(*name));
+        let instances = others.filter_map(instance_of).filter(|name| *name != self.instance);
+        instances.map(|instance| (instance, ControlMessage::Lost(lost.clone()))).collect()
+    }
+
     /// Instances in the current membership.
     pub fn instances(&self) -> BTreeSet<Name> {
         let members = self.raft().map(|raft| raft.members().all().filter_map(instance_of));
@@ -287,8 +384,13 @@
     /// The disk failed.
     pub fn step(&mut self, now: Millis) -> Result<Work> {
         self.observe(now);
+        if let Some(raft) = self.raft() {
+            let replaced = replaced_voters(raft.members());
+            let instance = self.instance.clone();
+            self.record_losses(&replaced, &instance);
+        }
         self.propose_membership(now);
-        let mut work = Work::default();
+        let mut work = Work { messages: self.loss_reports(now), ..Work::default() };
         loop {
             let State::Member(raft, _) = &mut self.state else { return Ok(work) };
             raft.tick(now);
@@ -374,12 +476,11 @@
     }
 
     fn join(&mut self, from: &Name, identity: Name, now: Millis) {
-        if instance_of(&identity).as_ref() != Some(from) || !self.leads(now) {
+        let State::Member(raft, _) = &self.state else { return };
+        if instance_of(&identity).as_ref() != Some(from) || !raft.lease_valid(now) {
             return;
         }
-        if let State::Member(raft, _) = &self.state {
-            self.member_log.record_join(from, &identity, raft.members());
-        }
+        self.member_log.record_join(from, &identity, raft.members());
         // An instance joins under one identity at a time; the disk of an earlier one is lost.
         self.joining.retain(|name, _| instance_of(name).as_ref() != Some(from));
         self.joining.insert(identity, now);
@@ -387,16 +488,17 @@
 
     /// Proposes the next membership, if it should change.
     fn propose_membership(&mut self, now: Millis) {
-        if !self.leads(now) {
+        let State::Member(raft, _) = &mut self.state else { return };
+        if !raft.lease_valid(now) {
             self.joining.clear();
             return;
         }
         self.joining.retain(|_, last_request| now < *last_request + JOIN_REQUEST_TIMEOUT_MS);
-        let State::Member(raft, _) = &mut self.state else { return };
         let group = ControlGroup {
             members: raft.members().clone(),
             leader: self.identity.clone(),
             joining: self.joining.keys().cloned().collect(),
+            lost: raft.lost().clone(),
             progress: raft.progress(now),
             losses: self.losses,
         };
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -65,6 +65,9 @@
     KnownLeaderChanged = 212, Info, "known control leader changed";
     MemberUnlisted = 213, Warn, "control member is not listed by its group and asks to join again";
     LeaderMissed = 214, Warn, "control group has no leader";
+    LossProven = 216, Warn, "control member has lost its disk for good";
+    LeadsAlone = 217, Warn, "this member leads as the only one with the data; it waits for a second one";
+    LeadsNoLongerAlone = 218, Info, "this member no longer leads alone";
     LeaseLost = 220, Error, "lease ended: requests are refused until it is renewed";
     LeaseGained = 221, Info, "lease granted";
     ConfigApplied = 230, Info, "configuration in force";
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod instance;
 pub mod link;
 mod log_writer;
+mod loss_proof;
 mod member;
 mod member_log;
 pub mod metrics;
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -47,6 +47,8 @@
     leaderless: LeaderlessLog,
     /// Present while the member leads its term.
     leading: Option<LeaderLog>,
+    /// Whether the member led alone at the last call.
+    alone: bool,
     /// Present while the member may act for the group.
     redundancy: Option<Redundancy>,
     metrics: ControlMetrics,
@@ -80,6 +82,7 @@
             unlisted: false,
             leaderless: LeaderlessLog::default(),
             leading: None,
+            alone: false,
             redundancy: None,
             metrics: ControlMetrics::default(),
         }
@@ -124,6 +127,7 @@
         } else if self.leading.as_ref().is_none_or(|leading| leading.term != raft.term()) {
             self.leading = Some(LeaderLog::new(raft.term(), now));
         }
+        self.observe_alone(raft);
         // The first request to join of a member without state is logged as `JoinRequested`.
         let first_request = std::mem::take(&mut self.searching);
         if asks_to_join && !std::mem::replace(&mut self.unlisted, true) && !first_request {
@@ -135,6 +139,12 @@
         }
     }
 
+    /// Logs that a member has lost its disk, as the instance `source` says or has shown.
+    pub(crate) fn record_loss(&self, lost: &Name, source: &Name, members: &Members) {
+        let role = role(members, lost);
+        log(Event::LossProven, format_args!("identity={lost} role={role} source={source}"));
+    }
+
     /// Logs the first request to join from each identity.
     pub(crate) fn record_join(&mut self, instance: &Name, identity: &Name, members: &Members) {
         let Some(leading) = &mut self.leading else { return };
@@ -227,6 +237,23 @@
         self.metrics.set_redundancy(redundancy);
     }
 
+    fn observe_alone(&mut self, raft: &Raft) {
+        let alone = raft.leads_alone();
+        if std::mem::replace(&mut self.alone, alone) == alone {
+            return;
+        }
+        let event = if alone { Event::LeadsAlone } else { Event::LeadsNoLongerAlone };
+        let (term, last, commit) = (raft.term(), raft.last_index(), raft.commit_index());
+        let (voters, lost) = (&raft.members().voters, raft.lost());
+        log(
+            event,
+            format_args!(
+                "term={term} last_index={last} commit_index={commit} voters={voters:?} \
+                 without_disk={lost:?}"
+            ),
+        );
+    }
+
     fn log_leader_change(&mut self, raft: &Raft, now: Millis) {
         let known = now.saturating_sub(std::mem::replace(&mut self.leader_since, now));
         let from = std::mem::replace(&mut self.leader, raft.leader().cloned());
--- a/crates/transport/src/member_log/leaderless.rs
+++ b/crates/transport/src/member_log/leaderless.rs
@@ -69,7 +69,7 @@
         if self.picture.as_ref() == Some(&picture) {
             return;
         }
-        let (term, index, needed) = (raft.term(), raft.last_index(), members.quorum());
+        let (term, index, needed) = (raft.term(), raft.last_index(), members.majority());
         let (role, answering, silent) = (picture.role, picture.answering(), now - since);
         let voters = picture.describe(heard, now);
         log(
--- a/crates/transport/tests/member_discovery.rs
+++ b/crates/transport/tests/member_discovery.rs
@@ -22,7 +22,7 @@
 /// Learner `d.1` of a group, with the seeds `a` and `b`.
 fn open_learner(timing: Timing) -> Member {
     let mut disk = MemoryDisk::new(name("1"));
-    let members = Members { voters: names(["a.1", "b.1", "c.1"]), learners: names(["d.1"]) };
+    let members = Members::new(names(["a.1", "b.1", "c.1"]), names(["d.1"]));
     let data = encode(&Machine::default()).expect("encodes");
     let snapshot = Some(Snapshot { index: 0, term: 0, members, data });
     disk.store(&Ready { snapshot, ..Ready::default() }).expect("works");
--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -379,8 +379,7 @@
         // The learner votes in place of the suspended leader, and nobody else is affected.
         let learner = group.instance(&learner).identity.clone();
         let voters = before.voters.iter().filter(|voter| **voter != former).cloned();
-        let mut expected =
-            Members { voters: voters.chain([learner]).collect(), learners: BTreeSet::new() };
+        let mut expected = Members::new(voters.chain([learner]).collect(), BTreeSet::new());
         let meanwhile = group.members();
         group.resume(&leader);
         group.run(1_000);
