Refuse at once what no server can run once the leader is long silent

Callers saw: entries held each request for 1,991 ms, until its deadline, before they refused it with "no server is known", 20 s after the last view of a control leader.

Cause: a request without a server waited for a new view until its deadline, however long no leader had been heard. That wait is right while a leader or a primary is replaced, and useless after it.

Now the entry records the last sign of a leader (grant, update, announcement). After 6 s without one, a request without a server is refused at once, also one that is waiting, and so is the opening of a session at an entry without a configuration. The reason names the silence and when to ask again; the line protocol has no field for it. The time in which the entry itself was suspended does not count, so it waits as before when it wakes. What a server may run, also a replica without a lease, and later statements of a transaction are untouched.

Ruled out: a shorter wait for all requests, as a replacement of a primary takes up to 2.5 s.

Evidence: with the bookkeeping alone, the two tests of the refusal fail (no answer within 500 ms); with the decision they pass, as do a fail-over of 2.5 s, which is waited for and served, and an entry that resumes after 20 s.

--- a/crates/coordination/src/observation.rs
+++ b/crates/coordination/src/observation.rs
@@ -16,12 +16,19 @@
     ran_at: Millis,
     /// Total time that was not observed.
     interrupted: Millis,
+    /// Longest time between two runs that counts as observed.
+    max_gap: Millis,
 }
 
 impl ObservationClock {
     /// Starts at `now`, which is the observation time, too.
     pub fn new(now: Millis) -> ObservationClock {
-        ObservationClock { ran_at: now, interrupted: 0 }
+        ObservationClock::with_max_gap(now, MAX_RUN_GAP_MS)
+    }
+
+    /// Starts at `now`, for an observer that runs at least once in `max_gap`.
+    pub fn with_max_gap(now: Millis, max_gap: Millis) -> ObservationClock {
+        ObservationClock { ran_at: now, interrupted: 0, max_gap }
     }
 
     /// Records that the observer runs.
@@ -37,6 +44,6 @@
 
     /// Length of the interruption since the last run.
     fn interruption(&self, now: Millis) -> Millis {
-        now.saturating_sub(self.ran_at + MAX_RUN_GAP_MS)
+        now.saturating_sub(self.ran_at + self.max_gap)
     }
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -42,7 +42,7 @@
 };
 
 /// Interval between two renewals of the lease: nine fit into one lease.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Minimum time between two renewals, also while operations wait for tokens.
 const MIN_RENEWAL_INTERVAL: Duration = Duration::from_millis(30);
@@ -282,6 +282,7 @@
                     () = sleep(left) => break,
                     () = async { local.renew.notified().await; sleep(urgent).await }, if answered => break,
                 }
+                self.local.record_run();
                 yield_now().await;
             }
         }
@@ -359,6 +360,7 @@
                 self.leader = Some(name);
                 self.informed_leader = None;
                 self.announced_at = self.local.now();
+                self.local.record_leader_sign();
                 return true;
             }
             FleetMessage::NotLeader(members) => {
@@ -389,6 +391,7 @@
     /// Sends a renewal to the control leader. While it does not answer, all members get a request
     /// for a lease only; the leader gets the full renewal once it has answered.
     fn send_renewal(&mut self) {
+        self.local.record_run();
         self.update_readiness();
         self.renewed_at = self.local.now();
         let leaving = self.shutdown.started();
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -8,6 +8,7 @@
 };
 
 use auburnlug_coordination::{
+    leader_silence::LeaderSilence,
     rate_share::{ShareBucket, ShareGrant},
     regional_limiters::{self, RegionalLimiters},
 };
@@ -114,6 +115,7 @@
     lease: Cell<(Millis, u64)>,
     /// Sending time of the last renewal that was granted.
     last_granted: Cell<Millis>,
+    silence: RefCell<LeaderSilence>,
     /// Whether the last update could not be decoded or applied to the view.
     update_rejected: Cell<bool>,
     buckets: RefCell<BTreeMap<Arc<str>, ShareBucket>>,
@@ -136,6 +138,7 @@
         clock: Arc<dyn Clock>,
         metrics: Arc<GatewayMetrics>,
     ) -> LocalState {
+        let silence = RefCell::new(LeaderSilence::new(clock.now()));
         LocalState {
             me,
             clock,
@@ -145,6 +148,7 @@
             view: RefCell::default(),
             lease: Cell::default(),
             last_granted: Cell::default(),
+            silence,
             update_rejected: Cell::default(),
             buckets: RefCell::default(),
             token_waiters: RefCell::default(),
@@ -157,6 +161,21 @@
         self.clock.now()
     }
 
+    /// Records that the entry runs; time in which it does not counts as no silence of the leader.
+    pub fn record_run(&self) {
+        self.silence.borrow_mut().record_run(self.now());
+    }
+
+    /// Records a sign of a control leader.
+    pub fn record_leader_sign(&self) {
+        self.silence.borrow_mut().record_sign(self.now());
+    }
+
+    /// Time since the last sign of a control leader, or since the start.
+    pub fn leader_silence(&self) -> Millis {
+        self.silence.borrow().duration(self.now())
+    }
+
     /// View in force.
     pub fn view(&self) -> Arc<View> {
         self.view.borrow().clone()
@@ -193,6 +212,7 @@
             return false;
         };
         self.update_rejected.set(false);
+        self.record_leader_sign();
         let mut view = View::clone(&before);
         if update.term > view.term {
             // The lease of the former leader does not cover decisions of the new one.
@@ -267,6 +287,7 @@
     pub fn apply_grant(&self, grant: &FleetGrant) {
         self.lease.set((grant.sent + grant.duration, grant.index));
         self.last_granted.set(self.last_granted.get().max(grant.sent));
+        self.record_leader_sign();
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
         for share in &grant.shares {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -4,6 +4,7 @@
 
 use auburnlug_coordination::{
     Position,
+    leader_silence::is_waiting_hopeless,
     position_samples::PositionSamples,
     server_choice::{Candidate, ServerRecords},
 };
@@ -20,6 +21,7 @@
 
 use crate::{
     admission::Admission,
+    entry::RENEWAL_INTERVAL,
     local_state::{LocalState, View},
     relay::{Relay, TransactionRoute},
 };
@@ -107,11 +109,12 @@
         self.view_changed.notify_waiters();
     }
 
-    /// Waits for the first configuration; false if none arrived within `limit`.
+    /// Waits for the first configuration; false if none arrived within `limit`, or none is to be
+    /// expected.
     pub async fn wait_for_config(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while self.local.view().config.version == 0 {
-            if !self.wait_for_change(until).await {
+            if self.has_no_prospect() || !self.wait_for_change(until).await {
                 return false;
             }
         }
@@ -138,8 +141,8 @@
                     return (last, None);
                 }
                 ServerChoice::None => {
-                    if !self.wait_for_change(until).await {
-                        self.add_lead_details(&mut last, &task);
+                    if self.has_no_prospect() || !self.wait_for_change(until).await {
+                        self.add_refusal_details(&mut last, &task);
                         return (last, None);
                     }
                     excluded = None;
@@ -347,13 +350,20 @@
         Instant::now() < until
     }
 
-    /// Adds the known leader of the group to the reason of a refusal.
-    fn add_lead_details(&self, answer: &mut Answer, task: &StatementTask) {
+    /// Whether a request without a server has no prospect of one.
+    fn has_no_prospect(&self) -> bool {
+        is_waiting_hopeless(self.local.leader_silence())
+    }
+
+    /// Adds the silence of the control leader, if it was the cause, and the known leader of the group
+    /// to the reason of a refusal.
+    fn add_refusal_details(&self, answer: &mut Answer, task: &StatementTask) {
         let view = self.local.view();
         let lead = view.leads.get(&task.job.group);
+        let cause = self.describe_silence();
         if let Completion::Error(_, reason) = &mut answer.end {
             *reason = format!(
-                "{reason}; term {} primary {} leased {} update {}",
+                "{reason}{cause}; term {} primary {} leased {} update {}",
                 lead.map_or(0, |lead| lead.term),
                 lead.and_then(|lead| lead.primary.as_deref()).unwrap_or("none"),
                 self.local.holds_lease(),
@@ -363,6 +373,16 @@
         }
     }
 
+    /// Silence of the control leader if it leaves a request without a prospect, and when the caller
+    /// may ask again: by then the entry has asked for a lease once more.
+    pub fn describe_silence(&self) -> String {
+        if !self.has_no_prospect() {
+            return String::new();
+        }
+        let (silence, retry) = (self.local.leader_silence(), RENEWAL_INTERVAL.as_millis());
+        format!("; no control leader for {silence} ms; retry after {retry} ms")
+    }
+
     fn log_retry(&self, task: &StatementTask, server: &str, code: ErrorCode, attempts: u32) {
         self.local.metrics.count_retry(code.label());
         log(
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -150,8 +150,9 @@
         };
         let arrival = self.context.local.now();
         if !self.context.router.wait_for_config(FIRST_CONFIG_TIMEOUT).await {
-            let answer = Answer::error(ErrorCode::Busy, "this instance has no configuration yet");
-            self.send_final_answer(answer).await;
+            let silence = self.context.router.describe_silence();
+            let reason = format!("this instance has no configuration yet{silence}");
+            self.send_final_answer(Answer::error(ErrorCode::Busy, reason)).await;
             return Ending::Refused;
         }
         if let Err(answer) = self.authorize(&opening) {
--- a/crates/gateway/tests/restart_backlog.rs
+++ b/crates/gateway/tests/restart_backlog.rs
@@ -2,9 +2,18 @@
 //! before the control leader has assigned connection owners, and operations that need a lost primary.
 
 // The setting for tests in clippy.toml does not reach helper functions in test files.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use auburnlug_coordination::{changes::Changes, external_failover::Status};
 use auburnlug_gateway::{
@@ -25,24 +34,28 @@
     },
 };
 use auburnlug_state::{
-    Name,
+    Millis, Name,
     fleet::{AccountConfig, Backend, FleetConfig, Incarnation},
 };
 use auburnlug_transport::{
-    clock::SystemClock,
+    clock::{Clock, SystemClock},
     link::{Dial, Dialing, Link},
 };
 use bytes::BytesMut;
 use tokio::{
     runtime::Builder,
     sync::mpsc::{UnboundedSender, unbounded_channel},
-    task::{LocalSet, spawn_local},
+    task::{JoinHandle, LocalSet, spawn_local},
     time::{Instant, sleep, timeout},
 };
 
 /// Statements of the backlog; many times what a few attempts per server could use up.
 const BACKLOG: usize = 200;
 
+/// Time within which an entry answers what it knows: some checks for a new view, on a busy machine.
+/// A request that waits is answered after 1,990 ms.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
 fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
 }
@@ -62,6 +75,59 @@
     }
 }
 
+/// A clock that a test sets.
+#[derive(Debug)]
+struct SetClock(AtomicU64);
+
+impl Clock for SetClock {
+    fn now(&self) -> Millis {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// An entry under a clock that its test moves, with one server, whose connections nobody owns.
+struct SilentEntry {
+    clock: Arc<SetClock>,
+    local: Rc<LocalState>,
+    router: Rc<Router>,
+}
+
+impl SilentEntry {
+    fn new() -> SilentEntry {
+        let clock = Arc::new(SetClock(AtomicU64::new(1_000)));
+        let (local, router) = create_entry_at(clock.clone());
+        let entry = SilentEntry { clock, local, router };
+        entry.apply(servers_update());
+        entry.local.apply_grant(&grant(&entry.local, 0.0));
+        entry
+    }
+
+    fn apply(&self, update: FleetUpdate) {
+        assert!(self.local.apply_update(update));
+        self.router.apply_view(&self.local.view());
+    }
+
+    /// Lets time pass in which the entry runs and hears no leader.
+    fn pass(&self, silence: Millis) {
+        for _ in 0..silence / 500 {
+            self.clock.0.fetch_add(500, Ordering::Relaxed);
+            self.local.record_run();
+        }
+    }
+
+    fn request(&self) -> JoinHandle<Answer> {
+        let router = self.router.clone();
+        spawn_local(async move { router.run_first(read_at_primary(0)).await.0 })
+    }
+}
+
+/// Reason of a refusal of a request that did not run and is answered at once.
+async fn refused_at_once(request: JoinHandle<Answer>) -> Arc<str> {
+    let answer = timeout(AT_ONCE, request).await.expect("answered at once").unwrap();
+    let Completion::Error(ErrorCode::Busy, reason) = answer.end else { panic!("{answer:?}") };
+    reason
+}
+
 /// Opens links whose other ends go to a channel.
 struct ChannelDialer(UnboundedSender<Link<Forward>>);
 
@@ -143,6 +209,10 @@
 
 /// An entry that can reach other entries.
 fn create_entry() -> (Rc<LocalState>, Rc<Router>) {
+    create_entry_at(Arc::new(SystemClock::start()))
+}
+
+fn create_entry_at(clock: Arc<dyn Clock>) -> (Rc<LocalState>, Rc<Router>) {
     let identity = InstanceIdentity {
         name: name("10.0.0.1"),
         label: "entry".into(),
@@ -150,7 +220,6 @@
         domain: "d".into(),
         incarnation: 1,
     };
-    let clock = Arc::new(SystemClock::start());
     let local = Rc::new(LocalState::new(identity, clock, Arc::new(GatewayMetrics::default())));
     let executor =
         Rc::new(Executor::new(local.clone(), Pool::new(local.clone()), Arc::new(UnusedWire)));
@@ -244,3 +313,84 @@
         assert_eq!([(); 3].map(|()| local.take_token("a")), [true, true, false]);
     });
 }
+
+/// Guards against requests that are held until their deadline although no control leader has been
+/// heard for far longer than an election and a recovery take.
+#[test]
+fn a_request_without_a_prospect_is_refused_at_once() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let entry = SilentEntry::new();
+        entry.pass(20_000);
+        let reason = refused_at_once(entry.request()).await;
+        assert!(reason.contains("no control leader for 20000 ms"), "{reason}");
+        assert!(reason.contains("retry after 500 ms"), "{reason}");
+        // A leader is heard again, and assigns the connections.
+        entry.local.apply_grant(&grant(&entry.local, 0.0));
+        let request = entry.request();
+        sleep(AT_ONCE).await;
+        assert!(!request.is_finished(), "a request is refused although a leader answers");
+        entry.apply(owners_update());
+        let answer = timeout(AT_ONCE, request).await.unwrap().unwrap();
+        assert!(matches!(answer.end, Completion::Done(_)), "{:?}", answer.end);
+    });
+}
+
+/// Guards against a request that waits on until its deadline once its prospect has gone.
+#[test]
+fn a_waiting_request_is_refused_once_it_has_no_prospect() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let entry = SilentEntry::new();
+        entry.pass(5_500);
+        let request = entry.request();
+        sleep(AT_ONCE).await;
+        assert!(!request.is_finished(), "a request is refused during an election");
+        entry.pass(500);
+        let reason = refused_at_once(request).await;
+        assert!(reason.contains("no control leader for 6000 ms"), "{reason}");
+    });
+}
+
+/// Guards against requests that are refused during a fail-over of the control leader and of the
+/// primary of usual length.
+#[test]
+fn a_fail_over_of_usual_length_is_waited_for() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let entry = SilentEntry::new();
+        entry.pass(1_000);
+        let request = entry.request();
+        for _ in 0..3 {
+            entry.pass(500);
+            sleep(Duration::from_millis(300)).await;
+            assert!(!request.is_finished(), "a request is refused during a fail-over");
+        }
+        // A new leader is elected; it has no server for the request yet.
+        entry.local.apply_grant(&grant(&entry.local, 0.0));
+        sleep(Duration::from_millis(300)).await;
+        entry.apply(owners_update());
+        let answer = timeout(AT_ONCE, request).await.unwrap().unwrap();
+        assert!(matches!(answer.end, Completion::Done(_)), "{:?}", answer.end);
+    });
+}
+
+/// Guards against an entry that was suspended, heard nobody meanwhile, and refuses requests although
+/// the leader answers its first renewal.
+#[test]
+fn a_resumed_entry_waits_for_its_leader() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let entry = SilentEntry::new();
+        entry.clock.0.fetch_add(20_000, Ordering::Relaxed);
+        let request = entry.request();
+        sleep(Duration::from_millis(200)).await;
+        entry.local.record_run();
+        sleep(Duration::from_millis(200)).await;
+        assert!(!request.is_finished(), "a request is refused after a suspension");
+        entry.local.apply_grant(&grant(&entry.local, 0.0));
+        entry.apply(owners_update());
+        let answer = timeout(AT_ONCE, request).await.unwrap().unwrap();
+        assert!(matches!(answer.end, Completion::Done(_)), "{:?}", answer.end);
+    });
+}
