Look for the group as soon as a link to a member opens

Operators saw: a control member that wakes from a suspension, or returns with an empty disk, opened its links within 30 to 50 ms and asked to join 200 ms after it woke, at times 400 ms. Until it is a voter, another lost disk costs the group its quorum.

Cause: a member outside its group sends its probe or its request to join only every 200 ms. The search that is due when it wakes goes to links that the others have closed meanwhile, and is lost. A member that starts empty waits for one search to learn that there is a group, and for the next one to ask to join it.

Now it sends the message on each link as it opens, and to all members as soon as an answer makes it ask to join. That is one message per link and one per change, so the load stays bounded. Both control cores.

Evidence: real processes, a member without its disk suspended for 6 to 7 s just after it asked to join; time from its waking until the leader logs the request (AL0209), former code, 11 plays: median 203 ms, worst 414 ms.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -239,7 +239,8 @@
             Input::Request(ask) => self.handle_request(ask),
             Input::MemberLinkOpened(name, out) => {
                 log(Event::MemberLinkOpen, format_args!("member={}", name.as_str()));
-                self.member_links.insert(name, Some(out));
+                self.member_links.insert(name.clone(), Some(out));
+                self.search_at(Some(&name));
             }
             Input::MemberLinkClosed(name) => {
                 if let Some(Some(_)) = self.member_links.remove(name.as_str()) {
@@ -277,9 +278,13 @@
                 if let Agreement::Probed { members: Some(members), .. } = &message {
                     self.known_members.extend(members.all().filter_map(instance_of));
                 }
+                let asked = self.asks_to_join();
                 if let Some(answer) = self.member.receive(&from, message, now)? {
                     self.answer_member(link, &from, answer);
                 }
+                if self.asks_to_join() && !asked {
+                    self.search_at(None);
+                }
             }
             FleetMessage::Renew(renewal) => {
                 let Some(link) = link else { return Ok(()) };
@@ -426,14 +431,7 @@
         self.dial_members();
         if now >= self.searched_at + MEMBERSHIP_SEARCH_INTERVAL_MS {
             self.searched_at = now;
-            let mut candidates = self.candidate_members();
-            if self.may_bootstrap {
-                candidates.insert(self.me.name.clone());
-            }
-            self.member.set_configured(candidates);
-            for (to, message) in self.member.discovery_messages() {
-                self.send_member(&to, message);
-            }
+            self.search_at(None);
         }
         let expired: Vec<_> = self
             .proposals
@@ -450,6 +448,26 @@
         self.run_leader_tasks(now);
     }
 
+    /// Looks for the group, or asks to join it, at one member or at all of them.
+    fn search_at(&mut self, target: Option<&Name>) {
+        let mut candidates = self.candidate_members();
+        if self.may_bootstrap {
+            candidates.insert(self.me.name.clone());
+        }
+        self.member.set_configured(candidates);
+        for (to, message) in self.member.discovery_messages() {
+            if target.is_none_or(|target| *target == to) {
+                self.send_member(&to, message);
+            }
+        }
+    }
+
+    /// Whether the member asks to be added to its group.
+    fn asks_to_join(&self) -> bool {
+        let messages = self.member.discovery_messages();
+        matches!(messages.first(), Some((_, Agreement::Join { .. })))
+    }
+
     /// All control members at which this one may find the group.
     fn candidate_members(&self) -> BTreeSet<Name> {
         self.member.candidates(&self.seeds, &self.known_members)
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -211,7 +211,13 @@
     fn handle_input(&mut self, input: Input) -> Result<()> {
         match input {
             Input::Accepted(accepted) => self.links.accept(accepted.link()),
-            Input::Dialed { member, link } => self.links.finish_dial(member, link),
+            Input::Dialed { member, link } => {
+                let opened = link.is_some();
+                self.links.finish_dial(member.clone(), link);
+                if opened {
+                    self.search_at(Some(&member));
+                }
+            }
             Input::Closed { link } => self.links.close_link(link),
             Input::Message { link, message } => self.handle_message(link, message)?,
             Input::ConnectRefused { instance, incarnation } => {
@@ -252,10 +258,14 @@
             ControlMessage::Release { shard, epoch } => self.drain_shard(shard, epoch),
             ControlMessage::Leave { incarnation } => self.handle_leave(&from, incarnation),
             message => {
+                let asked = self.asks_to_join();
                 let Some(member) = &mut self.member else { return Ok(()) };
                 if let Some(answer) = member.receive(&from, message, now)? {
                     self.links.send(link, answer);
                 }
+                if self.asks_to_join() && !asked {
+                    self.search_at(None);
+                }
             }
         }
         Ok(())
@@ -266,10 +276,7 @@
         self.dial_members();
         if now >= self.last_search + SEARCH_INTERVAL_MS {
             self.last_search = now;
-            let messages = self.member.as_ref().map(Member::discovery_messages).unwrap_or_default();
-            for (to, message) in messages {
-                self.links.send_member(&to, message);
-            }
+            self.search_at(None);
         }
         self.log_lease_change(now);
         if self.lease_holder.renewal_due(now) {
@@ -279,6 +286,24 @@
         self.run_leader_periodic(now);
     }
 
+    fn discovery_messages(&self) -> Vec<(Name, ControlMessage)> {
+        self.member.as_ref().map(Member::discovery_messages).unwrap_or_default()
+    }
+
+    /// Looks for the group, or asks to join it, at one member or at all of them.
+    fn search_at(&mut self, target: Option<&Name>) {
+        for (to, message) in self.discovery_messages() {
+            if target.is_none_or(|target| *target == to) {
+                self.links.send_member(&to, message);
+            }
+        }
+    }
+
+    /// Whether the member asks to be added to its group.
+    fn asks_to_join(&self) -> bool {
+        matches!(self.discovery_messages().first(), Some((_, ControlMessage::Join { .. })))
+    }
+
     fn dial_members(&mut self) {
         for (name, address) in &self.members {
             if *name == self.instance.name || !self.links.begin_dial(name) {
