Count the delay between two dials from the start of the first

Operators saw: after a cut or a suspension, instances waited 200 ms more (100 ms in the other core) before they dialed again, although the dial that had just failed had taken 1.5 s or more.

Cause: the delay that bounds the rate of dials was added to the time of each failed dial. It is needed only where a dial fails at once, as at an address that refuses connections.

Now a failed dial ends no sooner than the delay after its start. The rate stays bounded by one dial in 200 ms (100 ms).

The function is new; the former code waited for the time of the dial and the delay.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -24,13 +24,13 @@
     control_member::{GroupOptions, Member},
     disk::Disk,
     event::{Event, log},
-    link::Dial,
+    link::{Dial, dial_once_per},
     socket::{Dialer, Identity},
 };
 use rand::Rng;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval},
 };
 
 use crate::{
@@ -55,8 +55,8 @@
 /// Interval of the periodic work: about a third of the Raft heartbeat interval.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Delay before a control member is dialed again.
-const CONTROL_REDIAL_DELAY: Duration = Duration::from_millis(200);
+/// Minimum time between two dials of a control member.
+const CONTROL_REDIAL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Interval at which a member that is not part of the control group asks to join.
 const MEMBERSHIP_SEARCH_INTERVAL_MS: Millis = 200;
@@ -484,12 +484,9 @@
             self.member_links.insert(name.clone(), None);
             let (dialing, input) = (self.dial.dial(name.clone(), address), self.input.clone());
             tokio::spawn(async move {
-                match dialing.await {
+                match dial_once_per(CONTROL_REDIAL_INTERVAL, dialing).await {
                     Some(link) => control_links::forward_dialed(name, link, input).await,
-                    None => {
-                        sleep(CONTROL_REDIAL_DELAY).await;
-                        let _ = input.send(Input::MemberLinkClosed(name)).await;
-                    }
+                    None => drop(input.send(Input::MemberLinkClosed(name)).await),
                 }
             });
         }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -20,7 +20,7 @@
 use auburnlug_transport::{
     clock::Clock,
     event::{Event, log},
-    link::{Dial, Link},
+    link::{Dial, Link, dial_once_per},
     socket::{self, Dialer, Identity},
 };
 use tokio::{
@@ -47,8 +47,8 @@
 /// Minimum time between two renewals, also while operations wait for tokens.
 const MIN_RENEWAL_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Delay before a control member is dialed again.
-const CONTROL_REDIAL_DELAY: Duration = Duration::from_millis(200);
+/// Minimum time between two dials of a control member.
+const CONTROL_REDIAL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time without an answer after which the control leader is considered unresponsive.
 pub(crate) const LEADER_ANSWER_TIMEOUT_MS: Millis = 1_200;
@@ -435,12 +435,9 @@
             self.links.insert(name.clone(), None);
             let (dialing, events) = (self.dial.dial(name.clone(), address), self.events.clone());
             tokio::spawn(async move {
-                match dialing.await {
+                match dial_once_per(CONTROL_REDIAL_INTERVAL, dialing).await {
                     Some(link) => forward_messages(name, link, events).await,
-                    None => {
-                        sleep(CONTROL_REDIAL_DELAY).await;
-                        let _ = events.send(LinkEvent::Closed(name)).await;
-                    }
+                    None => drop(events.send(LinkEvent::Closed(name)).await),
                 }
             });
         }
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -32,7 +32,7 @@
     control_member::{GroupOptions, Member},
     control_propose::{ForwardedProposal, PendingProposal, Waiter},
     event::{Event, log},
-    link::Dial,
+    link::{Dial, dial_once_per},
     socket::{self, Identity},
     view::View,
 };
@@ -44,6 +44,9 @@
 /// every 300 ms.
 const DEFAULT_TICK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Minimum time between two dials of a member.
+const REDIAL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval at which a member outside the group looks for the group or asks to join it.
 const SEARCH_INTERVAL_MS: Millis = 200;
 
@@ -312,10 +315,7 @@
             let dialing = self.dial.dial(name.clone(), *address);
             let (input, member) = (self.input.clone(), name.clone());
             tokio::spawn(async move {
-                let link = dialing.await;
-                if link.is_none() {
-                    tokio::time::sleep(Duration::from_millis(100)).await;
-                }
+                let link = dial_once_per(REDIAL_INTERVAL, dialing).await;
                 let _ = input.send(Input::Dialed { member, link }).await;
             });
         }
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -3,10 +3,13 @@
 //! A link is a pair of bounded channels. Tasks copy messages between the channels and a socket;
 //! they end when either side closes, and the receiver then yields `None`.
 
-use std::{future::Future, net::SocketAddr, pin::Pin};
+use std::{future::Future, net::SocketAddr, pin::Pin, time::Duration};
 
 use auburnlug_state::Name;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
 
 /// Bound of each direction of a link.
 const MAX_QUEUED_MESSAGES: usize = 4096;
@@ -40,3 +43,14 @@
     /// Opens a link to the instance `name` at `address`.
     fn dial(&self, name: Name, address: SocketAddr) -> Dialing<M>;
 }
+
+/// Opens a link. A dial that fails ends no sooner than `interval` after its start, so that it may be
+/// repeated at once.
+pub async fn dial_once_per<M>(interval: Duration, dialing: Dialing<M>) -> Option<Link<M>> {
+    let next = Instant::now() + interval;
+    let link = dialing.await;
+    if link.is_none() {
+        sleep_until(next).await;
+    }
+    link
+}
