Close connections at once that end before their first byte

Cause: the listener waits for the first bytes of a connection by looking every millisecond, and took the end of the connection for bytes that have not arrived yet: an abandoned connection kept it busy until the timeout of two seconds. Dials give up the attempts that they no longer need, so such connections are usual.

Evidence: the test finds the connection open after a second with the former code; now it is closed at once.

--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -197,9 +197,13 @@
     traffic: &mpsc::Sender<std::net::TcpStream>,
 ) -> Result<()> {
     let mut start = [0; TRAFFIC_REQUEST_PREFIX.len()];
-    while stream.peek(&mut start).await? < start.len() {
-        // A peek returns as soon as one byte is available.
-        tokio::time::sleep(Duration::from_millis(1)).await;
+    loop {
+        match stream.peek(&mut start).await? {
+            0 => return Err(Error::closed()),
+            count if count == start.len() => break,
+            // A peek returns as soon as one byte is available.
+            _ => tokio::time::sleep(Duration::from_millis(1)).await,
+        }
     }
     if start == *TRAFFIC_REQUEST_PREFIX {
         let _ = traffic.send(stream.into_std()?).await;
--- a/crates/transport/tests/socket.rs
+++ b/crates/transport/tests/socket.rs
@@ -17,10 +17,11 @@
     socket::{self, Accepted, CONNECT_INTERVALS_MS, Dialer, Identity},
 };
 use tokio::{
-    net::TcpListener,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
     sync::{mpsc, oneshot},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 fn name(text: &str) -> Name {
@@ -109,6 +110,18 @@
     }
 }
 
+/// Guards against a connection that its sender has given up, as a dial does with attempts that it
+/// no longer needs, and that keeps the listener busy until the timeout of the handshake.
+#[tokio::test]
+async fn an_abandoned_connection_is_closed_at_once() {
+    let listening = listen(identity("c1", "same")).await;
+    let mut connection = TcpStream::connect(listening.address).await.expect("connects");
+    connection.shutdown().await.expect("is open");
+    // The timeout of the handshake is two seconds.
+    let closed = timeout(Duration::from_secs(1), connection.read(&mut [0])).await;
+    assert!(matches!(closed, Ok(Ok(0))), "{closed:?}");
+}
+
 /// Guards against members that stay without a link for up to 800 ms after a cut between them has
 /// healed, as the attempt in progress was lost in it.
 #[tokio::test]
