--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -20,7 +20,7 @@
 use auburnlug_transport::{
     clock::Clock,
     event::{Event, log},
-    link::{Dial, Link},
+    link::{Dial, Link, dial_once_per},
     socket::{self, Dialer, Identity},
 };
 use tokio::{
@@ -42,13 +42,13 @@
 };
 
 /// Interval between two renewals of the lease: nine fit into one lease.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+pub(crate) const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Minimum time between two renewals, also while operations wait for tokens.
 const MIN_RENEWAL_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Delay before a control member is dialed again.
-const CONTROL_REDIAL_DELAY: Duration = Duration::from_millis(200);
+/// Minimum time between two dials of a control member.
+const CONTROL_REDIAL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time without an answer after which the control leader is considered unresponsive.
 pub(crate) const LEADER_ANSWER_TIMEOUT_MS: Millis = 1_200;
@@ -282,6 +282,7 @@
                     () = sleep(left) => break,
                     () = async { local.renew.notified().await; sleep(urgent).await }, if answered => break,
                 }
+                self.local.record_run();
                 yield_now().await;
             }
         }
@@ -359,6 +360,7 @@
                 self.leader = Some(name);
                 self.informed_leader = None;
                 self.announced_at = self.local.now();
+                self.local.record_leader_sign();
                 return true;
             }
             FleetMessage::NotLeader(members) => {
@@ -389,6 +391,7 @@
     /// Sends a renewal to the control leader. While it does not answer, all members get a request
     /// for a lease only; the leader gets the full renewal once it has answered.
     fn send_renewal(&mut self) {
+        self.local.record_run();
         self.update_readiness();
         self.renewed_at = self.local.now();
         let leaving = self.shutdown.started();
@@ -432,12 +435,9 @@
             self.links.insert(name.clone(), None);
             let (dialing, events) = (self.dial.dial(name.clone(), address), self.events.clone());
             tokio::spawn(async move {
-                match dialing.await {
+                match dial_once_per(CONTROL_REDIAL_INTERVAL, dialing).await {
                     Some(link) => forward_messages(name, link, events).await,
-                    None => {
-                        sleep(CONTROL_REDIAL_DELAY).await;
-                        let _ = events.send(LinkEvent::Closed(name)).await;
-                    }
+                    None => drop(events.send(LinkEvent::Closed(name)).await),
                 }
             });
         }
