--- a/crates/bench/src/line_client.rs
+++ b/crates/bench/src/line_client.rs
@@ -14,12 +14,23 @@
 
 /// Makes an HTTP call, without following redirects; status 0 without an answer.
 pub fn call_http(to: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    call_http_with(to, method, path, "", body)
+}
+
+/// Makes an HTTP call like [`call_http`] with more header lines, each with its end of line.
+pub fn call_http_with(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> (u16, String) {
     let Ok(mut stream) = TcpStream::connect_timeout(&to, HTTP_TIMEOUT) else {
         return (0, String::new());
     };
     let mut text = String::new();
     let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     let done = stream
