Share processes and held links between the two harnesses

Both harnesses start, signal and end processes, remove data and read logs in the same way, and hold up the links of one host in the same ways. `processes` and `links` have this once.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod line_client;
 pub mod line_group;
 pub mod line_processes;
+pub mod links;
 pub mod load;
 pub mod node;
 pub mod oracle;
--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -11,16 +11,15 @@
 use std::{
     cell::Cell,
     collections::{BTreeMap, BTreeSet},
-    fs, io,
+    io,
     net::SocketAddr,
-    path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    path::Path,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::runtime::{Builder, Runtime};
 
@@ -28,6 +27,8 @@
     held_link::HeldLink,
     line_client::{Caller, call_http},
     line_group::{LineGroup, serve_authority},
+    links::Links,
+    processes::{POLL_INTERVAL, Processes},
 };
 
 const LINK_PORT: u16 = 17_560;
@@ -64,8 +65,6 @@
 /// Longest wait for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Number of instances of a deployment.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -79,8 +78,7 @@
 /// A deployment with control members and three servers, `s1` to `s3`.
 #[derive(Debug)]
 pub struct LineProcesses {
-    program: PathBuf,
-    folder: PathBuf,
+    processes: Processes,
     /// Second and third byte of all addresses.
     net: [u8; 2],
     /// Group of servers.
@@ -90,8 +88,7 @@
     /// Links from all instances to each server.
     pub servers: BTreeMap<u8, Arc<HeldLink>>,
     /// Links between two instances, by the hosts of the dialing and the accepting one.
-    pub members: BTreeMap<(u8, u8), Arc<HeldLink>>,
-    children: BTreeMap<u8, Child>,
+    pub members: Links,
     /// Hosts of the control members that the settings of an instance name.
     seeds: Vec<u8>,
     /// Disks of control members that may be lost at once.
@@ -99,7 +96,6 @@
     /// Hosts that were removed for good.
     removed: BTreeSet<u8>,
     runtime: Runtime,
-    keeps_logs: bool,
 }
 
 impl LineProcesses {
@@ -157,21 +153,17 @@
             }
             io::Result::Ok((authority, servers, members))
         })?;
-        fs::create_dir_all(folder)?;
         let mut deployment = LineProcesses {
-            program: program.to_owned(),
-            folder: folder.to_owned(),
+            processes: Processes::new(program, folder)?,
             net,
             group,
             authority,
             servers,
             members,
-            children: BTreeMap::new(),
             seeds: seeds.clone(),
             losses,
             removed: BTreeSet::new(),
             runtime,
-            keeps_logs: false,
         };
         for host in seeds.into_iter().chain(entry_hosts) {
             deployment.spawn(host, true)?;
@@ -205,11 +197,6 @@
         if self.removed.contains(&host) {
             return Ok(());
         }
-        if let Some(child) = self.children.get_mut(&host)
-            && child.try_wait()?.is_none()
-        {
-            return Ok(());
-        }
         let ip = self.address(host, 0).ip();
         let is_control = control_hosts().any(|control| control == host);
         let seeds = self.seeds.iter().map(|seed| self.address(*seed, OPERATOR_PORT).to_string());
@@ -226,22 +213,11 @@
             LineProcesses::label(host),
             LINK_PORT + u16::from(host),
             seeds.collect::<Vec<_>>().join(","),
-            self.data_folder(host).display(),
+            self.processes.data_folder(host).display(),
             self.losses,
             self.address(9, AUTHORITY_PORT),
         );
-        let settings = self.folder.join(format!("settings-{host}.ini"));
-        fs::write(&settings, text)?;
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.log_file(host))?;
-        let child = Command::new(&self.program)
-            .arg("serve")
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.children.insert(host, child);
-        Ok(())
+        self.processes.spawn(host, "serve", &text)
     }
 
     /// Ends the process of an instance without warning.
@@ -250,9 +226,7 @@
     ///
     /// The process has been waited for already.
     pub fn kill(&mut self, host: u8) -> io::Result<()> {
-        let Some(mut child) = self.children.remove(&host) else { return Ok(()) };
-        child.kill()?;
-        child.wait().map(drop)
+        self.processes.kill(host)
     }
 
     /// Waits until the process of an instance has ended; `false` if it still runs after `limit`.
@@ -261,21 +235,12 @@
     ///
     /// The process cannot be waited for.
     pub fn wait(&mut self, host: u8, limit: Duration) -> io::Result<bool> {
-        let Some(child) = self.children.get_mut(&host) else { return Ok(true) };
-        let started = Instant::now();
-        while child.try_wait()?.is_none() {
-            if started.elapsed() > limit {
-                return Ok(false);
-            }
-            thread::sleep(POLL_INTERVAL);
-        }
-        self.children.remove(&host);
-        Ok(true)
+        self.processes.wait(host, limit)
     }
 
     /// Process id of an instance that was started and not killed.
     pub fn pid(&self, host: u8) -> Option<u32> {
-        self.children.get(&host).map(Child::id)
+        self.processes.pid(host)
     }
 
     /// Sends a signal to the process of an instance.
@@ -284,14 +249,12 @@
     ///
     /// The process has ended.
     pub fn signal(&self, host: u8, signal: Signal) -> io::Result<()> {
-        let pid = self.children.get(&host).and_then(|child| Pid::from_raw(child.id() as i32));
-        kill_process(pid.ok_or(io::ErrorKind::NotFound)?, signal)?;
-        Ok(())
+        self.processes.signal(host, signal)
     }
 
     /// Control members that were started and not killed.
     fn members_running(&self) -> impl Iterator<Item = u8> {
-        control_hosts().filter(|host| self.children.contains_key(host))
+        control_hosts().filter(|host| self.processes.pid(*host).is_some())
     }
 
     /// Control member that leads: it answers a read of the configuration itself.
@@ -387,7 +350,8 @@
         let started = Instant::now();
         while !check(self) {
             if started.elapsed() > limit {
-                let text = format!("not in time: {what}; logs in {}", self.folder.display());
+                let text =
+                    format!("not in time: {what}; logs in {}", self.processes.folder().display());
                 return Err(io::Error::new(io::ErrorKind::TimedOut, text));
             }
             thread::sleep(POLL_INTERVAL);
@@ -395,17 +359,9 @@
         Ok(())
     }
 
-    fn data_folder(&self, host: u8) -> PathBuf {
-        self.folder.join(format!("data-{host}"))
-    }
-
-    fn log_file(&self, host: u8) -> PathBuf {
-        self.folder.join(format!("node-{host}.log"))
-    }
-
     /// Keeps the logs once the deployment ends.
     pub fn keep_logs(&mut self) {
-        self.keeps_logs = true;
+        self.processes.keep_logs();
     }
 
     /// Runs a task of the stand-ins.
@@ -418,15 +374,3 @@
 pub fn control_hosts() -> impl Iterator<Item = u8> + Clone {
     CONTROL_HOSTS.into_iter().chain(SUCCESSOR_HOSTS)
 }
-
-impl Drop for LineProcesses {
-    fn drop(&mut self) {
-        for child in self.children.values_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        if !thread::panicking() && !self.keeps_logs {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
-    }
-}
--- a/crates/bench/src/line_processes/losses.rs
+++ b/crates/bench/src/line_processes/losses.rs
@@ -1,18 +1,17 @@
 //! Losses of instances: links that are held up, machines that are removed, lost disks, and the end
 //! of all processes at once.
 
-use std::{fs, io};
+use std::io;
 
 use crate::{
-    held_link::{HeldLink, Way},
     line_processes::{LineProcesses, SUCCESSOR_HOSTS, control_hosts},
+    links,
 };
 
 impl LineProcesses {
     /// Holds up all links of a control member to other instances.
     pub fn isolate(&self, host: u8) {
-        let affected = self.members.iter().filter(|((from, to), _)| [*from, *to].contains(&host));
-        affected.for_each(|(_, link)| link.hold(""));
+        links::isolate(&self.members, host);
     }
 
     /// Holds up the links between two instances, both ways.
@@ -30,37 +29,22 @@
     /// Holds up what others send to a control member on the links that they dial. It can ask to join
     /// the group, and hears the answers, but no update of its log reaches it.
     pub fn hold_updates(&self, host: u8) {
-        self.dialed_to(host).for_each(|link| link.hold_way(Way::Forth));
+        links::hold_updates(&self.members, host);
     }
 
     /// Ends [`LineProcesses::hold_updates`].
     pub fn pass_updates(&self, host: u8) {
-        self.dialed_to(host).for_each(|link| link.pass_way(Way::Forth));
-    }
-
-    fn dialed_to(&self, host: u8) -> impl Iterator<Item = &HeldLink> {
-        self.members.iter().filter(move |((_, to), _)| *to == host).map(|(_, link)| &**link)
+        links::pass_updates(&self.members, host);
     }
 
     /// Holds up all bytes from other instances to a control member, while its own bytes pass.
     pub fn hold_inbound(&self, host: u8) {
-        self.hold_one_way(host, Way::Forth, Way::Back);
+        links::hold_inbound(&self.members, host);
     }
 
     /// Holds up all bytes from a control member to other instances, while their bytes pass.
     pub fn hold_outbound(&self, host: u8) {
-        self.hold_one_way(host, Way::Back, Way::Forth);
-    }
-
-    /// Holds up one way on the links that a control member accepts, and one on those that it dials.
-    fn hold_one_way(&self, host: u8, accepted: Way, dialed: Way) {
-        for ((from, to), link) in &self.members {
-            if *to == host {
-                link.hold_way(accepted);
-            } else if *from == host {
-                link.hold_way(dialed);
-            }
-        }
+        links::hold_outbound(&self.members, host);
     }
 
     /// Heals the links between instances, but those of removed ones.
@@ -111,11 +95,7 @@
     ///
     /// The process has been waited for already, or the data cannot be removed.
     pub fn lose_disk(&mut self, host: u8) -> io::Result<()> {
-        self.kill(host)?;
-        match fs::remove_dir_all(self.data_folder(host)) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
-            _ => Ok(()),
-        }
+        self.processes.lose_disk(host)
     }
 
     /// Ends all processes at the same moment; returns the hosts on which one ran.
@@ -124,19 +104,11 @@
     ///
     /// A process has been waited for already.
     pub fn kill_all(&mut self) -> io::Result<Vec<u8>> {
-        for child in self.children.values_mut() {
-            child.kill()?;
-        }
-        let hosts: Vec<u8> = self.children.keys().copied().collect();
-        for host in &hosts {
-            self.kill(*host)?;
-        }
-        Ok(hosts)
+        self.processes.kill_all()
     }
 
     /// Lines that an instance has logged for the event `code` since its first start.
     pub fn logged(&self, host: u8, code: &str) -> Vec<String> {
-        let text = fs::read_to_string(self.log_file(host)).unwrap_or_default();
-        text.lines().filter(|line| line.contains(code)).map(str::to_owned).collect()
+        self.processes.logged(host, code)
     }
 }
