Play the second lost disk with the same kinds as on the gateway side

A member that has told the leader is kept from the log until it is away: otherwise it is a voter again within some 20 ms, and the play is not of its kind. Cuts one way hold up the bytes of one way. Of five members, one or two may lose their disks first. The base of the change is read before the members come back, so that the change follows them at once.

--- a/crates/auburnlug/tests/second_lost_disk_sql/play.rs
+++ b/crates/auburnlug/tests/second_lost_disk_sql/play.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use auburnlug_bench::control_processes::ControlProcesses;
+use auburnlug_bench::{control_processes::ControlProcesses, links};
 use rand::{Rng, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
@@ -36,13 +36,35 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Way {
     Suspended,
-    /// All its links are held up.
+    /// Cut off from all.
     Cut,
-    /// Links that others dial are held up if the leader is told, and links that it dials otherwise.
-    CutOne,
+    /// Hears nobody, but is heard.
+    Deaf,
+    /// Is heard by nobody, but hears.
+    Mute,
 }
 
-/// A kind of play, as text: `3/told/suspended/follower`.
+impl Way {
+    const ALL: [(&str, Way); 4] = [
+        ("suspended", Way::Suspended),
+        ("cut", Way::Cut),
+        ("deaf", Way::Deaf),
+        ("mute", Way::Mute),
+    ];
+
+    fn begin(self, group: &mut ControlProcesses, host: u8) -> io::Result<()> {
+        match self {
+            Way::Suspended => group.suspend(host)?,
+            Way::Cut => links::isolate(&group.links, host),
+            Way::Deaf => links::hold_inbound(&group.links, host),
+            Way::Mute => links::hold_outbound(&group.links, host),
+        }
+        Ok(())
+    }
+}
+
+/// A kind of play, as text: `3/told/suspended/follower`; `5x1/...` if one of five members loses its
+/// disk first, and not two.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Kind {
     way: Way,
@@ -50,48 +72,52 @@
     told: bool,
     /// Whether the leader is among the first members that lose their disks.
     leads: bool,
-    /// Members. As many lose their disks first as the group tolerates at once.
-    voters: u8,
+    voters: usize,
+    /// Members that lose their disks first. All in all, one more loses it than the group tolerates.
+    first: usize,
 }
 
 impl FromStr for Kind {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Kind, String> {
+        let parse = |number: &str| number.parse::<usize>().map_err(|_| text.to_owned());
+        let choose = |part: &str, yes, no| match part {
+            part if part == yes => Ok(true),
+            part if part == no => Ok(false),
+            _ => Err(text.to_owned()),
+        };
         let parts: Vec<&str> = text.split('/').collect();
-        let [voters, told, way, first] = parts[..] else { return Err(text.into()) };
-        Ok(Kind {
-            way: match way {
-                "suspended" => Way::Suspended,
-                "cut" => Way::Cut,
-                "cut-one" => Way::CutOne,
-                _ => return Err(text.into()),
-            },
-            told: match told {
-                "told" => true,
-                "untold" => false,
-                _ => return Err(text.into()),
-            },
-            leads: match first {
-                "leader" => true,
-                "follower" => false,
-                _ => return Err(text.into()),
-            },
-            voters: voters.parse().map_err(|_| text.to_owned())?,
-        })
+        let [size, told, way, first_lost] = parts[..] else { return Err(text.into()) };
+        let (voters, first) = match size.split_once('x') {
+            Some((voters, first)) => (parse(voters)?, parse(first)?),
+            None => (parse(size)?, parse(size)?.saturating_sub(1) / 2),
+        };
+        let way = Way::ALL.into_iter().find(|(name, _)| *name == way).ok_or(text)?.1;
+        let told = choose(told, "told", "untold")?;
+        let leads = choose(first_lost, "leader", "follower")?;
+        Ok(Kind { way, told, leads, voters, first })
+    }
+}
+
+impl Kind {
+    /// Number of lost disks that the group tolerates at once.
+    fn tolerated(self) -> usize {
+        self.voters.saturating_sub(1) / 2
     }
 }
 
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let told = if self.told { "told" } else { "untold" };
-        let way = match self.way {
-            Way::Suspended => "suspended",
-            Way::Cut => "cut",
-            Way::CutOne => "cut-one",
+        let way =
+            Way::ALL.into_iter().find(|(_, way)| *way == self.way).map_or("", |found| found.0);
+        let lost = if self.leads { "leader" } else { "follower" };
+        let size = match self.first {
+            first if first == self.tolerated() => self.voters.to_string(),
+            first => format!("{}x{first}", self.voters),
         };
-        let first = if self.leads { "leader" } else { "follower" };
-        write!(f, "{}/{told}/{way}/{first}", self.voters)
+        write!(f, "{size}/{told}/{way}/{lost}")
     }
 }
 
@@ -121,7 +147,7 @@
     // No address is used again soon: a process that is just starting may still hold it.
     let net = [100 + (id % 100) as u8, (number % 250) as u8];
     let folder = std::env::temp_dir().join(format!("auburnlug-losses-{id}-{number}"));
-    let started = ControlProcesses::start(&build.program, &folder, net, kind.voters);
+    let started = ControlProcesses::start(&build.program, &folder, net, kind.voters as u8);
     let mut group = match started {
         Ok(group) => group,
         Err(e) => return Outcome::Void(e.to_string()),
@@ -156,18 +182,21 @@
     if !kind.told && lost.iter().zip(&asked).any(is_told) {
         return Ok(Outcome::Void("the leader was told".into()));
     }
-    group.eventually("a member leads", |g| g.leader().is_some())?;
-    let leader = group.leader();
+    group.eventually("a member leads", |g| g.leader_version().is_some())?;
+    let known = group.leader_version();
     group.wake()?;
     group.heal();
     thread::sleep(gap);
-    let version = leader.map(|leader| group.publish_at(leader)).transpose()?.flatten();
-    let (leader, version) = match leader.zip(version) {
-        Some(acknowledged) => acknowledged,
+    let version = known.map(|(leader, base)| group.publish_at(leader, base)).transpose()?.flatten();
+    let (leader, version) = match known.zip(version) {
+        Some(((leader, _), version)) => (leader, version),
         None => group.publish()?,
     };
     let hosts = group.processes.kill_all()?;
-    group.processes.lose_disk(leader)?;
+    let others = hosts.iter().filter(|host| **host != leader && !lost.contains(host));
+    for host in others.take(kind.tolerated() - kind.first).chain([&leader]) {
+        group.processes.lose_disk(*host)?;
+    }
     thread::sleep(Duration::from_millis(rng.random_range(1_000..1_500)));
     for host in hosts {
         group.spawn(host)?;
@@ -186,7 +215,7 @@
         lost.clear();
     }
     lost.extend(followers);
-    lost.truncate(usize::from(kind.voters - 1) / 2);
+    lost.truncate(kind.first);
     Ok(lost)
 }
 
@@ -197,30 +226,28 @@
     lines.filter(|line| line.contains(&name)).count()
 }
 
-/// Starts a member that lost its disk, and suspends it or cuts it off as it joins.
+/// Starts a member that lost its disk, which is then away.
 fn send_away(group: &mut ControlProcesses, kind: Kind, host: u8) -> io::Result<()> {
     let asked = requests(group, host);
     let opened = group.processes.logged(host, DISK_OPENED).len();
-    if !kind.told {
-        cut(group, kind, host);
-    }
-    group.spawn(host)?;
     if kind.told {
+        // It would be a voter again within some 20 ms.
+        links::hold_updates(&group.links, host);
+        group.spawn(host)?;
         watch("a request to join", || requests(group, host) > asked)?;
-        cut(group, kind, host);
-    } else {
+        kind.way.begin(group, host)?;
+        if kind.way != Way::Deaf {
+            links::pass_updates(&group.links, host);
+        }
+    } else if kind.way == Way::Suspended {
+        group.spawn(host)?;
         watch("a new data folder", || group.processes.logged(host, DISK_OPENED).len() > opened)?;
+        kind.way.begin(group, host)?;
+    } else {
+        kind.way.begin(group, host)?;
+        group.spawn(host)?;
     }
-    if kind.way == Way::Suspended { group.suspend(host) } else { Ok(()) }
-}
-
-fn cut(group: &ControlProcesses, kind: Kind, host: u8) {
-    if kind.way == Way::Cut || kind.way == Way::CutOne && kind.told {
-        group.hold_inbound(host);
-    }
-    if kind.way == Way::Cut || kind.way == Way::CutOne && !kind.told {
-        group.hold_outbound(host);
-    }
+    Ok(())
 }
 
 fn watch(what: &str, check: impl Fn() -> bool) -> io::Result<()> {
--- a/crates/bench/src/control_processes.rs
+++ b/crates/bench/src/control_processes.rs
@@ -10,7 +10,6 @@
     fs, io,
     net::SocketAddr,
     path::Path,
-    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -23,6 +22,7 @@
 use crate::{
     held_link::HeldLink,
     line_client::call_http_with,
+    links::Links,
     processes::{POLL_INTERVAL, Processes},
 };
 
@@ -41,7 +41,7 @@
     /// Processes of the members.
     pub processes: Processes,
     /// Links between two members, by the hosts of the dialing and the accepting one.
-    pub links: BTreeMap<(u8, u8), Arc<HeldLink>>,
+    pub links: Links,
     /// Second and third byte of all addresses.
     net: [u8; 2],
     voters: u8,
@@ -165,21 +165,6 @@
         suspended.into_iter().try_for_each(|host| self.processes.signal(host, Signal::CONT))
     }
 
-    /// Holds up what others send to `host` on links that they dialed.
-    pub fn hold_inbound(&self, host: u8) {
-        self.hold(|_, to| to == host);
-    }
-
-    /// Holds up the links that `host` dials.
-    pub fn hold_outbound(&self, host: u8) {
-        self.hold(|from, _| from == host);
-    }
-
-    fn hold(&self, affected: impl Fn(u8, u8) -> bool) {
-        let links = self.links.iter().filter(|((from, to), _)| affected(*from, *to));
-        links.for_each(|(_, link)| link.hold(""));
-    }
-
     /// Heals all links.
     pub fn heal(&self) {
         self.links.values().for_each(|link| link.heal());
@@ -197,6 +182,12 @@
         hosts.find(|host| self.leads(*host))
     }
 
+    /// Leader, and the version that it reads.
+    pub fn leader_version(&self) -> Option<(u8, Index)> {
+        let leader = self.leader()?;
+        Some((leader, self.version(leader)?))
+    }
+
     /// Whether a member leads and has a valid lease.
     pub fn leads(&self, host: u8) -> bool {
         let leader = self.status(host).and_then(|status| status.leader);
@@ -223,8 +214,8 @@
     pub fn publish(&mut self) -> io::Result<(u8, Index)> {
         let started = Instant::now();
         while started.elapsed() < WAIT_TIMEOUT {
-            if let Some(leader) = self.leader()
-                && let Some(version) = self.publish_at(leader)?
+            if let Some((leader, base)) = self.leader_version()
+                && let Some(version) = self.publish_at(leader, base)?
             {
                 return Ok((leader, version));
             }
@@ -233,19 +224,19 @@
         Err(self.timed_out("a change is acknowledged"))
     }
 
-    /// Publishes a template with another burst at a member; returns the acknowledged version.
+    /// Publishes a template with another burst, made from the version `base`, at a member; returns
+    /// the acknowledged version.
     ///
     /// # Errors
     ///
     /// The request cannot be made.
-    pub fn publish_at(&mut self, host: u8) -> io::Result<Option<Index>> {
-        let Some(status) = self.status(host) else { return Ok(None) };
+    pub fn publish_at(&mut self, host: u8, base: Index) -> io::Result<Option<Index>> {
         self.changes += 1;
         let name = |text: &str| Name::try_from(text).map_err(io::Error::other);
         let change = Change {
             id: name(&format!("change-{}", self.changes))?,
             operator: name("bench")?,
-            base: status.version,
+            base,
             edit: Edit::Publish(template(100 + self.changes)),
         };
         let request = Request::try_from(change).and_then(|request| request.encode());
