Count a change without an acknowledgement and a second group as broken

A play in which no change was acknowledged counted as void, and the founding of a second group was not looked for. Both are broken promises now, as strict tests of the mend need it.

--- a/crates/auburnlug/tests/second_lost_disk_sql/play.rs
+++ b/crates/auburnlug/tests/second_lost_disk_sql/play.rs
@@ -17,6 +17,9 @@
 /// Log event of a data folder that was opened.
 const DISK_OPENED: &str = "AL0200";
 
+/// Log event of the founding of a group.
+const GROUP_FORMED: &str = "AL0202";
+
 /// Log event of a request to join, at the leader.
 const JOIN_RECEIVED: &str = "AL0209";
 
@@ -126,7 +129,8 @@
 pub enum Outcome {
     /// The change was read in time.
     Held,
-    /// It was not, or an older version was read under a valid lease.
+    /// It was not, an older version was read under a valid lease, a second group was founded, or no
+    /// change was acknowledged before.
     Broken(String),
     /// The play was not of its kind.
     Void(String),
@@ -170,6 +174,7 @@
     rng: &mut ChaCha8Rng,
 ) -> io::Result<Outcome> {
     let lost = choose_lost(group, kind, rng)?;
+    let founded = count_founded(group);
     let asked: Vec<usize> = lost.iter().map(|host| requests(group, *host)).collect();
     for host in &lost {
         group.processes.lose_disk(*host)?;
@@ -182,15 +187,9 @@
     if !kind.told && lost.iter().zip(&asked).any(is_told) {
         return Ok(Outcome::Void("the leader was told".into()));
     }
-    group.eventually("a member leads", |g| g.leader_version().is_some())?;
-    let known = group.leader_version();
-    group.wake()?;
-    group.heal();
-    thread::sleep(gap);
-    let version = known.map(|(leader, base)| group.publish_at(leader, base)).transpose()?.flatten();
-    let (leader, version) = match known.zip(version) {
-        Some(((leader, _), version)) => (leader, version),
-        None => group.publish()?,
+    let (leader, version) = match acknowledge_change(group, gap) {
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => return Ok(Outcome::Broken(e.to_string())),
+        acknowledged => acknowledged?,
     };
     let hosts = group.processes.kill_all()?;
     let others = hosts.iter().filter(|host| **host != leader && !lost.contains(host));
@@ -201,7 +200,27 @@
     for host in hosts {
         group.spawn(host)?;
     }
-    Ok(read_back(group, version))
+    let outcome = read_back(group, version);
+    if count_founded(group) > founded {
+        return Ok(Outcome::Broken("a second group was founded".into()));
+    }
+    Ok(outcome)
+}
+
+/// Ends the absence, and publishes a change `gap` later; returns the leader, which acknowledged it,
+/// and the version.
+fn acknowledge_change(group: &mut ControlProcesses, gap: Duration) -> io::Result<(u8, u64)> {
+    group.eventually("a member leads", |g| g.leader_version().is_some())?;
+    let known = group.leader_version();
+    group.wake()?;
+    group.heal();
+    thread::sleep(gap);
+    if let Some((leader, base)) = known
+        && let Some(version) = group.publish_at(leader, base)?
+    {
+        return Ok((leader, version));
+    }
+    group.publish()
 }
 
 /// Members that lose their disks first.
@@ -219,6 +238,11 @@
     Ok(lost)
 }
 
+/// Number of times that members have logged the founding of a group.
+fn count_founded(group: &ControlProcesses) -> usize {
+    group.hosts().map(|host| group.processes.logged(host, GROUP_FORMED).len()).sum()
+}
+
 /// Requests to join that any member has logged for `host` while it led.
 fn requests(group: &ControlProcesses, host: u8) -> usize {
     let name = format!("instance={} ", ControlProcesses::label(host));
