Log that more disks are lost than the control group tolerates (AL0215)

After the loss of a second disk the group stops for good, and its survivor looked like a member that waits for the others: no line told that they have returned empty.

A member that has known no leader for 2 s now logs, at level critical, that the voters with their disks cannot elect one, with its own last index and term, and which voters are left. It does so once per set of lost voters.

A member that was away may list voters only that were replaced one after another while it was. It stays silent if an identity that its log does not list as a voter is one by its own log: outdated_member_does_not_log_lost_disks fails without this condition, with a critical line in a group of three healthy voters.

--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -65,6 +65,7 @@
     KnownLeaderChanged = 212, Info, "known control leader changed";
     MemberUnlisted = 213, Warn, "control member is not listed by its group and asks to join again";
     LeaderMissed = 214, Warn, "control group has no leader";
+    DisksLost = 215, Critical, "control group has lost more disks than it tolerates";
     LeaseLost = 220, Error, "lease ended: requests are refused until it is renewed";
     LeaseGained = 221, Info, "lease granted";
     ConfigApplied = 230, Info, "configuration in force";
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -21,11 +21,12 @@
 use crate::{
     control_metrics::ControlMetrics,
     event::{Event, log},
-    member_log::{heard::HeardMembers, leaderless::LeaderlessLog},
+    member_log::{heard::HeardMembers, leaderless::LeaderlessLog, lost_disks::LostDisksLog},
 };
 
 mod heard;
 mod leaderless;
+mod lost_disks;
 
 /// Time for which the tolerated disk losses must differ from those logged last before they are
 /// logged again. One late acknowledgement is shorter.
@@ -45,6 +46,7 @@
     unlisted: bool,
     heard: HeardMembers,
     leaderless: LeaderlessLog,
+    lost_disks: LostDisksLog,
     /// Present while the member leads its term.
     leading: Option<LeaderLog>,
     /// Present while the member may act for the group.
@@ -79,6 +81,7 @@
             searching,
             unlisted: false,
             leaderless: LeaderlessLog::default(),
+            lost_disks: LostDisksLog::default(),
             leading: None,
             redundancy: None,
             metrics: ControlMetrics::default(),
@@ -115,9 +118,11 @@
         }
         if raft.leader().is_some() {
             self.leaderless.end();
+            self.lost_disks.end();
         } else {
-            let since = self.leader_since;
-            self.leaderless.observe(&self.identity, raft, &self.heard, since, now);
+            let (identity, heard, since) = (&self.identity, &self.heard, self.leader_since);
+            self.leaderless.observe(identity, raft, heard, since, now);
+            self.lost_disks.observe(identity, raft, heard, since, now);
         }
         if !raft.leads() {
             self.leading = None;
--- a/crates/transport/src/member_log/heard.rs
+++ b/crates/transport/src/member_log/heard.rs
@@ -3,9 +3,9 @@
 //! A member that lost its disk returns under a new identity. Messages of the former identity may
 //! arrive late, so an identity only replaces another one that was heard for the first time before.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use auburnlug_coordination::bootstrap::instance_of;
+use auburnlug_coordination::{bootstrap::instance_of, raft::Members};
 use auburnlug_protocol::peer::ControlMessage;
 use auburnlug_state::{Millis, Name};
 
@@ -25,6 +25,8 @@
     first: Millis,
     /// Time of the last message.
     last: Millis,
+    /// Whether its own log lists it as a voter, as far as it has said so.
+    votes: bool,
 }
 
 impl HeardMembers {
@@ -56,6 +58,9 @@
             return;
         }
         heard.last = now;
+        if let ControlMessage::Probed { members: Some(members), .. } = message {
+            heard.votes = members.voters.contains(identity.as_str());
+        }
     }
 
     /// Time since the last message of an identity; `None` if there was none.
@@ -78,6 +83,19 @@
         same.max_by_key(|(_, heard)| heard.first).map(|(identity, _)| identity)
     }
 
+    /// Voters whose instance has returned under another identity.
+    pub(super) fn lost_voters(&self, members: &Members) -> BTreeSet<Name> {
+        let voters = members.voters.iter();
+        voters.filter(|voter| self.successor(voter).is_some()).cloned().collect()
+    }
+
+    /// Whether an identity that `members` does not list as a voter votes by its own log, so that
+    /// `members` may be outdated.
+    pub(super) fn outdates(&self, members: &Members) -> bool {
+        let mut heard = self.identities.iter();
+        heard.any(|(identity, heard)| heard.votes && !members.voters.contains(identity.as_str()))
+    }
+
     fn add(&mut self, identity: &Name, instance: Name, now: Millis) {
         let earlier = self.identities.iter().filter(|(_, heard)| heard.instance == instance);
         if earlier.clone().count() >= MAX_IDENTITIES {
@@ -86,7 +104,7 @@
                 self.identities.remove(oldest.as_str());
             }
         }
-        let heard = Heard { instance, first: now, last: now };
+        let heard = Heard { instance, first: now, last: now, votes: false };
         self.identities.insert(identity.clone(), heard);
     }
 }
--- a/crates/transport/src/member_log/leaderless.rs
+++ b/crates/transport/src/member_log/leaderless.rs
@@ -9,10 +9,10 @@
 use crate::event::{Event, log};
 
 /// Time without a known leader after which the reason is logged. Longer than an election.
-pub const LEADERLESS_LOG_DELAY_MS: Millis = 2_000;
+pub(super) const LEADERLESS_LOG_DELAY_MS: Millis = 2_000;
 
 /// Time between two lines about the reason, however often it changes.
-pub const LEADERLESS_LOG_INTERVAL_MS: Millis = 5_000;
+pub(super) const LEADERLESS_LOG_INTERVAL_MS: Millis = 5_000;
 
 /// Time after which a voter counts as silent. Without a leader, voters ask each other several times
 /// in it.
--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -325,6 +325,54 @@
     assert_eq!(lines("AL0213"), Vec::<String>::new());
 }
 
+/// Guards against a group that cannot go on by itself and says so at no member, or again and again.
+#[test]
+fn more_lost_disks_than_tolerated_are_logged_once() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    clear_lines();
+    group.lose_disk(&name("b"), "empty");
+    group.silent.insert(name("c"));
+    group.run(10_000);
+    assert_eq!(lines("AL0215"), Vec::<String>::new());
+    let last = group.members[&name("a")].last_index();
+    group.lose_disk(&name("c"), "empty");
+    group.silent.clear();
+    group.run(30_000);
+    let lost = lines("AL0215");
+    let lost: Vec<&String> = lost.iter().filter(|line| line.contains("=a.member-a ")).collect();
+    assert_eq!(lost.len(), 1, "{lost:?}");
+    assert!(lost[0].contains("[critical]"), "{lost:?}");
+    let text = format!(
+        "role=voter last_index={last} term=1 needed=2 left=[a.member-a] \
+         lost=[b.member-b now=b.empty-b, c.member-c now=c.empty-c]"
+    );
+    assert!(lost[0].contains(&text), "{lost:?} lacks {text}");
+}
+
+/// Guards against a critical line at a member that was away while the others were replaced one
+/// after another.
+#[test]
+fn outdated_member_does_not_log_lost_disks() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    group.silent.insert(name("a"));
+    group.run(5_000);
+    group.add("d", &["a", "b", "c"], false);
+    group.run(5_000);
+    for instance in ["b", "c"] {
+        group.open(instance, "later", &["a", "b", "c", "d"], false);
+        group.run(10_000);
+        assert!(group.leader().is_some());
+    }
+    clear_lines();
+    group.raft_lost = true;
+    group.silent.clear();
+    group.run(10_000);
+    let missed = lines("AL0214 control group has no leader: identity=a.member-a");
+    assert!(missed[0].contains("b.member-b lost now=b.later-b"), "{missed:?}");
+    assert!(missed[0].contains("c.member-c lost now=c.later-c"), "{missed:?}");
+    assert_eq!(lines("AL0215"), Vec::<String>::new());
+}
+
 /// Guards against a restart after which no line tells why nobody leads, and against a line for each
 /// election timeout or moved age.
 #[test]
