Report lost voters and the time without a control leader

Tolerated losses are known to the leader only, so that no metric told anything while nobody led. Each control member now reports auburnlug_control_voters_lost, the voters whose instance has returned under another identity, and auburnlug_control_leaderless_ms, the time for which it has known no leader.

lost_voters_are_counted_until_they_are_replaced covers a loss, the wait for the other voter and the replacement.

--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -11,6 +11,8 @@
         "auburnlug_control_voters 0",
         "auburnlug_control_learners 0",
         "auburnlug_control_leads 0",
+        "auburnlug_control_voters_lost 0",
+        "auburnlug_control_leaderless_ms 0",
         "auburnlug_control_losses_tolerated -1",
         "auburnlug_control_losses_configured 0",
         "auburnlug_control_membership_steps_total{kind=\"learner_removed\"} 0",
--- a/crates/transport/src/control_metrics.rs
+++ b/crates/transport/src/control_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a control member.
 
 use auburnlug_coordination::{membership_step::StepKind, raft::Members, redundancy::Redundancy};
+use auburnlug_state::Millis;
 use prometheus_client::{
     metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
@@ -17,6 +18,8 @@
     voters: Gauge,
     learners: Gauge,
     leads: Gauge,
+    lost: Gauge,
+    leaderless: Gauge,
     tolerated: Gauge,
     configured: Gauge,
     steps: Family<Label, Counter>,
@@ -28,6 +31,8 @@
             voters: Gauge::default(),
             learners: Gauge::default(),
             leads: Gauge::default(),
+            lost: Gauge::default(),
+            leaderless: Gauge::default(),
             tolerated: Gauge::default(),
             configured: Gauge::default(),
             steps: Family::default(),
@@ -55,6 +60,16 @@
             "Whether this member leads the control group",
             self.leads.clone(),
         );
+        registry.register(
+            "control_voters_lost",
+            "Voters whose instance has returned under another identity, without its disk",
+            self.lost.clone(),
+        );
+        registry.register(
+            "control_leaderless_ms",
+            "Time for which this member has known no control leader; 0 while it knows one",
+            self.leaderless.clone(),
+        );
         registry.register(
             "control_losses_tolerated",
             "Disk losses that the control group tolerates now; -1 unless this member leads",
@@ -84,6 +99,16 @@
         self.leads.set(i64::from(leads));
     }
 
+    /// Sets the number of voters that are known to have lost their disks.
+    pub(crate) fn set_lost(&self, voters: usize) {
+        self.lost.set(gauge_value(voters));
+    }
+
+    /// Sets the time without a known leader; 0 while one is known.
+    pub(crate) fn set_leaderless(&self, time: Millis) {
+        self.leaderless.set(i64::try_from(time).unwrap_or(i64::MAX));
+    }
+
     /// Sets the tolerated disk losses; `None` unless this member leads.
     pub(crate) fn set_redundancy(&self, redundancy: Option<Redundancy>) {
         self.tolerated.set(redundancy.map_or(NOT_LEADING, |known| gauge_value(known.tolerated)));
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -107,7 +107,10 @@
     /// Logs changes of what the member knows about its leader and its own membership. `raft` is
     /// `None` while the member looks for the group.
     pub(crate) fn observe(&mut self, raft: Option<&Raft>, asks_to_join: bool, now: Millis) {
-        let Some(raft) = raft else { return };
+        let Some(raft) = raft else {
+            self.metrics.set_leaderless(now.saturating_sub(self.leader_since));
+            return;
+        };
         let leads = raft.lease_valid(now);
         self.metrics.set_members(raft.members(), leads);
         if !leads {
@@ -116,14 +119,7 @@
         if raft.leader() != self.leader.as_ref() {
             self.log_leader_change(raft, now);
         }
-        if raft.leader().is_some() {
-            self.leaderless.end();
-            self.lost_disks.end();
-        } else {
-            let (identity, heard, since) = (&self.identity, &self.heard, self.leader_since);
-            self.leaderless.observe(identity, raft, heard, since, now);
-            self.lost_disks.observe(identity, raft, heard, since, now);
-        }
+        self.observe_voters(raft, now);
         if !raft.leads() {
             self.leading = None;
         } else if self.leading.as_ref().is_none_or(|leading| leading.term != raft.term()) {
@@ -232,6 +228,21 @@
         self.metrics.set_redundancy(redundancy);
     }
 
+    /// Logs and counts what the member knows of voters that are missing.
+    fn observe_voters(&mut self, raft: &Raft, now: Millis) {
+        let (identity, heard, since) = (&self.identity, &self.heard, self.leader_since);
+        self.metrics.set_lost(heard.lost_voters(raft.members()).len());
+        if raft.leader().is_some() {
+            self.metrics.set_leaderless(0);
+            self.leaderless.end();
+            self.lost_disks.end();
+        } else {
+            self.metrics.set_leaderless(now.saturating_sub(since));
+            self.leaderless.observe(identity, raft, heard, since, now);
+            self.lost_disks.observe(identity, raft, heard, since, now);
+        }
+    }
+
     fn log_leader_change(&mut self, raft: &Raft, now: Millis) {
         let known = now.saturating_sub(std::mem::replace(&mut self.leader_since, now));
         let from = std::mem::replace(&mut self.leader, raft.leader().cloned());
--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -445,6 +445,28 @@
     assert_eq!(group.values("control_learners"), [0, 0, 0]);
 }
 
+/// Guards against a lost disk that is only known once its member has been replaced, and against a
+/// voter that counts as lost afterwards.
+#[test]
+fn lost_voters_are_counted_until_they_are_replaced() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let (leader, lost) = (group.leader().expect("leads"), group.follower());
+    assert_eq!(group.values("control_voters_lost"), [0, 0, 0]);
+    assert_eq!(group.values("control_leaderless_ms"), [0, 0, 0]);
+    let mut others: Vec<Name> = group.members.keys().cloned().collect();
+    others.retain(|name| *name != leader && *name != lost);
+    group.silent.extend(others);
+    group.lose_disk(&lost, "empty");
+    group.run(2_000);
+    assert_eq!(value(&group.registries[leader.as_str()], "control_voters_lost"), 1);
+    let leaderless = value(&group.registries[leader.as_str()], "control_leaderless_ms");
+    assert!((500..2_000).contains(&leaderless), "{leaderless}");
+    group.silent.clear();
+    group.run(10_000);
+    assert_eq!(group.values("control_voters_lost"), [0, 0, 0]);
+    assert_eq!(group.values("control_leaderless_ms"), [0, 0, 0]);
+}
+
 /// Guards against a member without a lease that still reports what it knew as the leader.
 #[test]
 fn former_leader_reports_no_tolerated_losses() {
