--- a/crates/bench/tests/held_link.rs
+++ b/crates/bench/tests/held_link.rs
@@ -1,5 +1,8 @@
 //! Links whose bytes are held up one way.
 
+// The setting for tests in clippy.toml does not reach helper functions in test files.
+#![allow(clippy::unwrap_used)]
+
 use std::{net::SocketAddr, time::Duration};
 
 use auburnlug_bench::held_link::{HeldLink, Way};
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -179,6 +179,11 @@
         self.voters.len() / 2 + 1
     }
 
+    /// Number of voters in a quorum if the members in `lost` have lost their disks.
+    pub fn needed(&self, lost: &BTreeSet<Name>) -> usize {
+        quorum_size(&self.voters, lost)
+    }
+
     /// Whether `names` are a quorum if the members in `lost` have lost their disks.
     pub fn is_quorum(&self, names: &BTreeSet<Name>, lost: &BTreeSet<Name>) -> bool {
         self.voter_sets().all(|voters| {
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -21,11 +21,12 @@
 use crate::{
     control_metrics::ControlMetrics,
     event::{Event, log},
-    member_log::{heard::HeardMembers, leaderless::LeaderlessLog},
+    member_log::{heard::HeardMembers, leaderless::LeaderlessLog, lost_disks::LostDisksLog},
 };
 
 mod heard;
 mod leaderless;
+mod lost_disks;
 
 /// Time for which the tolerated disk losses must differ from those logged last before they are
 /// logged again. One late acknowledgement is shorter.
@@ -45,6 +46,7 @@
     unlisted: bool,
     heard: HeardMembers,
     leaderless: LeaderlessLog,
+    lost_disks: LostDisksLog,
     /// Present while the member leads its term.
     leading: Option<LeaderLog>,
     /// Whether the member led alone at the last call.
@@ -81,6 +83,7 @@
             searching,
             unlisted: false,
             leaderless: LeaderlessLog::default(),
+            lost_disks: LostDisksLog::default(),
             leading: None,
             alone: false,
             redundancy: None,
@@ -107,7 +110,10 @@
     /// Logs changes of what the member knows about its leader and its own membership. `raft` is
     /// `None` while the member looks for the group.
     pub(crate) fn observe(&mut self, raft: Option<&Raft>, asks_to_join: bool, now: Millis) {
-        let Some(raft) = raft else { return };
+        let Some(raft) = raft else {
+            self.metrics.set_leaderless(now.saturating_sub(self.leader_since));
+            return;
+        };
         let leads = raft.lease_valid(now);
         self.metrics.set_members(raft.members(), leads);
         if !leads {
@@ -116,12 +122,7 @@
         if raft.leader() != self.leader.as_ref() {
             self.log_leader_change(raft, now);
         }
-        if raft.leader().is_some() {
-            self.leaderless.end();
-        } else {
-            let since = self.leader_since;
-            self.leaderless.observe(&self.identity, raft, &self.heard, since, now);
-        }
+        self.observe_voters(raft, now);
         if !raft.leads() {
             self.leading = None;
         } else if self.leading.as_ref().is_none_or(|leading| leading.term != raft.term()) {
@@ -254,6 +255,21 @@
         );
     }
 
+    /// Logs and counts what the member knows of voters that are missing.
+    fn observe_voters(&mut self, raft: &Raft, now: Millis) {
+        let (identity, heard, since) = (&self.identity, &self.heard, self.leader_since);
+        self.metrics.set_lost(heard.lost_voters(raft.members()).len());
+        if raft.leader().is_some() {
+            self.metrics.set_leaderless(0);
+            self.leaderless.end();
+            self.lost_disks.end();
+        } else {
+            self.metrics.set_leaderless(now.saturating_sub(since));
+            self.leaderless.observe(identity, raft, heard, since, now);
+            self.lost_disks.observe(identity, raft, heard, since, now);
+        }
+    }
+
     fn log_leader_change(&mut self, raft: &Raft, now: Millis) {
         let known = now.saturating_sub(std::mem::replace(&mut self.leader_since, now));
         let from = std::mem::replace(&mut self.leader, raft.leader().cloned());
--- a/crates/transport/src/member_log/leaderless.rs
+++ b/crates/transport/src/member_log/leaderless.rs
@@ -9,10 +9,10 @@
 use crate::event::{Event, log};
 
 /// Time without a known leader after which the reason is logged. Longer than an election.
-pub const LEADERLESS_LOG_DELAY_MS: Millis = 2_000;
+pub(super) const LEADERLESS_LOG_DELAY_MS: Millis = 2_000;
 
 /// Time between two lines about the reason, however often it changes.
-pub const LEADERLESS_LOG_INTERVAL_MS: Millis = 5_000;
+pub(super) const LEADERLESS_LOG_INTERVAL_MS: Millis = 5_000;
 
 /// Time after which a voter counts as silent. Without a leader, voters ask each other several times
 /// in it.
@@ -69,7 +69,8 @@
         if self.picture.as_ref() == Some(&picture) {
             return;
         }
-        let (term, index, needed) = (raft.term(), raft.last_index(), members.majority());
+        let (term, index, needed) =
+            (raft.term(), raft.last_index(), members.needed(&heard.lost_voters(members)));
         let (role, answering, silent) = (picture.role, picture.answering(), now - since);
         let voters = picture.describe(heard, now);
         log(
--- a/crates/transport/tests/member_discovery.rs
+++ b/crates/transport/tests/member_discovery.rs
@@ -75,7 +75,7 @@
         let probe = ControlMessage::Probe { identity: name("d.1") };
         assert_eq!(member.discovery_messages()[0].1, probe);
     }
-    let others = Members { voters: names(["a.2", "b.1", "c.1"]), learners: BTreeSet::new() };
+    let others = Members::new(names(["a.2", "b.1", "c.1"]), BTreeSet::new());
     member.receive(&name("a"), answer(Some(others)), 100).expect("works");
     let join = ControlMessage::Join { identity: name("d.1") };
     assert_eq!(member.discovery_messages()[0].1, join);
--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -325,6 +325,54 @@
     assert_eq!(lines("AL0213"), Vec::<String>::new());
 }
 
+/// Guards against a group that cannot go on by itself and says so at no member, or again and again.
+#[test]
+fn more_lost_disks_than_tolerated_are_logged_once() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    clear_lines();
+    group.lose_disk(&name("b"), "empty");
+    group.silent.insert(name("c"));
+    group.run(10_000);
+    assert_eq!(lines("AL0215"), Vec::<String>::new());
+    let last = group.members[&name("a")].last_index();
+    group.lose_disk(&name("c"), "empty");
+    group.silent.clear();
+    group.run(30_000);
+    let lost = lines("AL0215");
+    let lost: Vec<&String> = lost.iter().filter(|line| line.contains("=a.member-a ")).collect();
+    assert_eq!(lost.len(), 1, "{lost:?}");
+    assert!(lost[0].contains("[critical]"), "{lost:?}");
+    let text = format!(
+        "role=voter last_index={last} term=1 needed=2 left=[a.member-a] \
+         lost=[b.member-b now=b.empty-b, c.member-c now=c.empty-c]"
+    );
+    assert!(lost[0].contains(&text), "{lost:?} lacks {text}");
+}
+
+/// Guards against a critical line at a member that was away while the others were replaced one
+/// after another.
+#[test]
+fn outdated_member_does_not_log_lost_disks() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    group.silent.insert(name("a"));
+    group.run(5_000);
+    group.add("d", &["a", "b", "c"], false);
+    group.run(5_000);
+    for instance in ["b", "c"] {
+        group.open(instance, "later", &["a", "b", "c", "d"], false);
+        group.run(10_000);
+        assert!(group.leader().is_some());
+    }
+    clear_lines();
+    group.raft_lost = true;
+    group.silent.clear();
+    group.run(10_000);
+    let missed = lines("AL0214 control group has no leader: identity=a.member-a");
+    assert!(missed[0].contains("b.member-b lost now=b.later-b"), "{missed:?}");
+    assert!(missed[0].contains("c.member-c lost now=c.later-c"), "{missed:?}");
+    assert_eq!(lines("AL0215"), Vec::<String>::new());
+}
+
 /// Guards against a restart after which no line tells why nobody leads, and against a line for each
 /// election timeout or moved age.
 #[test]
@@ -397,6 +445,28 @@
     assert_eq!(group.values("control_learners"), [0, 0, 0]);
 }
 
+/// Guards against a lost disk that is only known once its member has been replaced, and against a
+/// voter that counts as lost afterwards.
+#[test]
+fn lost_voters_are_counted_until_they_are_replaced() {
+    let mut group = Group::start(&["a", "b", "c"]);
+    let (leader, lost) = (group.leader().expect("leads"), group.follower());
+    assert_eq!(group.values("control_voters_lost"), [0, 0, 0]);
+    assert_eq!(group.values("control_leaderless_ms"), [0, 0, 0]);
+    let mut others: Vec<Name> = group.members.keys().cloned().collect();
+    others.retain(|name| *name != leader && *name != lost);
+    group.silent.extend(others);
+    group.lose_disk(&lost, "empty");
+    group.run(2_000);
+    assert_eq!(value(&group.registries[leader.as_str()], "control_voters_lost"), 1);
+    let leaderless = value(&group.registries[leader.as_str()], "control_leaderless_ms");
+    assert!((500..2_000).contains(&leaderless), "{leaderless}");
+    group.silent.clear();
+    group.run(10_000);
+    assert_eq!(group.values("control_voters_lost"), [0, 0, 0]);
+    assert_eq!(group.values("control_leaderless_ms"), [0, 0, 0]);
+}
+
 /// Guards against a member without a lease that still reports what it knew as the leader.
 #[test]
 fn former_leader_reports_no_tolerated_losses() {
