Count the former voters of a change in progress in logs and metrics

A change of the voters lasts until both the present and the former ones have it. The answer to a probe no longer asks to join by itself, as both cores ask as soon as the member wants to.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -406,7 +406,7 @@
 
     fn send_to_voters(&mut self, message: &Message) {
         let members = self.log.members().clone();
-        for voter in members.voters.union(&members.former).cloned() {
+        for voter in members.all_voters().cloned() {
             if voter != self.id {
                 self.send(&voter, message.clone());
             }
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -181,7 +181,7 @@
 
     /// Number of voters in a quorum if the members in `lost` have lost their disks.
     pub fn needed(&self, lost: &BTreeSet<Name>) -> usize {
-        quorum_size(&self.voters, lost)
+        self.voter_sets().map(|voters| quorum_size(voters, lost)).max().unwrap_or_default()
     }
 
     /// Whether `names` are a quorum if the members in `lost` have lost their disks.
@@ -207,6 +207,11 @@
         self.voter_sets().any(|voters| voters.contains(name))
     }
 
+    /// Members that vote, with those that a change in progress removes.
+    pub fn all_voters(&self) -> impl Iterator<Item = &Name> {
+        self.voters.union(&self.former)
+    }
+
     /// Voters, learners and former voters.
     pub fn all(&self) -> impl Iterator<Item = &Name> {
         let gone = self.former.difference(&self.voters);
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -233,9 +233,6 @@
                 State::Searching(bootstrap) => {
                     let decision = bootstrap.record_answer(from, identity, members);
                     self.apply_decision(decision, now)?;
-                    if let State::Member(_, true) = &self.state {
-                        return Ok(Some(ControlMessage::Join { identity: self.identity.clone() }));
-                    }
                 }
                 State::Member(raft, asks_to_join) => {
                     // A member that lags may not know this one yet; an unneeded request to join has
@@ -327,7 +324,7 @@
         self.reported_at = now;
         let receivers = match raft.leader() {
             Some(leader) => vec![leader.clone()],
-            None => members.all().filter(|name| members.is_voter(name)).cloned().collect(),
+            None => members.all_voters().cloned().collect(),
         };
         let others = receivers.iter().filter(|name| !lost.contains(*name));
         let instances = others.filter_map(instance_of).filter(|name| *name != self.instance);
--- a/crates/transport/src/member_log/heard.rs
+++ b/crates/transport/src/member_log/heard.rs
@@ -85,7 +85,7 @@
 
     /// Voters whose instance has returned under another identity.
     pub(super) fn lost_voters(&self, members: &Members) -> BTreeSet<Name> {
-        let voters = members.voters.iter();
+        let voters = members.all_voters();
         voters.filter(|voter| self.successor(voter).is_some()).cloned().collect()
     }
 
@@ -93,7 +93,7 @@
     /// `members` may be outdated.
     pub(super) fn outdates(&self, members: &Members) -> bool {
         let mut heard = self.identities.iter();
-        heard.any(|(identity, heard)| heard.votes && !members.voters.contains(identity.as_str()))
+        heard.any(|(identity, heard)| heard.votes && !members.is_voter(identity))
     }
 
     fn add(&mut self, identity: &Name, instance: Name, now: Millis) {
--- a/crates/transport/src/member_log/leaderless.rs
+++ b/crates/transport/src/member_log/leaderless.rs
@@ -98,7 +98,7 @@
                 Voter::Silent
             }
         };
-        let voters = members.voters.iter().map(|name| (name.clone(), voter(name))).collect();
+        let voters = members.all_voters().map(|name| (name.clone(), voter(name))).collect();
         Picture { role: role(members, identity), voters }
     }
 
--- a/crates/transport/src/member_log/lost_disks.rs
+++ b/crates/transport/src/member_log/lost_disks.rs
@@ -44,7 +44,7 @@
             return;
         }
         let lost = heard.lost_voters(members);
-        if lost.is_empty() || members.is_quorum(&members.voters, &lost) {
+        if lost.is_empty() || members.is_quorum(&members.all_voters().cloned().collect(), &lost) {
             return self.end();
         }
         if lost == self.lost {
@@ -66,7 +66,8 @@
 }
 
 fn describe_left(members: &Members, lost: &BTreeSet<Name>) -> String {
-    let left: Vec<&str> = members.voters.difference(lost).map(Name::as_str).collect();
+    let left = members.all_voters().filter(|name| !lost.contains(*name));
+    let left: Vec<&str> = left.map(Name::as_str).collect();
     left.join(", ")
 }
 
