Test that an outdated member logs that its group does not list it

A member that was away while all others were replaced writes no AL0215; the test now also requires its AL0213. The other members write AL0213, too, while nobody leads, as the outdated member does not list them: OPERATIONS.md says so.

--- a/crates/transport/tests/member_log.rs
+++ b/crates/transport/tests/member_log.rs
@@ -370,6 +370,9 @@
     let missed = lines("AL0214 control group has no leader: identity=a.member-a");
     assert!(missed[0].contains("b.member-b lost now=b.later-b"), "{missed:?}");
     assert!(missed[0].contains("c.member-c lost now=c.later-c"), "{missed:?}");
+    let unlisted = "AL0213 control member is not listed by its group and asks to join again: \
+                    identity=a.member-a own_log=voter";
+    assert_eq!(lines(unlisted).len(), 1, "{:?}", lines("AL0213"));
     assert_eq!(lines("AL0215"), Vec::<String>::new());
 }
 
