Split the log of a leader from the log of a member

member_log.rs held what any member logs and what only a leader does. The latter is in member_log/leader.rs now; no line and no metric changes.

--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -3,35 +3,29 @@
 //! Lines are written when something changes, never for a repeated message or a periodic check, so
 //! their number does not depend on how often the member is called.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt::Write,
-};
-
 use auburnlug_coordination::{
-    Category, Error,
-    membership::{ControlGroup, Progress},
-    membership_step::{MembershipStep, StepKind},
+    Error,
+    membership::ControlGroup,
+    membership_step::MembershipStep,
     raft::{Members, Raft},
     redundancy::Redundancy,
 };
 use auburnlug_protocol::peer::ControlMessage;
-use auburnlug_state::{Index, Millis, Name, Term};
+use auburnlug_state::{Index, Millis, Name};
 
 use crate::{
     control_metrics::ControlMetrics,
     event::{Event, log},
-    member_log::{heard::HeardMembers, leaderless::LeaderlessLog, lost_disks::LostDisksLog},
+    member_log::{
+        heard::HeardMembers, leader::LeaderLog, leaderless::LeaderlessLog, lost_disks::LostDisksLog,
+    },
 };
 
 mod heard;
+mod leader;
 mod leaderless;
 mod lost_disks;
 
-/// Time for which the tolerated disk losses must differ from those logged last before they are
-/// logged again. One late acknowledgement is shorter.
-pub const LOSSES_LOG_DELAY_MS: Millis = 1_000;
-
 /// What a member has logged about its group.
 #[derive(Debug)]
 pub(crate) struct MemberLog {
@@ -54,22 +48,6 @@
     metrics: ControlMetrics,
 }
 
-/// What a leader has logged in its term.
-#[derive(Debug)]
-struct LeaderLog {
-    term: Term,
-    since: Millis,
-    /// Tolerated disk losses logged last, at most the configured ones; `None` before the first
-    /// check.
-    losses: Option<usize>,
-    /// Time since which the tolerated disk losses differ from `losses`.
-    differs_since: Option<Millis>,
-    /// Identity of the last request to join, by instance.
-    requests: BTreeMap<Name, Name>,
-    /// Reasons for which proposals were refused since the last accepted one.
-    refusals: Vec<Category>,
-}
-
 impl MemberLog {
     /// Starts the log of the member `identity`, which may look for its group.
     pub(crate) fn new(identity: Name, searching: bool, now: Millis) -> MemberLog {
@@ -139,15 +117,7 @@
     /// Logs the first request to join from each identity.
     pub(crate) fn record_join(&mut self, instance: &Name, identity: &Name, members: &Members) {
         let Some(leading) = &mut self.leading else { return };
-        if leading.requests.get(instance.as_str()) == Some(identity) {
-            return;
-        }
-        leading.requests.insert(instance.clone(), identity.clone());
-        let (role, term) = (role(members, identity), leading.term);
-        log(
-            Event::JoinReceived,
-            format_args!("instance={instance} identity={identity} role={role} term={term}"),
-        );
+        leading.record_join(instance, identity, members);
     }
 
     /// Records the redundancy of the group, and logs when the group starts or ceases to tolerate the
@@ -156,29 +126,7 @@
         let redundancy = Redundancy::of(group);
         self.set_redundancy(Some(redundancy));
         let Some(leading) = &mut self.leading else { return };
-        let Redundancy { tolerated, configured } = redundancy;
-        let losses = tolerated.min(configured);
-        if *leading.losses.get_or_insert(configured) == losses {
-            leading.differs_since = None;
-            return;
-        }
-        if now < *leading.differs_since.get_or_insert(now) + LOSSES_LOG_DELAY_MS {
-            return;
-        }
-        leading.differs_since = None;
-        leading.losses = Some(losses);
-        let reduced = losses < configured;
-        let event = if reduced { Event::LossesReduced } else { Event::LossesRestored };
-        let (term, led) = (leading.term, now.saturating_sub(leading.since));
-        let voters = describe_members(group, &group.members.voters);
-        let learners = describe_members(group, &group.members.learners);
-        log(
-            event,
-            format_args!(
-                "tolerated={tolerated} configured={configured} voters=[{voters}] \
-                 learners=[{learners}] term={term} led_ms={led}"
-            ),
-        );
+        leading.observe_group(group, redundancy, now);
     }
 
     /// Counts and logs a proposed membership, and logs once per reason that it was refused.
@@ -191,36 +139,10 @@
     ) {
         let Some(leading) = &mut self.leading else { return };
         let Some(step) = MembershipStep::between(&group.members, next) else { return };
-        let (kind, member) = (step.kind.label(), &step.member);
-        let progress = describe_progress(group.progress.get(member.as_str()));
-        let (term, led) = (leading.term, now.saturating_sub(leading.since));
-        match proposed {
-            Ok(index) => {
-                self.metrics.count_step(step.kind);
-                leading.refusals.clear();
-                if matches!(step.kind, StepKind::LearnerRemoved | StepKind::VoterRemoved) {
-                    leading.requests.retain(|_, identity| identity != member);
-                }
-                log(
-                    Event::MembershipProposed,
-                    format_args!(
-                        "step={kind} member={member} {progress} index={index} term={term} \
-                         led_ms={led}"
-                    ),
-                );
-            }
-            Err(error) if !leading.refusals.contains(&error.category()) => {
-                leading.refusals.push(error.category());
-                log(
-                    Event::MembershipRefused,
-                    format_args!(
-                        "step={kind} member={member} {progress} reason=\"{error}\" term={term} \
-                         led_ms={led}"
-                    ),
-                );
-            }
-            Err(_) => {}
+        if proposed.is_ok() {
+            self.metrics.count_step(step.kind);
         }
+        leading.record_proposal(group, &step, &proposed, now);
     }
 
     fn set_redundancy(&mut self, redundancy: Option<Redundancy>) {
@@ -272,44 +194,6 @@
     }
 }
 
-impl LeaderLog {
-    fn new(term: Term, since: Millis) -> LeaderLog {
-        LeaderLog {
-            term,
-            since,
-            losses: None,
-            differs_since: None,
-            requests: BTreeMap::new(),
-            refusals: Vec::new(),
-        }
-    }
-}
-
-/// Members of a group with their progress, separated by commas.
-fn describe_members(group: &ControlGroup, names: &BTreeSet<Name>) -> String {
-    let mut text = String::new();
-    for name in names {
-        let separator = if text.is_empty() { "" } else { ", " };
-        // Writing to a string does not fail.
-        let _ = if *name == group.leader {
-            write!(text, "{separator}{name} leads")
-        } else {
-            let progress = describe_progress(group.progress.get(name.as_str()));
-            write!(text, "{separator}{name} {progress}")
-        };
-    }
-    text
-}
-
-fn describe_progress(progress: Option<&Progress>) -> String {
-    match progress {
-        Some(Progress { caught_up, ack_age, .. }) => {
-            format!("ack_age_ms={ack_age} caught_up={caught_up}")
-        }
-        None => "ack_age_ms=none caught_up=none".to_string(),
-    }
-}
-
 /// Role of `identity` in a membership.
 fn role(members: &Members, identity: &Name) -> &'static str {
     if members.voters.contains(identity.as_str()) {
