Play second losses before the first has healed in the membership model

The model kept a second loss back until the first had healed, so it could not find what the users saw: none leads after the second loss. It now plays losses in that order: the first instance told of its loss or not, suspended, cut off, deaf or mute, leader or follower, with one and two permitted losses, twice at the same instance, with a leader that stands still or restarts, and while a membership step is under way. It also plays what must not count as proof: repeated and late requests of an earlier identity, folders that return or are copied, a survivor that lags behind a promotion, and more losses than the group bears.

New faults: cuts of one direction, repeated messages of the search, disks that return. A leader must not remove a voter whose disk is not lost without a successor.

--- a/crates/transport/tests/member_group/checks.rs
+++ b/crates/transport/tests/member_group/checks.rs
@@ -68,6 +68,12 @@
             list(&after.learners)
         ));
         let Some(removed) = before.voters.difference(&after.voters).next() else { return };
+        let enough = (2 * self.settings.losses + 1).max(3);
+        if after.voters.len() < enough && !self.is_gone(removed) {
+            return self.fail(format_args!(
+                "removal: {leader} removes {removed}, whose disk is not lost, without a successor"
+            ));
+        }
         let answered = self.answered.get(&(leader.clone(), removed.clone()));
         let recent = answered.is_some_and(|at| self.now < *at + RESPONSE_AGE_MS);
         if !recent || self.lost_since(removed).is_some() {
@@ -180,11 +186,14 @@
         (fork.now, fork.acknowledged) = (self.now, self.acknowledged);
         (fork.counter, fork.committed) = (self.counter, self.committed.clone());
         fork.next_proposal = Millis::MAX;
+        fork.gone = self.gone.clone();
         for (instance, state) in &self.instances {
             fork.add(instance.clone(), &state.seeds);
             if !lost.contains(instance.as_str()) {
                 let copy = fork.instance(instance);
                 (copy.identity, copy.disk) = (state.identity.clone(), copy_disk(&state.disk));
+            } else {
+                fork.gone.insert(state.identity.clone(), fork.now);
             }
             if state.lost_since.is_none() {
                 fork.start(instance, false);
@@ -201,7 +210,7 @@
     }
 }
 
-fn copy_disk(disk: &MemoryDisk) -> MemoryDisk {
+pub(super) fn copy_disk(disk: &MemoryDisk) -> MemoryDisk {
     let loaded = disk.clone().load().expect("the disk works");
     let (saved, mut copy) = (loaded.saved, MemoryDisk::new(loaded.identity));
     let (vote, snapshot) = (Some(saved.vote), saved.snapshot);
--- a/crates/transport/tests/member_group/mod.rs
+++ b/crates/transport/tests/member_group/mod.rs
@@ -18,6 +18,7 @@
 use process::{Envelope, Process, Start};
 
 pub mod checks;
+mod disks;
 mod network;
 pub mod process;
 pub mod schedule;
@@ -88,6 +89,12 @@
     pub slow_links: BTreeMap<(Name, Name), Millis>,
     /// Pairs of instances whose links are cut in both directions, each in order.
     cut_pairs: BTreeSet<(Name, Name)>,
+    /// Directions that are cut, by sender and receiver, with the time since which.
+    cut_ways: BTreeMap<(Name, Name), Millis>,
+    /// Messages of the search for the group, for a later repetition; `None` records none.
+    pub searches: Option<Vec<Envelope>>,
+    /// Identities whose request to join a leader has handled, with the time of the first one.
+    pub asked: BTreeMap<Name, Millis>,
     rng: StdRng,
     committed: BTreeMap<Index, Entry>,
     queue: BTreeMap<(Millis, u64), Envelope>,
@@ -97,6 +104,8 @@
     answered: BTreeMap<(Name, Name), Millis>,
     /// Identities whose disks are gone, with the time at which they stopped.
     gone: BTreeMap<Name, Millis>,
+    /// Disks that were replaced by empty ones, by identity.
+    former_disks: BTreeMap<Name, MemoryDisk>,
     counter: u64,
     next_proposal: Millis,
 }
@@ -124,12 +133,16 @@
             acknowledged: 0,
             slow_links: BTreeMap::new(),
             cut_pairs: BTreeSet::new(),
+            cut_ways: BTreeMap::new(),
+            searches: None,
+            asked: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
             committed: BTreeMap::new(),
             queue: BTreeMap::new(),
             held: Vec::new(),
             answered: BTreeMap::new(),
             gone: BTreeMap::new(),
+            former_disks: BTreeMap::new(),
             counter: 0,
             next_proposal: 0,
         }
@@ -153,12 +166,6 @@
         self.instances.insert(instance, added);
     }
 
-    fn new_disk(&mut self, instance: &Name) -> (Name, MemoryDisk) {
-        self.counter += 1;
-        let disk = name(&format!("{}", self.counter));
-        (name(&format!("{instance}.{disk}")), MemoryDisk::new(disk))
-    }
-
     pub fn instance(&mut self, instance: &Name) -> &mut Instance {
         self.instances.get_mut(instance.as_str()).expect("known instance")
     }
@@ -193,17 +200,6 @@
         self.note_lost();
     }
 
-    /// Ends the process of an instance and replaces its disk by an empty one.
-    pub fn lose_disk(&mut self, instance: &Name) {
-        self.kill(instance);
-        let (identity, disk) = self.new_disk(instance);
-        let now = self.now;
-        let emptied = self.instance(instance);
-        emptied.disk = disk;
-        let former = std::mem::replace(&mut emptied.identity, identity);
-        self.gone.insert(former, now);
-    }
-
     /// Removes an instance for good; `successor` is added in its place, but not started.
     pub fn replace(&mut self, instance: &Name, successor: &Name) {
         let Some(former) = self.instances.remove(instance.as_str()) else { return };
@@ -327,6 +323,13 @@
             return;
         }
         let senders: Vec<Name> = process.inbox.iter().filter_map(answering).collect();
+        if process.leads(now) {
+            let asking: Vec<Name> = process.inbox.iter().filter_map(joining).collect();
+            asking.into_iter().for_each(|identity| {
+                self.asked.entry(identity).or_insert(now);
+            });
+        }
+        let Some(process) = &mut self.instance(instance).process else { return };
         let answers = process.handle_inputs(now);
         for sender in senders {
             self.answered.insert((instance.clone(), sender), now);
@@ -388,3 +391,11 @@
         _ => None,
     }
 }
+
+/// Identity that asks to join with a message.
+fn joining(envelope: &Envelope) -> Option<Name> {
+    match &envelope.message {
+        ControlMessage::Join { identity } => Some(identity.clone()),
+        _ => None,
+    }
+}
--- a/crates/transport/tests/member_group/network.rs
+++ b/crates/transport/tests/member_group/network.rs
@@ -33,6 +33,38 @@
         }
     }
 
+    /// Cuts the direction from one instance to another, or ends that cut.
+    pub fn set_way_cut(&mut self, from: &Name, to: &Name, cut: bool) {
+        let way = (from.clone(), to.clone());
+        if cut {
+            self.cut_ways.insert(way, self.now);
+        } else if let Some(since) = self.cut_ways.remove(&way) {
+            if self.now >= since + LINK_TIMEOUT_MS {
+                self.close_links_between(from, to);
+            }
+            self.release_held();
+        }
+    }
+
+    /// Drops the messages on their way to an instance.
+    pub fn drop_messages(&mut self, to: &Name) {
+        self.queue.retain(|_, envelope| envelope.to != *to);
+        self.held.retain(|(_, envelope)| envelope.to != *to);
+    }
+
+    /// Delivers the recorded messages of the search by processes of an instance once more, to the
+    /// present processes and in a random order.
+    pub fn repeat_searches(&mut self, from: &Name) {
+        let recorded = self.searches.iter().flatten().filter(|envelope| envelope.from == *from);
+        for mut envelope in recorded.cloned().collect::<Vec<_>>() {
+            let receiver = self.instances.get(envelope.to.as_str());
+            let Some(process) = receiver.and_then(|state| state.process.as_ref()) else { continue };
+            envelope.to_run = process.run;
+            let due = self.now + self.rng.random_range(1..=self.settings.delay);
+            self.enqueue(due, envelope);
+        }
+    }
+
     /// Partitions the instances; an empty side ends the partition.
     pub fn split(&mut self, side: &BTreeSet<Name>) {
         for (instance, state) in &mut self.instances {
@@ -58,7 +90,19 @@
         }
     }
 
+    fn close_links_between(&mut self, one: &Name, other: &Name) {
+        for (owner, peer) in [(one, other), (other, one)] {
+            if let Some(process) = &mut self.instance(owner).process {
+                process.links.remove(peer.as_str());
+            }
+        }
+    }
+
+    /// Whether messages from one instance to another are held up.
     fn is_cut(&self, one: &Name, other: &Name) -> bool {
+        if self.cut_ways.contains_key(&(one.clone(), other.clone())) {
+            return true;
+        }
         if self.cut_pairs.contains(&(one.min(other).clone(), one.max(other).clone())) {
             return true;
         }
@@ -98,7 +142,8 @@
         let reachable: BTreeMap<Name, u64> = self
             .instances
             .iter()
-            .filter(|(other, state)| state.suspended.is_none() && !self.is_cut(instance, other))
+            .filter(|(_, state)| state.suspended.is_none())
+            .filter(|(other, _)| !self.is_cut(instance, other) && !self.is_cut(other, instance))
             .filter_map(|(other, state)| Some((other.clone(), state.process.as_ref()?.run)))
             .collect();
         let Some(process) = &mut self.instance(instance).process else { return };
@@ -138,6 +183,11 @@
     }
 
     pub(super) fn transmit(&mut self, due: Millis, envelope: Envelope) {
+        if let Some(searches) = &mut self.searches
+            && !matches!(envelope.message, ControlMessage::Raft { .. })
+        {
+            searches.push(envelope.clone());
+        }
         let receiver = self.instances.get(envelope.to.as_str());
         let suspended = receiver.and_then(|state| state.suspended);
         if suspended.is_some_and(|(since, _)| self.now >= since + LINK_TIMEOUT_MS) {
--- a/crates/transport/tests/member_group/process.rs
+++ b/crates/transport/tests/member_group/process.rs
@@ -17,7 +17,7 @@
 const MAX_INPUT_BATCH: usize = 129;
 
 /// Interval of the search for the group, as in the gateway.
-const SEARCH_INTERVAL_MS: Millis = 200;
+pub const SEARCH_INTERVAL_MS: Millis = 200;
 
 /// Interval of the periodic work, as in the gateway.
 pub const TICK_INTERVAL_MS: Millis = 25;
--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -10,6 +10,7 @@
 };
 
 mod member_group;
+mod member_losses;
 
 /// Simulated duration of a random schedule.
 const WALK_MS: Millis = 60_000;
