Lose a second disk in the random schedules of the membership model

The schedules kept a second loss back until the first had healed. They now play one after the leader was told of the first: the first instance is suspended, cut off or killed meanwhile, as many disks as the group permits are lost, mostly with all processes killed, and a member must lead within 12 s after all are back. A third of the schedules also repeat messages of the search for the group.

--- a/crates/transport/tests/member_group/network.rs
+++ b/crates/transport/tests/member_group/network.rs
@@ -52,14 +52,19 @@
         self.held.retain(|(_, envelope)| envelope.to != *to);
     }
 
-    /// Delivers the recorded messages of the search by processes of an instance once more, to the
-    /// present processes and in a random order.
-    pub fn repeat_searches(&mut self, from: &Name) {
+    /// Delivers some recorded messages of the search by processes of an instance once more, in a
+    /// random order. Those to processes that have ended go to the present ones if `redirect` is set.
+    pub fn repeat_searches(&mut self, from: &Name, count: usize, redirect: bool) {
         let recorded = self.searches.iter().flatten().filter(|envelope| envelope.from == *from);
-        for mut envelope in recorded.cloned().collect::<Vec<_>>() {
+        let mut envelopes: Vec<Envelope> = recorded.cloned().collect();
+        rand::seq::SliceRandom::shuffle(&mut envelopes[..], &mut self.rng);
+        for mut envelope in envelopes.into_iter().take(count) {
             let receiver = self.instances.get(envelope.to.as_str());
-            let Some(process) = receiver.and_then(|state| state.process.as_ref()) else { continue };
-            envelope.to_run = process.run;
+            if let Some(process) = receiver.and_then(|state| state.process.as_ref())
+                && redirect
+            {
+                envelope.to_run = process.run;
+            }
             let due = self.now + self.rng.random_range(1..=self.settings.delay);
             self.enqueue(due, envelope);
         }
--- a/crates/transport/tests/member_group/schedule.rs
+++ b/crates/transport/tests/member_group/schedule.rs
@@ -3,10 +3,13 @@
 //! A member counts as lost while it is down, suspended, cut off or slow, and for
 //! [`CATCH_UP_MS`] longer. All processes may be killed at any time, and a partition or a short pause
 //! of any process may happen at any time; no other member is lost for [`CATCH_UP_MS`] after these.
+//! A second loss of a disk may come before an earlier one has healed, once the leader knows of that.
 //! The invariants on the membership are checked once all faults have ended for [`CATCH_UP_MS`].
 
 use super::*;
 
+mod second_loss;
+
 /// Time after a fault within which the group tolerates the next one.
 pub const CATCH_UP_MS: Millis = 4_000;
 
@@ -46,6 +49,8 @@
     pub group: Group,
     /// Checks of the membership and of the tolerated losses so far.
     pub checks: usize,
+    /// Losses of disks before an earlier one had healed so far.
+    pub second_losses: usize,
     rng: StdRng,
     ends: Vec<(Millis, End)>,
     /// End of the time for which each instance counts as lost.
@@ -79,7 +84,23 @@
         group.note(text);
         let (ends, lost) = (Vec::new(), BTreeMap::new());
         let (unsettled, last_end, successors) = (0, 0, BTreeSet::new());
-        Walk { group, checks: 0, rng, ends, lost, unsettled, last_end, catch_up, successors, size }
+        if rng.random_ratio(1, 3) {
+            group.searches = Some(Vec::new());
+        }
+        let (checks, second_losses) = (0, 0);
+        Walk {
+            group,
+            checks,
+            second_losses,
+            rng,
+            ends,
+            lost,
+            unsettled,
+            last_end,
+            catch_up,
+            successors,
+            size,
+        }
     }
 
     /// Runs the schedule for `span` milliseconds or until an invariant is violated.
@@ -98,6 +119,8 @@
                 10..20 => self.pause_one(),
                 20..24 => self.group.propose(BURST_PROPOSALS),
                 24..30 => self.wait_until_calm(),
+                30..38 => self.lose_twice(),
+                38..44 => self.repeat_searches(),
                 _ => self.start_fault(),
             }
             self.check_if_calm(2);
--- a/crates/transport/tests/member_losses/adversaries.rs
+++ b/crates/transport/tests/member_losses/adversaries.rs
@@ -48,17 +48,17 @@
         group.run(CATCH_UP_MS);
         group.end_slow_syncs(&first);
         for _ in 0..10 {
-            group.repeat_searches(&first);
+            group.repeat_searches(&first, usize::MAX, true);
             group.run(170);
         }
-        group.repeat_searches(&first);
+        group.repeat_searches(&first, usize::MAX, true);
         group.run(60);
         let second = followers(&group).into_iter().find(|name| *name != first);
         end_all(&mut group, second.as_slice());
         group.run(DOWN_MS);
         start_all(&mut group);
         for _ in 0..10 {
-            group.repeat_searches(&first);
+            group.repeat_searches(&first, usize::MAX, true);
             group.run(170);
         }
         check_healed(&mut group)
--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -412,16 +412,17 @@
 fn membership_recovers_from_random_faults_long() {
     let first = env("FIRST_SEED").unwrap_or(1_000);
     let mut found: BTreeMap<String, Vec<u64>> = BTreeMap::new();
-    let mut checks = 0;
+    let (mut checks, mut second_losses) = (0, 0);
     for seed in first..first + env("SEEDS").unwrap_or(100) {
         let walk = walk(seed);
         checks += walk.checks;
+        second_losses += walk.second_losses;
         if let Some(text) = &walk.group.violation {
             println!("seed {seed}: {text}");
             let kind = text.split(':').next().unwrap_or_default();
             found.entry(kind.to_owned()).or_default().push(seed);
         }
     }
-    println!("{checks} checks; violations: {found:#?}");
+    println!("{checks} checks, {second_losses} second losses; violations: {found:#?}");
     assert!(found.is_empty(), "invariants were violated");
 }
