--- a/crates/transport/tests/member_group/schedule/second_loss.rs
+++ b/crates/transport/tests/member_group/schedule/second_loss.rs
@@ -50,6 +50,9 @@
             self.ends.retain(|(_, end)| end.instance() != Some(&name));
             self.lose_disk(name, span);
         }
+        if self.rng.random_ratio(1, 3) {
+            self.split();
+        }
         self.recover();
     }
 
