Ask the others before a member goes on alone with an outdated membership

Found by a test of the model: the folder of a member was missing for a while, the group went on under its new identity and replaced all others, and then the former folder came back as another member lost its disk. More is lost there than the group tolerates, but an older state must not be shown even so.

A probe is now answered with the position of the log as well. A voter of a membership that does not list this member, with a later log, shows that the group has gone on: the membership without this member was committed, as changes of the voters are joint. Then lost disks are disregarded until a leader is heard from. A member that leads alone keeps asking, and adds nobody for 500 ms.

What remains: if none of the later members answers in that time, an old folder may still go on.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -63,6 +63,8 @@
     pub(crate) clock: Millis,
     /// Members that are known to have lost their disks.
     pub(crate) lost: BTreeSet<Name>,
+    /// Whether lost disks are disregarded until a leader is heard from.
+    disregards: bool,
     candidate: Option<Name>,
     vote_changed: bool,
     leader: Option<Name>,
@@ -121,6 +123,7 @@
             outbox: Vec::new(),
             clock: now,
             lost: BTreeSet::new(),
+            disregards: false,
             candidate: vote.candidate,
             vote_changed: false,
             leader: None,
@@ -155,6 +158,11 @@
         self.log.last()
     }
 
+    /// Term and index of the last entry in the log, committed or not.
+    pub fn last_position(&self) -> (Term, Index) {
+        (self.log.last_term(), self.log.last())
+    }
+
     /// Current term.
     pub fn term(&self) -> Term {
         self.term
@@ -182,13 +190,23 @@
         let members = self.log.members();
         self.lost.retain(|lost| members.all().any(|member| member == lost));
         let is_other = *name != self.id && members.all().any(|member| member == name);
-        let is_new = is_other && self.lost.insert(name.clone());
+        let is_new = is_other && !self.disregards && self.lost.insert(name.clone());
         if is_new {
             self.advance();
         }
         is_new
     }
 
+    /// Disregards lost disks until a leader is heard from, and steps down if this member leads by
+    /// them alone: the group has gone on without this member, whose membership is outdated.
+    pub fn disregard_losses(&mut self) {
+        if self.leads_alone() {
+            self.step_down();
+        }
+        self.disregards = true;
+        self.lost.clear();
+    }
+
     /// Whether this member leads and is a quorum without any other voter of its group.
     pub fn leads_alone(&self) -> bool {
         let members = self.log.members();
@@ -465,6 +483,7 @@
         }
         self.adopt_term(term);
         self.role = Role::Follower;
+        self.disregards = false;
         self.leader = Some(from.clone());
         self.last_heartbeat = self.clock;
         self.reset_election_deadline();
--- a/crates/gateway/tests/member_search.rs
+++ b/crates/gateway/tests/member_search.rs
@@ -153,7 +153,8 @@
         assert_eq!(next(&mut link).await, ControlMessage::Probe { identity: identity.clone() });
         let leader = Name::try_from(format!("{}.leader", name(other))).unwrap();
         let members = Members { voters: [leader.clone()].into(), ..Members::default() };
-        let answer = ControlMessage::Probed { identity: leader, members: Some(members) };
+        let answer =
+            ControlMessage::Probed { identity: leader, members: Some(members), last: (0, 0) };
         link.out.send(FleetMessage::Member(answer.clone())).await.unwrap();
         assert_eq!(next(&mut link).await, ControlMessage::Join { identity });
         // Another answer is no reason to ask again.
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -7,7 +7,7 @@
 
 use auburnlug_coordination::{Position, dedup::RequestKey, raft};
 use auburnlug_state::{
-    Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard,
+    Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +34,9 @@
         identity: Name,
         /// Members of the control group; `None` if the sender has no state either.
         members: Option<raft::Members>,
+        /// Term and index of the last entry of the sender's log.
+        #[serde(default)]
+        last: (Term, Index),
     },
     /// A control member without state asks the control leader to add it under a new identity.
     Join {
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -28,6 +28,10 @@
 /// the earlier identity is never repeated.
 const JOIN_REQUEST_TIMEOUT_MS: Millis = 2_000;
 
+/// Time for which a member that leads alone asks the others whether their group has gone on without
+/// it, before it adds members. It asks every 200 ms.
+const ALONE_DELAY_MS: Millis = 500;
+
 /// Interval at which a member repeats what it knows about lost disks of voters.
 const LOSS_REPORT_INTERVAL_MS: Millis = 200;
 
@@ -41,6 +45,8 @@
     /// Members that ask to join, with the time at which they asked last.
     joining: BTreeMap<Name, Millis>,
     loss_proofs: LossProofs,
+    /// Time since which this member leads alone.
+    alone_since: Option<Millis>,
     /// Time at which lost disks were last reported to other members.
     reported_at: Millis,
     /// Disks that may be lost at once.
@@ -133,6 +139,7 @@
             state,
             joining,
             loss_proofs: LossProofs::new(seed),
+            alone_since: None,
             reported_at: 0,
             losses,
             snapshot_index,
@@ -229,7 +236,7 @@
                 let question = self.question(from, &identity, false);
                 return Ok(Some(question.unwrap_or_else(|| self.probe_answer())));
             }
-            ControlMessage::Probed { identity, members } => match &mut self.state {
+            ControlMessage::Probed { identity, members, last } => match &mut self.state {
                 State::Searching(bootstrap) => {
                     let decision = bootstrap.record_answer(from, identity, members);
                     self.apply_decision(decision, now)?;
@@ -242,6 +249,13 @@
                     };
                     *asks_to_join |=
                         raft.leader().is_none() && members.as_ref().is_some_and(unknown);
+                    // A voter with a later log has gone on in a group without this member.
+                    let is_later = |members: &Members| {
+                        members.voters.contains(&identity) && !members.is_voter(&self.identity)
+                    };
+                    if last > raft.last_position() && members.as_ref().is_some_and(is_later) {
+                        raft.disregard_losses();
+                    }
                     return Ok(self.question(from, &identity, false));
                 }
             },
@@ -364,8 +378,8 @@
         let message = match &self.state {
             State::Searching(_) => ControlMessage::Probe { identity: self.identity.clone() },
             State::Member(_, true) => ControlMessage::Join { identity: self.identity.clone() },
-            // Without a leader, the others may have removed this member from the group.
-            State::Member(raft, _) if raft.leader().is_none() => {
+            // The others may have removed this member from the group.
+            State::Member(raft, _) if raft.leader().is_none() || raft.leads_alone() => {
                 ControlMessage::Probe { identity: self.identity.clone() }
             }
             State::Member(..) => return Vec::new(),
@@ -435,7 +449,8 @@
 
     fn probe_answer(&self) -> ControlMessage {
         let members = self.raft().map(|raft| raft.members().clone());
-        ControlMessage::Probed { identity: self.identity.clone(), members }
+        let last = self.raft().map(Raft::last_position).unwrap_or_default();
+        ControlMessage::Probed { identity: self.identity.clone(), members, last }
     }
 
     fn receive_raft(&mut self, sender: &Name, message: Message, now: Millis) {
@@ -490,6 +505,11 @@
             self.joining.clear();
             return;
         }
+        let asks_since = self.alone_since.filter(|_| raft.leads_alone());
+        self.alone_since = raft.leads_alone().then(|| asks_since.unwrap_or(now));
+        if self.alone_since.is_some_and(|since| now < since + ALONE_DELAY_MS) {
+            return;
+        }
         self.joining.retain(|_, last_request| now < *last_request + JOIN_REQUEST_TIMEOUT_MS);
         let group = ControlGroup {
             members: raft.members().clone(),
--- a/crates/transport/tests/member_discovery.rs
+++ b/crates/transport/tests/member_discovery.rs
@@ -69,7 +69,7 @@
 #[test]
 fn member_without_a_group_does_not_make_others_ask_to_join() {
     let mut member = open_learner(Timing::default());
-    let answer = |members| ControlMessage::Probed { identity: name("a.2"), members };
+    let answer = |members| ControlMessage::Probed { identity: name("a.2"), members, last: (0, 0) };
     for members in [None, Some(Members::default())] {
         member.receive(&name("a"), answer(members), 100).expect("works");
         let probe = ControlMessage::Probe { identity: name("d.1") };
--- a/crates/transport/tests/member_search.rs
+++ b/crates/transport/tests/member_search.rs
@@ -113,7 +113,11 @@
     let mut link = accept(&mut accepted).await;
     assert_eq!(next(&mut link).await, ControlMessage::Probe { identity: identity.clone() });
     let members = Members { voters: [name("c2.leader")].into(), ..Members::default() };
-    let answer = ControlMessage::Probed { identity: name("c2.leader"), members: Some(members) };
+    let answer = ControlMessage::Probed {
+        identity: name("c2.leader"),
+        members: Some(members),
+        last: (0, 0),
+    };
     link.out.send(answer.clone()).await.unwrap();
     assert_eq!(next(&mut link).await, ControlMessage::Join { identity });
     // Another answer is no reason to ask again.
