Ask nothing about lost disks while they are disregarded

Two members that disregard losses and list former identities of each other would have asked and answered each other without a pause, as no answer is recorded then (read, not seen).

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -179,6 +179,11 @@
         self.last_heartbeat
     }
 
+    /// Whether lost disks are disregarded at present; see [`Raft::disregard_losses`].
+    pub fn disregards_losses(&self) -> bool {
+        self.disregards
+    }
+
     /// Members that are known to have lost their disks.
     pub fn lost(&self) -> &BTreeSet<Name> {
         &self.lost
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -292,7 +292,9 @@
         }
         let members = raft.members();
         let listed = identities_of(from, members);
-        let is_news = |name: &Name| name != identity && !raft.lost().contains(name);
+        let is_news = |name: &Name| {
+            name != identity && !raft.lost().contains(name) && !raft.disregards_losses()
+        };
         let joins = may_join && raft.leads() && !self.loss_proofs.is_present(from, identity);
         (joins || listed.iter().any(is_news)).then(|| self.loss_proofs.ask(from, members, may_join))
     }
