--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -192,8 +192,8 @@
     /// Records that a member has lost its disk for good, so that it never votes or acknowledges
     /// again; returns whether this is new. Names outside the membership are not kept.
     pub fn record_loss(&mut self, name: &Name) -> bool {
+        self.forget_removed();
         let members = self.log.members();
-        self.lost.retain(|lost| members.all().any(|member| member == lost));
         let is_other = *name != self.id && members.all().any(|member| member == name);
         let is_new = is_other && !self.disregards && self.lost.insert(name.clone());
         if is_new {
@@ -202,6 +202,13 @@
         is_new
     }
 
+    /// Forgets losses of members that have been removed: one that returns with its disk after all joins
+    /// as any other.
+    fn forget_removed(&mut self) {
+        let members = self.log.members();
+        self.lost.retain(|lost| members.all().any(|member| member == lost));
+    }
+
     /// Disregards lost disks until a leader is heard from, and steps down if this member leads by
     /// them alone: the group has gone on without this member, whose membership is outdated.
     pub fn disregard_losses(&mut self) {
@@ -216,12 +223,13 @@
     pub fn leads_alone(&self) -> bool {
         let members = self.log.members();
         let alone = BTreeSet::from([self.id.clone()]);
-        self.leads() && members.voters.len() > 1 && members.is_quorum(&alone, &self.lost)
+        self.leads() && members.voters.len() > 1 && members.is_quorum(&alone, &self.lost, &self.id)
     }
 
     /// Advances the clock to `now` and handles the timeouts that have elapsed.
     pub fn tick(&mut self, now: Millis) {
         self.clock = self.clock.max(now);
+        self.forget_removed();
         if self.leads() {
             self.tick_leader();
         } else if self.clock >= self.election_deadline {
@@ -442,13 +450,13 @@
         match &mut self.role {
             Role::PreCandidate(granted) => {
                 granted.insert(from.clone());
-                if members.is_quorum(granted, &self.lost) {
+                if members.is_quorum(granted, &self.lost, &self.id) {
                     self.start_election();
                 }
             }
             Role::Candidate(granted) => {
                 granted.insert(from.clone());
-                if members.is_quorum(granted, &self.lost) {
+                if members.is_quorum(granted, &self.lost, &self.id) {
                     self.leader = Some(self.id.clone());
                     self.become_leader();
                 }
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -200,7 +200,7 @@
             None if *name == self.id => self.log.stable(),
             None => 0,
         };
-        let Some(index) = members.quorum_value(&self.lost, durable) else { return };
+        let Some(index) = members.quorum_value(&self.lost, &self.id, durable) else { return };
         // An entry of an earlier term can still be overwritten even when a majority has it.
         if index <= self.commit || self.log.term(index) != Some(self.term) {
             return;
@@ -238,7 +238,7 @@
             Some(peer) => peer.acknowledged.or(unknown),
             None => Some(now),
         };
-        self.log.members().quorum_value(&self.lost, sent).flatten()
+        self.log.members().quorum_value(&self.lost, &self.id, sent).flatten()
     }
 
     fn check_caught_up(&mut self, name: &Name) -> Result<()> {
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -179,16 +179,20 @@
         self.voters.len() / 2 + 1
     }
 
-    /// Number of voters in a quorum if the members in `lost` have lost their disks.
-    pub fn needed(&self, lost: &BTreeSet<Name>) -> usize {
-        self.voter_sets().map(|voters| quorum_size(voters, lost)).max().unwrap_or_default()
+    /// Number of voters in a quorum that `counter` counts if the members in `lost` have lost their
+    /// disks.
+    pub fn needed(&self, lost: &BTreeSet<Name>, counter: &Name) -> usize {
+        let sizes = self.voter_sets().map(|voters| quorum_size(voters, lost, counter));
+        sizes.max().unwrap_or_default()
     }
 
-    /// Whether `names` are a quorum if the members in `lost` have lost their disks.
-    pub fn is_quorum(&self, names: &BTreeSet<Name>, lost: &BTreeSet<Name>) -> bool {
+    /// Whether `names` are a quorum, as `counter` counts it, if the members in `lost` have lost their
+    /// disks.
+    pub fn is_quorum(&self, names: &BTreeSet<Name>, lost: &BTreeSet<Name>, counter: &Name) -> bool {
         self.voter_sets().all(|voters| {
             let present = voters.iter().filter(|name| names.contains(*name));
-            present.filter(|name| !lost.contains(*name)).count() >= quorum_size(voters, lost)
+            present.filter(|name| !lost.contains(*name)).count()
+                >= quorum_size(voters, lost, counter)
         })
     }
 
@@ -196,9 +200,10 @@
     pub(crate) fn quorum_value<T: Ord>(
         &self,
         lost: &BTreeSet<Name>,
+        counter: &Name,
         value: impl Fn(&Name) -> T,
     ) -> Option<T> {
-        let values = self.voter_sets().map(|voters| quorum_value(voters, lost, &value));
+        let values = self.voter_sets().map(|voters| quorum_value(voters, lost, counter, &value));
         values.min().flatten()
     }
 
--- a/crates/coordination/tests/lost_disk.rs
+++ b/crates/coordination/tests/lost_disk.rs
@@ -42,9 +42,9 @@
         // Quorums that can be counted when the disks in `lost` are lost.
         let quorums = |lost: usize| -> BTreeSet<usize> {
             let counted = |bits: usize, known: usize| {
-                bits & !lost != 0
-                    && known & !lost == 0
-                    && members.is_quorum(&sets[bits], &sets[known])
+                let mut counters = sets[bits].difference(&sets[lost]);
+                let is_quorum = |name| members.is_quorum(&sets[bits], &sets[known], name);
+                known & !lost == 0 && counters.any(is_quorum)
             };
             all.clone().filter(|bits| all.clone().any(|known| counted(*bits, known))).collect()
         };
@@ -75,8 +75,12 @@
         (&[], &[], &[], false),
     ] {
         let members = Members::new(set(voters), BTreeSet::new());
-        let found = members.is_quorum(&set(present), &set(lost));
+        let counter = name(present.first().unwrap_or(&"x"));
+        let found = members.is_quorum(&set(present), &set(lost), &counter);
         assert_eq!(found, expected, "{voters:?}: {present:?} without {lost:?}");
+        // Half does not suffice for a member outside it.
+        let found = members.is_quorum(&set(present), &set(lost), &name("x"));
+        assert_eq!(found, 2 * present.len() > voters.len(), "{voters:?}: {present:?}");
     }
 }
 
@@ -86,13 +90,16 @@
 fn former_voters_count_until_a_change_is_complete() {
     let former = set(&["a", "b"]);
     let members = Members { former, ..Members::new(set(&["a", "b", "c"]), BTreeSet::new()) };
-    for (present, lost, expected) in [
-        (&["a", "c"][..], &[][..], false),
-        (&["a", "b"], &[], true),
-        (&["a", "c"], &["b"], true),
-        (&["b"], &["a"], false),
+    for (present, lost, counter, expected) in [
+        (&["a", "c"][..], &[][..], "a", false),
+        (&["a", "b"], &[], "a", true),
+        (&["a", "b"], &[], "c", true),
+        (&["a", "c"], &["b"], "a", true),
+        (&["a", "c"], &["b"], "c", false),
+        (&["b"], &["a"], "b", false),
     ] {
-        assert_eq!(members.is_quorum(&set(present), &set(lost)), expected, "{present:?}");
+        let found = members.is_quorum(&set(present), &set(lost), &name(counter));
+        assert_eq!(found, expected, "{present:?} without {lost:?}, counted by {counter}");
     }
     assert!(members.is_voter(&name("c")));
     assert_eq!(members.all().count(), 3);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -556,9 +556,9 @@
             self.proposals.remove(&entry.index)
         {
             // An entry of another term at this index is not this proposal, whose outcome stays
-            // unknown.
-            let outcome =
-                if term == entry.term { ControlReply::Done(()) } else { ControlReply::Unavailable };
+            // unknown, as does that of an entry on a single disk.
+            let is_safe = term == entry.term && !self.member.leads_alone();
+            let outcome = if is_safe { ControlReply::Done(()) } else { ControlReply::Unavailable };
             let _ = reply.send(outcome);
         }
     }
--- a/crates/transport/src/control_apply.rs
+++ b/crates/transport/src/control_apply.rs
@@ -18,10 +18,15 @@
 impl Core {
     pub(crate) fn apply_committed(&mut self, entries: Vec<Entry>) {
         let mut answers = Vec::new();
+        // The outcome of an entry on a single disk stays unknown.
+        let alone = self.member.as_ref().is_some_and(Member::leads_alone);
         for entry in entries {
             let applied = self.apply_entry(&entry);
             if let Some(pending) = self.pending.remove(&entry.index) {
-                answers.push((pending.waiter, applied.filter(|_| pending.term == entry.term)));
+                answers.push((
+                    pending.waiter,
+                    applied.filter(|_| pending.term == entry.term && !alone),
+                ));
             }
         }
         self.publish_view();
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -179,6 +179,11 @@
         self.raft().filter(|raft| !raft.leads_alone()).and_then(Raft::lease_end)
     }
 
+    /// Whether this member leads as the only one with the data.
+    pub fn leads_alone(&self) -> bool {
+        self.raft().is_some_and(Raft::leads_alone)
+    }
+
     /// Whether this member leads its term, with or without a valid lease.
     pub fn leads_term(&self) -> bool {
         self.raft().is_some_and(Raft::leads)
@@ -308,7 +313,10 @@
         nonce: u64,
         now: Millis,
     ) -> Option<ControlMessage> {
-        let Proof { lost, joins } = self.loss_proofs.record_answer(from, &identity, nonce)?;
+        let State::Member(raft, _) = &self.state else { return None };
+        let members = raft.members();
+        let Proof { lost, joins } =
+            self.loss_proofs.record_answer(from, &identity, nonce, members)?;
         self.record_losses(&lost, from);
         if joins {
             self.join(from, identity, now);
@@ -505,6 +513,7 @@
         let State::Member(raft, _) = &mut self.state else { return };
         if !raft.lease_valid(now) {
             self.joining.clear();
+            self.alone_since = None;
             return;
         }
         let asks_since = self.alone_since.filter(|_| raft.leads_alone());
--- a/crates/transport/src/loss_proof.rs
+++ b/crates/transport/src/loss_proof.rs
@@ -76,11 +76,14 @@
         instance: &Name,
         identity: &Name,
         nonce: u64,
+        members: &Members,
     ) -> Option<Proof> {
         if self.questions.get(instance.as_str())?.nonce != nonce {
             return None;
         }
         let Question { listed: mut lost, joins, .. } = self.questions.remove(instance.as_str())?;
+        // The answer may be older than an identity that has joined since.
+        let joins = joins && identities_of(instance, members).is_subset(&lost);
         lost.remove(identity.as_str());
         self.present.insert(instance.clone(), identity.clone());
         Some(Proof { lost, joins })
--- a/crates/transport/src/member_log/leaderless.rs
+++ b/crates/transport/src/member_log/leaderless.rs
@@ -70,7 +70,7 @@
             return;
         }
         let (term, index, needed) =
-            (raft.term(), raft.last_index(), members.needed(&heard.lost_voters(members)));
+            (raft.term(), raft.last_index(), members.needed(&heard.lost_voters(members), identity));
         let (role, answering, silent) = (picture.role, picture.answering(), now - since);
         let voters = picture.describe(heard, now);
         log(
--- a/crates/transport/src/member_log/lost_disks.rs
+++ b/crates/transport/src/member_log/lost_disks.rs
@@ -44,14 +44,16 @@
             return;
         }
         let lost = heard.lost_voters(members);
-        if lost.is_empty() || members.is_quorum(&members.all_voters().cloned().collect(), &lost) {
+        if lost.is_empty()
+            || members.is_quorum(&members.all_voters().cloned().collect(), &lost, identity)
+        {
             return self.end();
         }
         if lost == self.lost {
             return;
         }
         let (role, index, term) = (role(members, identity), raft.last_index(), raft.term());
-        let (needed, left) = (members.needed(&lost), describe_left(members, &lost));
+        let (needed, left) = (members.needed(&lost, identity), describe_left(members, &lost));
         let described = describe_lost(&lost, heard);
         log(
             Event::DisksLost,
--- a/crates/transport/tests/member_losses/mod.rs
+++ b/crates/transport/tests/member_losses/mod.rs
@@ -9,6 +9,7 @@
 use member_group::checks::RECOVERY_LIMIT_MS;
 
 mod adversaries;
+mod returns;
 mod second_losses;
 
 /// Time in touch after the request to join within which the leader knows of a loss.
