--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -9,6 +9,11 @@
 //! [`Timing::vote_refusal`] after it received the heartbeat, and a restarted voter for that long
 //! after its start. The leader measures a shorter time ([`Timing::lease`]) from the sending of the
 //! heartbeat, so no other member can be elected while the lease is valid.
+//!
+//! Lost disks: a member that is known to have lost its disk ([`Raft::record_loss`]) never votes again.
+//! If all other voters of two have, the one that is left is a quorum, as are two of four. It holds all
+//! that was committed, since a change of the voters is committed by a quorum of the former ones, too
+//! (see [`Members`]).
 
 use std::collections::BTreeSet;
 
--- a/crates/coordination/src/redundancy.rs
+++ b/crates/coordination/src/redundancy.rs
@@ -1,8 +1,10 @@
-//! Number of simultaneous disk losses that the control group tolerates at a moment.
+//! Number of simultaneous disk losses that the control group tolerates at a moment, whatever becomes of
+//! the instances that lose them.
 //!
-//! A member that loses its disk loses its vote, and the former identity stays a voter until another
-//! member has replaced it. The group keeps its quorum as long as enough of the other voters are
-//! responsive and up to date. Learners do not count, as the quorum is one of voters.
+//! A member that loses its disk loses its vote. The group keeps its quorum as long as enough of the
+//! other voters are responsive and up to date. Learners do not count, as the quorum is one of voters. A
+//! loss that its instance proves is tolerated besides, see [`crate::raft`]; it does not count, as the
+//! instance may not return.
 
 use auburnlug_state::Name;
 
