Compare two members at one index in the test of a replaced disk

Traced in three logs: the registration of the returned instance is applied twice, 50 to 70 ms apart (AL0240 at 15.441 and 15.494), first at the leader, then at the member whose messages the test delays, and the test compared the states in between.

--- a/crates/transport/tests/control_faults.rs
+++ b/crates/transport/tests/control_faults.rs
@@ -1,9 +1,9 @@
 //! Fault tests of the control thread: suspended and partitioned members, lost disks, restarts.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use auburnlug_coordination::lease::INSTANCE_LEASE_MS;
-use auburnlug_state::{Applied, Command};
+use auburnlug_state::{Applied, Command, Machine};
 use auburnlug_transport::{control::Handle, disk_memory::MemoryDisk, view::Control};
 
 use tokio::{sync::mpsc::error::TryRecvError, time::timeout};
@@ -61,6 +61,18 @@
     }
 }
 
+/// States of two members that have applied the same entries: a commit reaches a member with delayed
+/// messages later than the leader.
+async fn machines_at_one_index(one: &Node, other: &Node) -> [Arc<Machine>; 2] {
+    loop {
+        let machines = [one, other].map(|n| n.handle.view().borrow().machine.clone());
+        if machines[0].index == machines[1].index {
+            return machines;
+        }
+        poll_delay().await;
+    }
+}
+
 /// Guards against a replaced disk that counts towards the quorum before it is filled, and against a
 /// log that reverts the state of a machine that updates have already moved ahead. A second member
 /// is lost right after the disk is filled; all acknowledged changes must still be there and equal.
@@ -85,7 +97,8 @@
     version = publish(&back.handle, "after", version).await;
     nodes[0].wait_for_version(version).await;
     back.wait_for_version(version).await;
-    let machines = [&nodes[0], &back].map(|n| n.handle.view().borrow().machine.clone());
+    let machines = machines_at_one_index(&nodes[0], &back).await;
+    assert_eq!(machines[0].index, machines[1].index);
     assert_eq!(machines[0].history, machines[1].history);
     assert_eq!(machines[0].instances, machines[1].instances);
     for number in 0..20 {
