--- /dev/null
+++ b/review/standin-2/deployment.rs
@@ -0,0 +1,335 @@
+//! A small deployment: three control members, two entries, three servers, the platform and the
+//! operator, each at a loopback address of its own.
+
+use std::{
+    collections::BTreeMap,
+    fs::{self, File},
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{group::Group, http};
+
+/// Hosts, the last byte of their addresses.
+pub const CONTROLS: [u8; 3] = [1, 2, 3];
+pub const ENTRIES: [u8; 2] = [11, 12];
+pub const SERVERS: [(u8, &str); 3] = [(21, "s1"), (22, "s2"), (23, "s3")];
+pub const PLATFORM: u8 = 9;
+
+pub type Result<T> = std::result::Result<T, String>;
+
+/// What was sent, answered and run.
+#[derive(Clone)]
+pub struct Record {
+    file: Arc<Mutex<File>>,
+    start: Instant,
+}
+
+impl Record {
+    pub fn create(path: &Path) -> Result<Record> {
+        let file = File::create(path).map_err(|e| e.to_string())?;
+        Ok(Record { file: Arc::new(Mutex::new(file)), start: Instant::now() })
+    }
+
+    pub fn note(&self, text: &str) {
+        if let Ok(mut file) = self.file.lock() {
+            let _ = writeln!(file, "{:9.3} {text}", self.start.elapsed().as_secs_f64());
+        }
+    }
+
+    pub fn at(&self, moment: Instant) -> f64 {
+        moment.duration_since(self.start).as_secs_f64()
+    }
+}
+
+pub struct Deployment {
+    program: PathBuf,
+    folder: PathBuf,
+    net: u8,
+    ports: Ports,
+    pub children: BTreeMap<u8, Child>,
+    pub group: Arc<Group>,
+    pub record: Record,
+    /// Start of each server, in milliseconds since 1970.
+    pub born: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Ports {
+    operator: u16,
+    callers: u16,
+    ready: u16,
+    links: u16,
+    servers: u16,
+    platform: u16,
+}
+
+impl Deployment {
+    /// Starts everything and waits until a write is served at each entry.
+    pub fn start(program: &Path, record: Record) -> Result<Deployment> {
+        let (net, ports) = free_ports()?;
+        let folder = std::env::temp_dir().join(format!("auburnlug-review-{}", std::process::id()));
+        fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
+        let group = Group::new("g1", 1, &[]);
+        let mut deployment = Deployment {
+            program: program.to_owned(),
+            folder,
+            net,
+            ports,
+            children: BTreeMap::new(),
+            group,
+            record,
+            born: now_ms() - 60_000,
+        };
+        for (host, id) in SERVERS {
+            deployment
+                .group
+                .start(id, deployment.server_address(host))
+                .map_err(|e| format!("server {id}: {e}"))?;
+        }
+        let (group, record) = (deployment.group.clone(), deployment.record.clone());
+        let platform = move |head: &str, body: &str| {
+            let id = body.split("\"id\":\"").nth(1).and_then(|rest| rest.split('"').next());
+            let status = group.promote(id.unwrap_or(""));
+            record.note(&format!("platform: {} {body} -> {status}", head.lines().next().unwrap_or("")));
+            status
+        };
+        http::serve(deployment.address(PLATFORM, ports.platform), platform)
+            .map_err(|e| format!("platform: {e}"))?;
+        for host in CONTROLS.into_iter().chain(ENTRIES) {
+            deployment.spawn(host, true)?;
+        }
+        Ok(deployment)
+    }
+
+    pub fn address(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 83, self.net, host], port))
+    }
+
+    pub fn server_address(&self, host: u8) -> SocketAddr {
+        self.address(host, self.ports.servers)
+    }
+
+    pub fn entry(&self, n: usize) -> SocketAddr {
+        self.address(ENTRIES[n], self.ports.callers)
+    }
+
+    /// Starts the process of an instance with the command of the deploy file.
+    pub fn spawn(&mut self, host: u8, first_start: bool) -> Result<()> {
+        let ip = self.address(host, 0).ip();
+        let Ports { operator, callers, ready, links, platform, .. } = self.ports;
+        let control = CONTROLS.contains(&host);
+        let (listen, data) = if control {
+            let data = self.folder.join(format!("data-{host}")).display().to_string();
+            (format!("callers = \nready = \noperator = {ip}:{operator}"), data)
+        } else {
+            (format!("callers = {ip}:{callers}\nready = {ip}:{ready}\noperator = "), String::new())
+        };
+        let seeds: Vec<String> =
+            CONTROLS.iter().map(|c| self.address(*c, operator).to_string()).collect();
+        let text = format!(
+            "[instance]\nname = node-{host}\nip = {ip}\nregion = r1\ndomain = d1\ngrace = 6\n\
+             [listen]\n{listen}\nlinks = {links}\n[control]\nmembers = {}\ndata = {data}\n\
+             first_start = {first_start}\nlosses = 1\npromotion = {}\n",
+            seeds.join(","),
+            self.address(PLATFORM, platform)
+        );
+        let file = self.folder.join(format!("node-{host}.ini"));
+        fs::write(&file, text).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("node-{host}.log")))
+            .map_err(|e| e.to_string())?;
+        let child = Command::new(&self.program)
+            .arg("serve")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(|e| e.to_string())?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("{}: {e}", self.program.display()))?;
+        self.record.note(&format!("started node-{host}"));
+        self.children.insert(host, child);
+        Ok(())
+    }
+
+    /// Sends a call to the control members in turn until one gives a clear answer.
+    pub fn control(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        for host in CONTROLS {
+            let answer = http::call(self.address(host, self.ports.operator), method, path, body);
+            if matches!(answer.0, 200..=299 | 400 | 409 | 412 | 413 | 422) {
+                return answer;
+            }
+        }
+        (0, String::new())
+    }
+
+    /// Repeats a call until it is acknowledged.
+    pub fn acknowledged(&self, method: &str, path: &str, body: &str, within: Duration) -> Result<()> {
+        let started = Instant::now();
+        loop {
+            let (status, _) = self.control(method, path, body);
+            if status == 200 {
+                let shown: String = body.chars().take(200).collect();
+                self.record.note(&format!("{method} {path} {shown} -> 200"));
+                return Ok(());
+            }
+            if started.elapsed() > within {
+                return Err(format!("{method} {path} was not acknowledged, last status {status}"));
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    /// A configuration with one route for each kind.
+    pub fn config(&self, version: u64) -> String {
+        let route = |host: &str, kind: &str| {
+            format!(
+                "{{\"name\":\"r-{host}\",\"host\":\"{host}\",\"path-prefix\":\"/\",\"kind\":\"{kind}\",\
+                 \"timeout-ms\":2000,\"target-latency-ms\":800,\"priority\":1,\"service\":\"g1\",\
+                 \"max-attempts\":2,\"max-staleness-ms\":1500,\"allow-anonymous\":false}}"
+            )
+        };
+        format!(
+            "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{{\"name\":\"g1\",\
+             \"health-path\":\"/health\",\"max-conns\":22,\"protocol\":\"h1\",\"tls\":false,\
+             \"sync-replicas\":1}}],\"limits\":{{\"tx-idle-ms\":3000}},\"tenants\":[{{\"name\":\"t1\",\
+             \"api-keys\":[\"k1\"],\"priority\":1,\"rate-per-s\":500,\"burst\":500}}]}}",
+            route("newest", "primary"),
+            route("bounded", "bounded_staleness"),
+            route("own", "read_own_writes")
+        )
+    }
+
+    /// The heartbeat of a server, complete as the pages list its fields.
+    pub fn beat(&self, host: u8, id: &str, state: &str, sequence: u64) -> String {
+        let role = if self.group.primary() == id { "primary" } else { "replica" };
+        format!(
+            "{{\"service\":\"g1\",\"address\":\"{}\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":3,\
+             \"state\":\"{state}\",\"cold-remaining-ms\":0,\"db-role\":\"{role}\",\
+             \"seq\":{sequence},\"born\":{}}}",
+            self.server_address(host),
+            self.born
+        )
+    }
+
+    /// Puts the first configuration and the servers in place.
+    pub fn set_up(&self) -> Result<()> {
+        let within = Duration::from_secs(20);
+        self.acknowledged("PUT", "/-/config", &self.config(1), within)?;
+        for (host, id) in SERVERS {
+            let beat = self.beat(host, id, "ready", 1);
+            self.acknowledged("PUT", &format!("/-/instances/{id}"), &beat, within)?;
+        }
+        for entry in 0..ENTRIES.len() {
+            let started = Instant::now();
+            while !self.ask_once(entry, "newest", "probe", "WRITE probe x").contains("DONE signed") {
+                if started.elapsed() > within {
+                    return Err(format!("entry {entry} serves no write"));
+                }
+                thread::sleep(Duration::from_millis(200));
+            }
+        }
+        Ok(())
+    }
+
+    /// Opens a session, asks one query and ends the session; returns the lines of the answer.
+    pub fn ask_once(&self, entry: usize, database: &str, id: &str, text: &str) -> String {
+        let Ok(mut client) = Client::open(self.entry(entry), database, "k1") else {
+            return String::new();
+        };
+        client.ask(id, text)
+    }
+
+    /// Log lines of an instance that contain a word.
+    pub fn log_lines(&self, host: u8, word: &str) -> Vec<String> {
+        let text = fs::read_to_string(self.folder.join(format!("node-{host}.log"))).unwrap_or_default();
+        text.lines().filter(|line| line.contains(word)).map(str::to_owned).collect()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A client's session.
+pub struct Client {
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn open(entry: SocketAddr, database: &str, key: &str) -> Result<Client> {
+        let stream = TcpStream::connect_timeout(&entry, Duration::from_secs(2));
+        let stream = stream.map_err(|e| e.to_string())?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).map_err(|e| e.to_string())?;
+        let mut client = Client { reader: BufReader::new(stream) };
+        client.send(&format!("START {database} {key}"));
+        let answer = client.answer();
+        if answer.starts_with("READY I") { Ok(client) } else { Err(answer) }
+    }
+
+    pub fn ask(&mut self, id: &str, text: &str) -> String {
+        self.send(&format!("QUERY {id} {text}"));
+        self.answer()
+    }
+
+    fn send(&mut self, line: &str) {
+        let _ = self.reader.get_mut().write_all(format!("{line}\r\n").as_bytes());
+    }
+
+    fn answer(&mut self) -> String {
+        let mut text = String::new();
+        loop {
+            let mut line = String::new();
+            match self.reader.read_line(&mut line) {
+                Ok(count) if count > 0 => text.push_str(&line.replace("\r\n", " | ")),
+                _ => return text,
+            }
+            if line.starts_with("READY") {
+                return text;
+            }
+        }
+    }
+}
+
+pub fn now_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
+
+/// A network and ports that are free at all its addresses.
+fn free_ports() -> Result<(u8, Ports)> {
+    let seed = std::process::id().wrapping_mul(7).wrapping_add(now_ms() as u32);
+    for attempt in 0..50 {
+        let net = (seed.wrapping_add(attempt * 13) % 250 + 1) as u8;
+        let base = 20_000 + (seed.wrapping_add(attempt * 101) % 8_000) as u16;
+        let ports = Ports {
+            operator: base,
+            callers: base + 1,
+            ready: base + 2,
+            links: base + 3,
+            servers: base + 4,
+            platform: base + 5,
+        };
+        let hosts = CONTROLS.into_iter().chain(ENTRIES).chain([PLATFORM, 21, 22, 23, 31]);
+        let free = hosts.clone().all(|host| {
+            (base..base + 6).all(|port| TcpListener::bind(SocketAddr::from(([127, 83, net, host], port))).is_ok())
+        });
+        if free {
+            return Ok((net, ports));
+        }
+    }
+    Err("no free ports".into())
+}
