--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,6 +1,10 @@
 //! The cases.
 
-use std::{path::Path, thread, time::Duration};
+use std::{
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     deployment::{Deployment, Record, Result, now_ms},
@@ -11,10 +15,11 @@
 pub fn run(case: &str, program: &Path, record: &Path, trouble: bool) -> Result<bool> {
     let record = Record::create(record)?;
     record.note(&format!("case {case}, trouble {trouble}"));
-    let deployment = Deployment::start(program, record.clone())?;
+    let mut deployment = Deployment::start(program, record.clone())?;
     deployment.set_up()?;
     let held = match case {
         "other-writer" => other_writer(&deployment, trouble)?,
+        "grown-config" => grown_config(&mut deployment, trouble)?,
         _ => return Err(format!("unknown case {case}")),
     };
     record.note(if held { "the rule held" } else { "the rule was broken" });
@@ -82,3 +87,74 @@
     }
     Ok(held && other.runs().is_empty())
 }
+
+/// Databases and changes of a day, as the users want them designed for.
+const DATABASES: u32 = 820;
+const CHANGES: u64 = 880;
+
+/// `ack-timeout-ms`, with 3 ms more for each route.
+const ACK_TIMEOUT: Duration = Duration::from_millis(8_000 + 3 * 820);
+
+/// Longer than `contact-ms`, for which the operator reads back.
+const READ_BACK: Duration = Duration::from_secs(12);
+
+/// Longest time for the changes, so that the case ends in time on a slow machine.
+const PUBLISHING_LIMIT: Duration = Duration::from_secs(80);
+
+/// Ends of the processes on half of the core that count as a fault.
+const FAULT_ENDS: u32 = 3;
+
+/// The operator publishes a day's changes, one after the other, of a configuration that has grown
+/// by many routes. The platform kills a process that uses more memory than its machine has. No
+/// process may end by itself three times on half of the core, and what was acknowledged must be
+/// read back at the end.
+fn grown_config(deployment: &mut Deployment, trouble: bool) -> Result<bool> {
+    let record = deployment.record.clone();
+    let routes = if trouble { DATABASES } else { 0 };
+    let started = Instant::now();
+    let mut acknowledged = 1;
+    for version in 2..=CHANGES + 1 {
+        let config = deployment.grown_config(version, routes);
+        let sent = Instant::now();
+        let mut status = 0;
+        while status != 200 && sent.elapsed() < ACK_TIMEOUT && !deployment.is_faulty(FAULT_ENDS) {
+            deployment.enforce_memory()?;
+            status = deployment.control("PUT", "/-/config", &config).0;
+            if status != 200 {
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+        if status != 200 {
+            record.note(&format!("operator: version {version} was not acknowledged"));
+            break;
+        }
+        acknowledged = version;
+        if version % 50 == 0 {
+            let memory = deployment.memory_mb();
+            let bytes = config.len();
+            record.note(&format!("operator: version {version} ({bytes} bytes) acknowledged; {memory}"));
+        }
+        if started.elapsed() > PUBLISHING_LIMIT {
+            return Err(format!("only {acknowledged} changes were acknowledged in time"));
+        }
+    }
+    record.note(&format!("operator: {acknowledged} is the newest acknowledged version"));
+    let expected = deployment.grown_config(acknowledged, routes);
+    let reading = Instant::now();
+    let mut read = false;
+    let mut reads = 0;
+    while !read && reading.elapsed() < READ_BACK {
+        deployment.enforce_memory()?;
+        let (status, body) = deployment.control("GET", "/-/config", "");
+        reads += 1;
+        // A change without a clear answer may be in force.
+        let next = deployment.grown_config(acknowledged + 1, routes);
+        read = status == 200 && (body == expected || body == next);
+        thread::sleep(Duration::from_millis(100));
+    }
+    record.note(&format!("operator: {reads} reads, the configuration came back: {read}"));
+    record.note(&deployment.memory_mb());
+    let faulty = deployment.is_faulty(FAULT_ENDS);
+    record.note(&format!("processes ended {FAULT_ENDS} times or more on half of the core: {faulty}"));
+    Ok(read && !faulty)
+}
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -21,6 +21,12 @@
 pub const SERVERS: [(u8, &str); 3] = [(21, "s1"), (22, "s2"), (23, "s3")];
 pub const PLATFORM: u8 = 9;
 
+/// Memory of a machine that serves control.
+const MEMORY_MB: u64 = 256;
+
+/// Time after which the platform starts a process that was killed.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 pub type Result<T> = std::result::Result<T, String>;
 
 /// What was sent, answered and run.
@@ -53,6 +59,10 @@
     net: u8,
     ports: Ports,
     pub children: BTreeMap<u8, Child>,
+    /// Instances that the platform has killed, with the time.
+    killed: BTreeMap<u8, Instant>,
+    /// Ends of the process of each instance without a disruption.
+    ends: BTreeMap<u8, u32>,
     pub group: Arc<Group>,
     pub record: Record,
     /// Start of each server, in milliseconds since 1970.
@@ -82,6 +92,8 @@
             net,
             ports,
             children: BTreeMap::new(),
+            killed: BTreeMap::new(),
+            ends: BTreeMap::new(),
             group,
             record,
             born: now_ms() - 60_000,
@@ -207,6 +219,66 @@
         )
     }
 
+    /// The configuration with `routes` more routes, whose time-outs change with the version.
+    pub fn grown_config(&self, version: u64, routes: u32) -> String {
+        let timeout = 2_000 + version;
+        let route = |n: u32| {
+            format!(
+                "{{\"name\":\"r-idle{n}\",\"host\":\"idle{n}\",\"path-prefix\":\"/\",\
+                 \"kind\":\"bounded_staleness\",\"timeout-ms\":{timeout},\"target-latency-ms\":800,\
+                 \"priority\":2,\"service\":\"g1\",\"max-attempts\":2,\"max-staleness-ms\":1500,\
+                 \"allow-anonymous\":false}},"
+            )
+        };
+        let more: String = (0..routes).map(route).collect();
+        self.config(version).replacen("\"routes\":[", &format!("\"routes\":[{more}"), 1)
+    }
+
+    /// Resident memory of the control members, in MB.
+    pub fn memory_mb(&self) -> String {
+        let members = CONTROLS.iter().filter_map(|host| {
+            let pid = self.children.get(host)?.id();
+            Some(format!("node-{host} {} MB", resident_kb(pid)? / 1024))
+        });
+        let members: Vec<String> = members.collect();
+        format!("memory of the control members: {}", members.join(", "))
+    }
+
+    /// Whether the processes on half of the core have ended this many times.
+    pub fn is_faulty(&self, ends: u32) -> bool {
+        let faulty = self.ends.values().filter(|count| **count >= ends).count();
+        2 * faulty >= CONTROLS.len()
+    }
+
+    /// Kills control members that use more memory than their machine has, and starts those that
+    /// were killed a short time ago, as the platform does.
+    pub fn enforce_memory(&mut self) -> Result<()> {
+        for host in CONTROLS {
+            if self.killed.get(&host).is_some_and(|at| at.elapsed() >= RESTART_DELAY) {
+                self.killed.remove(&host);
+                self.spawn(host, false)?;
+            }
+            let Some(child) = self.children.get_mut(&host) else { continue };
+            if let Ok(Some(status)) = child.try_wait() {
+                self.record.note(&format!("node-{host} ended by itself: {status}"));
+                self.children.remove(&host);
+                self.killed.insert(host, Instant::now());
+                *self.ends.entry(host).or_default() += 1;
+                continue;
+            }
+            let used = resident_kb(child.id()).unwrap_or(0) / 1024;
+            if used > MEMORY_MB {
+                self.record.note(&format!("platform: node-{host} uses {used} MB and is killed"));
+                let _ = child.kill();
+                let _ = child.wait();
+                self.children.remove(&host);
+                self.killed.insert(host, Instant::now());
+                *self.ends.entry(host).or_default() += 1;
+            }
+        }
+        Ok(())
+    }
+
     /// The heartbeat of a server, complete as the pages list its fields.
     pub fn beat(&self, host: u8, id: &str, state: &str, sequence: u64) -> String {
         let role = if self.group.primary() == id { "primary" } else { "replica" };
@@ -309,6 +381,13 @@
     now.map_or(0, |now| now.as_millis() as u64)
 }
 
+/// Resident memory of a process.
+fn resident_kb(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
 /// A network and ports that are free at all its addresses.
 fn free_ports() -> Result<(u8, Ports)> {
     let seed = std::process::id().wrapping_mul(7).wrapping_add(now_ms() as u32);
