--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    deployment::{Deployment, Record, Result, now_ms},
+    deployment::{Deployment, HEARTBEAT, Order, Record, Result, now_ms},
     group::Group,
 };
 
@@ -19,6 +19,7 @@
     deployment.set_up()?;
     let held = match case {
         "other-writer" => other_writer(&deployment, trouble)?,
+        "suspended-order" => suspended_order(&deployment, trouble)?,
         "grown-config" => grown_config(&mut deployment, trouble)?,
         _ => return Err(format!("unknown case {case}")),
     };
@@ -26,9 +27,6 @@
     Ok(held)
 }
 
-/// Interval of heartbeats, as in the settings of a deployment.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
-
 /// Host of the server that the other writer names.
 const OTHER_HOST: u8 = 31;
 
@@ -158,3 +156,54 @@
     record.note(&format!("processes ended {FAULT_ENDS} times or more on half of the core: {faulty}"));
     Ok(read && !faulty)
 }
+
+/// Longest freeze of a machine, and cut of the platform, in the case.
+const FREEZE_LIMIT: Duration = Duration::from_millis(3_500);
+
+/// The order of promotion of a control leader is held up on its way to the platform, and the leader
+/// freezes before it has an answer. Another member leads and orders the promotion. The platform
+/// must see no order with a lower token after that.
+fn suspended_order(deployment: &Deployment, trouble: bool) -> Result<bool> {
+    let record = &deployment.record;
+    let leader = deployment.leader().ok_or("no control leader")?;
+    let link = &deployment.platform_links[&leader];
+    record.note(&format!("node-{leader} leads"));
+    if trouble {
+        link.hold(true);
+        record.note(&format!("the way of node-{leader} to the platform is cut"));
+    }
+    deployment.drain(21, "s1")?;
+    let orders = || deployment.orders.lock().map(|orders| orders.clone()).unwrap_or_default();
+    let started = Instant::now();
+    while (trouble && link.held_bytes() == 0) || (!trouble && orders().is_empty()) {
+        if started.elapsed() > Duration::from_secs(10) {
+            return Err("no order was sent".into());
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    if trouble {
+        let frozen = Instant::now();
+        deployment.signal(leader, "STOP")?;
+        while orders().is_empty() && frozen.elapsed() < FREEZE_LIMIT - Duration::from_millis(400) {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let overtaken = !orders().is_empty();
+        link.hold(false);
+        record.note(&format!("the way of node-{leader} to the platform is joined again"));
+        thread::sleep(Duration::from_millis(200));
+        deployment.signal(leader, "CONT")?;
+        record.note(&format!("node-{leader} was frozen for {} ms", frozen.elapsed().as_millis()));
+        if !overtaken {
+            return Err("no other leader ordered a promotion in time".into());
+        }
+    }
+    thread::sleep(Duration::from_secs(3));
+    let orders: Vec<Order> = orders();
+    for order in &orders {
+        let Order { holder, token, server } = order;
+        record.note(&format!("order received: {holder} promotes {server}, token {token}"));
+    }
+    let answer = deployment.ask_once(0, "newest", "w1", "WRITE a first");
+    record.note(&format!("client: w1 WRITE a first -> {answer}"));
+    Ok(orders.is_sorted_by_key(|order| order.token))
+}
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -2,18 +2,21 @@
 //! operator, each at a loopback address of its own.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs::{self, File},
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::{group::Group, http};
+use crate::{group::Group, http, link::Link};
 
 /// Hosts, the last byte of their addresses.
 pub const CONTROLS: [u8; 3] = [1, 2, 3];
@@ -21,6 +24,28 @@
 pub const SERVERS: [(u8, &str); 3] = [(21, "s1"), (22, "s2"), (23, "s3")];
 pub const PLATFORM: u8 = 9;
 
+/// Added to the host of a control member: the host of its link to the platform.
+const PLATFORM_LINK: u8 = 40;
+
+/// `heartbeat-ms`.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// An order of promotion that the platform received.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub holder: String,
+    pub token: u64,
+    pub server: String,
+}
+
+/// What the servers report in their heartbeats.
+#[derive(Clone, Default)]
+struct Beats {
+    sequence: Arc<AtomicU64>,
+    draining: Arc<Mutex<BTreeSet<String>>>,
+    stopped: Arc<AtomicBool>,
+}
+
 /// Memory of a machine that serves control.
 const MEMORY_MB: u64 = 256;
 
@@ -65,8 +90,13 @@
     ends: BTreeMap<u8, u32>,
     pub group: Arc<Group>,
     pub record: Record,
+    /// Link of each control member to the platform.
+    pub platform_links: BTreeMap<u8, Link>,
+    /// Orders of promotion, as the platform received them.
+    pub orders: Arc<Mutex<Vec<Order>>>,
+    beats: Beats,
     /// Start of each server, in milliseconds since 1970.
-    pub born: u64,
+    born: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -96,6 +126,9 @@
             ends: BTreeMap::new(),
             group,
             record,
+            platform_links: BTreeMap::new(),
+            orders: Arc::default(),
+            beats: Beats::default(),
             born: now_ms() - 60_000,
         };
         for (host, id) in SERVERS {
@@ -104,21 +137,46 @@
                 .start(id, deployment.server_address(host))
                 .map_err(|e| format!("server {id}: {e}"))?;
         }
-        let (group, record) = (deployment.group.clone(), deployment.record.clone());
-        let platform = move |head: &str, body: &str| {
-            let id = body.split("\"id\":\"").nth(1).and_then(|rest| rest.split('"').next());
-            let status = group.promote(id.unwrap_or(""));
-            record.note(&format!("platform: {} {body} -> {status}", head.lines().next().unwrap_or("")));
-            status
-        };
-        http::serve(deployment.address(PLATFORM, ports.platform), platform)
-            .map_err(|e| format!("platform: {e}"))?;
+        deployment.start_platform()?;
         for host in CONTROLS.into_iter().chain(ENTRIES) {
             deployment.spawn(host, true)?;
         }
         Ok(deployment)
     }
 
+    /// Starts the platform, which promotes servers and checks no token, and a link to it for each
+    /// control member.
+    fn start_platform(&mut self) -> Result<()> {
+        let (group, record, orders) = (self.group.clone(), self.record.clone(), self.orders.clone());
+        let promote = move |head: &str, body: &str| {
+            let header = |name: &str| {
+                head.lines().find_map(|line| {
+                    let (known, value) = line.split_once(':')?;
+                    known.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+                })
+            };
+            let holder = header("auburnlug-lease-holder").unwrap_or_default();
+            let token = header("auburnlug-fencing-token").and_then(|token| token.parse().ok());
+            let token: u64 = token.unwrap_or(0);
+            let id = body.split("\"id\":\"").nth(1).and_then(|rest| rest.split('"').next());
+            let server = id.unwrap_or("").to_owned();
+            let status = group.promote(&server);
+            record.note(&format!("platform: {holder} promotes {server}, token {token} -> {status}"));
+            if let Ok(mut orders) = orders.lock() {
+                orders.push(Order { holder, token, server });
+            }
+            status
+        };
+        let address = self.address(PLATFORM, self.ports.platform);
+        http::serve(address, promote).map_err(|e| format!("platform: {e}"))?;
+        for host in CONTROLS {
+            let listen = self.address(PLATFORM_LINK + host, self.ports.platform);
+            let link = Link::open(listen, address).map_err(|e| format!("link: {e}"))?;
+            self.platform_links.insert(host, link);
+        }
+        Ok(())
+    }
+
     pub fn address(&self, host: u8, port: u16) -> SocketAddr {
         SocketAddr::from(([127, 83, self.net, host], port))
     }
@@ -149,7 +207,7 @@
              [listen]\n{listen}\nlinks = {links}\n[control]\nmembers = {}\ndata = {data}\n\
              first_start = {first_start}\nlosses = 1\npromotion = {}\n",
             seeds.join(","),
-            self.address(PLATFORM, platform)
+            self.address(PLATFORM_LINK + host, platform)
         );
         let file = self.folder.join(format!("node-{host}.ini"));
         fs::write(&file, text).map_err(|e| e.to_string())?;
@@ -280,15 +338,51 @@
     }
 
     /// The heartbeat of a server, complete as the pages list its fields.
-    pub fn beat(&self, host: u8, id: &str, state: &str, sequence: u64) -> String {
-        let role = if self.group.primary() == id { "primary" } else { "replica" };
-        format!(
-            "{{\"service\":\"g1\",\"address\":\"{}\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":3,\
-             \"state\":\"{state}\",\"cold-remaining-ms\":0,\"db-role\":\"{role}\",\
-             \"seq\":{sequence},\"born\":{}}}",
-            self.server_address(host),
-            self.born
-        )
+    fn beat(&self, host: u8, id: &str) -> String {
+        beat(&self.group, &self.beats, self.server_address(host), id, self.born)
+    }
+
+    /// Sends the heartbeats of all servers from now on, in a thread of their own.
+    fn keep_beating(&self) {
+        let (group, beats, born) = (self.group.clone(), self.beats.clone(), self.born);
+        let servers = SERVERS.map(|(host, id)| (self.server_address(host), id));
+        let controls = CONTROLS.map(|host| self.address(host, self.ports.operator));
+        thread::spawn(move || {
+            while !beats.stopped.load(Ordering::Acquire) {
+                thread::sleep(HEARTBEAT);
+                for (address, id) in servers {
+                    let body = beat(&group, &beats, address, id, born);
+                    let path = format!("/-/instances/{id}");
+                    let _ = controls.iter().any(|to| http::call(*to, "PUT", &path, &body).0 == 200);
+                }
+            }
+        });
+    }
+
+    /// Reports from now on that a server is draining, at once and in its later heartbeats.
+    pub fn drain(&self, host: u8, id: &str) -> Result<()> {
+        if let Ok(mut draining) = self.beats.draining.lock() {
+            draining.insert(id.to_owned());
+        }
+        let beat = self.beat(host, id);
+        self.acknowledged("PUT", &format!("/-/instances/{id}"), &beat, Duration::from_secs(5))
+    }
+
+    /// Control member that answers a reading of the configuration itself.
+    pub fn leader(&self) -> Option<u8> {
+        CONTROLS.into_iter().find(|host| {
+            let address = self.address(*host, self.ports.operator);
+            http::call_once(address, "GET", "/-/config", "").is_some_and(|answer| answer.0 == 200)
+        })
+    }
+
+    /// Sends a signal to the process of an instance.
+    pub fn signal(&self, host: u8, name: &str) -> Result<()> {
+        let Some(child) = self.children.get(&host) else { return Err("no process".into()) };
+        let command = format!("kill -{name} {}", child.id());
+        let status = Command::new("sh").arg("-c").arg(&command).status();
+        self.record.note(&format!("node-{host}: SIG{name}"));
+        if status.is_ok_and(|status| status.success()) { Ok(()) } else { Err(command) }
     }
 
     /// Puts the first configuration and the servers in place.
@@ -296,9 +390,10 @@
         let within = Duration::from_secs(20);
         self.acknowledged("PUT", "/-/config", &self.config(1), within)?;
         for (host, id) in SERVERS {
-            let beat = self.beat(host, id, "ready", 1);
+            let beat = self.beat(host, id);
             self.acknowledged("PUT", &format!("/-/instances/{id}"), &beat, within)?;
         }
+        self.keep_beating();
         for entry in 0..ENTRIES.len() {
             let started = Instant::now();
             while !self.ask_once(entry, "newest", "probe", "WRITE probe x").contains("DONE signed") {
@@ -328,6 +423,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
+        self.beats.stopped.store(true, Ordering::Release);
         for child in self.children.values_mut() {
             let _ = child.kill();
             let _ = child.wait();
@@ -376,6 +472,18 @@
     }
 }
 
+fn beat(group: &Group, beats: &Beats, address: SocketAddr, id: &str, born: u64) -> String {
+    let role = if group.primary() == id { "primary" } else { "replica" };
+    let is_draining = beats.draining.lock().is_ok_and(|draining| draining.contains(id));
+    let state = if is_draining { "draining" } else { "ready" };
+    let sequence = beats.sequence.fetch_add(1, Ordering::AcqRel) + 1;
+    format!(
+        "{{\"service\":\"g1\",\"address\":\"{address}\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":3,\
+         \"state\":\"{state}\",\"cold-remaining-ms\":0,\"db-role\":\"{role}\",\
+         \"seq\":{sequence},\"born\":{born}}}"
+    )
+}
+
 pub fn now_ms() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.map_or(0, |now| now.as_millis() as u64)
@@ -402,7 +510,7 @@
             servers: base + 4,
             platform: base + 5,
         };
-        let hosts = CONTROLS.into_iter().chain(ENTRIES).chain([PLATFORM, 21, 22, 23, 31]);
+        let hosts = CONTROLS.into_iter().chain(ENTRIES).chain([PLATFORM, 21, 22, 23, 31, 41, 42, 43]);
         let free = hosts.clone().all(|host| {
             (base..base + 6).all(|port| TcpListener::bind(SocketAddr::from(([127, 83, net, host], port))).is_ok())
         });
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -32,7 +32,8 @@
     (0, String::new())
 }
 
-fn call_once(
+/// Sends a request once; returns the status, the head and the body.
+pub fn call_once(
     to: SocketAddr,
     method: &str,
     path: &str,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod group;
 mod http;
+mod link;
 
 use std::{env, path::Path, process::ExitCode};
 
