--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$here/../.." && pwd)
 cd "$root" || exit 2
 [ -x target/review-2/standin ] && [ -x target/release/auburnlug ] || exit 2
-exec timeout -k 5 110 target/review-2/standin suspended-order target/release/auburnlug "$here/record.txt"
+exec timeout -k 5 110 target/review-2/standin grown-config target/release/auburnlug "$here/record.txt"
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -20,6 +20,7 @@
     let held = match case {
         "other-writer" => other_writer(&deployment, trouble)?,
         "suspended-order" => suspended_order(&deployment, trouble)?,
+        "ignored-drain" => ignored_drain(&deployment, trouble)?,
         "grown-config" => grown_config(&mut deployment, trouble)?,
         _ => return Err(format!("unknown case {case}")),
     };
@@ -207,3 +208,51 @@
     record.note(&format!("client: w1 WRITE a first -> {answer}"));
     Ok(orders.is_sorted_by_key(|order| order.token))
 }
+
+/// `drain-ms`.
+const DRAIN: Duration = Duration::from_millis(7_000);
+
+/// Time for which clients go on after that. The server serves this long.
+const AFTER_DRAIN: Duration = Duration::from_secs(4);
+
+/// Another writer sends one heartbeat with missing fields about a server, which then leaves as
+/// planned. After `drain-ms` no request may reach it.
+fn ignored_drain(deployment: &Deployment, trouble: bool) -> Result<bool> {
+    let record = &deployment.record;
+    if trouble {
+        let beat = format!(
+            "{{\"service\":\"g1\",\"address\":\"{}\",\"zone\":\"d1\",\"slots\":3,\"state\":\"ready\",\
+             \"db-role\":\"replica\",\"seq\":1,\"born\":{}}}",
+            deployment.server_address(23),
+            now_ms()
+        );
+        let (status, _) = deployment.control("PUT", "/-/instances/s3", &beat);
+        record.note(&format!("other writer: PUT /-/instances/s3 {beat} -> {status}"));
+    }
+    thread::sleep(2 * HEARTBEAT);
+    deployment.drain(23, "s3")?;
+    let acknowledged = Instant::now();
+    let mut sent = Vec::new();
+    let mut number = 0;
+    while acknowledged.elapsed() < DRAIN + AFTER_DRAIN {
+        for entry in 0..2 {
+            number += 1;
+            let id = format!("r{number}");
+            sent.push((id.clone(), Instant::now()));
+            let answer = deployment.ask_once(entry, "bounded", &id, "READ probe");
+            record.note(&format!("client: {id} READ probe -> {answer}"));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let mut late = 0;
+    for run in deployment.group.runs().iter().filter(|run| run.server == "s3") {
+        let is_late = |(id, at): &(String, Instant)| *id == run.id && *at > acknowledged + DRAIN;
+        if run.at > acknowledged + DRAIN && sent.iter().any(is_late) {
+            late += 1;
+            let ms = run.at.duration_since(acknowledged).as_millis();
+            record.note(&format!("s3 ran {} {ms} ms after its draining was acknowledged", run.id));
+        }
+    }
+    record.note(&format!("{late} statements reached s3 later than drain-ms"));
+    Ok(late == 0)
+}
--- a/review/standin-2/group.rs
+++ b/review/standin-2/group.rs
@@ -20,6 +20,7 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub at: Instant,
+    pub server: String,
     pub id: String,
     pub text: String,
 }
@@ -205,7 +206,7 @@
             _ => {}
         }
         if request != "-" {
-            let run = Run { at: Instant::now(), id: request.into(), text: text.clone() };
+            let run = Run { at: Instant::now(), server: id.into(), id: request.into(), text: text.clone() };
             state.runs.push(run);
         }
         let kind = session.prepared.get(word(1)).cloned();
