--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for the servers, clients, operator and platform of a small deployment on loopback, and
 //! the cases that `review/N/run.sh` runs. It shares no code with the project.
 //!
-//! Usage: `standin CASE PROGRAM RECORD`. The environment variable `TROUBLE=0` leaves the disruption
-//! out. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+//! Usage: `standin CASE PROGRAM RECORD yes|no`; `no` leaves the disruption out. Exit code: 1 if the
+//! rule was broken, 0 if it held, 2 if the case could not run.
 
 mod cases;
 mod deployment;
@@ -14,11 +14,15 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().collect();
-    let [_, case, program, record] = &args[..] else {
-        eprintln!("usage: standin CASE PROGRAM RECORD");
+    let [_, case, program, record, trouble] = &args[..] else {
+        eprintln!("usage: standin CASE PROGRAM RECORD yes|no");
         return ExitCode::from(2);
     };
-    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = match trouble.as_str() {
+        "yes" => true,
+        "no" => false,
+        _ => return ExitCode::from(2),
+    };
     match cases::run(case, Path::new(program), Path::new(record), trouble) {
         Ok(held) => ExitCode::from(u8::from(!held)),
         Err(reason) => {
