--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeSet;
 
-use auburnlug_state::{Command, Index, Millis, Name, Term};
+use auburnlug_state::{Command, Index, Millis, Name, Term, byte_size::ByteSize};
 use serde::{Deserialize, Serialize};
 
 use crate::quorum::{quorum_size, quorum_value};
 
+/// Numbers of an entry or a message, encoded with the names of the fields.
+const NUMBERS_BYTES: usize = 96;
+
 /// An entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -240,3 +243,37 @@
             || !self.append.is_empty()
     }
 }
+
+impl ByteSize for Entry {
+    fn byte_size(&self) -> usize {
+        let payload = match &self.payload {
+            Payload::Noop => 0,
+            Payload::Command(command) => command.byte_size(),
+            Payload::Members(members) => members.byte_size(),
+        };
+        NUMBERS_BYTES + payload
+    }
+}
+
+impl ByteSize for Members {
+    fn byte_size(&self) -> usize {
+        NUMBERS_BYTES + self.all().map(|name| 2 * name.byte_size()).sum::<usize>()
+    }
+}
+
+impl ByteSize for Snapshot {
+    fn byte_size(&self) -> usize {
+        NUMBERS_BYTES + self.members.byte_size() + self.data.len()
+    }
+}
+
+impl ByteSize for Message {
+    fn byte_size(&self) -> usize {
+        let values = match self {
+            Message::Append { entries, .. } => entries.iter().map(ByteSize::byte_size).sum(),
+            Message::Install { snapshot, .. } => snapshot.byte_size(),
+            _ => 0,
+        };
+        NUMBERS_BYTES + values
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -163,9 +163,9 @@
 /// The listener or the data folder cannot be used.
 pub async fn run(
     options: ControlOptions,
-    mut asks: mpsc::Receiver<ControlRequest>,
+    asks: mpsc::Receiver<ControlRequest>,
 ) -> auburnlug_transport::Result<()> {
-    let (input, mut inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
+    let (input, inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
     control_links::accept_links(options.links, options.identity.clone(), input.clone())?;
     let now = options.clock.now();
     let mut configured = options.seeds.clone();
@@ -178,7 +178,7 @@
         Member::open(name, group_options, options.disk, RAFT_TIMING, seed, now)?;
     member.set_metrics(options.metrics.control.clone());
     let replayed_index = member.last_index();
-    let mut control = Control {
+    let control = Control {
         orders: OrderThread::start()?,
         me: options.me,
         ports: options.ports,
@@ -202,30 +202,42 @@
         may_bootstrap,
         replayed_index,
     };
-    let mut tick = interval(TICK_INTERVAL);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while !control.stopping {
-        tokio::select! {
-            input = inputs.recv() => {
-                let Some(input) = input else { break };
-                control.handle_input(input)?;
-                for _ in 0..MAX_INPUT_BATCH {
-                    let Ok(input) = inputs.try_recv() else { break };
-                    control.handle_input(input)?;
+    control.serve(inputs, asks).await
+}
+
+impl Control {
+    /// Handles inputs until the member is told to stop.
+    async fn serve(
+        mut self,
+        mut inputs: mpsc::Receiver<Input>,
+        mut asks: mpsc::Receiver<ControlRequest>,
+    ) -> auburnlug_transport::Result<()> {
+        let mut tick = interval(TICK_INTERVAL);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ran_at = self.now();
+        while !self.stopping {
+            tokio::select! {
+                input = inputs.recv() => {
+                    let Some(input) = input else { break };
+                    self.handle_input(input)?;
+                    for _ in 0..MAX_INPUT_BATCH {
+                        let Ok(input) = inputs.try_recv() else { break };
+                        self.handle_input(input)?;
+                    }
                 }
+                ask = asks.recv() => {
+                    let Some(ask) = ask else { break };
+                    self.handle_input(Input::Request(ask))?;
+                }
+                _ = tick.tick() => self.run_periodic_work(),
             }
-            ask = asks.recv() => {
-                let Some(ask) = ask else { break };
-                control.handle_input(Input::Request(ask))?;
-            }
-            _ = tick.tick() => control.run_periodic_work(),
+            self.persist_and_apply()?;
+            let last_run = std::mem::replace(&mut ran_at, self.now());
+            self.metrics.control.record_step(ran_at.saturating_sub(last_run), RAFT_TIMING.lease);
         }
-        control.persist_and_apply()?;
+        Ok(())
     }
-    Ok(())
-}
 
-impl Control {
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
     }
@@ -339,6 +351,7 @@
                 self.propose(change, Some(reply));
             }
             ControlRequest::ReadConfig { reply } => {
+                self.log_config_read();
                 let Some(reply) = self.require_leadership(reply) else { return };
                 let _ = reply.send(ControlReply::Done(self.fleet().document.clone()));
             }
@@ -375,6 +388,23 @@
         None
     }
 
+    /// Logs on what the answer to a read of the configuration is based.
+    fn log_config_read(&self) {
+        let now = self.now();
+        let answered = self.leader.is_some() && self.member.leads(now);
+        let lease = self.member.lease_end().map_or(0, |end| end.saturating_sub(now));
+        log(
+            Event::ConfigRead,
+            format_args!(
+                "version={} answered={answered} term={} applied={} last={} lease_ms={lease}",
+                self.fleet().plan.version,
+                self.member.term(),
+                self.machine.index,
+                self.member.last_index()
+            ),
+        );
+    }
+
     /// Records a server if it has changed; the heartbeat is answered once the change is committed.
     fn handle_heartbeat(&mut self, beat: Heartbeat, reply: oneshot::Sender<ControlReply<()>>) {
         let backend = &beat.backend;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate does no I/O. Commands come from the replicated log, and all instances that apply the
 //! same commands in the same order have the same [`Machine`].
 
+pub mod byte_size;
 pub mod bytes;
 mod command;
 mod config;
@@ -10,6 +11,7 @@
 mod error;
 pub mod fleet;
 pub mod fleet_config_delta;
+pub mod limits;
 mod machine;
 mod machine_config;
 mod name;
--- a/crates/state/src/machine_config.rs
+++ b/crates/state/src/machine_config.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Applied, Change, Config, Edit, GroupState, Index, Machine, Name, Shard, ShardOwner, Term,
+    byte_size::{ByteSize, FIELDS_BYTES, HEX_KEY_BYTES},
     check_account_limits, config, parse_key_hash,
 };
 
@@ -66,6 +67,15 @@
     }
 }
 
+impl ByteSize for History {
+    fn byte_size(&self) -> usize {
+        let keys = self.granted.values().map(BTreeSet::len).sum::<usize>() + self.withdrawn.len();
+        let records =
+            self.answers.len() + self.granted.len() + self.shards.len() + self.terms.len();
+        records * FIELDS_BYTES + keys * HEX_KEY_BYTES
+    }
+}
+
 impl Machine {
     pub(crate) fn configure(&mut self, index: Index, change: &Change) -> Applied {
         if let Some(answer) = self.history.recorded_answer(&change.id) {
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -30,6 +30,7 @@
     control_leader::Leader,
     control_links::Links,
     control_member::{GroupOptions, Member},
+    control_metrics::ControlMetrics,
     control_propose::{ForwardedProposal, PendingProposal, Waiter},
     event::{Event, log},
     link::{Dial, dial_once_per},
@@ -89,6 +90,7 @@
     pub(crate) forwarded: BTreeMap<u64, ForwardedProposal>,
     pub(crate) next_proposal: u64,
     last_search: Millis,
+    metrics: ControlMetrics,
     stopping: Option<oneshot::Sender<()>>,
 }
 
@@ -114,7 +116,7 @@
                 now,
             )?;
             let member = member.insert(opened.0);
-            member.set_metrics(options.metrics);
+            member.set_metrics(options.metrics.clone());
             machine = opened.1;
         }
         Ok(Core {
@@ -142,6 +144,7 @@
             forwarded: BTreeMap::new(),
             next_proposal: 1,
             last_search: 0,
+            metrics: options.metrics,
             stopping: None,
         })
     }
@@ -159,6 +162,7 @@
             DEFAULT_TICK_INTERVAL
         });
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ran_at = self.now();
         while self.stopping.is_none() {
             tokio::select! {
                 input = inputs.recv() => {
@@ -172,6 +176,8 @@
                 _ = tick.tick() => self.run_periodic(),
             }
             self.advance()?;
+            let last_run = std::mem::replace(&mut ran_at, self.now());
+            self.metrics.record_step(ran_at.saturating_sub(last_run), Timing::default().lease);
         }
         // Gives the link tasks time to send the last messages.
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -53,6 +53,8 @@
     losses: usize,
     /// Index of the last snapshot.
     snapshot_index: Index,
+    /// Bytes of the last snapshot.
+    snapshot_bytes: usize,
     seed: u64,
     timing: Timing,
     /// Whether this member may bootstrap the group.
@@ -110,14 +112,14 @@
         let saved = loaded.saved;
         let count = saved.entries.len();
         let mut machine = Machine::default();
-        let mut snapshot_index = 0;
+        let (mut snapshot_index, mut snapshot_bytes) = (0, 0);
         let state = match &saved.snapshot {
             None => {
                 State::Searching(Bootstrap::new(instance.clone(), identity.clone(), &configured))
             }
             Some(snapshot) => {
                 machine = decode(&snapshot.data)?;
-                snapshot_index = snapshot.index;
+                (snapshot_index, snapshot_bytes) = (snapshot.index, snapshot.data.len());
                 let raft = raft(&identity, saved, timing, seed, now)?;
                 let asks_to_join = !is_member(raft.members(), &identity);
                 State::Member(Box::new(raft), asks_to_join)
@@ -125,7 +127,11 @@
         };
         log(
             Event::DiskOpened,
-            format_args!("identity {identity}, {count} entries after index {snapshot_index}"),
+            format_args!(
+                "identity {identity}, {count} entries after index {snapshot_index}, \
+                 log_bytes={} snapshot_bytes={snapshot_bytes}",
+                disk.log_bytes()
+            ),
         );
         let joining = BTreeMap::new();
         let searching = matches!(state, State::Searching(_));
@@ -143,6 +149,7 @@
             reported_at: 0,
             losses,
             snapshot_index,
+            snapshot_bytes,
             seed,
             timing,
             founds,
@@ -434,9 +441,17 @@
             return Ok(());
         }
         let Ok(snapshot) = raft.snapshot(machine.index, encode(machine)?) else { return Ok(()) };
+        let before = self.disk.log_bytes();
         self.disk.compact(&snapshot)?;
-        self.snapshot_index = snapshot.index;
+        let (index, bytes) = (snapshot.index, snapshot.data.len());
+        (self.snapshot_index, self.snapshot_bytes) = (index, bytes);
         let _ = raft.compact(snapshot);
+        let after = self.disk.log_bytes();
+        self.member_log.record_compaction(after, bytes);
+        log(
+            Event::LogCompacted,
+            format_args!("index={index} snapshot_bytes={bytes} log_bytes={after} before={before}"),
+        );
         Ok(())
     }
 
@@ -542,11 +557,12 @@
         if ready.needs_sync() {
             self.disk.store(&ready)?;
             self.disk.sync()?;
+            self.member_log.record_stored(self.disk.log_bytes(), self.snapshot_bytes);
         }
         let State::Member(raft, _) = &mut self.state else { return Ok(()) };
         raft.persisted();
         if let Some(snapshot) = &ready.snapshot {
-            self.snapshot_index = snapshot.index;
+            (self.snapshot_index, self.snapshot_bytes) = (snapshot.index, snapshot.data.len());
             work.machine = Some(decode(&snapshot.data)?);
             work.committed.clear();
         }
--- a/crates/transport/src/control_metrics.rs
+++ b/crates/transport/src/control_metrics.rs
@@ -1,17 +1,26 @@
 //! Metrics of a control member.
 
+use std::time::Duration;
+
 use auburnlug_coordination::{membership_step::StepKind, raft::Members, redundancy::Redundancy};
 use auburnlug_state::Millis;
 use prometheus_client::{
-    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
-use crate::metrics::Label;
+use crate::{
+    event::{Event, log},
+    metrics::Label,
+};
 
 /// Value of the tolerated disk losses at members that do not lead.
 const NOT_LEADING: i64 = -1;
 
+/// Upper bounds of the buckets for steps of the control thread. The leader lease of the gateway is
+/// 250 ms.
+const STEP_BUCKETS_SECONDS: [f64; 8] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+
 /// Metrics of a control member. Clones share their values.
 #[derive(Debug, Clone)]
 pub struct ControlMetrics {
@@ -23,6 +32,10 @@
     tolerated: Gauge,
     configured: Gauge,
     steps: Family<Label, Counter>,
+    log_bytes: Gauge,
+    snapshot_bytes: Gauge,
+    compactions: Counter,
+    step_time: Histogram,
 }
 
 impl Default for ControlMetrics {
@@ -36,6 +49,10 @@
             tolerated: Gauge::default(),
             configured: Gauge::default(),
             steps: Family::default(),
+            log_bytes: Gauge::default(),
+            snapshot_bytes: Gauge::default(),
+            compactions: Counter::default(),
+            step_time: Histogram::new(STEP_BUCKETS_SECONDS),
         };
         metrics.tolerated.set(NOT_LEADING);
         // A step that was not proposed yet shows as 0.
@@ -49,6 +66,30 @@
 impl ControlMetrics {
     /// Adds the metrics to a registry.
     pub fn register(&self, registry: &mut Registry) {
+        self.register_group(registry);
+        registry.register(
+            "control_log_bytes",
+            "Bytes of the stored log, with records that are no longer in effect",
+            self.log_bytes.clone(),
+        );
+        registry.register(
+            "control_snapshot_bytes",
+            "Bytes of the last snapshot",
+            self.snapshot_bytes.clone(),
+        );
+        registry.register(
+            "control_compactions",
+            "Snapshots that replaced the log",
+            self.compactions.clone(),
+        );
+        registry.register(
+            "control_step_seconds",
+            "Time from one run of the control thread to the end of the next one",
+            self.step_time.clone(),
+        );
+    }
+
+    fn register_group(&self, registry: &mut Registry) {
         registry.register("control_voters", "Voters of the control group", self.voters.clone());
         registry.register(
             "control_learners",
@@ -114,6 +155,27 @@
         self.tolerated.set(redundancy.map_or(NOT_LEADING, |known| gauge_value(known.tolerated)));
     }
 
+    /// Sets the sizes of the stored log and of the last snapshot, in bytes.
+    pub(crate) fn set_stored(&self, log: u64, snapshot: usize) {
+        self.log_bytes.set(i64::try_from(log).unwrap_or(i64::MAX));
+        self.snapshot_bytes.set(gauge_value(snapshot));
+    }
+
+    /// Counts a snapshot that replaced the log.
+    pub(crate) fn count_compaction(&self) {
+        self.compactions.inc();
+    }
+
+    /// Records the time from one run of the control thread to the end of the next one, in
+    /// milliseconds, and logs it from `limit` on. The thread runs at each tick, so more than that is
+    /// time in which it was held up, also by the encoding of messages on its links.
+    pub fn record_step(&self, time: Millis, limit: Millis) {
+        self.step_time.observe(Duration::from_millis(time).as_secs_f64());
+        if time >= limit {
+            log(Event::StepDelayed, format_args!("ms={time} limit_ms={limit}"));
+        }
+    }
+
     /// Counts a membership step that this member proposed.
     pub(crate) fn count_step(&self, kind: StepKind) {
         self.steps.get_or_create(&Label { kind: kind.label() }).inc();
--- a/crates/transport/src/disk.rs
+++ b/crates/transport/src/disk.rs
@@ -82,6 +82,9 @@
     /// # Errors
     /// If it cannot be written.
     fn compact(&mut self, snapshot: &Snapshot) -> Result<()>;
+
+    /// Bytes of the stored log, with records that are no longer in effect.
+    fn log_bytes(&self) -> u64;
 }
 
 /// A log record, borrowed for writing.
@@ -107,6 +110,8 @@
     number: u64,
     /// Index of the highest entry in it; 0 without entries.
     last: Index,
+    /// Bytes of its complete records.
+    size: u64,
 }
 
 /// Disk that stores its state in the files of one folder.
@@ -117,7 +122,6 @@
     _lock: File,
     /// Segment that is appended to; `None` before [`Disk::load`] and after an error.
     active: Option<File>,
-    size: u64,
     segments: Vec<Segment>,
 }
 
@@ -138,7 +142,7 @@
             Err(TryLockError::Error(e)) => return Err(Error::file(&path)(e)),
         }
         let segments = Vec::new();
-        let disk = FileDisk { folder: folder.into(), _lock: lock, active: None, size: 0, segments };
+        let disk = FileDisk { folder: folder.into(), _lock: lock, active: None, segments };
         match read_file(&folder.join("format"))? {
             Some(text) if text == FORMAT_VERSION.as_bytes() => {}
             Some(text) => {
@@ -187,6 +191,11 @@
         Ok(numbers)
     }
 
+    /// Bytes of the segment that is appended to.
+    fn active_size(&self) -> u64 {
+        self.segments.last().map_or(0, |segment| segment.size)
+    }
+
     fn encode_error(&self, file: &str) -> impl FnOnce(auburnlug_state::Error) -> Error {
         let path = self.folder.join(file);
         |e| Kind::Encode(path, e).into()
@@ -237,8 +246,7 @@
                 }
                 discarded = (bytes.len() - complete) as u64;
             }
-            self.size = complete as u64;
-            self.segments.push(Segment { number, last });
+            self.segments.push(Segment { number, last, size: complete as u64 });
         }
         Ok(discarded)
     }
@@ -265,7 +273,7 @@
         if records.is_empty() {
             return Ok(());
         }
-        if self.size >= SEGMENT_SIZE_BYTES {
+        if self.active_size() >= SEGMENT_SIZE_BYTES {
             self.start_segment()?;
         }
         let (Some(file), Some(segment)) = (&mut self.active, self.segments.last_mut()) else {
@@ -280,7 +288,7 @@
             }
         }
         file.write_all(&bytes).map_err(Error::file(&path))?;
-        self.size += bytes.len() as u64;
+        segment.size += bytes.len() as u64;
         Ok(())
     }
 
@@ -291,8 +299,7 @@
         let path = self.segment_path(number);
         let file = OpenOptions::new().append(true).create_new(true).open(&path);
         self.active = Some(file.map_err(Error::file(&path))?);
-        self.size = 0;
-        self.segments.push(Segment { number, last: 0 });
+        self.segments.push(Segment { number, last: 0, size: 0 });
         sync_folder(&self.folder)
     }
 
@@ -305,7 +312,7 @@
         self.try_sync()?;
         let bytes = record::encode_file(snapshot).map_err(self.encode_error("snapshot"))?;
         self.replace_file("snapshot", &bytes)?;
-        if self.size > 0 {
+        if self.active_size() > 0 {
             self.start_segment()?;
         }
         self.append_records(&[NewRecord::Covered(snapshot.index)])?;
@@ -345,7 +352,8 @@
         let path = self.segment_path(number);
         let file = OpenOptions::new().append(true).open(&path).map_err(Error::file(&path))?;
         // If the previous process crashed, the data just read may not be durable yet.
-        let trim = || if discarded > 0 { file.set_len(self.size) } else { Ok(()) };
+        let size = self.active_size();
+        let trim = || if discarded > 0 { file.set_len(size) } else { Ok(()) };
         trim().and_then(|()| file.sync_all()).map_err(Error::file(&path))?;
         sync_folder(&self.folder)?;
         self.active = Some(file);
@@ -363,6 +371,10 @@
     fn compact(&mut self, snapshot: &Snapshot) -> Result<()> {
         self.run_or_stop(|disk| disk.try_compact(snapshot))
     }
+
+    fn log_bytes(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.size).sum()
+    }
 }
 
 /// Applies the records of one segment; returns the index of its highest entry and the length of its
--- a/crates/transport/src/disk_memory.rs
+++ b/crates/transport/src/disk_memory.rs
@@ -5,8 +5,8 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use auburnlug_coordination::raft::{Ready, Saved, Snapshot};
-use auburnlug_state::Name;
+use auburnlug_coordination::raft::{Entry, Ready, Saved, Snapshot};
+use auburnlug_state::{Name, byte_size::ByteSize};
 
 use crate::{
     disk::{Disk, Loaded},
@@ -25,6 +25,8 @@
     durable: Saved,
     /// Stored state, synced or not.
     stored: Saved,
+    /// Bytes of the stored entries.
+    log_bytes: usize,
     fail_store: bool,
     fail_sync: bool,
     stopped: bool,
@@ -35,7 +37,8 @@
     pub fn new(identity: Name) -> MemoryDisk {
         let (durable, stored) = (Saved::default(), Saved::default());
         let (fail_store, fail_sync, stopped) = (false, false, false);
-        let state = State { identity, durable, stored, fail_store, fail_sync, stopped };
+        let log_bytes = 0;
+        let state = State { identity, durable, stored, log_bytes, fail_store, fail_sync, stopped };
         MemoryDisk { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -53,6 +56,7 @@
     pub fn crash(&self) {
         let mut state = self.state();
         state.stored = state.durable.clone();
+        state.log_bytes = total_size(&state.stored.entries);
         state.stopped = false;
     }
 
@@ -97,6 +101,8 @@
             stored.entries.retain(|e| e.index < index);
         }
         stored.entries.extend(ready.append.iter().cloned());
+        // Entries that are no longer in effect count until the next snapshot, as in a file.
+        state.log_bytes += total_size(&ready.append);
         Ok(())
     }
 
@@ -115,7 +121,16 @@
         let mut state = self.running_state()?;
         state.stored.entries.retain(|e| e.index > snapshot.index);
         state.stored.snapshot = Some(snapshot.clone());
+        state.log_bytes = total_size(&state.stored.entries);
         state.durable = state.stored.clone();
         Ok(())
     }
+
+    fn log_bytes(&self) -> u64 {
+        self.state().log_bytes as u64
+    }
+}
+
+fn total_size(entries: &[Entry]) -> usize {
+    entries.iter().map(ByteSize::byte_size).sum()
 }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -69,8 +69,10 @@
     LossProven = 216, Warn, "control member has lost its disk for good";
     LeadsAlone = 217, Warn, "this member leads as the only one with the data; it waits for a second one";
     LeadsNoLongerAlone = 218, Info, "this member no longer leads alone";
+    LogCompacted = 219, Info, "log replaced by a snapshot";
     LeaseLost = 220, Error, "lease ended: requests are refused until it is renewed";
     LeaseGained = 221, Info, "lease granted";
+    StepDelayed = 222, Warn, "step of the control thread took long";
     ConfigApplied = 230, Info, "configuration in force";
     ChangeRefused = 231, Warn, "change of the configuration refused";
     OperatorRefused = 232, Warn, "operator request without a valid secret refused";
@@ -129,6 +131,7 @@
     OrderUnbounded = 719, Warn, "order may outlast the leader lease";
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
+    ConfigRead = 722, Info, "configuration read by an operator";
 }
 
 impl Event {
--- a/crates/transport/src/member_log.rs
+++ b/crates/transport/src/member_log.rs
@@ -75,6 +75,17 @@
         self.metrics = metrics;
     }
 
+    /// Reports the sizes of the stored log and of the last snapshot, in bytes.
+    pub(crate) fn record_stored(&self, log: u64, snapshot: usize) {
+        self.metrics.set_stored(log, snapshot);
+    }
+
+    /// Reports a snapshot that replaced the log, with the sizes of both.
+    pub(crate) fn record_compaction(&self, log: u64, snapshot: usize) {
+        self.metrics.count_compaction();
+        self.metrics.set_stored(log, snapshot);
+    }
+
     /// Disk losses that the group tolerates; `None` unless this member leads it.
     pub(crate) fn redundancy(&self) -> Option<Redundancy> {
         self.redundancy
