Bound the log of a control member by bytes

Callers saw: after some hundred changes of a configuration with hundreds of databases, the processes of all control members end by themselves, for memory or a full disk, and the configuration can neither be changed nor read. A change of 2,800 databases takes 0.6 MB, so a disk of 128 MB holds 205 of them.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod server_choice;
 pub mod server_reports;
 pub mod session;
+mod sized_entries;
 pub mod slot_queue;
 pub mod standby_level;
 pub mod token_bucket;
--- a/crates/coordination/src/raft_log.rs
+++ b/crates/coordination/src/raft_log.rs
@@ -1,15 +1,16 @@
 //! The in-memory part of a member's log, and the changes to it that are not yet stored.
 
-use auburnlug_state::{Index, Term};
+use auburnlug_state::{Index, Term, limits};
 
 use crate::{
     Result,
     error::ErrorKind,
     raft_message::{Entry, Members, Payload, Ready, Saved, Snapshot},
+    sized_entries::SizedEntries,
 };
 
 /// Entries kept in the log although the snapshot covers them, so that a member that is only
-/// slightly behind does not need the snapshot.
+/// slightly behind does not need the snapshot. Fewer are kept if they are large.
 const RETAINED_ENTRIES: Index = 128;
 
 /// Log, last snapshot and the current membership.
@@ -20,7 +21,7 @@
     /// Index of the entry before the first one in `entries`.
     start: Index,
     start_term: Term,
-    entries: Vec<Entry>,
+    entries: SizedEntries,
     members: Members,
     /// Entry that set the membership; 0 if the log does not contain it.
     members_index: Index,
@@ -66,7 +67,7 @@
             snapshot: saved.snapshot,
             start,
             start_term,
-            entries: saved.entries,
+            entries: saved.entries.into(),
             members: Members::default(),
             members_index: 0,
             install: false,
@@ -100,11 +101,11 @@
     }
 
     pub(crate) fn last(&self) -> Index {
-        self.start + self.entries.len() as Index
+        self.start + self.entries().len() as Index
     }
 
     pub(crate) fn last_term(&self) -> Term {
-        self.entries.last().map_or(self.start_term, |e| e.term)
+        self.entries().last().map_or(self.start_term, |e| e.term)
     }
 
     /// Term of an entry; `None` if the entry is not in the log.
@@ -114,8 +115,9 @@
 
     /// Up to `limit` entries, starting at `first`.
     pub(crate) fn slice(&self, first: Index, limit: usize) -> &[Entry] {
-        let at = self.offset(first).min(self.entries.len());
-        &self.entries[at..self.entries.len().min(at.saturating_add(limit))]
+        let entries = self.entries();
+        let at = self.offset(first).min(entries.len());
+        &entries[at..entries.len().min(at.saturating_add(limit))]
     }
 
     /// Appends an entry that this member proposes as the leader.
@@ -160,7 +162,7 @@
     pub(crate) fn replace(&mut self, snapshot: Snapshot) {
         self.start = snapshot.index;
         self.start_term = snapshot.term;
-        self.entries.clear();
+        self.entries = SizedEntries::default();
         self.truncate = None;
         self.submitted = snapshot.index;
         self.stable = snapshot.index;
@@ -171,11 +173,16 @@
         self.refresh_members();
     }
 
-    /// Removes entries that `snapshot` covers, except for the last [`RETAINED_ENTRIES`].
+    /// Removes entries that `snapshot` covers, except for the last [`RETAINED_ENTRIES`], as far as
+    /// they are no larger than [`limits::retained_limit`].
     pub(crate) fn compact(&mut self, snapshot: Snapshot) {
-        let start = snapshot.index.saturating_sub(RETAINED_ENTRIES).max(self.start);
+        let limit = limits::retained_limit(snapshot.data.len());
+        let mut start = snapshot.index.saturating_sub(RETAINED_ENTRIES).max(self.start);
+        while start < snapshot.index && self.bytes(start + 1, snapshot.index) > limit {
+            start += 1;
+        }
         self.start_term = self.term(start).unwrap_or(self.start_term);
-        self.entries.drain(..self.offset(start + 1).min(self.entries.len()));
+        self.entries.remove_front(self.offset(start + 1));
         self.start = start;
         self.snapshot = Some(snapshot);
         self.refresh_members();
@@ -185,7 +192,7 @@
     /// the entry that set it.
     pub(crate) fn members_at(&self, index: Index) -> (Index, &Members) {
         let covered = self.snapshot.as_ref().map_or(0, |s| s.index);
-        let newest = self.entries.iter().rev().filter(|e| e.index <= index && e.index > covered);
+        let newest = self.entries().iter().rev().filter(|e| e.index <= index && e.index > covered);
         for entry in newest {
             if let Payload::Members(members) = &entry.payload {
                 return (entry.index, members);
@@ -219,12 +226,21 @@
         }
     }
 
+    /// Bytes of the entries from `first` to `last` that are in the log.
+    pub(crate) fn bytes(&self, first: Index, last: Index) -> usize {
+        self.entries.bytes(self.offset(first), self.offset(last + 1))
+    }
+
+    fn entries(&self) -> &[Entry] {
+        self.entries.as_slice()
+    }
+
     fn offset(&self, index: Index) -> usize {
         usize::try_from(index.saturating_sub(self.start + 1)).unwrap_or(usize::MAX)
     }
 
     fn get(&self, index: Index) -> Option<&Entry> {
-        if index <= self.start { None } else { self.entries.get(self.offset(index)) }
+        if index <= self.start { None } else { self.entries().get(self.offset(index)) }
     }
 
     fn append(&mut self, entry: Entry) {
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -9,7 +9,7 @@
     redundancy::Redundancy,
 };
 use auburnlug_protocol::{decode, encode, peer::ControlMessage};
-use auburnlug_state::{Command, Index, Machine, Millis, Name};
+use auburnlug_state::{Command, Index, Machine, Millis, Name, limits};
 
 use crate::{
     Result,
@@ -20,7 +20,8 @@
     member_log::MemberLog,
 };
 
-/// Number of log entries after which a snapshot replaces them.
+/// Number of log entries after which a snapshot replaces them, if they are small: their number counts
+/// for the time of a start.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 2_000;
 
 /// Time after which a request to join expires unless it is repeated. A joining member repeats it
@@ -55,6 +56,8 @@
     snapshot_index: Index,
     /// Bytes of the last snapshot.
     snapshot_bytes: usize,
+    /// Bytes of the stored log that the last snapshot did not replace.
+    uncovered_bytes: u64,
     seed: u64,
     timing: Timing,
     /// Whether this member may bootstrap the group.
@@ -150,6 +153,7 @@
             losses,
             snapshot_index,
             snapshot_bytes,
+            uncovered_bytes: 0,
             seed,
             timing,
             founds,
@@ -430,16 +434,19 @@
         }
     }
 
-    /// Replaces old entries by a snapshot of `machine` once there are enough of them.
+    /// Replaces old entries by a snapshot of `machine` once they are enough, by number or by size.
     ///
     /// # Errors
     ///
     /// The disk failed.
     pub fn compact(&mut self, machine: &Machine) -> Result<()> {
-        let State::Member(raft, _) = &mut self.state else { return Ok(()) };
-        if machine.index < self.snapshot_index + SNAPSHOT_INTERVAL_ENTRIES {
+        let written = self.disk.log_bytes().saturating_sub(self.uncovered_bytes);
+        let is_large = written > limits::log_limit(self.snapshot_bytes) as u64;
+        let entries = machine.index.saturating_sub(self.snapshot_index);
+        if entries == 0 || !(is_large || entries >= SNAPSHOT_INTERVAL_ENTRIES) {
             return Ok(());
         }
+        let State::Member(raft, _) = &mut self.state else { return Ok(()) };
         let Ok(snapshot) = raft.snapshot(machine.index, encode(machine)?) else { return Ok(()) };
         let before = self.disk.log_bytes();
         self.disk.compact(&snapshot)?;
@@ -447,6 +454,7 @@
         (self.snapshot_index, self.snapshot_bytes) = (index, bytes);
         let _ = raft.compact(snapshot);
         let after = self.disk.log_bytes();
+        self.uncovered_bytes = after;
         self.member_log.record_compaction(after, bytes);
         log(
             Event::LogCompacted,
@@ -563,6 +571,7 @@
         raft.persisted();
         if let Some(snapshot) = &ready.snapshot {
             (self.snapshot_index, self.snapshot_bytes) = (snapshot.index, snapshot.data.len());
+            self.uncovered_bytes = self.disk.log_bytes();
             work.machine = Some(decode(&snapshot.data)?);
             work.committed.clear();
         }
