Bound messages to control members by bytes

Callers saw: after some 45 changes of a large configuration a control member is replaced; from then on the leader is lost every second or two, changes are not acknowledged for many seconds, the new member is never filled, and a second replacement ends the group. Cause: a message held up to 64 entries and 1,024 were in flight, whatever their size, so a new member was sent tens of megabytes at once. Their encoding holds up the thread that keeps the leader lease; the next leader starts anew. Change: a message has at most 512 KB of entries, 1 MB is in flight to a member; an entry that is larger goes alone. What is in flight is counted from the first entry that was sent and not acknowledged, so a new leader's first message still has its entry. Ruled out: an empty message without end when the window is closed (a_closed_window_sends_heartbeats_only_when_they_are_due).

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -35,7 +35,7 @@
     /// and has acknowledged a message recently.
     pub caught_up: bool,
     /// Time since the last acknowledgement arrived, or since this leader tracks the member if none
-    /// has, in milliseconds.
+    /// has, in milliseconds. For a learner, without the time that what was sent to it takes.
     pub ack_age: Millis,
 }
 
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -2,19 +2,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use auburnlug_state::{Index, Millis, Name};
+use auburnlug_state::{Index, Millis, Name, byte_size::ByteSize, limits};
 
 use crate::{
     Result,
     error::ErrorKind,
     membership::Progress,
     raft::{Raft, Role},
+    raft_log::Log,
     raft_message::{Members, Message, Payload},
 };
 
+/// Entries in one message; large ones are bounded by [`limits::MESSAGE_BYTES`].
 const MAX_ENTRIES_PER_MESSAGE: usize = 64;
 
-/// Entries that are in flight to a member, sent but not yet acknowledged.
+/// Entries that are in flight to a member, sent but not yet acknowledged; large ones are bounded by
+/// [`limits::IN_FLIGHT_BYTES`].
 const MAX_IN_FLIGHT_ENTRIES: Index = 1024;
 
 /// State that a member keeps while it leads.
@@ -33,6 +36,8 @@
     matched: Index,
     /// Next entry to send.
     next: Index,
+    /// First entry that was sent and is not acknowledged; `next` if there is none.
+    unacknowledged: Index,
     /// Last index of the leader when it started to track the member; a learner must reach it before
     /// it may vote. The commit index would not do: a leader that has just restarted knows none.
     target: Index,
@@ -76,11 +81,14 @@
     /// Replication progress of the other members; empty unless this member leads.
     pub fn progress(&self, now: Millis) -> BTreeMap<Name, Progress> {
         let Role::Leader(leader) = &self.role else { return BTreeMap::new() };
-        let progress = |peer: &Peer| Progress {
-            caught_up: peer.is_caught_up(now, self.timing.election_max),
-            ack_age: now.saturating_sub(peer.heard.unwrap_or(peer.since)),
+        let learners = &self.log.members().learners;
+        let progress = |(name, peer): (&Name, &Peer)| {
+            let transfer = if learners.contains(name) { peer.transfer_time(&self.log) } else { 0 };
+            let heard = peer.heard.unwrap_or(peer.since);
+            let caught_up = peer.is_caught_up(now, self.timing.election_max);
+            (name.clone(), Progress { caught_up, ack_age: now.saturating_sub(heard + transfer) })
         };
-        leader.peers.iter().map(|(name, peer)| (name.clone(), progress(peer))).collect()
+        leader.peers.iter().map(progress).collect()
     }
 
     /// Appends a membership change and returns its index. The new membership takes effect as soon
@@ -142,12 +150,13 @@
         let Role::Leader(leader) = role else { return };
         let (term, commit, sent) = (*term, *commit, *clock);
         for (name, peer) in &mut leader.peers {
-            while peer.needs_message(log.last(), commit) {
+            while peer.needs_message(log, commit) {
                 peer.message_due = false;
                 peer.sent_commit = commit;
                 let compacted = peer.next <= log.start();
                 if let (true, Some(snapshot)) = (compacted, log.snapshot()) {
                     peer.next = snapshot.index + 1;
+                    peer.unacknowledged = peer.next;
                     peer.snapshot_sent = Some(sent);
                     let snapshot = snapshot.clone();
                     outbox.push((name.clone(), Message::Install { term, snapshot, sent }));
@@ -155,8 +164,13 @@
                 }
                 let index = peer.next - 1;
                 let last = log.term(index).unwrap_or_default();
-                let limit = if peer.snapshot_sent.is_some() { 0 } else { MAX_ENTRIES_PER_MESSAGE };
-                let entries = log.slice(peer.next, limit).to_vec();
+                let entries = if peer.window_open(log) {
+                    let entries = log.slice(peer.next, MAX_ENTRIES_PER_MESSAGE);
+                    let sizes = entries.iter().map(ByteSize::byte_size);
+                    entries[..limits::count_within(sizes, limits::MESSAGE_BYTES)].to_vec()
+                } else {
+                    Vec::new()
+                };
                 peer.next += entries.len() as Index;
                 let message = Message::Append { term, index, last, entries, commit, sent };
                 outbox.push((name.clone(), message));
@@ -174,6 +188,7 @@
         if accepted {
             peer.matched = peer.matched.max(index.min(self.log.last()));
             peer.next = peer.next.max(peer.matched + 1);
+            peer.unacknowledged = peer.unacknowledged.max(peer.matched + 1);
             if peer.snapshot_sent.is_some() && peer.matched + 1 >= peer.next {
                 peer.snapshot_sent = None;
             }
@@ -186,6 +201,7 @@
             return;
         }
         peer.next = index + 1;
+        peer.unacknowledged = peer.next;
         peer.rewound_at = clock;
         peer.snapshot_sent = None;
         peer.message_due = true;
@@ -263,6 +279,7 @@
             leader.peers.entry(name.clone()).or_insert(Peer {
                 matched: 0,
                 next: last,
+                unacknowledged: last,
                 target: last,
                 sent_commit: 0,
                 since,
@@ -284,11 +301,24 @@
         responsive && self.matched >= self.target
     }
 
-    fn needs_message(&self, last: Index, commit: Index) -> bool {
-        let window_open =
-            self.next <= last && self.next <= self.matched.saturating_add(MAX_IN_FLIGHT_ENTRIES);
-        let send_entries = window_open && self.snapshot_sent.is_none();
-        self.message_due || send_entries || self.sent_commit < commit
+    /// Time that what is on its way to the member takes on the slowest link.
+    fn transfer_time(&self, log: &Log) -> Millis {
+        let snapshot = log.snapshot().filter(|_| self.snapshot_sent.is_some());
+        let entries = log.bytes(self.unacknowledged, self.next - 1);
+        let bytes = snapshot.map_or(entries, |snapshot| snapshot.data.len());
+        (bytes / limits::SLOWEST_LINK_BYTES_PER_MS) as Millis
+    }
+
+    fn needs_message(&self, log: &Log, commit: Index) -> bool {
+        let sends_entries = self.next <= log.last() && self.window_open(log);
+        self.message_due || sends_entries || self.sent_commit < commit
+    }
+
+    /// Whether more entries may be sent before the member acknowledges the earlier ones.
+    fn window_open(&self, log: &Log) -> bool {
+        self.snapshot_sent.is_none()
+            && self.next < self.unacknowledged + MAX_IN_FLIGHT_ENTRIES
+            && log.bytes(self.unacknowledged, self.next - 1) < limits::IN_FLIGHT_BYTES
     }
 }
 
--- a/crates/coordination/src/raft_log.rs
+++ b/crates/coordination/src/raft_log.rs
@@ -228,7 +228,7 @@
 
     /// Bytes of the entries from `first` to `last` that are in the log.
     pub(crate) fn bytes(&self, first: Index, last: Index) -> usize {
-        self.entries.bytes(self.offset(first), self.offset(last + 1))
+        self.entries.bytes(self.offset(first), self.offset(last.saturating_add(1)))
     }
 
     fn entries(&self) -> &[Entry] {
--- a/crates/coordination/tests/raft_bytes.rs
+++ b/crates/coordination/tests/raft_bytes.rs
@@ -5,10 +5,14 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use auburnlug_coordination::raft::{Entry, Members, Message, Raft, Ready, Saved, Timing};
+use auburnlug_coordination::raft::{
+    Entry, Members, Message, Payload, Raft, Ready, Saved, Timing, Vote,
+};
 use auburnlug_state::{
     Command, Name,
+    byte_size::ByteSize,
     fleet::{FleetChange, FleetConfig},
+    limits,
 };
 
 fn name(text: &str) -> Name {
@@ -59,6 +63,19 @@
         ready
     }
 
+    /// Entries of the messages to the follower that lags, until nothing more is sent.
+    fn appends(&mut self) -> Vec<Vec<Entry>> {
+        let mut appends = Vec::new();
+        loop {
+            let ready = self.step();
+            if ready == Ready::default() {
+                return appends;
+            }
+            assert!(appends.len() < 10_000, "messages without end");
+            appends.extend(ready.messages.into_iter().filter_map(lagging_appends));
+        }
+    }
+
     /// Receives the answer of a follower that it has the log up to `index`, or only up to it.
     fn receive_reply(&mut self, from: &str, accepted: bool, index: u64) {
         let (term, sent) = (self.raft.term(), self.now);
@@ -66,11 +83,14 @@
         self.raft.receive(&name(from), reply, self.now);
     }
 
-    /// Proposes, commits and applies a command.
-    fn commit(&mut self, command: Command) -> u64 {
+    /// Proposes, commits and applies a command; the follower that lags acknowledges it if `reaches`.
+    fn commit(&mut self, command: Command, reaches: bool) -> u64 {
         let index = self.propose(command);
         self.step();
         self.receive_reply("m1", true, index);
+        if reaches {
+            self.receive_reply("m2", true, index);
+        }
         self.step();
         index
     }
@@ -80,16 +100,16 @@
         self.raft.compact(snapshot).unwrap();
     }
 
-    /// Entries that are sent to the follower that lags once it says that it has the log up to `index`
-    /// only; `None` if it is sent the snapshot.
-    fn sent_after(&mut self, index: u64) -> Option<usize> {
+    /// Whether the follower that lags is sent entries, not the snapshot, once it says that it has the
+    /// log up to `index` only.
+    fn sends_entries_after(&mut self, index: u64) -> bool {
         self.now += 1;
         self.receive_reply("m2", false, index);
         let messages = self.step().messages;
-        if messages.iter().any(|(_, message)| matches!(message, Message::Install { .. })) {
-            return None;
-        }
-        Some(messages.into_iter().filter_map(lagging_appends).map(|entries| entries.len()).sum())
+        let installs = messages.iter().any(|(_, m)| matches!(m, Message::Install { .. }));
+        let entries = messages.into_iter().filter_map(lagging_appends).flatten().count();
+        assert!(installs != (entries > 0), "{entries} entries");
+        entries > 0
     }
 }
 
@@ -106,16 +126,131 @@
     // Guards against 128 large entries that stay in memory after each snapshot, and against a
     // snapshot that is sent although the missing entries are smaller.
     let cases = [
-        ("small entries", 100, 1 << 20, 60, Some(60)),
-        ("large entries, small snapshot", 600_000, 600_000, 2, None),
-        ("large entries, one within the bound", 600_000, 600_000, 1, Some(1)),
-        ("large entries, large snapshot", 600_000, 3 << 20, 5, Some(5)),
-        ("large entries, beyond the snapshot", 600_000, 3 << 20, 6, None),
+        ("small entries", 100, 1 << 20, 60, true),
+        ("large entries, small snapshot", 600_000, 600_000, 2, false),
+        ("large entries, one within the bound", 600_000, 600_000, 1, true),
+        ("large entries, large snapshot", 600_000, 3 << 20, 5, true),
+        ("large entries, beyond the snapshot", 600_000, 3 << 20, 6, false),
     ];
-    for (label, bytes, snapshot, missing, sent) in cases {
+    for (label, bytes, snapshot, missing, entries) in cases {
         let mut leader = Leader::new();
-        let last = (0..100).map(|n| leader.commit(deploy(n, bytes))).last().unwrap();
+        let last = (1..=100).map(|n| leader.commit(deploy(n, bytes), n + missing <= 100)).last();
+        let last = last.unwrap();
         leader.compact(last, snapshot);
-        assert_eq!(leader.sent_after(last - missing), sent, "{label}");
+        assert_eq!(leader.sends_entries_after(last - missing), entries, "{label}");
+    }
+}
+
+/// Bytes of entries.
+fn bytes(entries: &[Entry]) -> usize {
+    entries.iter().map(ByteSize::byte_size).sum()
+}
+
+/// Log of `count` changes of a configuration whose document has `bytes`.
+fn saved_log(count: u64, bytes: usize) -> Saved {
+    let payload = |index| Payload::Command(deploy(index, bytes));
+    let entries = (1..=count).map(|index| Entry { index, term: 1, payload: payload(index) });
+    let vote = Vote { term: 1, candidate: None };
+    Saved { vote, snapshot: None, entries: entries.collect() }
+}
+
+#[test]
+fn messages_to_a_member_that_lags_are_bounded_by_bytes() {
+    // Guards against a new member that is sent tens of megabytes at once: the leader encodes them on
+    // the thread that keeps its lease and loses the leadership, and so does the next one.
+    for size in [2_000, 60_000, 600_000, 3_000_000] {
+        let mut leader = Leader::restored(saved_log(100, size));
+        leader.appends();
+        let largest = size + 1_000;
+        let (mut index, mut received) = (0, 0);
+        leader.now += 1;
+        leader.receive_reply("m2", false, 0);
+        while received < 101 {
+            let appends = leader.appends();
+            let entries: usize = appends.iter().map(Vec::len).sum();
+            assert!(entries > 0, "nothing is sent after {received} entries of {size} bytes");
+            for entries in &appends {
+                let message = bytes(entries);
+                assert!(
+                    message <= limits::MESSAGE_BYTES.max(largest),
+                    "message of {message} bytes"
+                );
+            }
+            let in_flight: usize = appends.iter().map(|entries| bytes(entries)).sum();
+            let most = limits::IN_FLIGHT_BYTES + limits::MESSAGE_BYTES.max(largest);
+            assert!(in_flight <= most, "{in_flight} bytes in flight");
+            (index, received) = (index + entries as u64, received + entries);
+            leader.receive_reply("m2", true, index);
+        }
     }
 }
+
+#[test]
+fn a_closed_window_sends_heartbeats_only_when_they_are_due() {
+    // Guards against a leader that sends empty messages without end to a member that acknowledges
+    // nothing, until its memory runs out.
+    let mut leader = Leader::restored(saved_log(20, 600_000));
+    leader.appends();
+    leader.now += 1;
+    leader.receive_reply("m2", false, 0);
+    assert!(leader.appends().iter().any(|entries| !entries.is_empty()));
+    for _ in 0..3 {
+        leader.now += Timing::default().heartbeat;
+        leader.receive_reply("m1", true, 0);
+        let appends = leader.appends();
+        assert_eq!((appends.len(), appends[0].len()), (1, 0));
+    }
+}
+
+#[test]
+fn a_new_leader_sends_its_entry_with_the_first_message() {
+    // Guards against an election that takes one more round trip because the window counts entries
+    // that nobody has sent.
+    let mut leader = Leader::restored(saved_log(20, 600_000));
+    let appends = leader.appends();
+    assert_eq!(bytes(&appends.concat()), bytes(&appends[0]));
+    assert!(matches!(appends[0].last().map(|entry| &entry.payload), Some(Payload::Noop)));
+}
+
+/// Adds a learner to the group, which has the log up to `index` only.
+fn add_learner(leader: &mut Leader, index: u64) {
+    let learners = BTreeSet::from([name("m3")]);
+    let members = Members { learners, ..leader.raft.members().clone() };
+    leader.step();
+    leader.receive_reply("m1", true, leader.raft.last_index());
+    leader.step();
+    leader.raft.propose_members(members, leader.now).unwrap();
+    leader.step();
+    leader.now += 1;
+    leader.receive_reply("m3", false, index);
+    leader.appends();
+}
+
+#[test]
+fn a_learner_is_not_silent_while_a_snapshot_is_on_its_way() {
+    // Guards against a learner on a link of 2 Mbit/s that is removed while it receives the snapshot,
+    // asks to join again, and is never filled.
+    let mut leader = Leader::new();
+    let last = (1..=5).map(|n| leader.commit(deploy(n, 600_000), true)).last().unwrap();
+    let snapshot = 2_000_000;
+    leader.compact(last, snapshot);
+    add_learner(&mut leader, 0);
+    let transfer = (snapshot / limits::SLOWEST_LINK_BYTES_PER_MS) as u64;
+    let learner =
+        |leader: &Leader, time: u64| leader.raft.progress(leader.now + time)["m3"].ack_age;
+    assert_eq!(learner(&leader, transfer), 0);
+    assert_eq!(learner(&leader, transfer + 3_000), 3_000);
+    leader.receive_reply("m3", true, leader.raft.last_index());
+    assert_eq!(learner(&leader, 3_000), 3_000);
+}
+
+#[test]
+fn a_voter_is_silent_whatever_is_on_its_way() {
+    // Guards against the replacement of a voter that is delayed because it was sent a large entry.
+    let mut leader = Leader::restored(saved_log(5, 600_000));
+    leader.appends();
+    leader.now += 1;
+    leader.receive_reply("m2", false, 0);
+    leader.appends();
+    assert_eq!(leader.raft.progress(leader.now + 3_000)["m2"].ack_age, 3_000);
+}
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -23,6 +23,10 @@
 /// Entries that are on their way to one member, not acknowledged yet.
 pub const IN_FLIGHT_BYTES: usize = 1 << 20;
 
+/// Rate of the slowest link, 2 Mbit/s, in bytes/ms. A member that receives entries or a snapshot is
+/// not silent for as long as they take on such a link.
+pub const SLOWEST_LINK_BYTES_PER_MS: usize = 250;
+
 /// Committed entries that are handed over to be applied at once.
 pub const APPLY_BATCH_BYTES: usize = 4 << 20;
 
