Hand committed entries over in batches bounded by bytes

Cause: Raft::ready copied all new and all committed entries at once; after a start with a log that an earlier version wrote, that is the whole log. Ruled out: entries that are skipped because the delivered index moves to the commit index while a batch is cut; the index moves by what was returned.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -17,7 +17,7 @@
 
 use std::collections::BTreeSet;
 
-use auburnlug_state::{Command, Index, Millis, Name, Term};
+use auburnlug_state::{Command, Index, Millis, Name, Term, limits};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{Result, error::ErrorKind, raft_leader::LeaderState, raft_log::Log};
@@ -319,11 +319,17 @@
         self.log.take_unstored(&mut ready);
         ready.messages = std::mem::take(&mut self.outbox);
         let count = usize::try_from(self.commit - self.delivered).unwrap_or(usize::MAX);
-        ready.committed = self.log.slice(self.delivered + 1, count).to_vec();
-        self.delivered = self.commit;
+        let committed = self.log.batch(self.delivered + 1, count, limits::APPLY_BATCH_BYTES);
+        ready.committed = committed.to_vec();
+        self.delivered += ready.committed.len() as Index;
         ready
     }
 
+    /// Whether committed entries are left that [`Raft::ready`] has not returned.
+    pub fn has_undelivered(&self) -> bool {
+        self.delivered < self.commit
+    }
+
     /// Confirms that the durable part of the last [`Raft::ready`] is synced to disk.
     pub fn persisted(&mut self) {
         self.log.persisted();
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use auburnlug_state::{Index, Millis, Name, byte_size::ByteSize, limits};
+use auburnlug_state::{Index, Millis, Name, limits};
 
 use crate::{
     Result,
@@ -165,9 +165,7 @@
                 let index = peer.next - 1;
                 let last = log.term(index).unwrap_or_default();
                 let entries = if peer.window_open(log) {
-                    let entries = log.slice(peer.next, MAX_ENTRIES_PER_MESSAGE);
-                    let sizes = entries.iter().map(ByteSize::byte_size);
-                    entries[..limits::count_within(sizes, limits::MESSAGE_BYTES)].to_vec()
+                    log.batch(peer.next, MAX_ENTRIES_PER_MESSAGE, limits::MESSAGE_BYTES).to_vec()
                 } else {
                     Vec::new()
                 };
--- a/crates/coordination/src/raft_log.rs
+++ b/crates/coordination/src/raft_log.rs
@@ -113,11 +113,10 @@
         if index == self.start { Some(self.start_term) } else { self.get(index).map(|e| e.term) }
     }
 
-    /// Up to `limit` entries, starting at `first`.
-    pub(crate) fn slice(&self, first: Index, limit: usize) -> &[Entry] {
-        let entries = self.entries();
-        let at = self.offset(first).min(entries.len());
-        &entries[at..entries.len().min(at.saturating_add(limit))]
+    /// Up to `count` entries, starting at `first`, that have at most `limit` bytes together, but at
+    /// least one if there is any.
+    pub(crate) fn batch(&self, first: Index, count: usize, limit: usize) -> &[Entry] {
+        self.entries.batch(self.offset(first), count, limit)
     }
 
     /// Appends an entry that this member proposes as the leader.
@@ -212,7 +211,7 @@
             ready.snapshot = self.snapshot.clone();
         }
         ready.truncate = self.truncate.take();
-        ready.append = self.slice(self.submitted + 1, usize::MAX).to_vec();
+        ready.append = self.batch(self.submitted + 1, usize::MAX, usize::MAX).to_vec();
         self.submitted = self.last();
         if ready.needs_sync() {
             self.in_flight = Some(self.submitted);
--- a/crates/coordination/src/sized_entries.rs
+++ b/crates/coordination/src/sized_entries.rs
@@ -1,6 +1,6 @@
 //! Consecutive log entries whose sizes add up in constant time.
 
-use auburnlug_state::byte_size::ByteSize;
+use auburnlug_state::{byte_size::ByteSize, limits};
 
 use crate::raft_message::Entry;
 
@@ -52,6 +52,15 @@
         usize::try_from(size).unwrap_or(usize::MAX)
     }
 
+    /// Up to `count` entries from offset `first` on that have at most `limit` bytes together, but at
+    /// least one if there is any.
+    pub(crate) fn batch(&self, first: usize, count: usize, limit: usize) -> &[Entry] {
+        let first = first.min(self.entries.len());
+        let count = count.min(self.entries.len() - first);
+        let sizes = (first..first + count).map(|offset| self.bytes(offset, offset + 1));
+        &self.entries[first..first + limits::count_within(sizes, limit)]
+    }
+
     /// Bytes up to, but not including, an offset; those of all entries if it lies behind them.
     fn total(&self, offset: usize) -> u64 {
         let last = offset.min(self.totals.len()).checked_sub(1);
--- a/crates/coordination/tests/raft_bytes.rs
+++ b/crates/coordination/tests/raft_bytes.rs
@@ -254,3 +254,33 @@
     leader.appends();
     assert_eq!(leader.raft.progress(leader.now + 3_000)["m2"].ack_age, 3_000);
 }
+
+#[test]
+fn committed_entries_are_returned_in_batches_without_a_gap() {
+    // Guards against committed entries that are skipped in silence because only a part of them fits
+    // into a batch, and against a copy of the whole log after a start.
+    let mut leader = Leader::restored(saved_log(40, 600_000));
+    leader.step();
+    leader.receive_reply("m1", true, 41);
+    let mut returned = Vec::new();
+    loop {
+        let ready = leader.step();
+        assert!(bytes(&ready.committed) <= limits::APPLY_BATCH_BYTES);
+        assert_eq!(leader.raft.has_undelivered(), returned.len() + ready.committed.len() < 41);
+        if ready.committed.is_empty() {
+            break;
+        }
+        returned.extend(ready.committed.into_iter().map(|entry| entry.index));
+    }
+    assert_eq!(returned, (1..=41).collect::<Vec<u64>>());
+}
+
+#[test]
+fn a_committed_entry_above_the_batch_is_returned_alone() {
+    // Guards against an entry that is larger than a batch and is never applied.
+    let mut leader = Leader::restored(saved_log(3, 2 * limits::APPLY_BATCH_BYTES));
+    leader.step();
+    leader.receive_reply("m1", true, 4);
+    let counts: Vec<usize> = (0..4).map(|_| leader.step().committed.len()).collect();
+    assert_eq!(counts, [1, 1, 1, 1]);
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,7 +21,7 @@
 };
 use auburnlug_transport::{
     clock::Clock,
-    control_member::{GroupOptions, Member},
+    control_member::{GroupOptions, Member, Work},
     disk::Disk,
     event::{Event, log},
     link::{Dial, dial_once_per},
@@ -126,6 +126,16 @@
     reply: Option<oneshot::Sender<ControlReply<()>>>,
 }
 
+/// Kinds of entries that a step has applied.
+#[derive(Debug, Default)]
+struct AppliedKinds {
+    any: bool,
+    /// Entries of the fleet were registered or removed.
+    entries: bool,
+    /// A promotion to order was recorded.
+    promotion: bool,
+}
+
 /// State of the control thread.
 pub(crate) struct Control {
     pub(crate) me: InstanceIdentity,
@@ -525,37 +535,54 @@
     /// Makes pending Raft changes durable, sends messages and applies committed entries.
     fn persist_and_apply(&mut self) -> auburnlug_transport::Result<()> {
         let now = self.now();
-        let work = self.member.step(now)?;
+        let before = self.fleet().plan.version;
+        let mut applied = AppliedKinds::default();
+        loop {
+            let work = self.member.step(now)?;
+            let more = work.more;
+            self.apply_work(work, &mut applied)?;
+            if !more {
+                break;
+            }
+        }
+        self.update_leadership();
+        if applied.any {
+            self.publish_fleet_changes(before);
+        }
+        if applied.entries {
+            self.handle_recorded_entries();
+        }
+        if applied.promotion {
+            self.monitor_groups(now);
+        }
+        Ok(())
+    }
+
+    fn apply_work(
+        &mut self,
+        work: Work,
+        applied: &mut AppliedKinds,
+    ) -> auburnlug_transport::Result<()> {
         for (to, message) in work.messages {
             self.send_member(&to, message);
         }
-        let entries_recorded = work.committed.iter().any(records_entries);
-        let promotion_recorded = work.committed.iter().any(records_promotion);
-        let before = self.fleet().plan.version;
         if let Some(machine) = work.machine
             && machine.index >= self.machine.index
         {
             self.machine = machine;
             self.configs.store(&self.machine.fleet.plan);
         }
-        let committed = !work.committed.is_empty();
+        if work.committed.is_empty() {
+            return Ok(());
+        }
+        applied.any = true;
+        applied.entries |= work.committed.iter().any(records_entries);
+        applied.promotion |= work.committed.iter().any(records_promotion);
         for entry in work.committed {
             self.apply_entry(entry);
         }
-        if committed {
-            self.member.compact(&self.machine)?;
-            self.metrics.config_version.set(self.fleet().plan.version);
-        }
-        self.update_leadership();
-        if committed {
-            self.publish_fleet_changes(before);
-        }
-        if entries_recorded {
-            self.handle_recorded_entries();
-        }
-        if promotion_recorded {
-            self.monitor_groups(now);
-        }
+        self.member.compact(&self.machine)?;
+        self.metrics.config_version.set(self.fleet().plan.version);
         Ok(())
     }
 
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -29,7 +29,7 @@
     control::{Input, Options, Outputs, Status},
     control_leader::Leader,
     control_links::Links,
-    control_member::{GroupOptions, Member},
+    control_member::{GroupOptions, Member, Work},
     control_metrics::ControlMetrics,
     control_propose::{ForwardedProposal, PendingProposal, Waiter},
     event::{Event, log},
@@ -381,11 +381,20 @@
     /// committed and publishes the status.
     fn advance(&mut self) -> Result<()> {
         let now = self.now();
-        let Some(member) = &mut self.member else {
-            self.publish_status(now);
-            return Ok(());
-        };
-        let work = member.step(now)?;
+        while let Some(member) = &mut self.member {
+            let work = member.step(now)?;
+            let more = work.more;
+            self.apply_work(work)?;
+            if !more {
+                self.check_leadership(now);
+                break;
+            }
+        }
+        self.publish_status(now);
+        Ok(())
+    }
+
+    fn apply_work(&mut self, work: Work) -> Result<()> {
         for (to, message) in work.messages {
             self.links.send_member(&to, message);
         }
@@ -398,8 +407,6 @@
                 member.compact(&self.machine)?;
             }
         }
-        self.check_leadership(now);
-        self.publish_status(now);
         Ok(())
     }
 
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -90,6 +90,9 @@
     pub machine: Option<Machine>,
     /// Entries to apply.
     pub committed: Vec<Entry>,
+    /// Whether committed entries are left for another step, which must follow before the caller acts
+    /// on its state.
+    pub more: bool,
     /// Messages to send, with the instance of the member that each goes to.
     pub messages: Vec<(Name, ControlMessage)>,
 }
@@ -409,7 +412,8 @@
         others.map(|name| (name.clone(), message.clone())).collect()
     }
 
-    /// Does the work due at `now`: Raft timers, membership changes and durable writes.
+    /// Does the work due at `now`: Raft timers, membership changes and durable writes. Many
+    /// committed entries, as after a start, take several steps.
     ///
     /// # Errors
     ///
@@ -430,7 +434,11 @@
             if ready == Ready::default() {
                 return Ok(work);
             }
+            work.more = raft.has_undelivered();
             self.persist(ready, &mut work)?;
+            if work.more {
+                return Ok(work);
+            }
         }
     }
 
--- a/crates/transport/tests/log_bounds.rs
+++ b/crates/transport/tests/log_bounds.rs
@@ -17,11 +17,12 @@
 use auburnlug_protocol::{encode, peer::ControlMessage};
 use auburnlug_state::{
     Command, Machine, Name,
+    byte_size::ByteSize,
     fleet::{FleetChange, FleetConfig},
     limits,
 };
 use auburnlug_transport::{
-    control_member::{GroupOptions, Member, Work},
+    control_member::{GroupOptions, Member},
     disk::{Disk, FileDisk},
 };
 
@@ -105,18 +106,21 @@
         Process::open(folder, names(["a", "b", "c"]))
     }
 
-    fn step(&mut self) -> Work {
-        let work = self.member.step(self.now).unwrap();
-        if let Some(machine) = &work.machine {
-            self.machine = machine.clone();
-        }
-        for entry in &work.committed {
-            match &entry.payload {
-                Payload::Command(command) => drop(self.machine.apply(entry.index, command)),
-                _ => self.machine.index = entry.index,
+    fn step(&mut self) {
+        let mut more = true;
+        while more {
+            let work = self.member.step(self.now).unwrap();
+            more = work.more;
+            if let Some(machine) = work.machine {
+                self.machine = machine;
+            }
+            for entry in work.committed {
+                match &entry.payload {
+                    Payload::Command(command) => drop(self.machine.apply(entry.index, command)),
+                    _ => self.machine.index = entry.index,
+                }
             }
         }
-        work
     }
 
     fn compact(&mut self) {
@@ -206,6 +210,30 @@
     assert_eq!(process.machine.fleet.plan.version, 40);
 }
 
+#[test]
+fn a_step_returns_committed_entries_in_batches() {
+    // Guards against a start that copies the whole log of an earlier version at once.
+    let folder = folder("batches");
+    let mut process = Process::open_alone(&folder);
+    (1..=40).for_each(|version| process.publish(version));
+    drop(process);
+    let mut process = Process::open(&folder, names(["a"]));
+    let (mut batches, mut indexes) = (Vec::new(), Vec::new());
+    while indexes.len() < 42 {
+        process.now += 10;
+        let work = process.member.step(process.now).unwrap();
+        indexes.extend(work.committed.iter().map(|entry| entry.index));
+        if !work.committed.is_empty() {
+            let bytes: usize = work.committed.iter().map(ByteSize::byte_size).sum();
+            batches.push((bytes, work.more));
+        }
+    }
+    let most = limits::APPLY_BATCH_BYTES;
+    assert!(batches.iter().all(|(bytes, _)| *bytes <= most), "{batches:?}");
+    assert!(batches.iter().rev().skip(1).all(|(_, more)| *more), "{batches:?}");
+    assert_eq!(indexes, (1..=42).collect::<Vec<u64>>());
+}
+
 #[test]
 fn log_after_an_installed_snapshot_is_counted_anew() {
     // Guards against a member that takes a snapshot for each change after it received one.
