Refuse large changes beyond the room for what is in flight

Commands up to 128 KB are never refused, so leases, servers and promotions do not wait for changes of the configuration.

--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -20,6 +20,8 @@
     NotLeader,
     /// An earlier membership change, or the first entry of the term, is not committed yet.
     Busy,
+    /// Too many bytes of earlier commands are not committed yet.
+    Full,
     /// The proposed membership is not exactly one permitted step from the current one.
     Membership,
     /// The learner has not replicated all entries that the leader had when it joined.
@@ -41,6 +43,9 @@
         Busy {
             display("an earlier membership change or the first entry of the term is not committed yet")
         }
+        Full(uncommitted: usize) {
+            display("{uncommitted} bytes of earlier commands are not committed yet")
+        }
         Membership(text: &'static str) {
             display("membership change refused: {text}")
         }
@@ -65,6 +70,7 @@
         match self.kind {
             ErrorKind::NotLeader(..) => Category::NotLeader,
             ErrorKind::Busy => Category::Busy,
+            ErrorKind::Full(..) => Category::Full,
             ErrorKind::Membership(..) => Category::Membership,
             ErrorKind::Lagging(..) => Category::Lagging,
             ErrorKind::Timing(..) => Category::Timing,
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -17,7 +17,7 @@
 
 use std::collections::BTreeSet;
 
-use auburnlug_state::{Command, Index, Millis, Name, Term, limits};
+use auburnlug_state::{Command, Index, Millis, Name, Term, byte_size::ByteSize, limits};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{Result, error::ErrorKind, raft_leader::LeaderState, raft_log::Log};
@@ -299,13 +299,30 @@
     /// committed in this term.
     ///
     /// # Errors
-    /// If this member is not the leader; the error names the leader if it is known.
+    /// If this member is not the leader, in which case the error names the leader if it is known, or
+    /// if there is no room for the command.
     pub fn propose(&mut self, command: Command, now: Millis) -> Result<Index> {
         self.clock = self.clock.max(now);
         self.require_leader()?;
+        if !self.has_room(command.byte_size()) {
+            return Err(ErrorKind::Full(self.uncommitted_bytes()).into());
+        }
         Ok(self.log.push(self.term, Payload::Command(command)))
     }
 
+    /// Whether a command of `bytes` may be appended to what is not committed yet. Small commands
+    /// always may, as may one of any size that is the only one.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        let uncommitted = self.uncommitted_bytes();
+        bytes <= limits::SMALL_COMMAND_BYTES
+            || uncommitted <= limits::SMALL_COMMAND_BYTES
+            || uncommitted + bytes <= limits::UNCOMMITTED_BYTES
+    }
+
+    fn uncommitted_bytes(&self) -> usize {
+        self.log.bytes(self.commit + 1, self.log.last())
+    }
+
     /// Takes the pending work; empty while the sync of earlier work is not confirmed.
     pub fn ready(&mut self) -> Ready {
         let mut ready = Ready::default();
--- a/crates/coordination/tests/raft_bytes.rs
+++ b/crates/coordination/tests/raft_bytes.rs
@@ -5,8 +5,9 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use auburnlug_coordination::raft::{
-    Entry, Members, Message, Payload, Raft, Ready, Saved, Timing, Vote,
+use auburnlug_coordination::{
+    Category,
+    raft::{Entry, Members, Message, Payload, Raft, Ready, Saved, Timing, Vote},
 };
 use auburnlug_state::{
     Command, Name,
@@ -284,3 +285,27 @@
     let counts: Vec<usize> = (0..4).map(|_| leader.step().committed.len()).collect();
     assert_eq!(counts, [1, 1, 1, 1]);
 }
+
+#[test]
+fn commands_in_flight_are_bounded_by_bytes() {
+    // Guards against an operator's changes that fill the memory of a leader without a majority, as
+    // entries that are not committed cannot be compacted, and against small commands that wait for
+    // them.
+    let mut leader = Leader::new();
+    leader.step();
+    let refused = |leader: &mut Leader, bytes| {
+        let result = leader.raft.propose(deploy(1, bytes), leader.now);
+        result.is_err_and(|e| e.category() == Category::Full)
+    };
+    assert!(!refused(&mut leader, 2 * limits::UNCOMMITTED_BYTES), "a large command alone");
+    assert!(refused(&mut leader, 600_000));
+    assert!(!refused(&mut leader, 1_000), "a small command");
+    leader.step();
+    leader.receive_reply("m1", true, leader.raft.last_index());
+    let accepted = (0..100).take_while(|_| !refused(&mut leader, 600_000)).count();
+    assert_eq!(accepted, limits::UNCOMMITTED_BYTES / 600_500);
+    assert!(!refused(&mut leader, limits::SMALL_COMMAND_BYTES - 1_000));
+    leader.step();
+    leader.receive_reply("m1", true, leader.raft.last_index());
+    assert!(!refused(&mut leader, 600_000), "the earlier ones are committed");
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,6 +17,7 @@
 use auburnlug_protocol::{auth::Purpose, fleet::FleetMessage, peer::ControlMessage as Agreement};
 use auburnlug_state::{
     Command, Index, Machine, Millis, Name, Term,
+    byte_size::ByteSize,
     fleet::{Fleet, FleetChange},
 };
 use auburnlug_transport::{
@@ -357,8 +358,7 @@
                     let _ = reply.send(ControlReply::Done(()));
                     return;
                 }
-                let change = FleetChange::Deploy { plan, document };
-                self.propose(change, Some(reply));
+                self.deploy(FleetChange::Deploy { plan, document }, reply);
             }
             ControlRequest::ReadConfig { reply } => {
                 self.log_config_read();
@@ -398,6 +398,16 @@
         None
     }
 
+    /// Proposes a configuration, unless too many bytes of earlier changes are not committed yet.
+    fn deploy(&mut self, change: FleetChange, reply: oneshot::Sender<ControlReply<()>>) {
+        let bytes = change.byte_size();
+        if self.member.has_room(bytes) {
+            return self.propose(change, Some(reply));
+        }
+        log(Event::DeploymentRefused, format_args!("reason=changes_in_flight bytes={bytes}"));
+        let _ = reply.send(ControlReply::Busy);
+    }
+
     /// Logs on what the answer to a read of the configuration is based.
     fn log_config_read(&self) {
         let now = self.now();
--- a/crates/gateway/src/control_handle.rs
+++ b/crates/gateway/src/control_handle.rs
@@ -5,8 +5,10 @@
 use auburnlug_state::{
     Name,
     fleet::{Backend, FleetConfig, Incarnation},
+    limits,
 };
-use tokio::sync::{mpsc, oneshot};
+use auburnlug_transport::event::{Event, log};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 
 /// Answer of a control member to a request from outside.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +19,8 @@
     NotLeader(Name),
     /// No leader is known, or the effect is not known.
     Unavailable,
+    /// The request was not carried out, as earlier ones take all the room.
+    Busy,
 }
 
 /// Heartbeat of a server.
@@ -73,12 +77,34 @@
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
     asks: mpsc::Sender<ControlRequest>,
+    /// Bytes of documents that may still be received.
+    documents: Arc<Semaphore>,
+}
+
+/// Room for a document, to be held until its change is answered.
+#[derive(Debug)]
+pub struct DocumentRoom {
+    _permit: OwnedSemaphorePermit,
 }
 
 impl ControlHandle {
     /// A handle that sends requests through `asks`.
     pub fn new(asks: mpsc::Sender<ControlRequest>) -> ControlHandle {
-        ControlHandle { asks }
+        ControlHandle { asks, documents: Arc::new(Semaphore::new(limits::DOCUMENTS_BYTES)) }
+    }
+
+    /// Takes room for a document of `bytes` before it is received; `None` if earlier ones take too
+    /// much.
+    pub fn reserve_document(&self, bytes: usize) -> Option<DocumentRoom> {
+        let permits = u32::try_from(bytes.min(limits::DOCUMENT_BYTES)).ok()?;
+        match self.documents.clone().try_acquire_many_owned(permits) {
+            Ok(permit) => Some(DocumentRoom { _permit: permit }),
+            Err(_) => {
+                let reason = "reason=documents_in_progress";
+                log(Event::DeploymentRefused, format_args!("{reason} bytes={bytes}"));
+                None
+            }
+        }
     }
 
     /// Puts a configuration in force.
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -5,6 +5,12 @@
 //! values ([`crate::byte_size`]). A value that is larger than a bound still passes, but alone.
 //! `docs/CAPACITY.md` adds the bounds up for the largest configuration.
 
+/// Largest document of a configuration that an operator may send; thousands of databases.
+pub const DOCUMENT_BYTES: usize = 4 << 20;
+
+/// Documents that are received or wait for their commit at once, so two of the largest ones.
+pub const DOCUMENTS_BYTES: usize = 8 << 20;
+
 /// Log that is written before a snapshot replaces it, in bytes. Below it, a snapshot would be taken
 /// after a few changes and hold up the control thread more often.
 pub const MIN_LOG_BYTES: usize = 8 << 20;
@@ -35,8 +41,9 @@
 pub const UNCOMMITTED_BYTES: usize = 8 << 20;
 
 /// Commands up to this size are proposed whatever is in flight, so that large changes of the
-/// configuration do not hold up leases, servers and promotions.
-pub const SMALL_COMMAND_BYTES: usize = 16 << 10;
+/// configuration do not hold up leases, servers and promotions. The registration of 700 instances
+/// takes half of it.
+pub const SMALL_COMMAND_BYTES: usize = 128 << 10;
 
 /// Recent commands or configurations that are kept for instances that lag.
 pub const KEPT_BYTES: usize = 8 << 20;
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -223,7 +223,12 @@
         self.raft().map_or(0, Raft::term)
     }
 
-    /// Proposes a command; `None` if this member does not lead, or leads alone.
+    /// Whether a command of `bytes` may be proposed now, as far as its size is concerned.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.raft().is_some_and(|raft| raft.has_room(bytes))
+    }
+
+    /// Proposes a command; `None` if this member does not lead, leads alone, or has no room for it.
     pub fn propose(&mut self, command: Command, now: Millis) -> Option<(u64, Index)> {
         let State::Member(raft, _) = &mut self.state else { return None };
         if raft.leads_alone() {
--- a/crates/transport/src/control_propose.rs
+++ b/crates/transport/src/control_propose.rs
@@ -3,10 +3,14 @@
 use std::{collections::BTreeMap, mem};
 
 use auburnlug_protocol::peer::ControlMessage;
-use auburnlug_state::{Applied, Command, Index, Millis, Name};
+use auburnlug_state::{Applied, Command, Index, Millis, Name, byte_size::ByteSize};
 use tokio::sync::oneshot;
 
-use crate::{control_core::Core, control_member::Member};
+use crate::{
+    control_core::Core,
+    control_member::Member,
+    event::{Event, log},
+};
 
 /// Time after which a proposal without a known effect is answered as unknown.
 const PROPOSAL_TIMEOUT_MS: Millis = 3_000;
@@ -38,11 +42,15 @@
         self.pending.last_key_value().map(|(index, _)| *index)
     }
 
-    /// Appends a command to this member's log; false if this member does not lead.
+    /// Appends a command to this member's log; false if this member does not lead or has no room.
     pub(crate) fn propose(&mut self, command: Command, waiter: Waiter) -> bool {
         let now = self.now();
         let leads = self.leader.is_some();
         let member = self.member.as_mut().filter(|_| leads);
+        let bytes = command.byte_size();
+        if member.as_ref().is_some_and(|member| !member.has_room(bytes)) {
+            log(Event::ChangeRefused, format_args!("reason=changes_in_flight bytes={bytes}"));
+        }
         let Some((term, index)) = member.and_then(|member| member.propose(command, now)) else {
             self.answer(waiter, None);
             return false;
