--- a/crates/transport/src/disk.rs
+++ b/crates/transport/src/disk.rs
@@ -124,7 +124,7 @@
 #[derive(Debug)]
 struct Segment {
     number: u64,
-    /// Index of the highest entry in it; 0 without entries.
+    /// Index of the highest entry in it that is in effect, or less; 0 without entries.
     last: Index,
     /// Bytes of its complete records.
     size: u64,
@@ -289,7 +289,8 @@
         for number in first..=end {
             let path = self.segment_path(number);
             let bytes = read_file(&path)?.ok_or_else(|| Kind::Missing(path.clone()))?;
-            let (last, complete) = replay_segment(&path, &bytes, saved)?;
+            self.segments.push(Segment { number, last: 0, size: 0 });
+            let complete = replay_segment(&path, &bytes, saved, &mut self.segments)?;
             if complete < bytes.len() {
                 if number != end {
                     let text = "incomplete record before the last segment".to_owned();
@@ -297,7 +298,9 @@
                 }
                 discarded = (bytes.len() - complete) as u64;
             }
-            self.segments.push(Segment { number, last, size: complete as u64 });
+            if let Some(segment) = self.segments.last_mut() {
+                segment.size = complete as u64;
+            }
         }
         Ok(discarded)
     }
@@ -310,7 +313,6 @@
         if let Some(snapshot) = &ready.snapshot {
             // Old entries after the snapshot's index conflict with it and must not be replayed.
             self.append_records(&[NewRecord::Truncate(snapshot.index)])?;
-            self.segments.iter_mut().for_each(|s| s.last = s.last.min(snapshot.index));
             self.try_compact(snapshot)?;
         }
         let mut records: Vec<NewRecord<'_>> =
@@ -327,17 +329,20 @@
         if self.active_size() >= SEGMENT_SIZE_BYTES {
             self.start_segment()?;
         }
-        let (Some(file), Some(segment)) = (&mut self.active, self.segments.last_mut()) else {
-            return Err(Kind::Stopped.into());
-        };
-        let path = self.folder.join(format!("{SEGMENT_PREFIX}{:012}", segment.number));
+        let number = self.segments.last().map_or(1, |segment| segment.number);
+        let path = self.segment_path(number);
         let mut bytes = Vec::new();
         for record in records {
             record::encode(record, &mut bytes).map_err(|e| Kind::Encode(path.clone(), e))?;
-            if let NewRecord::Entry(entry) = record {
-                segment.last = segment.last.max(entry.index);
+            match record {
+                NewRecord::Entry(entry) => record_entry(&mut self.segments, entry.index),
+                NewRecord::Truncate(index) => record_truncation(&mut self.segments, *index),
+                NewRecord::Covered(_) => {}
             }
         }
+        let (Some(file), Some(segment)) = (&mut self.active, self.segments.last_mut()) else {
+            return Err(Kind::Stopped.into());
+        };
         file.write_all(&bytes).map_err(Error::file(&path))?;
         segment.size += bytes.len() as u64;
         self.unsynced = true;
@@ -487,25 +492,44 @@
     }
 }
 
-/// Applies the records of one segment; returns the index of its highest entry and the length of its
-/// complete records.
-fn replay_segment(path: &Path, bytes: &[u8], saved: &mut Saved) -> Result<(Index, usize)> {
+/// Records that the last segment has an entry.
+fn record_entry(segments: &mut [Segment], index: Index) {
+    if let Some(segment) = segments.last_mut() {
+        segment.last = segment.last.max(index);
+    }
+}
+
+/// Records that the entries from `index` on are no longer in effect, whatever segment has them.
+fn record_truncation(segments: &mut [Segment], index: Index) {
+    segments
+        .iter_mut()
+        .for_each(|segment| segment.last = segment.last.min(index.saturating_sub(1)));
+}
+
+/// Applies the records of the last segment; returns the length of its complete records.
+fn replay_segment(
+    path: &Path,
+    bytes: &[u8],
+    saved: &mut Saved,
+    segments: &mut [Segment],
+) -> Result<usize> {
     let covered = saved.snapshot.as_ref().map_or(0, |s| s.index);
-    let (mut at, mut last) = (0, 0);
+    let mut at = 0;
     loop {
         let found = record::decode(&bytes[at..]);
         match found.map_err(|e| Kind::Corrupt(path.into(), at as u64, e))? {
-            DecodedRecord::End | DecodedRecord::Torn => return Ok((last, at)),
+            DecodedRecord::End | DecodedRecord::Torn => return Ok(at),
             DecodedRecord::Record(StoredRecord::Covered(index), _) if index > covered => {
                 return Err(Kind::Missing(path.with_file_name("snapshot")).into());
             }
             DecodedRecord::Record(StoredRecord::Covered(_), length) => at += length,
             DecodedRecord::Record(StoredRecord::Truncate(index), length) => {
                 saved.entries.retain(|e| e.index < index);
+                record_truncation(segments, index);
                 at += length;
             }
             DecodedRecord::Record(StoredRecord::Entry(entry), length) => {
-                last = last.max(entry.index);
+                record_entry(segments, entry.index);
                 let next = covered + saved.entries.len() as Index + 1;
                 if entry.index > covered && entry.index != next {
                     let text = format!("entry {} follows entry {}", entry.index, next - 1);
--- a/crates/transport/tests/log_bounds.rs
+++ b/crates/transport/tests/log_bounds.rs
@@ -215,6 +215,21 @@
     assert_eq!(process.machine.fleet.plan.version, 40);
 }
 
+#[test]
+fn overwritten_entries_count_until_they_are_removed() {
+    // Guards against a disk that fills with entries that changing leaders overwrite.
+    let mut process = Process::open_follower(&folder("overwritten"));
+    process.receive(append(1, 0, 0, vec![entry(1, 1)], 1));
+    for term in 2..=30 {
+        process.receive(append(term, 1, 1, vec![entry(2, term)], 1));
+    }
+    assert!(process.bytes() > 30 * DOCUMENT_BYTES as u64);
+    process.compact();
+    assert!(process.bytes() <= most_bytes(), "{} bytes", process.bytes());
+    process.receive(append(31, 2, 30, vec![], 2));
+    assert_eq!(process.machine.fleet.plan.version, 2);
+}
+
 #[test]
 fn a_step_returns_committed_entries_in_batches() {
     // Guards against a start that copies the whole log of an earlier version at once.
