--- a/crates/transport/src/disk.rs
+++ b/crates/transport/src/disk.rs
@@ -194,9 +194,22 @@
             }
             None => disk.create()?,
         }
+        disk.remove_temporary_files()?;
         Ok(disk)
     }
 
+    /// Removes what an interrupted write has left, which may be the last space of a full disk.
+    fn remove_temporary_files(&self) -> Result<()> {
+        for file in ["vote", SNAPSHOT_FILE] {
+            let path = self.temporary_path(file);
+            match fs::remove_file(&path) {
+                Err(e) if e.kind() != ErrorKind::NotFound => return Err(Error::file(&path)(e)),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
     /// Creates the files of a new folder, or completes an interrupted creation.
     fn create(&self) -> Result<()> {
         let empty = record::encode_file(&Vote::default()).map_err(self.encode_error("vote"))?;
--- a/crates/transport/tests/disk.rs
+++ b/crates/transport/tests/disk.rs
@@ -402,3 +402,13 @@
     let saved = reopen(&path).unwrap().saved;
     assert_eq!((saved.snapshot, saved.entries.len()), (Some(snapshot(5, 1)), 1));
 }
+
+#[test]
+fn an_interrupted_snapshot_takes_no_space_after_a_start() {
+    // Guards against a full disk that stays full, as the remains of a snapshot that did not fit are
+    // never removed.
+    let (path, saved) = filled_folder("remains");
+    fs::write(path.join("snapshot.tmp"), vec![7; 1 << 20]).unwrap();
+    assert_eq!(reopen(&path).unwrap().saved, saved);
+    assert!(!path.join("snapshot.tmp").exists());
+}
