Bound the queues of links and of the control thread by bytes

Cause: a link queued up to 4,096 messages and the control thread up to 1,024 or 8,192 inputs, whatever their size; a message of up to 300 MB was accepted, more than a control member has memory. Change: byte_channel bounds the bytes that wait in a channel, besides their number: 2 MB in each direction of a link, 8 MB of inputs. A value above half of a bound takes half of it, so it need not wait for an empty queue. A link accepts messages up to the largest state that can be stored, 64 MB. Senders wait, drop or close the link when a queue is full, as before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,8 +19,10 @@
     Command, Index, Machine, Millis, Name, Term,
     byte_size::ByteSize,
     fleet::{Fleet, FleetChange},
+    limits,
 };
 use auburnlug_transport::{
+    byte_channel::{Receiver, Sender, channel},
     clock::Clock,
     control_member::{GroupOptions, Member, Work},
     disk::Disk,
@@ -66,8 +68,12 @@
 /// [`ControlReply::Unavailable`]. Callers wait for one second.
 const PROPOSAL_TIMEOUT_MS: Millis = 1_500;
 
+/// Inputs that wait for the control thread; large ones are bounded by [`limits::INPUT_QUEUE_BYTES`].
 const MAX_QUEUED_INPUTS: usize = 1024;
 
+/// Size of an input without a message.
+const SMALL_INPUT_BYTES: usize = 256;
+
 /// Inputs handled before one sync makes the changes of all of them durable.
 const MAX_INPUT_BATCH: usize = 128;
 
@@ -105,11 +111,11 @@
     /// A request from outside.
     Request(ControlRequest),
     /// This member opened a link to another member.
-    MemberLinkOpened(Name, mpsc::Sender<FleetMessage>),
+    MemberLinkOpened(Name, Sender<FleetMessage>),
     /// A link that this member opened has ended, or dialing failed.
     MemberLinkClosed(Name),
     /// Another instance opened a link.
-    LinkAccepted(u64, Name, mpsc::Sender<FleetMessage>),
+    LinkAccepted(u64, Name, Sender<FleetMessage>),
     /// A link from another instance ended.
     LinkClosed(u64),
     /// A message, with the number of the link if another instance opened it.
@@ -120,6 +126,16 @@
     PromotionAnswered { group: Arc<str>, server: Arc<str>, sent: Millis, outcome: PromotionOutcome },
 }
 
+impl ByteSize for Input {
+    fn byte_size(&self) -> usize {
+        let message = match self {
+            Input::Message(_, _, message) => message.byte_size(),
+            _ => 0,
+        };
+        SMALL_INPUT_BYTES + message
+    }
+}
+
 /// A proposal that is not committed yet.
 pub(crate) struct PendingProposal {
     term: u64,
@@ -150,14 +166,14 @@
     pub(crate) leader: Option<Leader>,
     pub(crate) configs: FleetConfigs,
     pub(crate) orders: OrderThread,
-    pub(crate) input: mpsc::Sender<Input>,
+    pub(crate) input: Sender<Input>,
     /// Links that other instances opened, by number.
-    pub(crate) accepted_links: BTreeMap<u64, (Name, mpsc::Sender<FleetMessage>)>,
+    pub(crate) accepted_links: BTreeMap<u64, (Name, Sender<FleetMessage>)>,
     seeds: BTreeSet<Name>,
     /// Members named by other members.
     known_members: BTreeSet<Name>,
     /// Links that this member opened; `None` while dialing.
-    member_links: BTreeMap<Name, Option<mpsc::Sender<FleetMessage>>>,
+    member_links: BTreeMap<Name, Option<Sender<FleetMessage>>>,
     dial: Arc<dyn Dial<FleetMessage>>,
     proposals: BTreeMap<Index, PendingProposal>,
     searched_at: Millis,
@@ -176,7 +192,7 @@
     options: ControlOptions,
     asks: mpsc::Receiver<ControlRequest>,
 ) -> auburnlug_transport::Result<()> {
-    let (input, inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
+    let (input, inputs) = channel(MAX_QUEUED_INPUTS, limits::INPUT_QUEUE_BYTES);
     control_links::accept_links(options.links, options.identity.clone(), input.clone())?;
     let now = options.clock.now();
     let mut configured = options.seeds.clone();
@@ -220,7 +236,7 @@
     /// Handles inputs until the member is told to stop.
     async fn serve(
         mut self,
-        mut inputs: mpsc::Receiver<Input>,
+        mut inputs: Receiver<Input>,
         mut asks: mpsc::Receiver<ControlRequest>,
     ) -> auburnlug_transport::Result<()> {
         let mut tick = interval(TICK_INTERVAL);
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -5,6 +5,7 @@
 use auburnlug_protocol::fleet::FleetMessage;
 use auburnlug_state::Name;
 use auburnlug_transport::{
+    byte_channel::Sender,
     link::Link,
     socket::{self, Identity},
 };
@@ -22,7 +23,7 @@
 pub(crate) fn accept_links(
     listener: TcpListener,
     identity: Arc<Identity>,
-    input: mpsc::Sender<Input>,
+    input: Sender<Input>,
 ) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let (control, mut accepted) = mpsc::channel::<socket::Accepted>(MAX_PENDING_LINKS);
@@ -41,7 +42,7 @@
 }
 
 /// Forwards the messages of a link that another instance opened.
-async fn forward_accepted(number: u64, link: Link<FleetMessage>, input: mpsc::Sender<Input>) {
+async fn forward_accepted(number: u64, link: Link<FleetMessage>, input: Sender<Input>) {
     let Link { peer, out, mut inbox } = link;
     let _ = input.send(Input::LinkAccepted(number, peer.clone(), out)).await;
     while let Some(message) = inbox.recv().await {
@@ -54,11 +55,7 @@
 }
 
 /// Forwards the messages of a link that this member opened.
-pub(crate) async fn forward_dialed(
-    name: Name,
-    link: Link<FleetMessage>,
-    input: mpsc::Sender<Input>,
-) {
+pub(crate) async fn forward_dialed(name: Name, link: Link<FleetMessage>, input: Sender<Input>) {
     let Link { out, mut inbox, .. } = link;
     let _ = input.send(Input::MemberLinkOpened(name.clone(), out)).await;
     while let Some(message) = inbox.recv().await {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -18,6 +18,7 @@
 };
 use auburnlug_state::{Millis, Name, Term};
 use auburnlug_transport::{
+    byte_channel::Sender,
     clock::Clock,
     event::{Event, log},
     link::{Dial, Link, dial_once_per},
@@ -234,7 +235,7 @@
     /// Control members named by others; used until the view lists them.
     known_members: BTreeSet<Name>,
     /// Links to control members; `None` while dialing.
-    links: BTreeMap<Name, Option<mpsc::Sender<FleetMessage>>>,
+    links: BTreeMap<Name, Option<Sender<FleetMessage>>>,
     /// Sends link events to [`LeaderFollower::run`].
     events: mpsc::Sender<LinkEvent>,
     leader: Option<Name>,
@@ -248,7 +249,7 @@
 
 /// Event on a link to a control member.
 enum LinkEvent {
-    Opened(Name, mpsc::Sender<FleetMessage>),
+    Opened(Name, Sender<FleetMessage>),
     Message(Name, FleetMessage),
     Closed(Name),
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 };
 use auburnlug_state::{Millis, Name};
 use auburnlug_transport::{
+    byte_channel::Sender,
     event::{Event, log},
     link::{Dial, Link},
 };
@@ -92,7 +93,7 @@
 /// Link to another entry and the requests in flight on it.
 #[derive(Default)]
 struct PeerEntry {
-    outbox: RefCell<Option<mpsc::Sender<Forward>>>,
+    outbox: RefCell<Option<Sender<Forward>>>,
     pending_jobs: RefCell<BTreeMap<u64, oneshot::Sender<Answer>>>,
     pending_claims: RefCell<BTreeMap<u64, mpsc::Sender<ClaimOutcome>>>,
     link_opened: Notify,
@@ -262,7 +263,7 @@
     }
 
     /// Answers the claim of another entry.
-    async fn answer_claim(&self, number: u64, account: &str, out: mpsc::Sender<Forward>) {
+    async fn answer_claim(&self, number: u64, account: &str, out: Sender<Forward>) {
         let claim_answer = |outcome| Forward::Claimed { number, outcome };
         let answer = if self.local.take_token(account) {
             ClaimOutcome::Admitted
@@ -452,7 +453,7 @@
     }
 
     /// Waits for the link; `None` if dialing failed.
-    async fn wait_for_link(&self) -> Option<mpsc::Sender<Forward>> {
+    async fn wait_for_link(&self) -> Option<Sender<Forward>> {
         loop {
             let opened = self.link_opened.notified();
             if let Some(out) = self.outbox.borrow().clone() {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use auburnlug_coordination::{Position, changes::Changes};
-use auburnlug_state::{Millis, Name, Term, fleet::Backend};
+use auburnlug_state::{Millis, Name, Term, byte_size::ByteSize, fleet::Backend};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -15,6 +15,9 @@
     peer::ControlMessage,
 };
 
+/// Fields of a message, or of a value in a list, whose lengths are bounded.
+const FIELDS_BYTES: usize = 128;
+
 /// A message on a control link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetMessage {
@@ -304,3 +307,33 @@
     /// The regional limiter has asked the control leader; another answer follows.
     Waits,
 }
+
+impl ByteSize for FleetMessage {
+    fn byte_size(&self) -> usize {
+        let values = match self {
+            FleetMessage::Member(message) => message.byte_size(),
+            FleetMessage::Renew(renewal) => {
+                let FleetRenewal { demand, evidence, owned, .. } = &**renewal;
+                (demand.len() + evidence.len() + owned.len()) * FIELDS_BYTES
+            }
+            FleetMessage::Grant(grant) => {
+                (grant.shares.len() + grant.positions.len()) * FIELDS_BYTES
+            }
+            FleetMessage::NotLeader(members) => members.iter().map(ByteSize::byte_size).sum(),
+            FleetMessage::Leading => 0,
+            FleetMessage::Update(update) => update.byte_size(),
+        };
+        FIELDS_BYTES + values
+    }
+}
+
+impl ByteSize for Forward {
+    fn byte_size(&self) -> usize {
+        let values = match self {
+            Forward::Job { job, .. } => job.byte_size(),
+            Forward::Answer { answer, .. } => answer.byte_size(),
+            Forward::Drop { .. } | Forward::Claim { .. } | Forward::Claimed { .. } => 0,
+        };
+        FIELDS_BYTES + values
+    }
+}
--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use auburnlug_coordination::Position;
-use auburnlug_state::Millis;
+use auburnlug_state::{Millis, byte_size::ByteSize};
 use serde::{Deserialize, Serialize};
 
 /// Session variables, by name.
@@ -365,3 +365,20 @@
     /// State of the session; `None` if the session ends with this reply.
     pub state: Option<SessionState>,
 }
+
+impl ByteSize for Job {
+    fn byte_size(&self) -> usize {
+        let text = match &self.text {
+            StatementText::Plain(text) => text.len(),
+            StatementText::Prepared { shape, arguments } => shape.text.len() + arguments.len(),
+        };
+        let values = self.values.iter().map(|(name, value)| name.len() + value.len());
+        text + values.sum::<usize>()
+    }
+}
+
+impl ByteSize for Answer {
+    fn byte_size(&self) -> usize {
+        self.rows.iter().map(|row| row.len()).sum()
+    }
+}
--- a/crates/protocol/src/packed.rs
+++ b/crates/protocol/src/packed.rs
@@ -5,6 +5,7 @@
 
 use std::io::Read;
 
+use auburnlug_state::byte_size::ByteSize;
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -22,6 +23,12 @@
     data: Vec<u8>,
 }
 
+impl ByteSize for Packed {
+    fn byte_size(&self) -> usize {
+        self.data.len()
+    }
+}
+
 impl Packed {
     /// Encodes and compresses a value.
     ///
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -8,9 +8,13 @@
 use auburnlug_coordination::{Position, dedup::RequestKey, raft};
 use auburnlug_state::{
     Applied, Class, Command, Index, Instance, Machine, Millis, Name, Server, Shard, Term,
+    byte_size::ByteSize,
 };
 use serde::{Deserialize, Serialize};
 
+/// Fields of a message whose lengths are bounded.
+const FIELDS_BYTES: usize = 256;
+
 /// A message on a control link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ControlMessage {
@@ -380,3 +384,37 @@
     /// The standby did not store the request id before the deadline.
     Standby,
 }
+
+impl ByteSize for ControlMessage {
+    fn byte_size(&self) -> usize {
+        let value = match self {
+            ControlMessage::Raft { message, .. } => message.byte_size(),
+            ControlMessage::Update { commands, .. } => {
+                commands.iter().map(|(_, command)| command.byte_size()).sum()
+            }
+            ControlMessage::Snapshot(machine) => machine.byte_size(),
+            ControlMessage::Propose { command, .. } => command.byte_size(),
+            _ => 0,
+        };
+        FIELDS_BYTES + value
+    }
+}
+
+impl ByteSize for TrafficMessage {
+    fn byte_size(&self) -> usize {
+        let values = match self {
+            TrafficMessage::Run { request, .. } => request.messages.len(),
+            TrafficMessage::Answer { answer, .. } => answer.messages.len(),
+            TrafficMessage::Intent { keys, .. } => keys.len() * FIELDS_BYTES,
+            TrafficMessage::Ended { answers, .. } => {
+                answers.iter().map(|(_, answer)| FIELDS_BYTES + answer.messages.len()).sum()
+            }
+            TrafficMessage::Fill { entries, .. } => {
+                let answers = entries.iter().map(|(_, answer)| answer.as_ref());
+                answers.map(|a| FIELDS_BYTES + a.map_or(0, |a| a.messages.len())).sum()
+            }
+            _ => 0,
+        };
+        FIELDS_BYTES + values
+    }
+}
--- a/crates/transport/src/control.rs
+++ b/crates/transport/src/control.rs
@@ -15,11 +15,14 @@
 
 use auburnlug_coordination::redundancy::Redundancy;
 use auburnlug_protocol::peer;
-use auburnlug_state::{Applied, Command, Instance, Machine, Millis, Name, Server};
+use auburnlug_state::{
+    Applied, Command, Instance, Machine, Millis, Name, Server, byte_size::ByteSize, limits,
+};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
     Result,
+    byte_channel::{Sender, channel},
     clock::Clock,
     control_core::Core,
     control_metrics::ControlMetrics,
@@ -29,8 +32,12 @@
     view::{Control, Proposal, View},
 };
 
+/// Inputs that wait for the control thread; large ones are bounded by [`limits::INPUT_QUEUE_BYTES`].
 const MAX_QUEUED_INPUTS: usize = 8192;
 
+/// Size of an input without a message or a command.
+const SMALL_INPUT_BYTES: usize = 256;
+
 /// Options of the control thread.
 pub struct Options {
     /// Record of this instance.
@@ -68,6 +75,17 @@
     Stop { reply: oneshot::Sender<()> },
 }
 
+impl ByteSize for Input {
+    fn byte_size(&self) -> usize {
+        let value = match self {
+            Input::Message { message, .. } => message.byte_size(),
+            Input::Propose { command, .. } => command.byte_size(),
+            _ => 0,
+        };
+        SMALL_INPUT_BYTES + value
+    }
+}
+
 /// Result of a server's announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnnouncementResult {
@@ -95,7 +113,7 @@
 /// Access to the control thread.
 #[derive(Clone)]
 pub struct Handle {
-    input: mpsc::Sender<Input>,
+    input: Sender<Input>,
     view: watch::Receiver<Arc<View>>,
     status: watch::Receiver<Status>,
     lease: Arc<AtomicU64>,
@@ -160,7 +178,7 @@
 ///
 /// The data folder cannot be read, or the thread cannot be started.
 pub fn start(options: Options, failed: oneshot::Sender<String>) -> Result<Handle> {
-    let (input, inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
+    let (input, inputs) = channel(MAX_QUEUED_INPUTS, limits::INPUT_QUEUE_BYTES);
     let machine = Arc::new(Machine::default());
     let view = View {
         instance: options.instance.name.clone(),
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     Result,
+    byte_channel::{Receiver, Sender},
     clock::Clock,
     control::{Input, Options, Outputs, Status},
     control_leader::Leader,
@@ -73,7 +74,7 @@
     members: BTreeMap<Name, SocketAddr>,
     clock: Arc<dyn Clock>,
     dial: Arc<dyn Dial<ControlMessage>>,
-    pub(crate) input: mpsc::Sender<Input>,
+    pub(crate) input: Sender<Input>,
     pub(crate) outputs: Outputs,
     pub(crate) lease_holder: LeaseHolder,
     /// Whether the lease was in force at the last check that logged its start or end.
@@ -95,11 +96,7 @@
 }
 
 impl Core {
-    pub(crate) fn new(
-        options: Options,
-        outputs: Outputs,
-        input: mpsc::Sender<Input>,
-    ) -> Result<Core> {
+    pub(crate) fn new(options: Options, outputs: Outputs, input: Sender<Input>) -> Result<Core> {
         let now = options.clock.now();
         let (mut member, mut machine) = (None, Machine::default());
         if let Some(disk) = options.disk {
@@ -154,7 +151,7 @@
     /// # Errors
     ///
     /// The disk failed. What was acknowledged is kept, and the member must stop.
-    pub(crate) async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Result<()> {
+    pub(crate) async fn run(mut self, mut inputs: Receiver<Input>) -> Result<()> {
         self.listen()?;
         let mut tick = interval(if self.member.is_some() {
             MEMBER_TICK_INTERVAL
--- a/crates/transport/src/control_links.rs
+++ b/crates/transport/src/control_links.rs
@@ -4,15 +4,14 @@
 
 use auburnlug_protocol::peer;
 use auburnlug_state::Name;
-use tokio::sync::mpsc;
 
-use crate::{control::Input, link::Link};
+use crate::{byte_channel::Sender, control::Input, link::Link};
 
 /// Open links.
 #[derive(Debug)]
 pub(crate) struct Links {
-    input: mpsc::Sender<Input>,
-    open: BTreeMap<u64, (Name, mpsc::Sender<peer::ControlMessage>)>,
+    input: Sender<Input>,
+    open: BTreeMap<u64, (Name, Sender<peer::ControlMessage>)>,
     dialed: BTreeMap<Name, u64>,
     /// Newest link that each instance opened.
     accepted: BTreeMap<Name, u64>,
@@ -21,7 +20,7 @@
 }
 
 impl Links {
-    pub(crate) fn new(input: mpsc::Sender<Input>) -> Links {
+    pub(crate) fn new(input: Sender<Input>) -> Links {
         Links {
             input,
             open: BTreeMap::new(),
--- a/crates/transport/src/forwarder.rs
+++ b/crates/transport/src/forwarder.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    byte_channel::Sender,
     link::{Dial, Link},
     metrics::Metrics,
     view::{Control, View},
@@ -56,7 +57,7 @@
 /// Link to another instance, shared by all callers.
 pub(crate) struct Peer {
     incarnation: u64,
-    out: mpsc::Sender<TrafficMessage>,
+    out: Sender<TrafficMessage>,
     pending: Mutex<Option<HashMap<u64, oneshot::Sender<Answer>>>>,
     /// Copies of request ids that wait for [`TrafficMessage::Stored`].
     pending_copies: Mutex<HashMap<u64, oneshot::Sender<(u64, TableState)>>>,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sockets, disk, threads, metrics and logs.
 
 mod batch;
+pub mod byte_channel;
 mod caller;
 pub mod clock;
 mod connection_in_use;
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -5,13 +5,12 @@
 
 use std::{future::Future, net::SocketAddr, pin::Pin, time::Duration};
 
-use auburnlug_state::Name;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until},
-};
+use auburnlug_state::{Name, limits};
+use tokio::time::{Instant, sleep_until};
 
-/// Bound of each direction of a link.
+use crate::byte_channel::{Receiver, Sender, channel};
+
+/// Bound of each direction of a link; large messages are bounded by [`limits::LINK_QUEUE_BYTES`].
 const MAX_QUEUED_MESSAGES: usize = 4096;
 
 /// An authenticated link to another instance.
@@ -20,17 +19,17 @@
     /// Instance at the other end.
     pub peer: Name,
     /// Messages to the peer.
-    pub out: mpsc::Sender<M>,
+    pub out: Sender<M>,
     /// Messages from the peer; yields `None` once the link is closed.
-    pub inbox: mpsc::Receiver<M>,
+    pub inbox: Receiver<M>,
 }
 
 impl<M> Link<M> {
     /// The two ends of a link inside one process: first the end that `a` uses to reach `b`, then
     /// the end that `b` uses to reach `a`.
     pub fn pair(a: Name, b: Name) -> (Link<M>, Link<M>) {
-        let (to_b, from_a) = mpsc::channel(MAX_QUEUED_MESSAGES);
-        let (to_a, from_b) = mpsc::channel(MAX_QUEUED_MESSAGES);
+        let (to_b, from_a) = channel(MAX_QUEUED_MESSAGES, limits::LINK_QUEUE_BYTES);
+        let (to_a, from_b) = channel(MAX_QUEUED_MESSAGES, limits::LINK_QUEUE_BYTES);
         (Link { peer: b, out: to_b, inbox: from_b }, Link { peer: a, out: to_a, inbox: from_a })
     }
 }
--- a/crates/transport/src/owner.rs
+++ b/crates/transport/src/owner.rs
@@ -28,6 +28,7 @@
 };
 
 use crate::{
+    byte_channel::Sender,
     forwarder::{lease_expired, lock, refused_answer},
     group::{Group, GroupContext, SharedRequestIds, request_ids},
     id_replication::{self, Copier},
@@ -307,7 +308,7 @@
         stream: u64,
         state: Arc<CallerStream>,
         request: Box<Request>,
-        out: mpsc::Sender<TrafficMessage>,
+        out: Sender<TrafficMessage>,
     ) {
         let group = self.wait_for_group(&request).await;
         let answer = match group.as_ref().map(|group| group.admit(request.block)) {
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -12,7 +12,7 @@
     auth::{Challenge, Hello, Nonce, Proof, Purpose, Secret},
     decode, encode,
 };
-use auburnlug_state::Name;
+use auburnlug_state::{Name, byte_size::ByteSize, record};
 use futures_util::{
     SinkExt, StreamExt,
     stream::{FuturesUnordered, SplitSink, SplitStream},
@@ -32,6 +32,7 @@
 
 use crate::{
     Error, Result,
+    byte_channel::{Receiver, Sender},
     link::{Dial, Dialing, Link},
     metrics::{LinkMetrics, Meter},
 };
@@ -52,7 +53,8 @@
 /// Ping intervals without received data after which a link is closed.
 const MAX_MISSED_PINGS: u32 = 4;
 
-const MAX_MESSAGE_BYTES: usize = 300 << 20;
+/// The largest state that can be stored, as a snapshot with the names of two members.
+const MAX_MESSAGE_BYTES: usize = record::MAX_PAYLOAD_BYTES + (4 << 10);
 
 /// Read buffer of one link. An instance may have links to and from each of 700 others, and the
 /// library's default of 128 KiB per link would use 180 MB.
@@ -106,7 +108,7 @@
     }
 }
 
-impl<M: Serialize + DeserializeOwned + Send + 'static> Dial<M> for Dialer<M> {
+impl<M: Serialize + DeserializeOwned + ByteSize + Send + 'static> Dial<M> for Dialer<M> {
     fn dial(&self, name: Name, address: SocketAddr) -> Dialing<M> {
         let (identity, purpose) = (self.identity.clone(), self.purpose);
         Box::pin(async move {
@@ -152,7 +154,7 @@
 
 impl Accepted {
     /// Starts the message transfer. The dialing end sends the pings; this end only answers them.
-    pub fn link<M: Serialize + DeserializeOwned + Send + 'static>(self) -> Link<M> {
+    pub fn link<M: Serialize + DeserializeOwned + ByteSize + Send + 'static>(self) -> Link<M> {
         spawn(self.peer, self.socket, &self.meters, None, self.ping_interval)
     }
 }
@@ -336,7 +338,7 @@
     }
 }
 
-fn spawn<M: Serialize + DeserializeOwned + Send + 'static>(
+fn spawn<M: Serialize + DeserializeOwned + ByteSize + Send + 'static>(
     peer: Name,
     socket: Socket,
     meters: &Meters,
@@ -357,7 +359,7 @@
 
 async fn write<M: Serialize>(
     mut sink: SplitSink<Socket, Message>,
-    mut inbox: mpsc::Receiver<M>,
+    mut inbox: Receiver<M>,
     meter: Meter,
     ping: Option<Duration>,
 ) {
@@ -380,7 +382,7 @@
 async fn write_batch<M: Serialize>(
     sink: &mut SplitSink<Socket, Message>,
     first: M,
-    inbox: &mut mpsc::Receiver<M>,
+    inbox: &mut Receiver<M>,
     meter: &Meter,
 ) -> Result<()> {
     sink.feed(frame(&first, meter)?).await?;
@@ -398,9 +400,9 @@
     Ok(Message::Binary(bytes.into()))
 }
 
-async fn read<M: DeserializeOwned>(
+async fn read<M: DeserializeOwned + ByteSize>(
     mut stream: SplitStream<Socket>,
-    out: mpsc::Sender<M>,
+    out: Sender<M>,
     meter: Meter,
     ping_interval: Duration,
 ) {
--- a/crates/transport/tests/control_group/mod.rs
+++ b/crates/transport/tests/control_group/mod.rs
@@ -21,6 +21,7 @@
 };
 use auburnlug_state::{Applied, Change, Command, Edit, Instance, Millis, Name};
 use auburnlug_transport::{
+    byte_channel::{Receiver, Sender},
     clock::{Clock, SystemClock},
     control::{self, Handle, Options},
     control_metrics::ControlMetrics,
@@ -164,8 +165,8 @@
 fn relay(
     net: Arc<Net>,
     (from, to): (Name, Name),
-    mut inbox: mpsc::Receiver<peer::ControlMessage>,
-    out: mpsc::Sender<peer::ControlMessage>,
+    mut inbox: Receiver<peer::ControlMessage>,
+    out: Sender<peer::ControlMessage>,
 ) {
     tokio::spawn(async move {
         while let Some(message) = inbox.recv().await {
