--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -27,7 +27,9 @@
 };
 use auburnlug_state::{
     Millis, Name, Term,
+    byte_size::ByteSize,
     fleet::{Backend, Fleet, FleetChange, Incarnation},
+    limits,
 };
 use auburnlug_transport::event::{Event, log};
 
@@ -179,6 +181,14 @@
         self.pending_entries.wait(from.clone(), renewal.run, (link, renewal));
     }
 
+    /// Keeps an encoded update for other entries with the same `key`, as long as there is room.
+    fn keep_update(&mut self, key: (u64, u64), packed: Arc<Packed>) {
+        let kept = self.encoded_updates.values().map(ByteSize::byte_size).sum::<usize>();
+        if kept + packed.byte_size() <= limits::KEPT_BYTES {
+            self.encoded_updates.insert(key, packed);
+        }
+    }
+
     /// Keeps the connections that an earlier leader assigned to an entry until this leader assigns
     /// them itself.
     fn inherit_connections(&mut self, from: &Name, holds: Vec<OwnedConnections>) {
@@ -603,7 +613,7 @@
         match Packed::new(&update) {
             Ok(packed) => {
                 let packed = Arc::new(packed);
-                leader.encoded_updates.insert(key, packed.clone());
+                leader.keep_update(key, packed.clone());
                 self.send(link, FleetMessage::Update(packed));
             }
             // The entry gets the complete view on its next link.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod admission;
 pub mod connection;
 pub mod control;
-mod control_configs;
+pub mod control_configs;
 mod control_departures;
 mod control_failover;
 pub mod control_handle;
--- a/crates/transport/src/control_apply.rs
+++ b/crates/transport/src/control_apply.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use auburnlug_coordination::raft::{Entry, Payload};
-use auburnlug_state::{Applied, Command, Index, Machine};
+use auburnlug_state::{Applied, Command, Index, Machine, byte_size::ByteSize, limits};
 
 use crate::{
     control_core::Core,
@@ -12,7 +12,8 @@
     view::View,
 };
 
-/// Committed commands kept for instances that lag; those that lag further get a snapshot.
+/// Committed commands kept for instances that lag; those that lag further get a snapshot. Fewer are
+/// kept if they are larger than [`limits::MIN_RETAINED_BYTES`] together.
 const MAX_RECENT_COMMANDS: usize = 4_096;
 
 impl Core {
@@ -66,9 +67,13 @@
         if self.member.is_none() {
             return;
         }
+        self.recent_bytes += command.byte_size();
         self.recent_commands.push_back((index, command));
-        if self.recent_commands.len() > MAX_RECENT_COMMANDS {
-            self.recent_commands.pop_front();
+        while self.recent_commands.len() > MAX_RECENT_COMMANDS
+            || (self.recent_bytes > limits::MIN_RETAINED_BYTES && self.recent_commands.len() > 1)
+        {
+            let Some((_, oldest)) = self.recent_commands.pop_front() else { break };
+            self.recent_bytes -= oldest.byte_size();
         }
     }
 
@@ -111,6 +116,7 @@
         if machine.index > self.machine.index {
             self.machine = Arc::new(machine);
             self.recent_commands.clear();
+            self.recent_bytes = 0;
             self.publish_view();
         }
     }
--- a/crates/transport/src/control_core.rs
+++ b/crates/transport/src/control_core.rs
@@ -67,6 +67,8 @@
     pub(crate) links: Links,
     pub(crate) leader: Option<Leader>,
     pub(crate) recent_commands: VecDeque<(Index, Command)>,
+    /// Bytes of these commands.
+    pub(crate) recent_bytes: usize,
     pub(crate) trust_refused: bool,
     pub(crate) identity: Arc<Identity>,
     listener: Option<std::net::TcpListener>,
@@ -123,6 +125,7 @@
             links: Links::new(input.clone()),
             leader: None,
             recent_commands: VecDeque::new(),
+            recent_bytes: 0,
             trust_refused: options.trust_refused,
             identity: options.identity,
             listener: Some(options.listener),
