Model two replacements after many large changes; lead with a complete state only

Cause: the model proposed small commands only, its processes encoded messages in no time, and nothing looked at bytes. With batches of committed entries, a caller that takes one step and asks whether the member leads could act on an outdated state; the two control cores do not, the model did. Change: the model can propose large configurations, charges the time of encoding and checks the bytes of messages and logs. A member whose last step left committed entries does not lead, so no caller can get this wrong.

--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -63,6 +63,8 @@
     /// Bytes of the stored log that the last snapshot did not replace.
     uncovered_bytes: u64,
     compaction: Option<Compaction>,
+    /// Whether the last step left committed entries.
+    lags: bool,
     seed: u64,
     timing: Timing,
     /// Whether this member may bootstrap the group.
@@ -110,8 +112,7 @@
     pub machine: Option<Machine>,
     /// Entries to apply.
     pub committed: Vec<Entry>,
-    /// Whether committed entries are left for another step, which must follow before the caller acts
-    /// on its state.
+    /// Whether committed entries are left for another step; until then the member does not lead.
     pub more: bool,
     /// Messages to send, with the instance of the member that each goes to.
     pub messages: Vec<(Name, ControlMessage)>,
@@ -178,6 +179,7 @@
             snapshot_bytes,
             uncovered_bytes: 0,
             compaction: None,
+            lags: false,
             seed,
             timing,
             founds,
@@ -203,9 +205,9 @@
     /// Whether this member leads and may act for the group at `now`.
     ///
     /// A leader that is the only one with the data may not: what it acknowledged would be on a single
-    /// disk.
+    /// disk. One whose last step left committed entries may not either: its state is outdated.
     pub fn leads(&self, now: Millis) -> bool {
-        self.raft().is_some_and(|raft| raft.lease_valid(now) && !raft.leads_alone())
+        !self.lags && self.raft().is_some_and(|raft| raft.lease_valid(now) && !raft.leads_alone())
     }
 
     /// End of the leader lease on the clock of the member; `None` unless this member may act for the
@@ -468,6 +470,7 @@
                 break;
             }
         }
+        self.lags = work.more;
         self.continue_compaction(stored)?;
         Ok(work)
     }
--- a/crates/transport/tests/log_bounds.rs
+++ b/crates/transport/tests/log_bounds.rs
@@ -242,6 +242,7 @@
     while indexes.len() < 42 {
         process.now += 10;
         let work = process.member.step(process.now).unwrap();
+        assert!(!work.more || !process.member.leads(process.now), "leads with an outdated state");
         indexes.extend(work.committed.iter().map(|entry| entry.index));
         if !work.committed.is_empty() {
             let bytes: usize = work.committed.iter().map(ByteSize::byte_size).sum();
--- a/crates/transport/tests/member_group/checks.rs
+++ b/crates/transport/tests/member_group/checks.rs
@@ -1,5 +1,8 @@
 //! Invariants of the simulated group.
 
+use auburnlug_coordination::raft::Payload;
+use auburnlug_state::limits;
+
 use super::*;
 
 /// Time within which the group leads again after all processes were killed.
@@ -28,6 +31,9 @@
             return self.fail(format_args!("gap: {instance} applies {index} after {applied}"));
         }
         process.machine.index = index;
+        if let Payload::Command(Command::Fleet(change)) = &entry.payload {
+            process.machine.fleet.apply(change);
+        }
         let acknowledged = process.takes_proposal(index, entry.term);
         let first = self.committed.entry(index).or_insert_with(|| entry.clone());
         if *first != entry {
@@ -38,6 +44,26 @@
         }
     }
 
+    /// No message and no log exceeds its bound in bytes.
+    pub fn check_bytes(&mut self, messages: &[(Name, ControlMessage)]) {
+        let Some(document) = self.settings.document else { return };
+        let entry = document + 1_000;
+        for (to, message) in messages {
+            let bytes = message.byte_size();
+            if bytes > limits::MESSAGE_BYTES.max(entry) + entry {
+                return self.fail(format_args!("bytes: a message of {bytes} to {to}"));
+            }
+        }
+        let most = 3 * limits::log_limit(entry) + limits::UNCOMMITTED_BYTES + entry;
+        for (name, state) in &self.instances {
+            let bytes = state.disk.log_bytes();
+            if bytes > most as u64 {
+                let text = format!("bytes: a log of {bytes} at {name}");
+                return self.fail(text);
+            }
+        }
+    }
+
     /// At most one member holds a lease, and it has applied everything that was acknowledged.
     pub(super) fn check_leases(&mut self) {
         let now = self.now;
--- a/crates/transport/tests/member_group/mod.rs
+++ b/crates/transport/tests/member_group/mod.rs
@@ -4,14 +4,21 @@
 //! its disk is bounded; when it is full, new messages are dropped. A link whose other end does not
 //! answer for [`LINK_TIMEOUT_MS`] is closed.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use auburnlug_coordination::{
     bootstrap::instance_of,
     raft::{Entry, Members, Message, Ready, Timing},
 };
 use auburnlug_protocol::peer::ControlMessage;
-use auburnlug_state::{Command, Index, Millis, Name};
+use auburnlug_state::{
+    Command, Index, Millis, Name,
+    byte_size::ByteSize,
+    fleet::{FleetChange, FleetConfig},
+};
 use auburnlug_transport::{control_member::Work, disk::Disk, disk_memory::MemoryDisk};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -67,11 +74,23 @@
     pub queue: usize,
     /// Whether messages sent during a cut arrive after it.
     pub holds: bool,
+    /// Bytes of the document of each proposed configuration; without one, proposals are small.
+    pub document: Option<usize>,
+    /// Bytes of messages that a process encodes in a millisecond, in which it does nothing else.
+    pub encoding: Option<usize>,
 }
 
 impl Settings {
     pub fn new(losses: usize) -> Settings {
-        Settings { losses, timing: GATEWAY_TIMING, delay: 5, queue: 1_024, holds: true }
+        Settings {
+            losses,
+            timing: GATEWAY_TIMING,
+            delay: 5,
+            queue: 1_024,
+            holds: true,
+            document: None,
+            encoding: None,
+        }
     }
 }
 
@@ -108,6 +127,7 @@
     former_disks: BTreeMap<Name, MemoryDisk>,
     counter: u64,
     next_proposal: Millis,
+    document: Option<Arc<str>>,
 }
 
 impl Group {
@@ -124,7 +144,9 @@
     }
 
     fn empty(settings: Settings, seed: u64) -> Group {
+        let document = settings.document.map(|bytes| "d".repeat(bytes).into());
         Group {
+            document,
             now: 0,
             instances: BTreeMap::new(),
             settings,
@@ -283,7 +305,10 @@
         let now = self.now;
         for _ in 0..count {
             self.counter += 1;
-            let command = Command::Forget(name(&format!("c{}", self.counter)));
+            let command = match &self.document {
+                Some(document) => deploy(self.counter, document),
+                None => Command::Forget(name(&format!("c{}", self.counter))),
+            };
             for state in self.instances.values_mut().filter(|state| state.suspended.is_none()) {
                 if let Some(process) = &mut state.process
                     && process.syncing.is_none()
@@ -346,12 +371,15 @@
         let now = self.now;
         let sync = self.instance(instance).sync;
         let sync = if sync > 0 { self.rng.random_range(0..=sync) } else { 0 };
+        let encoding = self.settings.encoding;
         let Some(process) = &mut self.instance(instance).process else { return };
         let leads = process.member.leads_term();
         let before = if leads { process.members() } else { None };
         let clock = process.clock(now);
         let work = process.member.step(clock).expect("the disk works");
         let after = if leads { process.members() } else { None };
+        let bytes: usize = work.messages.iter().map(|(_, message)| message.byte_size()).sum();
+        let sync = sync + encoding.map_or(0, |rate| (bytes / rate) as Millis);
         if sync > 0 && !(work.messages.is_empty() && work.committed.is_empty()) {
             process.syncing = Some((now + sync, work));
         } else {
@@ -365,6 +393,7 @@
     }
 
     fn finish_step(&mut self, instance: &Name, work: Work) {
+        self.check_bytes(&work.messages);
         self.send(instance, work.messages);
         let Some(process) = &mut self.instance(instance).process else { return };
         if let Some(machine) = work.machine
@@ -382,6 +411,11 @@
     }
 }
 
+fn deploy(version: u64, document: &Arc<str>) -> Command {
+    let plan = Arc::new(FleetConfig { version, ..FleetConfig::default() });
+    Command::Fleet(FleetChange::Deploy { plan, document: document.clone() })
+}
+
 /// Identity of the member that answers a leader with a message.
 fn answering(envelope: &Envelope) -> Option<Name> {
     match &envelope.message {
--- a/crates/transport/tests/member_model.rs
+++ b/crates/transport/tests/member_model.rs
@@ -27,6 +27,13 @@
 /// Delay of the answers of one voter, longer than an answer of the others takes.
 const LATE_ANSWER_MS: Millis = 150;
 
+/// Bytes that a control member with 0.15 of a core encodes in a millisecond.
+const ENCODED_BYTES_PER_MS: usize = 40_000;
+
+/// Time without an acknowledged change while a member other than the leader is replaced. An election
+/// takes half of it.
+const MAX_UNACKNOWLEDGED_MS: Millis = 1_000;
+
 const TRACE_LINES: usize = 40;
 
 fn env(key: &str) -> Option<u64> {
@@ -77,6 +84,20 @@
     group.report(TRACE_LINES)
 }
 
+/// Runs for `span` and requires that changes are acknowledged all the time.
+fn run_acknowledging(group: &mut Group, span: Millis) {
+    let (end, mut last) = (group.now + span, (group.now, group.acknowledged));
+    while group.now < end && group.violation.is_none() {
+        group.run(100);
+        if group.acknowledged > last.1 {
+            last = (group.now, group.acknowledged);
+        } else if group.now > last.0 + MAX_UNACKNOWLEDGED_MS {
+            let silent = group.now - last.0;
+            group.fail(format_args!("service: no change is acknowledged for {silent} ms"));
+        }
+    }
+}
+
 /// Requires that a scenario, which returns a report if it fails, passes with each of some seeds.
 fn check_seeds(scenario: impl Fn(u64) -> Option<String>) {
     let failing = |seed| Some(format!("seed {seed}: {}", scenario(seed)?));
@@ -126,6 +147,25 @@
     group.members().all().any(|member| *member == identity)
 }
 
+/// Guards against a new member that is sent tens of megabytes at once, so that each leader is held up
+/// and replaced before the member is filled, and against a log that grows without bound.
+#[test]
+fn two_members_are_replaced_after_many_large_changes() {
+    check_seeds(|seed| {
+        let (document, encoding) = (Some(600_000), Some(ENCODED_BYTES_PER_MS));
+        let settings = Settings { document, encoding, ..Settings::new(1) };
+        let mut group = Group::new(&["a", "b", "c"], settings, seed);
+        wait_until(&mut group, 3_000, |group| group.leader().is_some());
+        group.run(5_000);
+        for successor in ["d", "e"] {
+            let former = follower(&group);
+            replace(&mut group, &former, successor);
+            run_acknowledging(&mut group, CATCH_UP_MS + 3_000);
+        }
+        check_recovered(&mut group)
+    });
+}
+
 /// Guards against a learner that follows a leader that has dropped it, and never asks to join.
 #[test]
 fn a_learner_that_was_dropped_while_suspended_joins_again() {
