Compare the lease of a cut test beyond the millisecond of the cut

A renewal that is made in the millisecond of the cut may pass it, so a lease of exactly the cut and its length does not show that another member granted it. The test took it for that and asked for the new leader at once. Evidence: 400 plays on the code before, ten at a time: 13 failed, all of them with the lease at exactly this time; in the others it was some 590 ms beyond. Change: the lease must be later than that time; the assertion is unchanged.

--- a/crates/transport/tests/control_faults.rs
+++ b/crates/transport/tests/control_faults.rs
@@ -344,7 +344,8 @@
     let cut = entry.clock.time();
     let new = leader(&nodes).await;
     let mut gap = 0;
-    while entry.handle.lease() < cut + INSTANCE_LEASE_MS {
+    // A renewal that was made in the millisecond of the cut may have passed it.
+    while entry.handle.lease() <= cut + INSTANCE_LEASE_MS {
         gap = entry.clock.time().saturating_sub(entry.handle.lease());
         poll_delay().await;
     }
