--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -60,7 +60,8 @@
     snapshot_index: Index,
     /// Bytes of the last snapshot.
     snapshot_bytes: usize,
-    /// Bytes of the stored log that the last snapshot did not replace.
+    /// Bytes of the stored log that the last snapshot left, as far as entries that are not committed
+    /// may take them.
     uncovered_bytes: u64,
     compaction: Option<Compaction>,
     /// Whether the last step left committed entries.
@@ -484,7 +485,9 @@
     pub fn compact(&mut self, machine: &Machine) -> Result<()> {
         let is_large = self.written_bytes() > limits::log_limit(self.snapshot_bytes) as u64;
         let entries = machine.index.saturating_sub(self.snapshot_index);
-        let is_due = entries > 0 && (is_large || entries >= SNAPSHOT_INTERVAL_ENTRIES);
+        // A snapshot of a part of what is committed would free a part of the log only.
+        let is_due =
+            !self.lags && entries > 0 && (is_large || entries >= SNAPSHOT_INTERVAL_ENTRIES);
         let State::Member(raft, _) = &self.state else { return Ok(()) };
         if is_due && self.compaction.is_none() {
             let snapshot = raft.snapshot(machine.index, encode(machine)?).ok();
@@ -537,8 +540,9 @@
         // Refused if a snapshot of the leader has replaced the log meanwhile.
         if raft.compact(snapshot).is_ok() {
             (self.snapshot_index, self.snapshot_bytes) = (index, bytes);
-            self.uncovered_bytes = self.disk.log_bytes();
-            self.member_log.record_compaction(index, self.uncovered_bytes, bytes);
+            let log_bytes = self.disk.log_bytes();
+            self.uncovered_bytes = log_bytes.min(limits::UNCOMMITTED_BYTES as u64);
+            self.member_log.record_compaction(index, log_bytes, bytes);
         }
     }
 
@@ -650,7 +654,7 @@
         raft.persisted();
         if let Some(snapshot) = &ready.snapshot {
             (self.snapshot_index, self.snapshot_bytes) = (snapshot.index, snapshot.data.len());
-            self.uncovered_bytes = self.disk.log_bytes();
+            self.uncovered_bytes = self.disk.log_bytes().min(limits::UNCOMMITTED_BYTES as u64);
             // The disk has given up what it had written of an older one.
             self.compaction = None;
             work.machine = Some(decode(&snapshot.data)?);
--- a/crates/transport/tests/log_bounds.rs
+++ b/crates/transport/tests/log_bounds.rs
@@ -107,6 +107,11 @@
     }
 
     fn step(&mut self) {
+        self.apply_steps(|_, _| {});
+    }
+
+    /// Takes steps until all is applied; calls `applied` after each of them.
+    fn apply_steps(&mut self, mut applied: impl FnMut(&mut Member, &Machine)) {
         let mut more = true;
         while more {
             let work = self.member.step(self.now).unwrap();
@@ -120,6 +125,7 @@
                     _ => self.machine.index = entry.index,
                 }
             }
+            applied(&mut self.member, &self.machine);
         }
     }
 
@@ -215,6 +221,23 @@
     assert_eq!(process.machine.fleet.plan.version, 40);
 }
 
+#[test]
+fn a_log_that_is_applied_in_batches_shrinks_as_a_whole() {
+    // Guards against a snapshot of the first batch after a start, which frees one segment of a large
+    // log and makes the rest of it count as if it could not be freed.
+    let folder = folder("batch");
+    let mut process = Process::open_alone(&folder);
+    (1..=60).for_each(|version| process.publish(version));
+    drop(process);
+    let mut process = Process::open(&folder, names(["a"]));
+    for _ in 0..200 {
+        process.now += 10;
+        process.apply_steps(|member, machine| member.compact(machine).unwrap());
+    }
+    assert!(process.bytes() <= most_bytes(), "{} bytes", process.bytes());
+    assert_eq!(process.machine.fleet.plan.version, 60);
+}
+
 #[test]
 fn overwritten_entries_count_until_they_are_removed() {
     // Guards against a disk that fills with entries that changing leaders overwrite.
