Test disk and memory of control members with real processes

Cause: no test of the project published configurations of thousands of databases many times, or opened the data folder of an earlier build.

--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -11,7 +11,7 @@
 use std::{
     cell::Cell,
     collections::{BTreeMap, BTreeSet},
-    io,
+    fs, io,
     net::SocketAddr,
     path::Path,
     sync::Arc,
@@ -243,6 +243,25 @@
         self.processes.pid(host)
     }
 
+    /// Most memory that the process of an instance has used, in bytes.
+    pub fn peak_memory(&self, host: u8) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid(host)?)).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(line.trim().strip_suffix(" kB")?.parse::<u64>().ok()? * 1024)
+    }
+
+    /// Bytes of all files in the data folder of a control member.
+    ///
+    /// # Errors
+    ///
+    /// The folder cannot be read.
+    pub fn stored_bytes(&self, host: u8) -> io::Result<u64> {
+        let files = fs::read_dir(self.processes.data_folder(host))?;
+        // A file may be removed between the listing and the look at its size.
+        let sizes = files.filter_map(|file| Some(file.ok()?.metadata().ok()?.len()));
+        Ok(sizes.sum())
+    }
+
     /// Sends a signal to the process of an instance.
     ///
     /// # Errors
