Move compaction, inputs and the application of entries into modules of their own

Cause: control_member.rs and control.rs had grown by the bounds in bytes, and a reader met compaction, membership and consensus in one place. No logic changes.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,13 +10,10 @@
     time::Duration,
 };
 
-use auburnlug_coordination::{
-    bootstrap::instance_of,
-    raft::{Entry, Payload, Timing},
-};
+use auburnlug_coordination::{bootstrap::instance_of, raft::Timing};
 use auburnlug_protocol::{auth::Purpose, fleet::FleetMessage, peer::ControlMessage as Agreement};
 use auburnlug_state::{
-    Command, Index, Machine, Millis, Name, Term,
+    Command, Index, Machine, Millis, Name,
     byte_size::ByteSize,
     fleet::{Fleet, FleetChange},
     limits,
@@ -24,7 +21,7 @@
 use auburnlug_transport::{
     byte_channel::{Receiver, Sender, channel},
     clock::Clock,
-    control_member::{GroupOptions, Member, Work},
+    control_member::{GroupOptions, Member},
     disk::Disk,
     event::{Event, log},
     link::{Dial, dial_once_per},
@@ -39,14 +36,13 @@
 use crate::{
     control_configs::FleetConfigs,
     control_handle::{ControlReply, ControlRequest, Heartbeat},
+    control_input::Input,
     control_lead::Leader,
     control_links,
-    control_log::{log_applied, records_entries, records_promotion},
-    control_probe::ProbeOutcome,
     local_state::InstanceIdentity,
     metrics::GatewayMetrics,
     order_thread::OrderThread,
-    wire::{Ports, Promoter, PromotionOutcome, ServerWire, socket_address},
+    wire::{Ports, Promoter, ServerWire, socket_address},
 };
 
 /// Raft timing, in milliseconds. Without a control leader, requests that need a primary fail once
@@ -71,9 +67,6 @@
 /// Inputs that wait for the control thread; large ones are bounded by [`limits::INPUT_QUEUE_BYTES`].
 const MAX_QUEUED_INPUTS: usize = 1024;
 
-/// Size of an input without a message.
-const SMALL_INPUT_BYTES: usize = 256;
-
 /// Inputs handled before one sync makes the changes of all of them durable.
 const MAX_INPUT_BATCH: usize = 128;
 
@@ -106,51 +99,11 @@
     pub metrics: Arc<GatewayMetrics>,
 }
 
-/// An input of the control thread.
-pub(crate) enum Input {
-    /// A request from outside.
-    Request(ControlRequest),
-    /// This member opened a link to another member.
-    MemberLinkOpened(Name, Sender<FleetMessage>),
-    /// A link that this member opened has ended, or dialing failed.
-    MemberLinkClosed(Name),
-    /// Another instance opened a link.
-    LinkAccepted(u64, Name, Sender<FleetMessage>),
-    /// A link from another instance ended.
-    LinkClosed(u64),
-    /// A message, with the number of the link if another instance opened it.
-    Message(Option<u64>, Name, FleetMessage),
-    /// A probe of a server that was sent in this Raft term has finished.
-    ProbeFinished(Term, ProbeOutcome),
-    /// The promoting authority answered the order that was sent at this time.
-    PromotionAnswered { group: Arc<str>, server: Arc<str>, sent: Millis, outcome: PromotionOutcome },
-}
-
-impl ByteSize for Input {
-    fn byte_size(&self) -> usize {
-        let message = match self {
-            Input::Message(_, _, message) => message.byte_size(),
-            _ => 0,
-        };
-        SMALL_INPUT_BYTES + message
-    }
-}
-
 /// A proposal that is not committed yet.
 pub(crate) struct PendingProposal {
-    term: u64,
+    pub(crate) term: u64,
     proposed_at: Millis,
-    reply: Option<oneshot::Sender<ControlReply<()>>>,
-}
-
-/// Kinds of entries that a step has applied.
-#[derive(Debug, Default)]
-struct AppliedKinds {
-    any: bool,
-    /// Entries of the fleet were registered or removed.
-    entries: bool,
-    /// A promotion to order was recorded.
-    promotion: bool,
+    pub(crate) reply: Option<oneshot::Sender<ControlReply<()>>>,
 }
 
 /// State of the control thread.
@@ -175,12 +128,12 @@
     /// Links that this member opened; `None` while dialing.
     member_links: BTreeMap<Name, Option<Sender<FleetMessage>>>,
     dial: Arc<dyn Dial<FleetMessage>>,
-    proposals: BTreeMap<Index, PendingProposal>,
+    pub(crate) proposals: BTreeMap<Index, PendingProposal>,
     searched_at: Millis,
     stopping: bool,
     may_bootstrap: bool,
     /// Last index of the log at the start; changes up to it are replayed without logging them.
-    replayed_index: Index,
+    pub(crate) replayed_index: Index,
 }
 
 /// Runs a control member until it is told to stop.
@@ -359,7 +312,7 @@
         }
     }
 
-    fn send_member(&mut self, to: &Name, message: Agreement) {
+    pub(crate) fn send_member(&mut self, to: &Name, message: Agreement) {
         if let Some(Some(out)) = self.member_links.get(to.as_str()) {
             // Raft retransmits messages that a full link drops.
             let _ = out.try_send(FleetMessage::Member(message));
@@ -557,113 +510,4 @@
             });
         }
     }
-
-    /// Makes pending Raft changes durable, sends messages and applies committed entries.
-    fn persist_and_apply(&mut self) -> auburnlug_transport::Result<()> {
-        let now = self.now();
-        let before = self.fleet().plan.version;
-        let mut applied = AppliedKinds::default();
-        loop {
-            let work = self.member.step(now)?;
-            let more = work.more;
-            self.apply_work(work, &mut applied)?;
-            if !more {
-                break;
-            }
-        }
-        self.update_leadership();
-        if applied.any {
-            self.publish_fleet_changes(before);
-        }
-        if applied.entries {
-            self.handle_recorded_entries();
-        }
-        if applied.promotion {
-            self.monitor_groups(now);
-        }
-        Ok(())
-    }
-
-    fn apply_work(
-        &mut self,
-        work: Work,
-        applied: &mut AppliedKinds,
-    ) -> auburnlug_transport::Result<()> {
-        for (to, message) in work.messages {
-            self.send_member(&to, message);
-        }
-        if let Some(machine) = work.machine
-            && machine.index >= self.machine.index
-        {
-            self.machine = machine;
-            self.configs.store(&self.machine.fleet.plan);
-        }
-        if work.committed.is_empty() {
-            return Ok(());
-        }
-        applied.any = true;
-        applied.entries |= work.committed.iter().any(records_entries);
-        applied.promotion |= work.committed.iter().any(records_promotion);
-        for entry in work.committed {
-            self.apply_entry(entry);
-        }
-        self.member.compact(&self.machine)?;
-        self.metrics.config_version.set(self.fleet().plan.version);
-        Ok(())
-    }
-
-    fn apply_entry(&mut self, entry: Entry) {
-        let fresh = entry.index > self.replayed_index;
-        if let Payload::Members(members) = &entry.payload
-            && fresh
-        {
-            log(
-                Event::MembersChanged,
-                format_args!("voters={:?} learners={:?}", members.voters, members.learners),
-            );
-        }
-        let applied = match &entry.payload {
-            Payload::Command(command) => Some(self.machine.apply(entry.index, command)),
-            _ => {
-                self.machine.index = self.machine.index.max(entry.index);
-                None
-            }
-        };
-        self.configs.store(&self.machine.fleet.plan);
-        if let Payload::Command(Command::Fleet(change)) = &entry.payload
-            && fresh
-        {
-            log_applied(change, applied.as_ref());
-        }
-        if let Some(PendingProposal { term, reply: Some(reply), .. }) =
-            self.proposals.remove(&entry.index)
-        {
-            // An entry of another term at this index is not this proposal, whose outcome stays
-            // unknown, as does that of an entry on a single disk.
-            let is_safe = term == entry.term && !self.member.leads_alone();
-            let outcome = if is_safe { ControlReply::Done(()) } else { ControlReply::Unavailable };
-            let _ = reply.send(outcome);
-        }
-    }
-
-    fn update_leadership(&mut self) {
-        let leads = self.member.leads(self.now());
-        let is_lost =
-            |leader: &Leader| !self.member.leads_term() || leader.term != self.member.term();
-        let lost = self.leader.as_ref().is_some_and(is_lost);
-        if leads && self.leader.is_none() {
-            self.start_leading();
-        } else if lost && let Some(leader) = self.leader.take() {
-            log(Event::LeaderLost, format_args!("term={}", self.member.term()));
-            leader.lease.set_end(None);
-            for (_, proposal) in std::mem::take(&mut self.proposals) {
-                if let Some(reply) = proposal.reply {
-                    let _ = reply.send(ControlReply::Unavailable);
-                }
-            }
-        }
-        if let Some(leader) = &self.leader {
-            leader.lease.set_end(self.member.lease_end());
-        }
-    }
 }
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -11,7 +11,7 @@
 };
 use tokio::sync::mpsc;
 
-use crate::control::Input;
+use crate::control_input::Input;
 
 const MAX_PENDING_LINKS: usize = 1024;
 
--- a/crates/gateway/src/control_probe.rs
+++ b/crates/gateway/src/control_probe.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     connection::{Connection, Fault, Target},
-    control::{Control, Input},
+    control::Control,
+    control_input::Input,
     control_lead::Leader,
     leader_lease::{LeaderLease, Sending},
     wire::{ServerCall, ServerWire},
--- a/crates/gateway/src/control_promotion.rs
+++ b/crates/gateway/src/control_promotion.rs
@@ -9,8 +9,9 @@
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
-    control::{Control, Input},
+    control::Control,
     control_failover::LEAD_COMMIT_TIMEOUT_MS,
+    control_input::Input,
     wire::{PromotionOrder, PromotionOutcome},
 };
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod admission;
 pub mod connection;
 pub mod control;
+mod control_apply;
 pub mod control_configs;
 mod control_departures;
 mod control_failover;
 pub mod control_handle;
+mod control_input;
 mod control_lead;
 mod control_links;
 mod control_log;
--- a/crates/transport/src/control_member.rs
+++ b/crates/transport/src/control_member.rs
@@ -9,10 +9,11 @@
     redundancy::Redundancy,
 };
 use auburnlug_protocol::{decode, encode, peer::ControlMessage};
-use auburnlug_state::{Command, Index, Machine, Millis, Name, limits};
+use auburnlug_state::{Command, Index, Machine, Millis, Name};
 
 use crate::{
     Result,
+    compaction::{Compactor, Progress},
     control_metrics::ControlMetrics,
     disk::Disk,
     event::{Event, log},
@@ -20,14 +21,6 @@
     member_log::MemberLog,
 };
 
-/// Number of log entries after which a snapshot replaces them, if they are small: their number counts
-/// for the time of a start.
-const SNAPSHOT_INTERVAL_ENTRIES: u64 = 2_000;
-
-/// Part of the limit of the log that may be written before a compaction no longer waits for a step
-/// that stores nothing.
-const POSTPONED_LOG_DIVISOR: u64 = 8;
-
 /// Time after which a request to join expires unless it is repeated. A joining member repeats it
 /// every 200 ms; one that lost its disk again returns under another identity, and the request of
 /// the earlier identity is never repeated.
@@ -56,14 +49,7 @@
     reported_at: Millis,
     /// Disks that may be lost at once.
     losses: usize,
-    /// Index of the last snapshot.
-    snapshot_index: Index,
-    /// Bytes of the last snapshot.
-    snapshot_bytes: usize,
-    /// Bytes of the stored log that the last snapshot left, as far as entries that are not committed
-    /// may take them.
-    uncovered_bytes: u64,
-    compaction: Option<Compaction>,
+    compactor: Compactor,
     /// Whether the last step left committed entries.
     lags: bool,
     seed: u64,
@@ -84,21 +70,6 @@
     pub disk_losses: usize,
 }
 
-/// A snapshot that is replacing the log.
-struct Compaction {
-    snapshot: Snapshot,
-    /// Whether the disk has started to write it.
-    begun: bool,
-    /// Bytes written since the former snapshot when the last part was done.
-    written: u64,
-}
-
-impl Compaction {
-    fn new(snapshot: Snapshot, written: u64) -> Compaction {
-        Compaction { snapshot, begun: false, written }
-    }
-}
-
 enum State {
     /// Looks for the group.
     Searching(Bootstrap),
@@ -176,10 +147,7 @@
             alone_since: None,
             reported_at: 0,
             losses,
-            snapshot_index,
-            snapshot_bytes,
-            uncovered_bytes: 0,
-            compaction: None,
+            compactor: Compactor::new(snapshot_index, snapshot_bytes),
             lags: false,
             seed,
             timing,
@@ -477,71 +445,42 @@
     }
 
     /// Starts to replace old entries by a snapshot of `machine` once they are enough, by number or by
-    /// size. Later steps write it to the disk, one sync at a time.
+    /// size. Later steps write it to the disk.
     ///
     /// # Errors
     ///
     /// The state cannot be encoded.
     pub fn compact(&mut self, machine: &Machine) -> Result<()> {
-        let is_large = self.written_bytes() > limits::log_limit(self.snapshot_bytes) as u64;
-        let entries = machine.index.saturating_sub(self.snapshot_index);
-        // A snapshot of a part of what is committed would free a part of the log only.
-        let is_due =
-            !self.lags && entries > 0 && (is_large || entries >= SNAPSHOT_INTERVAL_ENTRIES);
         let State::Member(raft, _) = &self.state else { return Ok(()) };
-        if is_due && self.compaction.is_none() {
-            let snapshot = raft.snapshot(machine.index, encode(machine)?).ok();
-            let written = self.written_bytes();
-            self.compaction = snapshot.map(|snapshot| Compaction::new(snapshot, written));
+        let log_bytes = self.disk.log_bytes();
+        // A snapshot of a part of what is committed would free a part of the log only.
+        if !self.lags
+            && self.compactor.is_due(machine.index, log_bytes)
+            && let Ok(snapshot) = raft.snapshot(machine.index, encode(machine)?)
+        {
+            self.compactor.begin(snapshot, log_bytes);
         }
         Ok(())
     }
 
-    /// Does the next part of a compaction. Each takes a sync, and several in a row may exceed the
-    /// leader lease, so a step that has `stored` something leaves it to a later one, as long as the
-    /// log does not grow much meanwhile.
+    /// Does the next part of a compaction in a step that may have `stored` something.
     fn continue_compaction(&mut self, stored: bool) -> Result<()> {
-        let written = self.written_bytes();
-        let limit = limits::log_limit(self.snapshot_bytes) as u64;
-        let Some(compaction) = &mut self.compaction else { return Ok(()) };
-        if stored && written < compaction.written + limit / POSTPONED_LOG_DIVISOR {
-            return Ok(());
-        }
-        compaction.written = written;
-        let mut is_complete = false;
-        if compaction.begun {
-            is_complete = self.disk.continue_compaction()?;
-        } else if self.disk.begin_compaction(&compaction.snapshot)? {
-            compaction.begun = true;
-        } else {
-            self.compaction = None;
-            self.member_log.record_full_disk(self.disk.log_bytes());
-            return Ok(());
-        }
-        while !is_complete && written > 2 * limit {
-            is_complete = self.disk.continue_compaction()?;
-        }
-        if is_complete {
-            self.finish_compaction();
+        match self.compactor.advance(self.disk.as_mut(), stored)? {
+            Progress::Pending => {}
+            Progress::NoSpace => self.member_log.record_full_disk(self.disk.log_bytes()),
+            Progress::Complete(snapshot) => self.forget_covered(snapshot),
         }
         Ok(())
     }
 
-    /// Bytes of the log that were written since the last snapshot.
-    fn written_bytes(&self) -> u64 {
-        self.disk.log_bytes().saturating_sub(self.uncovered_bytes)
-    }
-
     /// Forgets the entries that a durable snapshot covers.
-    fn finish_compaction(&mut self) {
-        let Some(Compaction { snapshot, .. }) = self.compaction.take() else { return };
+    fn forget_covered(&mut self, snapshot: Snapshot) {
         let State::Member(raft, _) = &mut self.state else { return };
         let (index, bytes) = (snapshot.index, snapshot.data.len());
         // Refused if a snapshot of the leader has replaced the log meanwhile.
         if raft.compact(snapshot).is_ok() {
-            (self.snapshot_index, self.snapshot_bytes) = (index, bytes);
             let log_bytes = self.disk.log_bytes();
-            self.uncovered_bytes = log_bytes.min(limits::UNCOMMITTED_BYTES as u64);
+            self.compactor.record_snapshot(index, bytes, log_bytes);
             self.member_log.record_compaction(index, log_bytes, bytes);
         }
     }
@@ -648,15 +587,14 @@
         if ready.needs_sync() {
             self.disk.store(&ready)?;
             self.disk.sync()?;
-            self.member_log.record_stored(self.disk.log_bytes(), self.snapshot_bytes);
+            let snapshot_bytes = self.compactor.snapshot_bytes();
+            self.member_log.record_stored(self.disk.log_bytes(), snapshot_bytes);
         }
         let State::Member(raft, _) = &mut self.state else { return Ok(()) };
         raft.persisted();
         if let Some(snapshot) = &ready.snapshot {
-            (self.snapshot_index, self.snapshot_bytes) = (snapshot.index, snapshot.data.len());
-            self.uncovered_bytes = self.disk.log_bytes().min(limits::UNCOMMITTED_BYTES as u64);
-            // The disk has given up what it had written of an older one.
-            self.compaction = None;
+            let (bytes, log_bytes) = (snapshot.data.len(), self.disk.log_bytes());
+            self.compactor.record_snapshot(snapshot.index, bytes, log_bytes);
             work.machine = Some(decode(&snapshot.data)?);
             work.committed.clear();
         }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod byte_channel;
 mod caller;
 pub mod clock;
+mod compaction;
 mod connection_in_use;
 pub mod control;
 mod control_apply;
