Remove an unused size of boxed values

Cause: method calls reach the value in a box without it. Change: the implementation is gone; a comment of Raft::has_room says what it means by the only large command. No logic changes.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -311,7 +311,7 @@
     }
 
     /// Whether a command of `bytes` may be appended to what is not committed yet. Small commands
-    /// always may, as may one of any size that is the only one.
+    /// always may, as may a command of any size that is the only large one.
     pub fn has_room(&self, bytes: usize) -> bool {
         let uncommitted = self.uncommitted_bytes();
         bytes <= limits::SMALL_COMMAND_BYTES
--- a/crates/state/src/byte_size.rs
+++ b/crates/state/src/byte_size.rs
@@ -50,12 +50,6 @@
     }
 }
 
-impl<T: ByteSize + ?Sized> ByteSize for Box<T> {
-    fn byte_size(&self) -> usize {
-        (**self).byte_size()
-    }
-}
-
 impl<T: ByteSize + ?Sized> ByteSize for Arc<T> {
     fn byte_size(&self) -> usize {
         (**self).byte_size()
