Let the control leader's work grow with changes, not with servers times entries

A trial on a scratch copy (94 entries, 3 control members, 117 databases) showed 73 servers registered in the first 4 s: each registration was sent to all entries, and the leader looked through all servers for each group 40 times a second. By reading, heartbeats, questions to primaries and the choice of owners grow with servers as well.

- Updates to all entries that are not urgent go out together, 1 ms an entry apart, 300 ms at most.
- Servers are indexed by group; the owners of a server are chosen among the nearest entries only.
- Beyond 200 servers, heartbeats go to the other members, which answer those that change nothing.
- In fleets of more than 100 groups, primaries that answer entries are asked less often.

--- a/crates/coordination/src/connection_owners.rs
+++ b/crates/coordination/src/connection_owners.rs
@@ -44,37 +44,40 @@
 /// Among equally near ones the current owners stay, so that few connections move when an entry
 /// joins or leaves, unless they own more than their part of the servers. `regions` gives the
 /// region of each known failure domain.
-pub fn choose(
-    entries: &BTreeMap<Name, Location>,
+pub fn choose<'a>(
+    entries: &'a BTreeMap<Name, Location>,
     servers: &BTreeMap<Arc<str>, ServerLimit>,
     regions: &BTreeMap<Arc<str>, Arc<str>>,
     current: &BTreeMap<Arc<str>, ServerOwners>,
 ) -> BTreeMap<Arc<str>, ServerOwners> {
+    let places = Places::new(entries);
+    let mut local_servers: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+    for server in servers.values() {
+        *local_servers.entry(&server.domain).or_default() += 1;
+    }
     let mut chosen: BTreeMap<Arc<str>, Vec<Name>> = BTreeMap::new();
     for rank in 0..2 {
         // First and second owners are balanced separately, as the second ones are mostly idle.
-        let mut load: BTreeMap<&Name, usize> = entries.keys().map(|name| (name, 0)).collect();
+        let mut load: BTreeMap<&Name, usize> = BTreeMap::new();
         for (id, server) in servers {
             let names = chosen.entry(id.clone()).or_default();
-            let local_entries =
-                entries.values().filter(|location| location.domain == server.domain).count();
-            let local_servers =
-                servers.values().filter(|other| other.domain == server.domain).count();
-            let fair_part = local_servers.div_ceil(local_entries.max(1));
+            let local_entries = places.domains.get(&server.domain).map_or(0, Vec::len);
+            let servers_near = local_servers.get(&server.domain).copied().unwrap_or(0);
+            let fair_part = servers_near.div_ceil(local_entries.max(1));
             let former = current.get(id).and_then(|holders| holders.get(rank));
-            let region = regions.get(&server.domain);
-            let candidates = entries.iter().filter(|(name, _)| !names.contains(name));
-            let best = candidates.min_by_key(|(name, location)| {
+            let cost = |name: &Name| {
                 let owned = load.get(name).copied().unwrap_or(0);
-                let stays = former.is_some_and(|(former, _)| former == *name) && owned < fair_part;
-                let remote = location.domain != server.domain;
-                (remote, region != Some(&location.region), !stays, owned)
-            });
-            if let Some((name, _)) = best {
+                let stays = former.is_some_and(|(former, _)| former == name) && owned < fair_part;
+                (!stays, owned)
+            };
+            let best = |near: &Vec<&'a Name>| {
+                let free = near.iter().filter(|name| !names.contains(name));
+                free.min_by_key(|name| cost(name)).copied()
+            };
+            let near = places.near(&server.domain, regions.get(&server.domain));
+            if let Some(name) = near.into_iter().flatten().find_map(best) {
                 names.push(name.clone());
-                if let Some(owned) = load.get_mut(name) {
-                    *owned += 1;
-                }
+                *load.entry(name).or_default() += 1;
             }
         }
     }
@@ -85,6 +88,30 @@
     chosen.into_iter().map(divided).collect()
 }
 
+/// Entries by failure domain and by region.
+struct Places<'a> {
+    domains: BTreeMap<&'a Arc<str>, Vec<&'a Name>>,
+    regions: BTreeMap<&'a Arc<str>, Vec<&'a Name>>,
+    all: Vec<&'a Name>,
+}
+
+impl<'a> Places<'a> {
+    fn new(entries: &'a BTreeMap<Name, Location>) -> Places<'a> {
+        let (mut domains, mut regions) = (BTreeMap::new(), BTreeMap::new());
+        for (name, location) in entries {
+            domains.entry(&location.domain).or_insert_with(Vec::new).push(name);
+            regions.entry(&location.region).or_insert_with(Vec::new).push(name);
+        }
+        Places { domains, regions, all: entries.keys().collect() }
+    }
+
+    /// Entries in a failure domain, those in its region, and all, the nearest first.
+    fn near(&self, domain: &Arc<str>, region: Option<&Arc<str>>) -> [Option<&Vec<&'a Name>>; 3] {
+        let region = region.and_then(|region| self.regions.get(region));
+        [self.domains.get(domain), region, Some(&self.all)]
+    }
+}
+
 fn divide_connections(names: Vec<Name>, limit: u32) -> ServerOwners {
     let usable = limit.saturating_sub(RESERVED_CONNECTIONS).max(2);
     let first = if names.len() == 1 {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -35,7 +35,7 @@
 
 use crate::{
     control_configs::FleetConfigs,
-    control_handle::{ControlReply, ControlRequest, Heartbeat},
+    control_handle::{ControlReply, ControlRequest},
     control_input::Input,
     control_lead::Leader,
     control_links,
@@ -312,6 +312,11 @@
         }
     }
 
+    /// Whether a link to a control member is open.
+    pub(crate) fn has_member_link(&self, name: &Name) -> bool {
+        matches!(self.member_links.get(name.as_str()), Some(Some(_)))
+    }
+
     pub(crate) fn send_member(&mut self, to: &Name, message: Agreement) {
         if let Some(Some(out)) = self.member_links.get(to.as_str()) {
             // Raft retransmits messages that a full link drops.
@@ -334,10 +339,7 @@
                 let Some(reply) = self.require_leadership(reply) else { return };
                 let _ = reply.send(ControlReply::Done(self.fleet().document.clone()));
             }
-            ControlRequest::Heartbeat { beat, reply } => {
-                let Some(reply) = self.require_leadership(reply) else { return };
-                self.handle_heartbeat(*beat, reply);
-            }
+            ControlRequest::Heartbeat { beat, reply } => self.receive_heartbeat(*beat, reply),
             ControlRequest::RemoveServer { id, run, reply } => {
                 let Some(reply) = self.require_leadership(reply) else { return };
                 let recorded = self.fleet().backends.get(&id).map(|backend| backend.run);
@@ -355,7 +357,7 @@
     }
 
     /// Returns `reply` if this member leads; otherwise answers it with the leader, if known.
-    fn require_leadership<T>(
+    pub(crate) fn require_leadership<T>(
         &self,
         reply: oneshot::Sender<ControlReply<T>>,
     ) -> Option<oneshot::Sender<ControlReply<T>>> {
@@ -394,38 +396,6 @@
         );
     }
 
-    /// Records a server if it has changed; the heartbeat is answered once the change is committed.
-    fn handle_heartbeat(&mut self, beat: Heartbeat, reply: oneshot::Sender<ControlReply<()>>) {
-        let backend = &beat.backend;
-        let recorded = self.machine.fleet.backends.get(&backend.id);
-        let unchanged = recorded == Some(backend);
-        let outdated = recorded.is_some_and(|recorded| recorded.run > backend.run);
-        let now = self.now();
-        let fresh = self.leader.as_mut().is_some_and(|leader| leader.record_heartbeat(&beat, now));
-        if outdated || !fresh || unchanged {
-            let _ = reply.send(ControlReply::Done(()));
-        } else {
-            log(
-                Event::BackendChanged,
-                format_args!(
-                    "server={} group={} address={} domain={} draining={} run={} seq={} leads={}",
-                    backend.id,
-                    backend.group,
-                    backend.address,
-                    backend.domain,
-                    backend.draining,
-                    backend.run.0,
-                    beat.sequence,
-                    beat.claims_primary
-                ),
-            );
-            self.propose(FleetChange::Record(backend.clone()), Some(reply));
-        }
-        if fresh && beat.claims_primary {
-            self.check_primary_claim(&beat.backend);
-        }
-    }
-
     /// Proposes a change; `reply` is answered once the change is applied.
     pub(crate) fn propose(
         &mut self,
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -3,8 +3,11 @@
 
 use std::sync::Arc;
 
-use auburnlug_coordination::external_failover::{
-    Cause, Facts, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
+use auburnlug_coordination::{
+    external_failover::{
+        Cause, Facts, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
+    },
+    probe_pace::{look_interval, question_interval},
 };
 use auburnlug_protocol::fleet::PositionSample;
 use auburnlug_state::{
@@ -66,8 +69,7 @@
         }
         self.probe_unknown_primaries(now);
         self.drop_covered_departures();
-        let groups: Vec<_> = self.fleet().leads.clone().into_iter().collect();
-        for (group, lead) in groups {
+        for (group, lead) in self.groups_to_look_at(now) {
             self.cover_departures(&group, &lead, now);
             let Some(leader) = &self.leader else { return };
             if leader.failovers.contains_key(&group) {
@@ -86,6 +88,29 @@
         }
     }
 
+    /// Groups whose primary is being replaced, and all groups from time to time.
+    fn groups_to_look_at(&mut self, now: Millis) -> Vec<(Arc<str>, GroupPrimary)> {
+        let leads = &self.machine.fleet.leads;
+        let Some(leader) = &mut self.leader else { return Vec::new() };
+        let all = now >= leader.looked_at + look_interval(leads.len());
+        if all {
+            leader.looked_at = now;
+        }
+        let failovers = &leader.failovers;
+        let groups = leads.iter().filter(|(group, lead)| {
+            all || failovers.contains_key(*group) || lead.primary.is_none()
+        });
+        groups.map(|(group, lead)| (group.clone(), lead.clone())).collect()
+    }
+
+    /// Interval between two probes of a primary.
+    fn primary_probe_interval(&self, primary: &Arc<str>, now: Millis) -> Millis {
+        let Some(leader) = &self.leader else { return STATUS_POLL_INTERVAL_MS };
+        let reported = leader.reports.last_answer(primary);
+        let age = (reported > 0).then(|| leader.observation.at(now).saturating_sub(reported));
+        question_interval(self.fleet().leads.len(), age)
+    }
+
     /// Probes servers that report themselves as primary of a group without a recorded leader.
     fn probe_unknown_primaries(&mut self, now: Millis) {
         let Some(leader) = &self.leader else { return };
@@ -111,7 +136,7 @@
         primary: &Arc<str>,
         now: Millis,
     ) {
-        if self.is_probe_due(primary, STATUS_POLL_INTERVAL_MS, now) {
+        if self.is_probe_due(primary, self.primary_probe_interval(primary, now), now) {
             self.probe(primary, ProbeAction::Status);
         }
         let watch = self.observe_primary(group, lead.term, primary, now);
--- a/crates/gateway/src/control_handle.rs
+++ b/crates/gateway/src/control_handle.rs
@@ -23,6 +23,18 @@
     Busy,
 }
 
+impl<T> ControlReply<T> {
+    /// The reply with another value.
+    pub fn map<U>(self, change: impl FnOnce(T) -> U) -> ControlReply<U> {
+        match self {
+            ControlReply::Done(value) => ControlReply::Done(change(value)),
+            ControlReply::NotLeader(leader) => ControlReply::NotLeader(leader),
+            ControlReply::Unavailable => ControlReply::Unavailable,
+            ControlReply::Busy => ControlReply::Busy,
+        }
+    }
+}
+
 /// Heartbeat of a server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
@@ -55,8 +67,8 @@
     Heartbeat {
         /// Heartbeat.
         beat: Box<Heartbeat>,
-        /// Answer.
-        reply: oneshot::Sender<ControlReply<()>>,
+        /// Receives the control member that is to receive the server's next heartbeats.
+        reply: oneshot::Sender<ControlReply<Name>>,
     },
     /// Removes a server whose process has ended.
     RemoveServer {
@@ -121,8 +133,8 @@
         self.request(|reply| ControlRequest::ReadConfig { reply }).await
     }
 
-    /// Handles a heartbeat of a server.
-    pub async fn send_heartbeat(&self, beat: Heartbeat) -> ControlReply<()> {
+    /// Handles a heartbeat of a server; returns the control member that is to receive the next ones.
+    pub async fn send_heartbeat(&self, beat: Heartbeat) -> ControlReply<Name> {
         self.request(|reply| ControlRequest::Heartbeat { beat: Box::new(beat), reply }).await
     }
 
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -17,6 +17,7 @@
     },
     regional_limiters::{self, RegionalLimiters},
     server_reports::ServerReports,
+    update_pace::{self, UpdatePace},
 };
 use auburnlug_protocol::{
     fleet::{
@@ -83,6 +84,8 @@
     /// Groups whose primary stays although it should be replaced, with the time of the last log
     /// line.
     pub(crate) deferrals: BTreeMap<Arc<str>, Millis>,
+    /// Time of the last look at all groups.
+    pub(crate) looked_at: Millis,
     /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
@@ -105,6 +108,8 @@
     absent_since: BTreeMap<Name, Millis>,
     /// Index of the newest update.
     pub(crate) index: u64,
+    /// When the newest update is sent to all entries.
+    pace: UpdatePace,
     view: PublishedView,
     /// Encoded updates to the newest state, by the update index and the configuration version that
     /// an entry has.
@@ -166,6 +171,8 @@
     /// Whether the server reported itself as primary.
     pub(crate) claims_primary: bool,
     timed_out: bool,
+    /// Whether another control member is to receive the server's next heartbeats.
+    elsewhere: bool,
 }
 
 impl Leader {
@@ -216,8 +223,14 @@
         limiters
     }
 
-    /// Records a heartbeat; returns false if a later one has arrived already.
-    pub(crate) fn record_heartbeat(&mut self, beat: &Heartbeat, now: Millis) -> bool {
+    /// Records a heartbeat; returns false if a later one has arrived already. `elsewhere` tells that
+    /// another member is to receive the next ones.
+    pub(crate) fn record_heartbeat(
+        &mut self,
+        beat: &Heartbeat,
+        elsewhere: bool,
+        now: Millis,
+    ) -> bool {
         let (incarnation, sequence) = (beat.backend.run, beat.sequence);
         let known = self.heartbeats.get(&beat.backend.id);
         if known.is_some_and(|known| (known.incarnation, known.sequence) >= (incarnation, sequence))
@@ -230,6 +243,7 @@
             received_at: self.observation.at(now),
             claims_primary: beat.claims_primary,
             timed_out: false,
+            elsewhere,
         };
         self.heartbeats.insert(beat.backend.id.clone(), heartbeat);
         true
@@ -248,7 +262,7 @@
         );
         // Entries keep their connection owners and regional limiters until the first assignment.
         let mut view = PublishedView { members: 1, ..PublishedView::default() };
-        view.backends.replace(self.fleet().backends.clone(), 1);
+        view.backends.replace(self.fleet().backends.clone().into(), 1);
         view.leads.replace(lead_views(self.fleet()), 1);
         let assign_at =
             Some(now + if first { ASSIGNMENT_DEBOUNCE_MS } else { INITIAL_ASSIGNMENT_DELAY_MS });
@@ -267,6 +281,7 @@
             failovers: BTreeMap::new(),
             departures: BTreeMap::new(),
             deferrals: BTreeMap::new(),
+            looked_at: 0,
             unreplicated_since: BTreeMap::new(),
             connection_owners: BTreeMap::new(),
             regions: BTreeMap::new(),
@@ -279,6 +294,7 @@
             pending_entries: PendingEntries::new(),
             absent_since: BTreeMap::new(),
             index: 1,
+            pace: UpdatePace::default(),
             view,
             encoded_updates: BTreeMap::new(),
             encoded_index: 0,
@@ -485,16 +501,18 @@
         let fleet = &self.machine.fleet;
         let Some(leader) = &mut self.leader else { return };
         let next = leader.index + 1;
-        let backends = leader.view.backends.replace(fleet.backends.clone(), next);
+        let backends = leader.view.backends.replace(fleet.backends.clone().into(), next);
         let leads = leader.view.leads.replace(lead_views(fleet), next);
         if !backends.is_empty() {
             leader.reports.retain(|server| fleet.backends.contains_key(server));
         }
         if before != fleet.plan.version || !backends.is_empty() || !leads.is_empty() {
+            // Callers wait for another primary; the first one of a group comes with its servers.
+            let urgent = leads.iter().any(|group| leader.lead_index.contains_key(group));
             leader.lead_index.extend(leads.into_iter().map(|group| (group, next)));
             leader.index = next;
             self.schedule_assignment();
-            self.send_updates();
+            self.request_updates(urgent);
         }
     }
 
@@ -503,7 +521,8 @@
     pub(crate) fn schedule_assignment(&mut self) {
         let now = self.clock.now();
         if let Some(leader) = &mut self.leader {
-            leader.assign_at.get_or_insert(now + ASSIGNMENT_DEBOUNCE_MS);
+            let delay = ASSIGNMENT_DEBOUNCE_MS.max(update_pace::interval(leader.entries.len()));
+            leader.assign_at.get_or_insert(now + delay);
         }
     }
 
@@ -565,6 +584,23 @@
         let changed = leader.view.connection_owners.replace(views, next);
         if limiters_changed || !changed.is_empty() {
             leader.index = next;
+            self.request_updates(false);
+        }
+    }
+
+    /// Sends the newest update to all entries, at once if it is urgent or none was sent lately.
+    fn request_updates(&mut self, urgent: bool) {
+        let now = self.clock.now();
+        let Some(leader) = &mut self.leader else { return };
+        if leader.pace.request(leader.entries.len(), urgent, now) {
+            self.send_updates();
+        }
+    }
+
+    /// Sends updates that have waited for others.
+    fn send_due_updates(&mut self, now: Millis) {
+        let Some(leader) = &mut self.leader else { return };
+        if leader.pace.take_due(leader.entries.len(), now) {
             self.send_updates();
         }
     }
@@ -646,7 +682,7 @@
         let Some(leader) = &mut self.leader else { return };
         for (id, heartbeat) in &mut leader.heartbeats {
             let timeout_at = heartbeat.received_at + SERVER_HEARTBEAT_TIMEOUT_MS;
-            if !heartbeat.timed_out && observed >= timeout_at {
+            if !heartbeat.timed_out && !heartbeat.elsewhere && observed >= timeout_at {
                 heartbeat.timed_out = true;
                 log(
                     Event::BackendUnresponsive,
@@ -666,6 +702,7 @@
         if self.leader.as_ref().is_some_and(|l| l.assign_at.is_some_and(|at| now >= at)) {
             self.assign_connections();
         }
+        self.send_due_updates(now);
         self.monitor_groups(now);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod control_departures;
 mod control_failover;
 pub mod control_handle;
+mod control_heartbeat;
 mod control_input;
 mod control_lead;
 mod control_links;
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{Applied, Millis, Name, Position, Term, departures::Departures};
+use crate::{Applied, Millis, Name, Position, Term, backends::Backends, departures::Departures};
 
 /// Fleet configuration published by an operator.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -226,7 +226,7 @@
     /// Document of that configuration; empty before the first one.
     pub document: Arc<str>,
     /// Known servers.
-    pub backends: BTreeMap<Arc<str>, Backend>,
+    pub backends: Backends,
     /// Primaries of groups.
     pub leads: BTreeMap<Arc<str>, GroupPrimary>,
     /// Incarnations of the entries that may hold leases and rate shares.
@@ -307,7 +307,7 @@
         for departures in self.departures.values_mut() {
             departures.register(backend);
         }
-        self.backends.insert(backend.id.clone(), backend.clone());
+        self.backends.insert(backend.clone());
         Applied::Done
     }
 
@@ -323,7 +323,7 @@
     }
 
     /// Returns the servers of a group.
-    pub fn backends_of<'a>(&'a self, group: &'a str) -> impl Iterator<Item = &'a Backend> {
-        self.backends.values().filter(move |backend| &*backend.group == group)
+    pub fn backends_of(&self, group: &str) -> impl Iterator<Item = &Backend> {
+        self.backends.of_group(group)
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate does no I/O. Commands come from the replicated log, and all instances that apply the
 //! same commands in the same order have the same [`Machine`].
 
+pub mod backends;
 pub mod byte_size;
 pub mod bytes;
 mod command;
