--- a/crates/gateway/src/control_log.rs
+++ b/crates/gateway/src/control_log.rs
@@ -50,6 +50,9 @@
                 run.0, end.term, end.offset
             ),
         ),
+        FleetChange::Evacuate { domain, begin } => {
+            log(Event::EvacuationChanged, format_args!("domain={domain} begin={begin}"))
+        }
         FleetChange::Record(_) | FleetChange::Forget { .. } => {}
     }
 }
--- a/crates/state/src/byte_size.rs
+++ b/crates/state/src/byte_size.rs
@@ -97,6 +97,7 @@
                 FIELDS_BYTES + backend.id.len() + backend.group.len() + backend.domain.len()
             }
             FleetChange::Forget { id, .. } => FIELDS_BYTES + id.len(),
+            FleetChange::Evacuate { domain, .. } => FIELDS_BYTES + domain.len(),
             FleetChange::Cover { group, id, .. } => FIELDS_BYTES + group.len() + id.len(),
             FleetChange::Lead { group, lead, .. } => {
                 let names = lead.primary.iter().chain(&lead.former);
@@ -129,7 +130,9 @@
         let departed = self.departures.values().map(|left| 1 + left.pending.len()).sum::<usize>();
         let records = self.backends.len() + self.leads.len() + departed;
         let entries = incarnations_size(&self.entries);
-        self.plan.byte_size() + self.document.len() + records * FIELDS_BYTES + entries
+        let evacuations = self.evacuations.keys().map(|domain| domain.len() + FIELDS_BYTES);
+        let evacuations = evacuations.sum::<usize>();
+        self.plan.byte_size() + self.document.len() + records * FIELDS_BYTES + entries + evacuations
     }
 }
 
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -216,6 +216,14 @@
         /// Incarnations of entries that left.
         left: BTreeMap<Name, u64>,
     },
+    /// Starts or ends the evacuation of a failure domain. Members of versions without evacuations
+    /// cannot read it.
+    Evacuate {
+        /// Failure domain.
+        domain: Arc<str>,
+        /// Whether the evacuation starts.
+        begin: bool,
+    },
 }
 
 /// State of the fleet.
@@ -235,6 +243,9 @@
     /// Replicas that have left, by group.
     #[serde(default)]
     pub departures: BTreeMap<Arc<str>, Departures>,
+    /// Failure domains that were ever evacuated, and whether each one is now.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub evacuations: BTreeMap<Arc<str>, bool>,
 }
 
 impl Fleet {
@@ -281,6 +292,9 @@
                 self.entries.retain(|name, run| left.get(name) != Some(run));
                 self.entries.extend(joined.iter().map(|(name, run)| (name.clone(), *run)));
             }
+            FleetChange::Evacuate { domain, begin } => {
+                self.evacuations.insert(domain.clone(), *begin);
+            }
         }
         Applied::Done
     }
@@ -322,6 +336,17 @@
         }
     }
 
+    /// Returns whether a failure domain is evacuated.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuations.get(domain).copied().unwrap_or(false)
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuated_domains(&self) -> BTreeSet<Arc<str>> {
+        let evacuated = self.evacuations.iter().filter(|(_, evacuated)| **evacuated);
+        evacuated.map(|(domain, _)| domain.clone()).collect()
+    }
+
     /// Returns the servers of a group.
     pub fn backends_of<'a>(&'a self, group: &'a str) -> impl Iterator<Item = &'a Backend> {
         self.backends.values().filter(move |backend| &*backend.group == group)
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -214,3 +214,34 @@
     fleet.apply(&FleetChange::Forget { id: "p".into(), run: Incarnation(20) });
     assert!(fleet.departures.is_empty());
 }
+
+/// A restart of all control members loses an evacuation that is not part of the snapshot.
+#[test]
+fn evacuation_is_part_of_the_snapshot_until_it_is_taken_back() {
+    let mut machine = Machine::default();
+    let evacuate = |begin| Command::Fleet(FleetChange::Evacuate { domain: "d".into(), begin });
+    for (index, begin) in [(1, true), (2, true), (3, false)] {
+        machine.apply(index, &evacuate(begin));
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&machine, &mut bytes).unwrap();
+        let opened: Machine = ciborium::from_reader(&bytes[..]).unwrap();
+        assert_eq!(opened.fleet.is_evacuated("d"), begin);
+        assert_eq!(opened.fleet.evacuations.len(), 1);
+        assert!(!opened.fleet.is_evacuated("other"));
+    }
+}
+
+/// A snapshot of a version without evacuations has no such field, and a deployment that uses none
+/// writes none.
+#[test]
+fn snapshot_without_evacuations_has_the_former_format() {
+    let mut fleet = Fleet::default();
+    fleet.apply(&deploy(7, "seven"));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&fleet, &mut bytes).unwrap();
+    let value: ciborium::Value = ciborium::from_reader(&bytes[..]).unwrap();
+    let fields: Vec<_> = value.as_map().unwrap().iter().map(|(key, _)| key.as_text()).collect();
+    assert!(!fields.contains(&Some("evacuations")));
+    let opened: Fleet = ciborium::from_reader(&bytes[..]).unwrap();
+    assert_eq!(opened, fleet);
+}
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -133,6 +133,9 @@
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
     ConfigRead = 722, Info, "configuration read by an operator";
+    EvacuationChanged = 723, Info, "evacuation of a failure domain recorded";
+    EvacuationAcknowledged = 724, Info, "evacuation of a failure domain acknowledged";
+    EvacuationRefused = 725, Warn, "evacuation of a failure domain refused";
 }
 
 impl Event {
