Evacuate failure domains at the control leader and at entries

Operators start and end an evacuation at the control leader, which replicates it, sends it to the entries and acknowledges it once no entry with a lease may own connections to the domain without having applied it. Entries choose no server there, refuse queued jobs, and check again right before a statement is sent; an old view sends nothing. A primary there is handed over to a replica elsewhere.

--- a/crates/coordination/src/external_failover.rs
+++ b/crates/coordination/src/external_failover.rs
@@ -24,6 +24,8 @@
     Stalled,
     /// It answers as a replica.
     Demoted,
+    /// Its failure domain is evacuated.
+    Evacuated,
 }
 
 /// Status reported by a server.
@@ -42,6 +44,8 @@
 pub struct Member {
     /// Whether the server is draining.
     pub draining: bool,
+    /// Whether its failure domain is evacuated.
+    pub evacuated: bool,
     /// Whether the server has answered recently.
     pub reachable: bool,
     /// Latest status.
@@ -198,8 +202,14 @@
     let end = demoted.and_then(|(_, member)| member.status).map(|status| status.received);
     if let Some(position) = sufficient_position(facts, end) {
         let candidates = || replicas(facts).filter(|(_, m)| m.reachable && m.holds >= position);
-        let chosen = candidates().find(|(_, m)| !m.draining).or_else(|| candidates().next());
-        return chosen.map(|(id, _)| id.clone()).ok_or("a reachable replica");
+        let chosen = candidates().min_by_key(|(_, member)| (member.evacuated, member.draining));
+        let (id, member) = chosen.ok_or("a reachable replica")?;
+        // A replica elsewhere receives what the demoted primary still sends.
+        let may_catch_up = demoted.is_some() && facts.demoted_for < FORMER_REINSTATE_DELAY_MS;
+        if member.evacuated && may_catch_up && replicas(facts).any(|(_, m)| is_elsewhere(m)) {
+            return Err("a replica outside the evacuated domains");
+        }
+        return Ok(id.clone());
     }
     match demoted {
         Some((id, member))
@@ -211,6 +221,11 @@
     }
 }
 
+/// Whether a server can take over from one in an evacuated domain.
+fn is_elsewhere(member: &Member) -> bool {
+    member.reachable && !member.evacuated
+}
+
 /// Position that a reachable replica has reached and that covers every acknowledged commit. `end`
 /// is the end of the former primary's log, if it is known.
 fn sufficient_position(facts: &Facts, end: Option<Position>) -> Option<Position> {
@@ -235,7 +250,13 @@
 pub fn can_replace(facts: &Facts) -> bool {
     let present = facts.former.as_ref().and_then(|id| facts.members.get(id));
     let end = present.and_then(|member| member.status).map(|status| status.received);
-    end.is_none() || sufficient_position(facts, end).is_some()
+    let position = sufficient_position(facts, end);
+    if facts.cause == Cause::Evacuated {
+        let can_lead =
+            |end: Position| replicas(facts).any(|(_, m)| is_elsewhere(m) && m.holds >= end);
+        return position.is_some_and(can_lead);
+    }
+    end.is_none() || position.is_some()
 }
 
 /// Observations of the current primary.
@@ -243,6 +264,8 @@
 pub struct Watch {
     /// Whether the primary has announced that it is shutting down.
     pub draining: bool,
+    /// Whether its failure domain is evacuated and a server elsewhere could lead.
+    pub evacuated: bool,
     /// Whether the primary reports that it is a replica, in its term or a later one.
     pub demoted: bool,
     /// Time since the primary last answered anyone, in milliseconds.
@@ -300,6 +323,9 @@
     if watch.draining {
         return Some(Cause::Leaving);
     }
+    if watch.evacuated {
+        return Some(Cause::Evacuated);
+    }
     (watch.stalled >= MIN_STALLED_COMMITS && watch.apart >= REPLICATION_LAG_TIMEOUT_MS)
         .then_some(Cause::Stalled)
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 pub mod entry_leases;
 mod error;
+pub mod evacuation;
 pub mod external_failover;
 pub mod failover;
 mod failover_step;
--- a/crates/coordination/tests/external_failover.rs
+++ b/crates/coordination/tests/external_failover.rs
@@ -13,7 +13,8 @@
 fn member(fenced: u64, received: u64) -> Member {
     let received = Position { term: 3, offset: received };
     let status = Some(Status { leads: false, term: 3, received });
-    Member { draining: false, reachable: true, status, settled: true, holds: received, fenced }
+    let (reachable, settled, holds) = (true, true, received);
+    Member { reachable, status, settled, holds, fenced, ..Member::default() }
 }
 
 fn unreachable() -> Member {
--- a/crates/coordination/tests/external_failover_model.rs
+++ b/crates/coordination/tests/external_failover_model.rs
@@ -433,6 +433,7 @@
             let since = fenced_at.into_iter().chain(settled_at).min();
             let member = Member {
                 draining: backend.draining,
+                evacuated: false,
                 reachable: m.answered > 0 && self.now < m.answered + REACHABLE_TIMEOUT_MS,
                 status: m.status.map(|(status, _)| status),
                 settled: m
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -62,7 +62,7 @@
 
 /// Time after which a proposal that is not committed is answered with
 /// [`ControlReply::Unavailable`]. Callers wait for one second.
-const PROPOSAL_TIMEOUT_MS: Millis = 1_500;
+pub(crate) const PROPOSAL_TIMEOUT_MS: Millis = 1_500;
 
 /// Inputs that wait for the control thread; large ones are bounded by [`limits::INPUT_QUEUE_BYTES`].
 const MAX_QUEUED_INPUTS: usize = 1024;
@@ -349,6 +349,14 @@
                     _ => drop(reply.send(ControlReply::Done(()))),
                 }
             }
+            ControlRequest::Evacuate { domain, begin, reply } => {
+                let Some(reply) = self.require_leadership(reply) else { return };
+                self.handle_evacuation(domain, begin, reply);
+            }
+            ControlRequest::ListEvacuations { reply } => {
+                let Some(reply) = self.require_leadership(reply) else { return };
+                let _ = reply.send(ControlReply::Done(self.fleet().evacuated_domains()));
+            }
             ControlRequest::Seeds(names) => self.seeds = names,
             ControlRequest::Stop => self.stopping = true,
         }
--- a/crates/gateway/src/control_apply.rs
+++ b/crates/gateway/src/control_apply.rs
@@ -2,7 +2,7 @@
 //! the leadership.
 
 use auburnlug_coordination::raft::{Entry, Payload};
-use auburnlug_state::Command;
+use auburnlug_state::{Command, fleet::FleetChange};
 use auburnlug_transport::{
     control_member::Work,
     event::{Event, log},
@@ -109,8 +109,19 @@
             // An entry of another term at this index is not this proposal, whose outcome stays
             // unknown, as does that of an entry on a single disk.
             let is_safe = term == entry.term && !self.member.leads_alone();
-            let outcome = if is_safe { ControlReply::Done(()) } else { ControlReply::Unavailable };
-            let _ = reply.send(outcome);
+            let begun = match &entry.payload {
+                Payload::Command(Command::Fleet(FleetChange::Evacuate { domain, begin: true })) => {
+                    Some(domain)
+                }
+                _ => None,
+            };
+            match (begun, &mut self.leader) {
+                (Some(domain), Some(leader)) if is_safe => {
+                    leader.wait_for_evacuation(domain, reply, self.clock.now());
+                }
+                (None, _) if is_safe => drop(reply.send(ControlReply::Done(()))),
+                _ => drop(reply.send(ControlReply::Unavailable)),
+            }
         }
     }
 
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use auburnlug_coordination::external_failover::{
-    Cause, Facts, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
+    Cause, Facts, Member, Ordered, Status, Step, Watch, can_replace, next_step, replacement_cause,
 };
 use auburnlug_protocol::fleet::PositionSample;
 use auburnlug_state::{
@@ -115,7 +115,7 @@
             self.probe(primary, ProbeAction::Status);
         }
         let watch = self.observe_primary(group, lead.term, primary, now);
-        if watch.stalled > 0 || watch.draining || watch.demoted {
+        if watch.stalled > 0 || watch.draining || watch.evacuated || watch.demoted {
             let ids: Vec<_> = self.fleet().backends_of(group).map(|b| b.id.clone()).collect();
             for id in ids {
                 if self.is_probe_due(&id, STATUS_POLL_INTERVAL_MS, now) {
@@ -223,6 +223,7 @@
         let is_replica = |(status, _): (Status, Millis)| !status.leads && status.term >= term;
         Watch {
             draining,
+            evacuated: self.can_evacuate(group, primary),
             demoted: monitor.and_then(|m| m.last_status).is_some_and(is_replica),
             silent: observed.saturating_sub(last),
             refused: monitor.map_or(0, |m| m.refusals),
@@ -235,6 +236,15 @@
         }
     }
 
+    /// Whether the failure domain of a primary is evacuated and another server that is not draining
+    /// is elsewhere.
+    fn can_evacuate(&self, group: &str, primary: &str) -> bool {
+        let fleet = self.fleet();
+        let is_evacuated = |backend: &Backend| fleet.is_evacuated(&backend.domain);
+        fleet.backends.get(primary).is_some_and(is_evacuated)
+            && fleet.backends_of(group).any(|b| !b.draining && !is_evacuated(b))
+    }
+
     /// Positions that the present primaries reported after `since`, with their age. With all of
     /// them, an entry finds for each accepted age a position that replicas have probably applied.
     pub(crate) fn positions(&self, since: Millis, now: Millis) -> Vec<PositionSample> {
@@ -409,7 +419,8 @@
         let member = |backend: &Backend| {
             let monitor = leader.monitors.get(&backend.id).filter(|m| m.run == backend.run);
             let member = monitor.map(|m| m.member(backend, lead.term, settled_at, observed));
-            (backend.id.clone(), member.unwrap_or_default())
+            let evacuated = self.fleet().is_evacuated(&backend.domain);
+            (backend.id.clone(), Member { evacuated, ..member.unwrap_or_default() })
         };
         let members = self.fleet().backends_of(group).map(member).collect();
         let published = leader.lead_index.get(group).copied().unwrap_or(leader.index);
--- a/crates/gateway/src/control_handle.rs
+++ b/crates/gateway/src/control_handle.rs
@@ -1,6 +1,6 @@
 //! Requests of operators and servers to a control member.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use auburnlug_state::{
     Name,
@@ -21,6 +21,8 @@
     Unavailable,
     /// The request was not carried out, as earlier ones take all the room.
     Busy,
+    /// The request was not carried out: it names a failure domain that is not known.
+    UnknownDomain,
 }
 
 /// Heartbeat of a server.
@@ -67,8 +69,22 @@
         /// Answer.
         reply: oneshot::Sender<ControlReply<()>>,
     },
+    /// Starts or ends the evacuation of a failure domain.
+    Evacuate {
+        /// Failure domain.
+        domain: Arc<str>,
+        /// Whether the evacuation starts.
+        begin: bool,
+        /// Answer.
+        reply: oneshot::Sender<ControlReply<()>>,
+    },
+    /// Lists the evacuated failure domains.
+    ListEvacuations {
+        /// Receives the domains.
+        reply: oneshot::Sender<ControlReply<BTreeSet<Arc<str>>>>,
+    },
     /// Replaces the control members from the settings.
-    Seeds(std::collections::BTreeSet<Name>),
+    Seeds(BTreeSet<Name>),
     /// Stops the control thread.
     Stop,
 }
@@ -131,6 +147,16 @@
         self.request(|reply| ControlRequest::RemoveServer { id, run, reply }).await
     }
 
+    /// Starts or ends the evacuation of a failure domain.
+    pub async fn evacuate(&self, domain: Arc<str>, begin: bool) -> ControlReply<()> {
+        self.request(|reply| ControlRequest::Evacuate { domain, begin, reply }).await
+    }
+
+    /// Lists the evacuated failure domains.
+    pub async fn list_evacuations(&self) -> ControlReply<BTreeSet<Arc<str>>> {
+        self.request(|reply| ControlRequest::ListEvacuations { reply }).await
+    }
+
     /// Sends a request that has no answer.
     pub async fn send(&self, ask: ControlRequest) {
         // The send fails only after the control thread has ended; the request is obsolete then.
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -34,12 +34,13 @@
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
-    control::Control, control_departures::DepartureWatch, control_failover::ExternalFailover,
-    control_handle::Heartbeat, control_probe::ServerMonitor, leader_lease::LeaderLease,
+    control::Control, control_departures::DepartureWatch, control_evacuation::EvacuationWait,
+    control_failover::ExternalFailover, control_handle::Heartbeat, control_probe::ServerMonitor,
+    leader_lease::LeaderLease,
 };
 
 /// Time without a renewal after which an entry is removed.
-const ENTRY_EXPIRY_MS: Millis = 3_500;
+pub(crate) const ENTRY_EXPIRY_MS: Millis = 3_500;
 
 /// Time without a renewal after which an entry is assigned no connections: three missed renewals.
 const RENEWAL_TIMEOUT_MS: Millis = 1_500;
@@ -83,6 +84,8 @@
     /// Groups whose primary stays although it should be replaced, with the time of the last log
     /// line.
     pub(crate) deferrals: BTreeMap<Arc<str>, Millis>,
+    /// Requests for evacuations that are not acknowledged.
+    pub(crate) evacuation_waits: Vec<EvacuationWait>,
     /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
@@ -124,6 +127,10 @@
     regional_limiters: ChangeTracker<BTreeSet<Name>>,
     /// Index of the update in which the control members changed.
     members: u64,
+    /// Evacuated failure domains.
+    evacuated: BTreeSet<Arc<str>>,
+    /// Index of the update in which they changed; 0 if they never did.
+    evacuated_index: u64,
 }
 
 /// An entry that renews its lease with this leader.
@@ -216,6 +223,17 @@
         limiters
     }
 
+    /// Index of the update in which the evacuated failure domains last changed.
+    pub(crate) fn evacuated_index(&self) -> u64 {
+        self.view.evacuated_index
+    }
+
+    /// Whether an entry in a failure domain has renewed its lease with this leader.
+    pub(crate) fn has_seen_domain(&self, domain: &str) -> bool {
+        self.regions.contains_key(domain)
+            || self.entries.values().any(|entry| *entry.location.domain == *domain)
+    }
+
     /// Records a heartbeat; returns false if a later one has arrived already.
     pub(crate) fn record_heartbeat(&mut self, beat: &Heartbeat, now: Millis) -> bool {
         let (incarnation, sequence) = (beat.backend.run, beat.sequence);
@@ -250,6 +268,9 @@
         let mut view = PublishedView { members: 1, ..PublishedView::default() };
         view.backends.replace(self.fleet().backends.clone(), 1);
         view.leads.replace(lead_views(self.fleet()), 1);
+        view.evacuated = self.fleet().evacuated_domains();
+        view.evacuated_index = u64::from(!view.evacuated.is_empty());
+        self.metrics.evacuated_domains.set(view.evacuated.len() as i64);
         let assign_at =
             Some(now + if first { ASSIGNMENT_DEBOUNCE_MS } else { INITIAL_ASSIGNMENT_DELAY_MS });
         let lead_index = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
@@ -267,6 +288,7 @@
             failovers: BTreeMap::new(),
             departures: BTreeMap::new(),
             deferrals: BTreeMap::new(),
+            evacuation_waits: Vec::new(),
             unreplicated_since: BTreeMap::new(),
             connection_owners: BTreeMap::new(),
             regions: BTreeMap::new(),
@@ -487,10 +509,17 @@
         let next = leader.index + 1;
         let backends = leader.view.backends.replace(fleet.backends.clone(), next);
         let leads = leader.view.leads.replace(lead_views(fleet), next);
+        let evacuated = fleet.evacuated_domains();
+        let evacuations_changed = leader.view.evacuated != evacuated;
+        if evacuations_changed {
+            self.metrics.evacuated_domains.set(evacuated.len() as i64);
+            (leader.view.evacuated, leader.view.evacuated_index) = (evacuated, next);
+        }
         if !backends.is_empty() {
             leader.reports.retain(|server| fleet.backends.contains_key(server));
         }
-        if before != fleet.plan.version || !backends.is_empty() || !leads.is_empty() {
+        let changed = !backends.is_empty() || !leads.is_empty() || evacuations_changed;
+        if before != fleet.plan.version || changed {
             leader.lead_index.extend(leads.into_iter().map(|group| (group, next)));
             leader.index = next;
             self.schedule_assignment();
@@ -609,6 +638,7 @@
             holders: view.connection_owners.since(sent),
             delegates: view.regional_limiters.since(sent),
             members: (view.members > sent).then(|| leader.members.iter().cloned().collect()),
+            evacuated: (view.evacuated_index > sent).then(|| view.evacuated.clone()),
         };
         match Packed::new(&update) {
             Ok(packed) => {
@@ -666,6 +696,7 @@
         if self.leader.as_ref().is_some_and(|l| l.assign_at.is_some_and(|at| now >= at)) {
             self.assign_connections();
         }
+        self.answer_evacuations(now);
         self.monitor_groups(now);
     }
 }
--- a/crates/gateway/src/control_probe.rs
+++ b/crates/gateway/src/control_probe.rs
@@ -94,6 +94,7 @@
         let is_settled = |(_, asked): (Status, Millis)| since.is_some_and(|since| asked >= since);
         Member {
             draining: backend.draining,
+            evacuated: false,
             reachable: answered && self.refusals == 0,
             status: self.last_status.map(|(status, _)| status),
             settled: self.last_status.is_some_and(is_settled),
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -345,7 +345,8 @@
                         return true;
                     }
                 };
-                let leads = update.leads.is_some();
+                // The control leader waits for the entries that apply these changes.
+                let awaited = update.leads.is_some() || update.evacuated.is_some();
                 if self.local.apply_update(update) {
                     let view = self.local.view();
                     self.local.metrics.config_version.set(view.config.version);
@@ -353,7 +354,7 @@
                     self.relay.open_links();
                     self.router.apply_view(&view);
                     self.update_readiness();
-                    return leads;
+                    return awaited;
                 }
                 return self.local.needs_full_update();
             }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -79,6 +79,8 @@
     TimedOutUnsent,
     /// The server may not be used as the primary any more; nothing was sent.
     NotPrimary,
+    /// The failure domain of the server is evacuated, or may be; the statement was not sent.
+    Evacuated,
     /// The deadline passed while the connection was being opened.
     ConnectPending(JoinHandle<Result<Connection, Fault>>),
     /// The connection broke after the statement was sent.
@@ -124,6 +126,13 @@
                 let reason = "this entry has no lease on the primary";
                 (with_server_name(Answer::error(ErrorCode::ReadOnly, reason), job), None)
             }
+            Attempt::Evacuated => {
+                if job.step != TransactionStep::Single {
+                    permit.close_connection();
+                }
+                let reason = "the server may be evacuated";
+                (with_server_name(Answer::error(ErrorCode::Unreachable, reason), job), None)
+            }
             Attempt::ConnectPending(opening) => {
                 finish_connect(permit, opening);
                 (
@@ -190,6 +199,11 @@
                 let reason = "this entry has no lease on the primary";
                 (with_server_name(Answer::error(ErrorCode::Aborted, reason), job), None)
             }
+            Attempt::Evacuated => {
+                permit.close_connection();
+                let reason = "the server may be evacuated";
+                (with_server_name(Answer::error(ErrorCode::Aborted, reason), job), None)
+            }
             Attempt::TimedOutUnsent | Attempt::ConnectPending(_) => {
                 permit.close_connection();
                 (lost(), None)
@@ -226,6 +240,11 @@
     /// Rolls back a transaction and returns its connection to the pool.
     pub fn roll_back(&self, mut pin: PinnedTransaction) {
         let Some(mut permit) = pin.permit.take() else { return };
+        if !self.local.may_send(&permit.target.server, true) {
+            // The server rolls the transaction back when its connection is closed.
+            permit.close_connection();
+            return;
+        }
         spawn_local(async move {
             let Some(mut connection) = permit.connection.take() else { return };
             let reply = timeout(ROLLBACK_TIMEOUT, connection.call(&ServerCall::Rollback)).await;
@@ -283,6 +302,15 @@
         permit.unwrap_or_else(|_| Err(NoSlot::TimedOut(self.pool.describe(&job.server))))
     }
 
+    /// Whether a job may be sent as far as evacuations are concerned; counts a refusal.
+    fn may_send(&self, job: &Job, open: bool) -> bool {
+        let may_send = self.local.may_send(&job.server, open);
+        if !may_send {
+            self.local.metrics.evacuation_refusals.inc();
+        }
+        may_send
+    }
+
     /// Opens a connection if needed, prepares its session and sends the statement, if this entry
     /// may use the server as the primary or `needs_lease` is false.
     async fn try_statement(
@@ -292,6 +320,10 @@
         needs_lease: bool,
         until: Instant,
     ) -> Attempt {
+        let open = job.step == TransactionStep::Next;
+        if !self.may_send(job, open) {
+            return Attempt::Evacuated;
+        }
         let connection = match permit.connection.take() {
             Some(connection) => connection,
             None => {
@@ -311,13 +343,15 @@
             StatementText::Plain(_) => None,
             StatementText::Prepared { shape, .. } => Some(shape),
         };
-        let open = job.step == TransactionStep::Next;
         let name = match timeout_at(until, connection.apply_session(&job.values, shape, open)).await
         {
             Ok(Ok(name)) => name,
             Ok(Err(fault)) => return Attempt::NotSent(fault),
             Err(_) => return Attempt::TimedOutUnsent,
         };
+        if !self.may_send(job, open) {
+            return Attempt::Evacuated;
+        }
         // The job may have waited since the server was chosen, and another primary may lead by now.
         if needs_lease && !self.local.is_leased_primary(&job.group, &job.server) {
             return Attempt::NotPrimary;
@@ -331,6 +365,9 @@
                 Ok(Err(fault)) => return Attempt::NotSent(fault),
                 Err(_) => return Attempt::TimedOutUnsent,
             }
+            if !self.may_send(job, true) {
+                return Attempt::Evacuated;
+            }
         }
         let call = match (&job.text, &name) {
             (StatementText::Prepared { arguments, .. }, Some(name)) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod control_apply;
 pub mod control_configs;
 mod control_departures;
+mod control_evacuation;
 mod control_failover;
 pub mod control_handle;
 mod control_input;
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -2,12 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
 use auburnlug_coordination::{
+    evacuation::{Evacuations, Server, is_group_evacuated, is_view_recent},
     leader_silence::LeaderSilence,
     rate_share::{ShareBucket, ShareGrant},
     regional_limiters::{self, RegionalLimiters},
@@ -68,9 +69,23 @@
     pub regional_limiters: RegionalLimiters,
     /// Control members.
     pub members: Vec<Name>,
+    /// Evacuated failure domains.
+    pub evacuated: BTreeSet<Arc<str>>,
 }
 
 impl View {
+    /// Whether the failure domain of a server is evacuated.
+    pub fn is_evacuated(&self, server: &Backend) -> bool {
+        self.evacuated.contains(&server.domain)
+    }
+
+    /// Whether no server of a group may run statements because of evacuations.
+    pub fn is_group_evacuated(&self, group: &str) -> bool {
+        let servers = self.backends.values().filter(|backend| &*backend.group == group);
+        let servers = servers.map(|b| Server { domain: &b.domain, draining: b.draining });
+        !self.evacuated.is_empty() && is_group_evacuated(servers, &self.evacuated)
+    }
+
     /// Whether an entry owns connections to a server.
     pub fn has_connection_owner(&self, server: &str) -> bool {
         self.connection_owners.get(server).is_some_and(|owners| !owners.is_empty())
@@ -115,6 +130,9 @@
     lease: Cell<(Millis, u64)>,
     /// Sending time of the last renewal that was granted.
     last_granted: Cell<Millis>,
+    /// Sending time of the last renewal whose grant the view covers.
+    confirmed: Cell<Millis>,
+    evacuations: RefCell<Evacuations>,
     silence: RefCell<LeaderSilence>,
     /// Whether the last update could not be decoded or applied to the view.
     update_rejected: Cell<bool>,
@@ -138,7 +156,8 @@
         clock: Arc<dyn Clock>,
         metrics: Arc<GatewayMetrics>,
     ) -> LocalState {
-        let silence = RefCell::new(LeaderSilence::new(clock.now()));
+        let clock_start = clock.now();
+        let silence = RefCell::new(LeaderSilence::new(clock_start));
         LocalState {
             me,
             clock,
@@ -148,6 +167,8 @@
             view: RefCell::default(),
             lease: Cell::default(),
             last_granted: Cell::default(),
+            confirmed: Cell::new(clock_start),
+            evacuations: RefCell::default(),
             silence,
             update_rejected: Cell::default(),
             buckets: RefCell::default(),
@@ -187,6 +208,18 @@
         self.now() < until && self.view.borrow().index >= index
     }
 
+    /// Whether a statement may be sent to a server as far as evacuations are concerned; `open` tells
+    /// whether it belongs to an open transaction.
+    pub fn may_send(&self, server: &str, open: bool) -> bool {
+        let now = self.now();
+        if !is_view_recent(self.confirmed.get(), now) {
+            return false;
+        }
+        let view = self.view.borrow();
+        let domain = view.backends.get(server).map(|backend| &*backend.domain);
+        self.evacuations.borrow().may_send(domain, open, now)
+    }
+
     /// Whether a server is the primary of its group and may be used under the lease.
     pub fn is_leased_primary(&self, group: &str, server: &str) -> bool {
         let primary = |view: &View| {
@@ -213,6 +246,7 @@
         };
         self.update_rejected.set(false);
         self.record_leader_sign();
+        let leased = self.holds_lease();
         let mut view = View::clone(&before);
         if update.term > view.term {
             // The lease of the former leader does not cover decisions of the new one.
@@ -240,6 +274,12 @@
         if let Some(members) = update.members {
             view.members = members;
         }
+        // Complete parts name the evacuated domains, if there are any.
+        let cleared = (update.since == 0).then(BTreeSet::new);
+        if let Some(evacuated) = update.evacuated.or(cleared) {
+            self.evacuations.borrow_mut().replace(&evacuated, leased, self.now());
+            view.evacuated = evacuated;
+        }
         log_changes(&before, &view);
         *self.view.borrow_mut() = Arc::new(view);
         true
@@ -287,6 +327,9 @@
     pub fn apply_grant(&self, grant: &FleetGrant) {
         self.lease.set((grant.sent + grant.duration, grant.index));
         self.last_granted.set(self.last_granted.get().max(grant.sent));
+        if self.view.borrow().index >= grant.index {
+            self.confirmed.set(self.confirmed.get().max(grant.sent));
+        }
         self.record_leader_sign();
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
@@ -561,6 +604,15 @@
             ),
         );
     }
+    if before.evacuated != after.evacuated {
+        log(
+            Event::ViewChanged,
+            format_args!(
+                "what=evacuations domains={:?} index={} term={}",
+                after.evacuated, after.index, after.term
+            ),
+        );
+    }
     for (group, lead) in &after.leads {
         if before.leads.get(group) != Some(lead) {
             log(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,10 @@
     pub promotion_orders: Counter,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64, AtomicU64>,
+    /// Evacuated failure domains, at the control leader.
+    pub evacuated_domains: Gauge,
+    /// Statements refused because of evacuations.
+    pub evacuation_refusals: Counter,
     /// Membership of the control group.
     pub control: ControlMetrics,
 }
@@ -62,6 +66,8 @@
             slot_wait: Histogram::new(LATENCY_BUCKETS_SECONDS),
             promotion_orders: Counter::default(),
             config_version: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuation_refusals: Counter::default(),
             control: ControlMetrics::default(),
             registry: Registry::default(),
         };
@@ -79,6 +85,16 @@
         registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
         registry.register("promotions", "Orders of promotion", metrics.promotion_orders.clone());
         registry.register("config_version", "Configuration", metrics.config_version.clone());
+        registry.register(
+            "evacuated_domains",
+            "Evacuated failure domains",
+            metrics.evacuated_domains.clone(),
+        );
+        registry.register(
+            "evacuation_refusals",
+            "Statements refused because of evacuations",
+            metrics.evacuation_refusals.clone(),
+        );
         metrics.control.register(&mut registry);
         GatewayMetrics { registry, ..metrics }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -54,7 +54,8 @@
 /// Reason why a job gets no slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NoSlot {
-    /// This entry owns no connections to the server, or the server cannot be reached.
+    /// This entry owns no connections to the server, or the server cannot be reached or is
+    /// evacuated.
     Unreachable,
     /// The queue is too long: the expected wait in milliseconds, and a description of the queue.
     QueueFull(Millis, String),
@@ -85,6 +86,8 @@
     /// no more are opened.
     accepted: Option<(u32, Millis)>,
     draining: bool,
+    /// Whether the failure domain is evacuated, so that no new jobs run.
+    evacuated: bool,
     waiters: SlotQueue<Waiter>,
     /// Idle connections, the most recently used one last.
     idle_connections: Vec<Connection>,
@@ -137,8 +140,9 @@
                 let Some(server) = servers.get_mut(&backend.id) else { continue };
                 server.connection_limit = owned_connections(view, &backend.id, &self.local.me.name);
                 server.draining = backend.draining;
-                if server.connection_limit == 0 {
-                    // Other entries own the connections now; waiting jobs fail over to them.
+                server.evacuated = view.is_evacuated(backend);
+                if !server.accepts_jobs() {
+                    // Other entries own the connections now, or other servers must run the jobs.
                     waiting.push(std::mem::take(&mut server.waiters));
                 }
                 while server.open_count > server.connection_limit
@@ -165,8 +169,7 @@
         let (id, now) = (request.server.clone(), self.local.now());
         {
             let mut servers = self.servers.borrow_mut();
-            let Some(server) = servers.get_mut(&id).filter(|server| server.connection_limit > 0)
-            else {
+            let Some(server) = servers.get_mut(&id).filter(|server| server.accepts_jobs()) else {
                 return Err(NoSlot::Unreachable);
             };
             if now < server.paused_until && server.failures > 1 {
@@ -188,14 +191,14 @@
         self.dispatch(&id);
         match receiver.await {
             Ok(permit) => Ok(permit),
-            Err(_) if !self.owns_connections(&id) => Err(NoSlot::Unreachable),
+            Err(_) if !self.accepts_jobs(&id) => Err(NoSlot::Unreachable),
             Err(_) => Err(NoSlot::TimedOut(self.describe(&id))),
         }
     }
 
-    /// Whether this entry owns connections to a server.
-    fn owns_connections(&self, server: &str) -> bool {
-        self.servers.borrow().get(server).is_some_and(|server| server.connection_limit > 0)
+    /// Whether jobs may run at a server on connections of this entry.
+    fn accepts_jobs(&self, server: &str) -> bool {
+        self.servers.borrow().get(server).is_some_and(ServerPool::accepts_jobs)
     }
 
     /// State of a server's pool, for refusals.
@@ -278,6 +281,7 @@
             connection_limit: 0,
             accepted: None,
             draining: false,
+            evacuated: false,
             waiters: SlotQueue::new(),
             idle_connections: Vec::new(),
             open_count: 0,
@@ -288,6 +292,11 @@
         }
     }
 
+    /// Whether jobs may run: this entry owns connections and the server is not evacuated.
+    fn accepts_jobs(&self) -> bool {
+        self.connection_limit > 0 && !self.evacuated
+    }
+
     fn describe(&self, now: Millis) -> String {
         format!(
             "waiting {} running {}/{} open {}/{} idle {} duration {:.0} paused {}",
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -140,6 +140,11 @@
                     }
                     return (last, None);
                 }
+                ServerChoice::None if self.local.view().is_group_evacuated(&task.job.group) => {
+                    self.local.metrics.evacuation_refusals.inc();
+                    last = Answer::error(ErrorCode::Busy, "its servers are evacuated");
+                    return (last, None);
+                }
                 ServerChoice::None => {
                     if self.has_no_prospect() || !self.wait_for_change(until).await {
                         self.add_refusal_details(&mut last, &task);
@@ -286,7 +291,10 @@
         };
         let leads = |backend: &Backend| primary.is_some_and(|p| p.id == backend.id);
         let usable = |b: &&Backend| {
-            *b.group == **group && (leads(b) || !b.draining) && view.has_connection_owner(&b.id)
+            *b.group == **group
+                && (leads(b) || !b.draining)
+                && !view.is_evacuated(b)
+                && view.has_connection_owner(&b.id)
         };
         let (full, candidates): (Vec<Candidate>, Vec<Candidate>) = view
             .backends
@@ -314,7 +322,8 @@
         }
     }
 
-    /// Primary of a group, if the lease is valid and it has not been draining for too long.
+    /// Primary of a group, if the lease is valid, it has not been draining for too long, and its
+    /// failure domain is not evacuated.
     fn usable_primary<'a>(&self, view: &'a View, group: &str) -> Option<&'a Backend> {
         let id = view.leads.get(group)?.primary.as_ref().filter(|_| self.local.holds_lease())?;
         let now = self.local.now();
@@ -323,7 +332,7 @@
             .borrow()
             .get(id)
             .is_some_and(|since| now >= since + DRAINING_PRIMARY_GRACE_MS);
-        view.backends.get(id).filter(|_| !overdue)
+        view.backends.get(id).filter(|b| !overdue && !view.is_evacuated(b))
     }
 
     fn is_primary(&self, view: &View, backend: &Backend) -> bool {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -229,6 +229,9 @@
     pub delegates: Option<Changes<BTreeSet<Name>>>,
     /// Control members.
     pub members: Option<Vec<Name>>,
+    /// Evacuated failure domains; if absent from complete parts, there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<BTreeSet<Arc<str>>>,
 }
 
 /// Primary of a group as known to entries.
