--- a/crates/state/tests/byte_size.rs
+++ b/crates/state/tests/byte_size.rs
@@ -109,6 +109,7 @@
             before: order.clone(),
             ordered: order,
         }),
+        Command::Fleet(FleetChange::Evacuate { domain: long, begin: true }),
         Command::Fleet(FleetChange::Entries { joined: entries.clone(), left: entries }),
     ];
     for command in commands {
