--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -35,12 +35,13 @@
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
-    control::Control, control_departures::DepartureWatch, control_failover::ExternalFailover,
-    control_handle::Heartbeat, control_probe::ServerMonitor, leader_lease::LeaderLease,
+    control::Control, control_departures::DepartureWatch, control_evacuation::EvacuationWait,
+    control_failover::ExternalFailover, control_handle::Heartbeat, control_probe::ServerMonitor,
+    leader_lease::LeaderLease,
 };
 
 /// Time without a renewal after which an entry is removed.
-const ENTRY_EXPIRY_MS: Millis = 3_500;
+pub(crate) const ENTRY_EXPIRY_MS: Millis = 3_500;
 
 /// Time without a renewal after which an entry is assigned no connections: three missed renewals.
 const RENEWAL_TIMEOUT_MS: Millis = 1_500;
@@ -86,6 +87,8 @@
     pub(crate) deferrals: BTreeMap<Arc<str>, Millis>,
     /// Time of the last look at all groups.
     pub(crate) looked_at: Millis,
+    /// Requests for evacuations that are not acknowledged.
+    pub(crate) evacuation_waits: Vec<EvacuationWait>,
     /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
@@ -129,6 +132,10 @@
     regional_limiters: ChangeTracker<BTreeSet<Name>>,
     /// Index of the update in which the control members changed.
     members: u64,
+    /// Evacuated failure domains.
+    evacuated: BTreeSet<Arc<str>>,
+    /// Index of the update in which they changed; 0 if they never did.
+    evacuated_index: u64,
 }
 
 /// An entry that renews its lease with this leader.
@@ -223,6 +230,17 @@
         limiters
     }
 
+    /// Index of the update in which the evacuated failure domains last changed.
+    pub(crate) fn evacuated_index(&self) -> u64 {
+        self.view.evacuated_index
+    }
+
+    /// Whether an entry in a failure domain has renewed its lease with this leader.
+    pub(crate) fn has_seen_domain(&self, domain: &str) -> bool {
+        self.regions.contains_key(domain)
+            || self.entries.values().any(|entry| *entry.location.domain == *domain)
+    }
+
     /// Records a heartbeat; returns false if a later one has arrived already. `elsewhere` tells that
     /// another member is to receive the next ones.
     pub(crate) fn record_heartbeat(
@@ -264,6 +282,9 @@
         let mut view = PublishedView { members: 1, ..PublishedView::default() };
         view.backends.replace(self.fleet().backends.clone().into(), 1);
         view.leads.replace(lead_views(self.fleet()), 1);
+        view.evacuated = self.fleet().evacuated_domains();
+        view.evacuated_index = u64::from(!view.evacuated.is_empty());
+        self.metrics.evacuated_domains.set(view.evacuated.len() as i64);
         let assign_at =
             Some(now + if first { ASSIGNMENT_DEBOUNCE_MS } else { INITIAL_ASSIGNMENT_DELAY_MS });
         let lead_index = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
@@ -282,6 +303,7 @@
             departures: BTreeMap::new(),
             deferrals: BTreeMap::new(),
             looked_at: 0,
+            evacuation_waits: Vec::new(),
             unreplicated_since: BTreeMap::new(),
             connection_owners: BTreeMap::new(),
             regions: BTreeMap::new(),
@@ -503,12 +525,20 @@
         let next = leader.index + 1;
         let backends = leader.view.backends.replace(fleet.backends.clone().into(), next);
         let leads = leader.view.leads.replace(lead_views(fleet), next);
+        let evacuated = fleet.evacuated_domains();
+        let evacuations_changed = leader.view.evacuated != evacuated;
+        if evacuations_changed {
+            self.metrics.evacuated_domains.set(evacuated.len() as i64);
+            (leader.view.evacuated, leader.view.evacuated_index) = (evacuated, next);
+        }
         if !backends.is_empty() {
             leader.reports.retain(|server| fleet.backends.contains_key(server));
         }
-        if before != fleet.plan.version || !backends.is_empty() || !leads.is_empty() {
+        let changed = !backends.is_empty() || !leads.is_empty() || evacuations_changed;
+        if before != fleet.plan.version || changed {
             // Callers wait for another primary; the first one of a group comes with its servers.
-            let urgent = leads.iter().any(|group| leader.lead_index.contains_key(group));
+            let new_primary = leads.iter().any(|group| leader.lead_index.contains_key(group));
+            let urgent = new_primary || evacuations_changed;
             leader.lead_index.extend(leads.into_iter().map(|group| (group, next)));
             leader.index = next;
             self.schedule_assignment();
@@ -645,6 +675,7 @@
             holders: view.connection_owners.since(sent),
             delegates: view.regional_limiters.since(sent),
             members: (view.members > sent).then(|| leader.members.iter().cloned().collect()),
+            evacuated: (view.evacuated_index > sent).then(|| view.evacuated.clone()),
         };
         match Packed::new(&update) {
             Ok(packed) => {
@@ -703,6 +734,7 @@
             self.assign_connections();
         }
         self.send_due_updates(now);
+        self.answer_evacuations(now);
         self.monitor_groups(now);
     }
 }
