Keep requests in the home regions of their route and account

Routes and accounts may name home regions. Servers elsewhere no longer run such requests, and entries forward them only to connection owners at home. Where no server at home can run a request, it is refused at once. Documents without home regions are stored and sent as before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod failover;
 mod failover_step;
 pub mod freshness;
+pub mod home_regions;
 pub mod leader_silence;
 pub mod lease;
 pub mod membership;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -73,6 +73,8 @@
     pub traffic: TcpListener,
     /// Control members from the settings.
     pub seeds: BTreeSet<Name>,
+    /// Regions of failure domains from the settings; may be empty.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Grace period from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Credentials of links.
@@ -119,7 +121,8 @@
     status: Arc<EntryStatus>,
     mut orders: mpsc::Receiver<EntryCommand>,
 ) -> std::io::Result<()> {
-    let local = Rc::new(LocalState::new(options.me, options.clock, options.metrics));
+    let local = LocalState::new(options.me, options.clock, options.metrics);
+    let local = Rc::new(local.with_regions(options.regions));
     let pool = Pool::new(local.clone());
     let executor = Rc::new(Executor::new(local.clone(), pool.clone(), options.server_wire));
     let dial: Arc<dyn Dial<Forward>> =
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -8,6 +8,7 @@
 };
 
 use auburnlug_coordination::{
+    home_regions::{DomainRegions, HomeRegions},
     leader_silence::LeaderSilence,
     rate_share::{ShareBucket, ShareGrant},
     regional_limiters::{self, RegionalLimiters},
@@ -76,6 +77,13 @@
         self.connection_owners.get(server).is_some_and(|owners| !owners.is_empty())
     }
 
+    /// Whether an entry that may receive a request of the entry `me` owns connections to a server.
+    pub fn has_owner_at(&self, server: &str, homes: &HomeRegions, me: &Name) -> bool {
+        self.connection_owners.get(server).is_some_and(|owners| {
+            owners.iter().any(|owner| homes.allows_owner(&owner.entry, &owner.region, me))
+        })
+    }
+
     /// Whether an entry in a region owns connections to a server.
     pub fn has_owner_in(&self, server: &str, region: &str) -> bool {
         let owners = self.connection_owners.get(server);
@@ -111,6 +119,7 @@
     /// Wakes operations that wait for a token.
     grant_received: Notify,
     view: RefCell<Arc<View>>,
+    regions: RefCell<DomainRegions>,
     /// End of the lease, and the index of the update that must be applied for it to be valid.
     lease: Cell<(Millis, u64)>,
     /// Sending time of the last renewal that was granted.
@@ -146,6 +155,7 @@
             renew: Notify::new(),
             grant_received: Notify::new(),
             view: RefCell::default(),
+            regions: RefCell::default(),
             lease: Cell::default(),
             last_granted: Cell::default(),
             silence,
@@ -156,6 +166,18 @@
         }
     }
 
+    /// Sets the regions of failure domains from the settings.
+    pub fn with_regions(self, regions: BTreeMap<Arc<str>, Arc<str>>) -> LocalState {
+        let mut regions = DomainRegions::new(regions);
+        regions.learn(&self.me.domain, &self.me.region);
+        LocalState { regions: RefCell::new(regions), ..self }
+    }
+
+    /// Whether a server in a failure domain may run a request.
+    pub fn is_home(&self, homes: &HomeRegions, domain: &str) -> bool {
+        homes.is_everywhere() || homes.contains(self.regions.borrow().region_of(domain))
+    }
+
     /// Current time.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -233,6 +255,10 @@
         }
         if let Some(holders) = update.holders {
             holders.apply(&mut view.connection_owners);
+            let mut regions = self.regions.borrow_mut();
+            for owner in view.connection_owners.values().flatten() {
+                regions.learn(&owner.domain, &owner.region);
+            }
         }
         if let Some(delegates) = update.delegates {
             delegates.apply(&mut view.regional_limiters);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Reads answered by a replica.
     pub replica_reads: Counter,
+    /// Statements refused because no server in their home regions could run them.
+    pub home_refusals: Counter,
     /// Connections opened to servers.
     pub connections_opened: Counter,
     /// Open sessions.
@@ -56,6 +58,7 @@
             errors: Family::default(),
             retries: Family::default(),
             replica_reads: Counter::default(),
+            home_refusals: Counter::default(),
             connections_opened: Counter::default(),
             sessions: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -69,6 +72,11 @@
         registry.register("request_errors", "Requests by error", metrics.errors.clone());
         registry.register("job_retries", "Jobs sent again", metrics.retries.clone());
         registry.register("replica_reads", "Reads at replicas", metrics.replica_reads.clone());
+        registry.register(
+            "home_refusals",
+            "Statements without a server at home",
+            metrics.home_refusals.clone(),
+        );
         registry.register(
             "server_connects",
             "Connections opened",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use auburnlug_coordination::home_regions::HomeRegions;
 use auburnlug_protocol::{
     fleet::{ClaimOutcome, Forward},
     job::{Answer, ErrorCode, Job, TransactionStep},
@@ -116,12 +117,17 @@
         Rc::new(Relay { local, executor, dial, port, peers, next_number })
     }
 
-    /// Runs a single statement, or the first one of a transaction, at its server.
-    pub async fn run_first(self: &Rc<Self>, job: Job) -> (Answer, Option<TransactionRoute>) {
+    /// Runs a single statement, or the first one of a transaction, at its server. It is forwarded
+    /// only to connection owners that the home regions allow.
+    pub async fn run_first(
+        self: &Rc<Self>,
+        job: Job,
+        homes: &HomeRegions,
+    ) -> (Answer, Option<TransactionRoute>) {
         let started = self.local.now();
         let mut last =
             Answer::error(ErrorCode::Unreachable, "no entry holds connections to the server");
-        let owners = self.connection_owners(&job.server);
+        let owners = self.connection_owners(&job.server, homes);
         let last_owner = owners.last().cloned();
         for owner in owners {
             let elapsed = self.local.now().saturating_sub(started);
@@ -278,13 +284,14 @@
         let _ = out.send(claim_answer(answer)).await;
     }
 
-    /// Connection owners of a server; unresponsive ones are last.
-    fn connection_owners(&self, server: &str) -> Vec<Name> {
+    /// Connection owners of a server that may receive a request; unresponsive ones are last.
+    fn connection_owners(&self, server: &str, homes: &HomeRegions) -> Vec<Name> {
         let view = self.local.view();
         let now = self.local.now();
-        let names =
-            view.connection_owners.get(server).into_iter().flatten().map(|h| h.entry.clone());
-        let mut names: Vec<Name> = names.collect();
+        let owners = view.connection_owners.get(server).into_iter().flatten();
+        let allowed =
+            owners.filter(|o| homes.allows_owner(&o.entry, &o.region, &self.local.me.name));
+        let mut names: Vec<Name> = allowed.map(|owner| owner.entry.clone()).collect();
         let peers = self.peers.borrow();
         names.sort_by_key(|name| {
             peers.get(name.as_str()).is_some_and(|peer| now < peer.avoided_until.get())
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -4,6 +4,7 @@
 
 use auburnlug_coordination::{
     Position,
+    home_regions::{self, HomeRegions, ServerSite},
     leader_silence::is_waiting_hopeless,
     position_samples::PositionSamples,
     server_choice::{Candidate, ServerRecords},
@@ -48,6 +49,17 @@
     pub need: DataRequirement,
     /// Arrival time of the request, or of the first request of its transaction.
     pub arrival: Millis,
+    /// Regions that may run and carry it.
+    pub homes: HomeRegions,
+}
+
+impl StatementTask {
+    /// Whether only the primary may run it.
+    fn needs_primary(&self) -> bool {
+        self.need == DataRequirement::Primary
+            || self.job.run_once
+            || self.job.step == (TransactionStep::First { read_only: false })
+    }
 }
 
 /// Server that may run a statement now.
@@ -56,6 +68,8 @@
     Server(Arc<str>, Option<Position>),
     /// All servers that may run the statement have full queues.
     Full,
+    /// No server in the home regions can run the statement, now or soon.
+    NotAtHome,
     /// No server until the view or the position samples change.
     None,
 }
@@ -140,6 +154,12 @@
                     }
                     return (last, None);
                 }
+                ServerChoice::NotAtHome => {
+                    if attempts == 0 {
+                        last = self.refuse_not_at_home(&task);
+                    }
+                    return (last, None);
+                }
                 ServerChoice::None => {
                     if self.has_no_prospect() || !self.wait_for_change(until).await {
                         self.add_refusal_details(&mut last, &task);
@@ -165,7 +185,7 @@
             let elapsed = started.elapsed().as_millis() as Millis;
             job.objective = job.objective.saturating_sub(elapsed);
             let primary = after.is_none();
-            let (answer, route) = self.run_at(job, primary).await;
+            let (answer, route) = self.run_at(job, primary, &task.homes).await;
             let Some(code) = answer.code() else { return (answer, route) };
             if let Some(route) = route {
                 self.relay.release(route);
@@ -214,12 +234,17 @@
     }
 
     /// Runs a statement at the chosen server and records its answer.
-    async fn run_at(&self, job: Job, primary: bool) -> (Answer, Option<TransactionRoute>) {
+    async fn run_at(
+        &self,
+        job: Job,
+        primary: bool,
+        homes: &HomeRegions,
+    ) -> (Answer, Option<TransactionRoute>) {
         let (server, group, once) = (job.server.clone(), job.group.clone(), job.run_once);
         let sent = self.local.now();
         let leased = self.local.holds_lease();
         self.server_records.borrow_mut().record_sent(&server);
-        let (answer, route) = self.relay.run_first(job.clone()).await;
+        let (answer, route) = self.relay.run_first(job.clone(), homes).await;
         let now = self.local.now();
         let mut records = self.server_records.borrow_mut();
         records.record_ended(&server);
@@ -272,8 +297,15 @@
     fn choose_server(&self, task: &StatementTask, excluded: Option<&str>) -> ServerChoice {
         let view = self.local.view();
         let (group, priority, now) = (&task.job.group, task.job.priority, self.local.now());
-        let primary =
-            self.usable_primary(&view, group).filter(|b| view.has_connection_owner(&b.id));
+        let homes = &task.homes;
+        if !homes.is_everywhere() && !self.has_home_prospect(&view, task) {
+            return ServerChoice::NotAtHome;
+        }
+        let reachable = |backend: &Backend| {
+            view.has_owner_at(&backend.id, homes, &self.local.me.name)
+                && self.local.is_home(homes, &backend.domain)
+        };
+        let primary = self.usable_primary(&view, group).filter(|b| reachable(b));
         let records = self.server_records.borrow();
         let Some(required) = self.required_position(task) else {
             return match primary {
@@ -285,9 +317,8 @@
             };
         };
         let leads = |backend: &Backend| primary.is_some_and(|p| p.id == backend.id);
-        let usable = |b: &&Backend| {
-            *b.group == **group && (leads(b) || !b.draining) && view.has_connection_owner(&b.id)
-        };
+        let usable =
+            |b: &&Backend| *b.group == **group && (leads(b) || !b.draining) && reachable(b);
         let (full, candidates): (Vec<Candidate>, Vec<Candidate>) = view
             .backends
             .values()
@@ -314,16 +345,49 @@
         }
     }
 
+    /// Whether a server in the home regions can run a statement, now or once the view changes.
+    fn has_home_prospect(&self, view: &View, task: &StatementTask) -> bool {
+        let group = &task.job.group;
+        let lead = view.leads.get(group).and_then(|lead| lead.primary.as_ref());
+        let primary = lead.filter(|id| !self.is_overdue(id));
+        let primary_only = task.needs_primary();
+        let site = |backend: &Backend| ServerSite {
+            at_home: self.local.is_home(&task.homes, &backend.domain),
+            eligible: match primary {
+                Some(primary) if *primary == backend.id => true,
+                Some(_) if primary_only => false,
+                _ => !backend.draining,
+            },
+            owned: view.has_connection_owner(&backend.id),
+            reachable: view.has_owner_at(&backend.id, &task.homes, &self.local.me.name),
+        };
+        home_regions::have_prospect(view.backends.values().filter(|b| b.group == *group).map(site))
+    }
+
+    /// Refuses a statement that no server in its home regions can run.
+    fn refuse_not_at_home(&self, task: &StatementTask) -> Answer {
+        self.local.metrics.home_refusals.inc();
+        log(
+            Event::HomeRefused,
+            format_args!(
+                "id={} group={} account={}",
+                task.job.id, task.job.group, task.job.account
+            ),
+        );
+        Answer::error(ErrorCode::Busy, "no server in the home regions can run the statement")
+    }
+
+    /// Whether a primary has been draining for too long.
+    fn is_overdue(&self, primary: &str) -> bool {
+        let draining = self.draining_since.borrow();
+        let since = draining.get(primary);
+        since.is_some_and(|since| self.local.now() >= since + DRAINING_PRIMARY_GRACE_MS)
+    }
+
     /// Primary of a group, if the lease is valid and it has not been draining for too long.
     fn usable_primary<'a>(&self, view: &'a View, group: &str) -> Option<&'a Backend> {
         let id = view.leads.get(group)?.primary.as_ref().filter(|_| self.local.holds_lease())?;
-        let now = self.local.now();
-        let overdue = self
-            .draining_since
-            .borrow()
-            .get(id)
-            .is_some_and(|since| now >= since + DRAINING_PRIMARY_GRACE_MS);
-        view.backends.get(id).filter(|_| !overdue)
+        view.backends.get(id).filter(|_| !self.is_overdue(id))
     }
 
     fn is_primary(&self, view: &View, backend: &Backend) -> bool {
@@ -333,7 +397,7 @@
     /// Position that a replica must have applied; `None` if only the primary may run the statement.
     fn required_position(&self, task: &StatementTask) -> Option<Position> {
         let DataRequirement::Recent { age, after } = task.need else { return None };
-        if task.job.run_once || task.job.step == (TransactionStep::First { read_only: false }) {
+        if task.needs_primary() {
             return None;
         }
         let samples = self.samples.borrow();
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
-use auburnlug_coordination::Position;
+use auburnlug_coordination::{Position, home_regions::HomeRegions};
 use auburnlug_protocol::job::{
     Answer, DataRequirement, ErrorCode, Job, Opening, PreparedStatement, Reply, Request,
     SessionState, SessionVariables, Statement, StatementText, TransactionStep,
@@ -504,7 +504,10 @@
             objective: (self.asked_at + latency_objective(database))
                 .saturating_sub(self.context.local.now()),
         };
-        StatementTask { job, need, arrival }
+        let config = &self.context.local.view().config;
+        let account = config.accounts.get(&self.account).map(|account| &account.homes);
+        let homes = HomeRegions::new(&database.homes, account);
+        StatementTask { job, need, arrival, homes }
     }
 
     /// Rolls back the open transaction, if any.
--- a/crates/gateway/tests/control_configs.rs
+++ b/crates/gateway/tests/control_configs.rs
@@ -18,6 +18,7 @@
         latency_objective: 100,
         priority: 1,
         anonymous: false,
+        homes: Default::default(),
     };
     let databases = (0..count).map(|n| (format!("database-{n:06}").into(), database.clone()));
     let databases: BTreeMap<Arc<str>, Database> = databases.collect();
--- a/crates/gateway/tests/local_state.rs
+++ b/crates/gateway/tests/local_state.rs
@@ -290,8 +290,13 @@
 fn admitted(sent: Millis, tokens: f64, answered: Millis) -> bool {
     let clock = Arc::new(SetClock(AtomicU64::new(900)));
     let local = Rc::new(local_at(&clock));
-    let account =
-        AccountConfig { keys: Default::default(), rate: Some(10.0), burst: 10.0, priority: 1 };
+    let account = AccountConfig {
+        keys: Default::default(),
+        rate: Some(10.0),
+        burst: 10.0,
+        priority: 1,
+        homes: Default::default(),
+    };
     let plan = FleetConfig {
         version: 2,
         accounts: [("a".into(), account)].into(),
--- a/crates/protocol/tests/config_delta.rs
+++ b/crates/protocol/tests/config_delta.rs
@@ -17,6 +17,7 @@
         latency_objective: 800,
         priority: 1,
         anonymous: false,
+        homes: Default::default(),
     }
 }
 
--- a/crates/state/src/byte_size.rs
+++ b/crates/state/src/byte_size.rs
@@ -2,7 +2,10 @@
 //!
 //! Logs, queues and messages are bounded by the sum of these sizes; see [`crate::limits`].
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use crate::{
     Change, Command, Config, Edit, Machine, Name,
@@ -116,10 +119,15 @@
 impl ByteSize for FleetConfig {
     fn byte_size(&self) -> usize {
         let databases = self.databases.iter();
-        let databases = databases.map(|(name, db)| name.len() + db.group.len() + DATABASE_BYTES);
+        let databases = databases.map(|(name, db)| {
+            name.len() + db.group.len() + DATABASE_BYTES + regions_size(&db.homes)
+        });
         let groups = self.groups.keys().map(|name| name.len() + GROUP_BYTES);
         let accounts = self.accounts.iter();
-        let accounts = accounts.map(|(n, a)| n.len() + ACCOUNT_BYTES + a.keys.len() * KEY_BYTES);
+        let accounts = accounts.map(|(name, account)| {
+            let keys = account.keys.len() * KEY_BYTES;
+            name.len() + ACCOUNT_BYTES + keys + regions_size(&account.homes)
+        });
         FIELDS_BYTES + databases.chain(groups).chain(accounts).sum::<usize>()
     }
 }
@@ -154,3 +162,8 @@
 fn incarnations_size(entries: &BTreeMap<Name, u64>) -> usize {
     entries.keys().map(|name| name.byte_size() + 9).sum()
 }
+
+/// Size of home regions, with the name of their field.
+fn regions_size(regions: &BTreeSet<Arc<str>>) -> usize {
+    regions.iter().map(|region| region.byte_size() + 5).sum()
+}
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -65,6 +65,9 @@
     /// Whether callers need no key.
     #[serde(rename = "n")]
     pub anonymous: bool,
+    /// Home regions: servers elsewhere do not run its statements. Empty for all regions.
+    #[serde(rename = "h", default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<Arc<str>>,
 }
 
 /// Limits of a database group.
@@ -93,6 +96,9 @@
     /// Priority; 0 goes first.
     #[serde(rename = "p")]
     pub priority: u32,
+    /// Home regions: servers elsewhere do not run its statements. Empty for all regions.
+    #[serde(rename = "h", default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<Arc<str>>,
 }
 
 /// SHA-256 of a caller's key.
--- a/crates/state/tests/byte_size.rs
+++ b/crates/state/tests/byte_size.rs
@@ -3,7 +3,10 @@
 // The exemption for tests in clippy.toml does not cover helper functions in test files.
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use auburnlug_state::{
     Change, Command, Edit, Machine, Name,
@@ -24,6 +27,7 @@
 /// Configuration with `count` databases whose numbers take the most bytes.
 fn config(count: usize, name_length: usize, keys: usize) -> FleetConfig {
     let group: Arc<str> = "g".repeat(name_length).into();
+    let homes: BTreeSet<Arc<str>> = (0..keys).map(|n| format!("region-{n}").into()).collect();
     let database = Database {
         group: group.clone(),
         freshness: Freshness::Session(u64::MAX),
@@ -31,6 +35,7 @@
         latency_objective: u64::MAX,
         priority: u32::MAX,
         anonymous: true,
+        homes: homes.clone(),
     };
     let databases = (0..count).map(|n| (format!("{n:0name_length$}").into(), database.clone()));
     let hashes = (0..keys).map(|n| n.to_string().as_str().into());
@@ -39,6 +44,7 @@
         rate: Some(f64::MAX),
         burst: 0.1,
         priority: u32::MAX,
+        homes,
     };
     FleetConfig {
         version: u64::MAX,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -103,6 +103,7 @@
     SessionEnded = 605, Info, "session ended by this instance";
     TransactionAborted = 606, Info, "transaction rolled back by this instance";
     MessageMalformed = 607, Warn, "message that cannot be decoded refused";
+    HomeRefused = 608, Info, "request refused: no server in its home regions can run it";
     ServerLost = 610, Warn, "connections to a server fail";
     ServerRegained = 611, Info, "server answers again";
     ConnectionOwnerLost = 612, Warn, "link to an entry that holds connections is lost";
