Limit what a cold server gets by granted shares of its rate

The control leader divides that rate among the connection owners; a share that a former owner may still use is granted to nobody else until it has the new view or its lease has ended. The tests of the pool are not run yet.

--- a/crates/coordination/src/entry_leases.rs
+++ b/crates/coordination/src/entry_leases.rs
@@ -130,6 +130,13 @@
         self.earlier_expired(now) && self.entries.values().all(has_applied)
     }
 
+    /// Whether an entry has applied an update or holds no lease.
+    pub fn has_applied(&self, entry: &Name, index: u64, now: Millis) -> bool {
+        let earlier = now < self.earlier_end && self.earlier_holders.contains(entry);
+        let lease = self.entries.get(entry.as_str());
+        !earlier && lease.is_none_or(|lease| lease.applied_or_expired(index, now))
+    }
+
     /// Whether no entry uses a server as the primary any more, after the update `index` has named
     /// another primary or none.
     pub fn is_released(&self, server: &str, index: u64, now: Millis) -> bool {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod retry;
 pub mod route;
 pub mod server_choice;
+pub mod server_pace;
 pub mod server_reports;
 pub mod session;
 mod sized_entries;
--- a/crates/coordination/tests/external_failover_model.rs
+++ b/crates/coordination/tests/external_failover_model.rs
@@ -163,6 +163,7 @@
                 domain: "d".into(),
                 slots: 3,
                 draining: false,
+                cold: false,
                 run: Incarnation(1),
             }));
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -395,7 +395,9 @@
     }
 
     /// Records a server if it has changed; the heartbeat is answered once the change is committed.
-    fn handle_heartbeat(&mut self, beat: Heartbeat, reply: oneshot::Sender<ControlReply<()>>) {
+    fn handle_heartbeat(&mut self, mut beat: Heartbeat, reply: oneshot::Sender<ControlReply<()>>) {
+        // Other servers need no record of it.
+        beat.backend.cold &= self.machine.fleet.limits_cold_servers(&beat.backend.group);
         let backend = &beat.backend;
         let recorded = self.machine.fleet.backends.get(&backend.id);
         let unchanged = recorded == Some(backend);
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -16,6 +16,7 @@
         RateLimit, RateShares, SHARE_RECLAIM_DELAY_MS, ShareGrant, ShareRequest as ShareAsk,
     },
     regional_limiters::{self, RegionalLimiters},
+    server_pace::{ColdShares, ShareAssignment},
     server_reports::ServerReports,
 };
 use auburnlug_protocol::{
@@ -86,6 +87,8 @@
     /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
+    /// Shares of the rates of servers in groups that limit cold ones.
+    cold_shares: ColdShares,
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
     members: BTreeSet<Name>,
@@ -204,6 +207,35 @@
         }
     }
 
+    /// Divides the rates of servers among their chosen connection owners, with the next update.
+    fn assign_cold_shares(
+        &mut self,
+        fleet: &Fleet,
+        chosen: &BTreeMap<Arc<str>, ServerOwners>,
+        now: Millis,
+    ) {
+        let update = self.index + 1;
+        let is_limited = |server: &str| {
+            let backend = fleet.backends.get(server);
+            backend.is_some_and(|backend| fleet.limits_cold_servers(&backend.group))
+        };
+        self.cold_shares.retain(is_limited, update, &self.leases, now);
+        for backend in fleet.backends.values() {
+            let group = fleet.plan.groups.get(&backend.group);
+            let Some(cold_rate) = group.and_then(|group| group.cold_rate) else { continue };
+            let Some(owners) = chosen.get(&backend.id) else { continue };
+            let announced = self.view.connection_owners.is_set();
+            let assignment = ShareAssignment {
+                server: &backend.id,
+                owners,
+                rate: backend.cold.then_some(cold_rate),
+                update,
+                is_new: announced && !self.connection_owners.contains_key(&backend.id),
+            };
+            self.cold_shares.assign(assignment, &self.leases, now);
+        }
+    }
+
     /// Regional limiters chosen by this leader or, before the first choice, by an earlier one.
     fn current_regional_limiters(&self) -> RegionalLimiters {
         if self.view.regional_limiters.is_set() {
@@ -269,6 +301,7 @@
             deferrals: BTreeMap::new(),
             unreplicated_since: BTreeMap::new(),
             connection_owners: BTreeMap::new(),
+            cold_shares: ColdShares::default(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
             assign_at,
@@ -560,6 +593,7 @@
         let names = |owners: &ServerOwners| owners.iter().map(|(name, _)| name.clone()).collect();
         let placed = chosen.iter().map(|(server, owners)| (server.clone(), names(owners)));
         leader.leases.assign_servers(placed.collect(), next);
+        leader.assign_cold_shares(fleet, &chosen, now);
         leader.connection_owners = chosen;
         let views = connection_owner_views(leader);
         let changed = leader.view.connection_owners.replace(views, next);
@@ -663,6 +697,9 @@
             );
             self.schedule_assignment();
         }
+        if self.leader.as_ref().is_some_and(|l| l.cold_shares.has_released(&l.leases, now)) {
+            self.schedule_assignment();
+        }
         if self.leader.as_ref().is_some_and(|l| l.assign_at.is_some_and(|at| now >= at)) {
             self.assign_connections();
         }
@@ -688,6 +725,7 @@
                 domain: location.domain.clone(),
                 region: location.region.clone(),
                 connections: *connections,
+                cold_rate: leader.cold_shares.share(server, entry.as_str()),
             })
         });
         views.insert(server.clone(), known.collect());
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -163,6 +163,12 @@
         let kind = pin.kind;
         let Some(mut permit) = pin.permit.take() else { return (lost(), None) };
         let until = Instant::now() + Duration::from_millis(job.remaining);
+        if !permit.wait_for_pace(until).await {
+            // The server rolls the transaction back.
+            permit.close_connection();
+            let late = Answer::error(ErrorCode::Aborted, "the server is cold and gets no more yet");
+            return (with_server_name(late, job), None);
+        }
         permit.reclaim_slot();
         let sent = self.local.now();
         let leased = self.local.is_leased_primary(&job.group, &job.server);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,13 @@
     pub reason: &'static str,
 }
 
+/// Label set of a gauge that is kept per server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServerLabel {
+    /// Server.
+    pub server: String,
+}
+
 /// Metrics of an instance.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -34,6 +41,10 @@
     pub replica_reads: Counter,
     /// Statements refused because no server in their home regions could run them.
     pub home_refusals: Counter,
+    /// Statements/s that this entry may send to a cold server, by server.
+    pub pace_rate: Family<ServerLabel, Gauge<f64, AtomicU64>>,
+    /// Statements refused because this entry had no share of the rate of a cold server, or no lease.
+    pub pace_refusals: Counter,
     /// Connections opened to servers.
     pub connections_opened: Counter,
     /// Open sessions.
@@ -59,6 +70,8 @@
             retries: Family::default(),
             replica_reads: Counter::default(),
             home_refusals: Counter::default(),
+            pace_rate: Family::default(),
+            pace_refusals: Counter::default(),
             connections_opened: Counter::default(),
             sessions: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -77,6 +90,12 @@
             "Statements without a server at home",
             metrics.home_refusals.clone(),
         );
+        registry.register("pace_rate", "Rate of cold servers", metrics.pace_rate.clone());
+        registry.register(
+            "pace_refusals",
+            "Statements without a share of a cold server",
+            metrics.pace_refusals.clone(),
+        );
         registry.register(
             "server_connects",
             "Connections opened",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,15 +2,23 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
-use auburnlug_coordination::slot_queue::{SlotPlace, SlotQueue};
+use auburnlug_coordination::{
+    server_pace::StatementPacer,
+    slot_queue::{SlotPlace, SlotQueue},
+};
 use auburnlug_protocol::job::{ErrorCode, SessionVariables};
 use auburnlug_state::{Millis, fleet::Incarnation};
 use auburnlug_transport::event::{Event, log};
-use tokio::{sync::oneshot, task::spawn_local, time::sleep};
+use tokio::{
+    sync::oneshot,
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 use crate::{
     connection::{Connection, Fault, Target},
     local_state::{LocalState, View},
+    metrics::ServerLabel,
 };
 
 /// Weight of the newest duration in the moving average.
@@ -32,6 +40,9 @@
 /// the slot from a job that can still succeed.
 const MIN_TIME_LEFT_MS: Millis = 15;
 
+/// Interval at which jobs for a cold server check for a share of its rate or a lease.
+const GRANT_RETRY_MS: Millis = 50;
+
 /// Request of a job for a slot and a connection.
 #[derive(Debug, Clone)]
 pub struct SlotRequest {
@@ -86,6 +97,10 @@
     accepted: Option<(u32, Millis)>,
     draining: bool,
     waiters: SlotQueue<Waiter>,
+    /// Spaces the statements while the server is cold.
+    pacer: StatementPacer,
+    /// Time at which waiting jobs are given slots again, after a limit of the pacer.
+    paced_until: Millis,
     /// Idle connections, the most recently used one last.
     idle_connections: Vec<Connection>,
     open_count: u32,
@@ -121,6 +136,9 @@
             let removed: Vec<_> =
                 servers.keys().filter(|id| !view.backends.contains_key(*id)).cloned().collect();
             dropped.extend(removed.iter().filter_map(|id| servers.remove(id)));
+            dropped.iter().for_each(|server: &ServerPool| {
+                self.publish_rate(&server.target.server, server.pacer.is_limited(), None);
+            });
             for backend in view.backends.values() {
                 let known = servers.get(&backend.id);
                 if known.is_none_or(|s| {
@@ -137,8 +155,13 @@
                 let Some(server) = servers.get_mut(&backend.id) else { continue };
                 server.connection_limit = owned_connections(view, &backend.id, &self.local.me.name);
                 server.draining = backend.draining;
-                if server.connection_limit == 0 {
-                    // Other entries own the connections now; waiting jobs fail over to them.
+                let me = &self.local.me.name;
+                let rate =
+                    backend.cold.then(|| owned_cold_rate(view, &backend.id, me).unwrap_or(0.0));
+                self.publish_rate(&backend.id, server.pacer.is_limited(), rate);
+                server.pacer.set_rate(rate);
+                if !server.is_served() {
+                    // Other entries serve it now; waiting jobs fail over to them.
                     waiting.push(std::mem::take(&mut server.waiters));
                 }
                 while server.open_count > server.connection_limit
@@ -172,14 +195,20 @@
             if now < server.paused_until && server.failures > 1 {
                 return Err(NoSlot::Unreachable);
             }
+            if server.pacer.is_closed() || (server.pacer.is_limited() && !self.local.holds_lease())
+            {
+                self.local.metrics.pace_refusals.inc();
+                return Err(NoSlot::Unreachable);
+            }
             let place = SlotPlace {
                 priority: request.priority,
                 objective: request.objective,
                 deadline: request.deadline,
             };
             let ahead = server.waiters.jobs_ahead(place, server.average_duration as Millis, now);
-            let expected =
-                (ahead as f64 * server.average_duration / f64::from(server.slots)) as Millis;
+            let slot_wait = ahead as f64 * server.average_duration / f64::from(server.slots);
+            let pace_wait = server.pacer.ready_at().saturating_sub(now) as f64;
+            let expected = slot_wait.max(pace_wait + server.pacer.duration(ahead)) as Millis;
             if expected > request.max_wait.min(request.deadline.saturating_sub(now)) {
                 return Err(NoSlot::QueueFull(expected, server.describe(now)));
             }
@@ -188,14 +217,14 @@
         self.dispatch(&id);
         match receiver.await {
             Ok(permit) => Ok(permit),
-            Err(_) if !self.owns_connections(&id) => Err(NoSlot::Unreachable),
+            Err(_) if !self.serves(&id) => Err(NoSlot::Unreachable),
             Err(_) => Err(NoSlot::TimedOut(self.describe(&id))),
         }
     }
 
-    /// Whether this entry owns connections to a server.
-    fn owns_connections(&self, server: &str) -> bool {
-        self.servers.borrow().get(server).is_some_and(|server| server.connection_limit > 0)
+    /// Whether this entry may send statements to a server.
+    fn serves(&self, server: &str) -> bool {
+        self.servers.borrow().get(server).is_some_and(ServerPool::is_served)
     }
 
     /// State of a server's pool, for refusals.
@@ -216,9 +245,18 @@
                 if now < server.paused_until || !server.has_capacity(now) {
                     return;
                 }
+                if let Some(wait) = self.pace_wait(server, now) {
+                    let is_due = now >= server.paced_until || now + wait < server.paced_until;
+                    if !server.waiters.is_empty() && is_due {
+                        server.paced_until = now + wait;
+                        self.dispatch_after(&server.target.server, wait);
+                    }
+                    return;
+                }
                 let duration = server.average_duration as Millis;
                 let Some(waiter) = server.waiters.pop(duration, now) else { return };
                 let connection = server.claim_slot(&waiter.request, now);
+                server.pacer.record_sent(now);
                 let permit = SlotPermit {
                     pool: self.clone(),
                     target: server.target.clone(),
@@ -234,6 +272,31 @@
         }
     }
 
+    /// Publishes the rate of a cold server, or removes it once the server is warm.
+    fn publish_rate(&self, server: &str, was_limited: bool, rate: Option<f64>) {
+        if !was_limited && rate.is_none() {
+            return;
+        }
+        let label = ServerLabel { server: server.into() };
+        match rate {
+            Some(rate) => drop(self.local.metrics.pace_rate.get_or_create(&label).set(rate)),
+            None => drop(self.local.metrics.pace_rate.remove(&label)),
+        }
+    }
+
+    /// Time until a cold server may get a further statement, in milliseconds; `None` if it may now.
+    /// Without a lease, other entries may have been granted the share of this one.
+    fn pace_wait(&self, server: &ServerPool, now: Millis) -> Option<Millis> {
+        if !server.pacer.is_limited() {
+            return None;
+        }
+        if server.pacer.is_closed() || !self.local.holds_lease() {
+            return Some(GRANT_RETRY_MS);
+        }
+        let wait = server.pacer.ready_at().saturating_sub(now);
+        (wait > 0).then_some(wait)
+    }
+
     /// Gives free slots to waiting jobs once a pause of `delay` milliseconds has ended.
     fn dispatch_after(self: &Rc<Self>, id: &Arc<str>, delay: Millis) {
         let (pool, id) = (self.clone(), id.clone());
@@ -261,6 +324,12 @@
     owners.filter(|owner| owner.entry == *me).map(|owner| owner.connections).sum()
 }
 
+/// Rate that the view grants this entry for a cold server, in statements/s.
+fn owned_cold_rate(view: &View, server: &str, me: &auburnlug_state::Name) -> Option<f64> {
+    let mut owners = view.connection_owners.get(server).into_iter().flatten();
+    owners.find(|owner| owner.entry == *me)?.cold_rate
+}
+
 /// Closes the idle connection that was unused for the longest time.
 fn close_oldest_idle(server: &mut ServerPool) {
     if !server.idle_connections.is_empty() {
@@ -279,6 +348,8 @@
             accepted: None,
             draining: false,
             waiters: SlotQueue::new(),
+            pacer: StatementPacer::default(),
+            paced_until: 0,
             idle_connections: Vec::new(),
             open_count: 0,
             running_count: 0,
@@ -315,6 +386,11 @@
         accepted.map_or(self.connection_limit, |(count, _)| count.min(self.connection_limit))
     }
 
+    /// Whether this entry owns connections and, while the server is cold, a share of its rate.
+    fn is_served(&self) -> bool {
+        self.connection_limit > 0 && !self.pacer.is_closed()
+    }
+
     /// Whether another job can run now.
     fn has_capacity(&self, now: Millis) -> bool {
         self.running_count < self.slots
@@ -408,6 +484,26 @@
         }
     }
 
+    /// Waits until the server may get the next statement of a transaction; false if that is after
+    /// `until`. Only a cold server makes it wait.
+    pub async fn wait_for_pace(&self, until: Instant) -> bool {
+        loop {
+            let now = self.pool.local.now();
+            let wait = self.pool.with_server(self, |server| {
+                let wait = self.pool.pace_wait(server, now);
+                if wait.is_none() {
+                    server.pacer.record_sent(now);
+                }
+                wait
+            });
+            let Some(wait) = wait.flatten().map(Duration::from_millis) else { return true };
+            if Instant::now() + wait > until {
+                return false;
+            }
+            sleep(wait).await;
+        }
+    }
+
     /// Claims a slot again for the next statement of a transaction, without waiting for a free one:
     /// the transaction holds locks and a connection.
     pub fn reclaim_slot(&mut self) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,7 @@
 
 use auburnlug_coordination::home_regions::HomeRegions;
 use auburnlug_protocol::{
-    fleet::{ClaimOutcome, Forward},
+    fleet::{ClaimOutcome, ConnectionOwner, Forward},
     job::{Answer, ErrorCode, Job, TransactionStep},
 };
 use auburnlug_state::{Millis, Name};
@@ -291,12 +291,15 @@
         let owners = view.connection_owners.get(server).into_iter().flatten();
         let allowed =
             owners.filter(|o| homes.allows_owner(&o.entry, &o.region, &self.local.me.name));
-        let mut names: Vec<Name> = allowed.map(|owner| owner.entry.clone()).collect();
+        let mut owners: Vec<&ConnectionOwner> = allowed.collect();
         let peers = self.peers.borrow();
-        names.sort_by_key(|name| {
-            peers.get(name.as_str()).is_some_and(|peer| now < peer.avoided_until.get())
+        let is_cold = view.backends.get(server).is_some_and(|backend| backend.cold);
+        owners.sort_by_key(|owner| {
+            let peer = peers.get(owner.entry.as_str());
+            let avoided = peer.is_some_and(|peer| now < peer.avoided_until.get());
+            (avoided, is_cold && owner.cold_rate.is_none_or(|rate| rate <= 0.0))
         });
-        names
+        owners.into_iter().map(|owner| owner.entry.clone()).collect()
     }
 
     /// Forwards a job to a connection owner; the error tells whether the job may have run. With
--- a/crates/gateway/tests/local_state.rs
+++ b/crates/gateway/tests/local_state.rs
@@ -116,6 +116,7 @@
         domain: "d".into(),
         slots: 3,
         draining: false,
+        cold: false,
         run: Incarnation(run),
     }
 }
--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -12,7 +12,7 @@
     pool::{NoSlot, Pool, SlotRequest},
 };
 use auburnlug_protocol::{
-    fleet::ConnectionOwner,
+    fleet::{ConnectionOwner, FleetGrant},
     job::{ErrorCode, SessionVariables},
 };
 use auburnlug_state::{
@@ -23,7 +23,7 @@
 use tokio::{
     runtime::Builder,
     task::{LocalSet, spawn_local},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 fn local() -> Rc<LocalState> {
@@ -47,6 +47,7 @@
         domain: "d".into(),
         slots: 1,
         draining: false,
+        cold: false,
         run: Incarnation(1),
     };
     let owner = ConnectionOwner {
@@ -54,6 +55,7 @@
         domain: "d".into(),
         region: "r".into(),
         connections,
+        cold_rate: None,
     };
     let owners = if connections > 0 { vec![owner] } else { Vec::new() };
     View {
@@ -235,3 +237,42 @@
         assert!(slot.is_ok(), "{:?}", slot.err());
     });
 }
+
+/// Guards against a cold server that gets statements without a share of its rate or a lease, or
+/// faster than its share.
+#[test]
+fn cold_server_gets_statements_at_the_granted_rate() {
+    run(async {
+        let local = local();
+        let pool = Pool::new(local.clone());
+        let cold_view = |rate: Option<f64>| {
+            let mut view = view(4);
+            let backends = view.backends.values_mut();
+            backends.for_each(|backend| (backend.cold, backend.slots) = (true, 4));
+            let owners = view.connection_owners.values_mut().flatten();
+            owners.for_each(|owner| owner.cold_rate = rate);
+            view
+        };
+        let ask = || pool.acquire(slot_request(&local, "a", 1, 60_000));
+        pool.apply_view(&cold_view(Some(20.0)));
+        assert_eq!(ask().await.err(), Some(NoSlot::Unreachable), "without a lease");
+        let (sent, shares, positions) = (local.now(), Vec::new(), Vec::new());
+        local.apply_grant(&FleetGrant { sent, duration: 60_000, index: 0, shares, positions });
+        for closed in [None, Some(0.0)] {
+            pool.apply_view(&cold_view(closed));
+            assert_eq!(ask().await.err(), Some(NoSlot::Unreachable), "without a share");
+        }
+        pool.apply_view(&cold_view(Some(20.0)));
+        let started = local.now();
+        let mut permits = Vec::new();
+        for _ in 0..4 {
+            permits.push(ask().await.unwrap());
+        }
+        assert!(local.now() - started >= 150, "four statements at 20/s");
+        // A transaction is paced as well.
+        permits[0].release_slot();
+        assert!(permits[0].wait_for_pace(Instant::now() + Duration::from_secs(10)).await);
+        assert!(local.now() - started >= 200);
+        assert!(!permits[0].wait_for_pace(Instant::now()).await);
+    });
+}
--- a/crates/gateway/tests/restart_backlog.rs
+++ b/crates/gateway/tests/restart_backlog.rs
@@ -15,7 +15,9 @@
     time::Duration,
 };
 
-use auburnlug_coordination::{changes::Changes, external_failover::Status};
+use auburnlug_coordination::{
+    changes::Changes, external_failover::Status, home_regions::HomeRegions,
+};
 use auburnlug_gateway::{
     executor::Executor,
     local_state::{InstanceIdentity, LocalState},
@@ -159,6 +161,7 @@
         domain: "d".into(),
         slots: 3,
         draining: false,
+        cold: false,
         run: Incarnation(1),
     };
     let lead = PrimaryView { term: 1, primary: Some("s1".into()) };
@@ -178,6 +181,7 @@
         domain: "d".into(),
         region: "r".into(),
         connections: 4,
+        cold_rate: None,
     };
     FleetUpdate {
         index: 2,
@@ -204,7 +208,7 @@
         priority: 1,
         objective: 800,
     };
-    StatementTask { job, need: DataRequirement::Primary, arrival: 0 }
+    StatementTask { job, need: DataRequirement::Primary, arrival: 0, homes: HomeRegions::default() }
 }
 
 /// An entry that can reach other entries.
@@ -220,7 +224,8 @@
         domain: "d".into(),
         incarnation: 1,
     };
-    let local = Rc::new(LocalState::new(identity, clock, Arc::new(GatewayMetrics::default())));
+    let local = LocalState::new(identity, clock, Arc::new(GatewayMetrics::default()));
+    let local = Rc::new(local.with_regions(BTreeMap::new()));
     let executor =
         Rc::new(Executor::new(local.clone(), Pool::new(local.clone()), Arc::new(UnusedWire)));
     let (links, mut dialed) = unbounded_channel();
@@ -279,8 +284,13 @@
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
         let (local, router) = create_entry();
-        let account =
-            AccountConfig { keys: Default::default(), rate: Some(10.0), burst: 10.0, priority: 1 };
+        let account = AccountConfig {
+            keys: Default::default(),
+            rate: Some(10.0),
+            burst: 10.0,
+            priority: 1,
+            homes: Default::default(),
+        };
         let config = FleetConfig {
             version: 1,
             accounts: [("a".into(), account)].into(),
@@ -394,3 +404,40 @@
         assert!(matches!(answer.end, Completion::Done(_)), "{:?}", answer.end);
     });
 }
+
+/// Guards against a body that is forwarded to an entry away from the home regions, and against a
+/// refusal that is delayed although no server at home can run the statement.
+#[test]
+fn statements_with_homes_stay_at_home() {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let regions = |names: &[&str]| names.iter().map(|name| Arc::from(*name)).collect();
+        let ask = async |owner: &str, route: &[&str], account: &[&str]| {
+            let (local, router) = create_entry();
+            assert!(local.apply_update(servers_update()));
+            let mut update = owners_update();
+            let owner = ConnectionOwner {
+                entry: name("10.0.0.2"),
+                domain: format!("{owner}-a").as_str().into(),
+                region: owner.into(),
+                connections: 4,
+                cold_rate: None,
+            };
+            let owners = BTreeMap::from([("s1".into(), vec![owner])]);
+            update.holders = Some(Changes::from_all(owners));
+            assert!(local.apply_update(update));
+            local.apply_grant(&grant(&local, 0.0));
+            router.apply_view(&local.view());
+            let homes = HomeRegions::new(&regions(route), Some(&regions(account)));
+            let started = Instant::now();
+            let (answer, _) = router.run_first(StatementTask { homes, ..read_at_primary(1) }).await;
+            (answer.code(), started.elapsed() < Duration::from_millis(300))
+        };
+        // The server and the entry are in "r".
+        assert_eq!(ask("r", &["r"], &["r", "other"]).await, (None, true));
+        assert_eq!(ask("away", &[], &[]).await, (None, true));
+        assert_eq!(ask("away", &["r"], &[]).await, (Some(ErrorCode::Busy), true));
+        assert_eq!(ask("r", &["other"], &[]).await, (Some(ErrorCode::Busy), true));
+        assert_eq!(ask("r", &["r"], &["other"]).await, (Some(ErrorCode::Busy), true));
+    });
+}
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -255,6 +255,9 @@
     /// Number of connections that it may open.
     #[serde(rename = "c")]
     pub connections: u32,
+    /// Statements/s that it may send while the server is cold; none without a rate.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<f64>,
 }
 
 /// A message on a link between entries.
--- a/crates/state/src/byte_size.rs
+++ b/crates/state/src/byte_size.rs
@@ -19,7 +19,7 @@
 const DATABASE_BYTES: usize = 64;
 
 /// Fields of a group without its name, encoded.
-const GROUP_BYTES: usize = 24;
+const GROUP_BYTES: usize = 36;
 
 /// Fields of a client account without its name and keys, encoded.
 const ACCOUNT_BYTES: usize = 48;
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -79,6 +79,9 @@
     /// Replicas that must have received a commit before it is acknowledged.
     #[serde(rename = "s")]
     pub synchronous_replicas: u32,
+    /// Statements/s that a server gets while it is cold; `None` for no limit.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<f64>,
 }
 
 /// Keys and limits of a client account.
@@ -139,6 +142,9 @@
     pub draining: bool,
     /// Incarnation of its process.
     pub run: Incarnation,
+    /// Whether its process has just started and its group limits the rate of such servers.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cold: bool,
 }
 
 /// Primary of a database group.
@@ -328,6 +334,11 @@
         }
     }
 
+    /// Whether the servers of a group get fewer statements while they are cold.
+    pub fn limits_cold_servers(&self, group: &str) -> bool {
+        self.plan.groups.get(group).is_some_and(|group| group.cold_rate.is_some())
+    }
+
     /// Returns the servers of a group.
     pub fn backends_of<'a>(&'a self, group: &'a str) -> impl Iterator<Item = &'a Backend> {
         self.backends.values().filter(move |backend| &*backend.group == group)
--- a/crates/state/tests/byte_size.rs
+++ b/crates/state/tests/byte_size.rs
@@ -51,7 +51,11 @@
         databases: databases.collect(),
         groups: BTreeMap::from([(
             group,
-            GroupConfig { max_connections: u32::MAX, synchronous_replicas: u32::MAX },
+            GroupConfig {
+                max_connections: u32::MAX,
+                synchronous_replicas: u32::MAX,
+                cold_rate: Some(f64::MAX),
+            },
         )]),
         accounts: BTreeMap::from([("account".into(), account)]),
         idle: u64::MAX,
@@ -89,6 +93,7 @@
         domain: long.clone(),
         slots: u32::MAX,
         draining: true,
+        cold: true,
         run: Incarnation(u64::MAX),
     };
     let order = Some(OrderedPromotion { server: long.clone(), run: Incarnation(u64::MAX) });
--- a/crates/state/tests/fleet.rs
+++ b/crates/state/tests/fleet.rs
@@ -27,6 +27,7 @@
         domain: "d".into(),
         slots: 3,
         draining: false,
+        cold: false,
         run: Incarnation(run),
     }
 }
@@ -89,7 +90,8 @@
 }
 
 fn plan(version: u64, groups: &[(&str, u32)]) -> FleetConfig {
-    let group = |max_connections| GroupConfig { max_connections, synchronous_replicas: 1 };
+    let group =
+        |max_connections| GroupConfig { max_connections, synchronous_replicas: 1, cold_rate: None };
     let groups = groups.iter().map(|(name, n)| ((*name).into(), group(*n))).collect();
     FleetConfig { version, groups, idle: version * 10, ..FleetConfig::default() }
 }
