--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -148,15 +148,9 @@
         while attempts < MAX_ATTEMPTS {
             let (server, after) = match self.choose_server(&task, excluded.as_deref()) {
                 ServerChoice::Server(server, after) => (server, after),
-                ServerChoice::Full => {
+                refusal @ (ServerChoice::Full | ServerChoice::NotAtHome) => {
                     if attempts == 0 {
-                        last = Answer::error(ErrorCode::Busy, "the queues of its servers are full");
-                    }
-                    return (last, None);
-                }
-                ServerChoice::NotAtHome => {
-                    if attempts == 0 {
-                        last = self.refuse_not_at_home(&task);
+                        last = self.refuse(&refusal, &task);
                     }
                     return (last, None);
                 }
@@ -364,8 +358,11 @@
         home_regions::have_prospect(view.backends.values().filter(|b| b.group == *group).map(site))
     }
 
-    /// Refuses a statement that no server in its home regions can run.
-    fn refuse_not_at_home(&self, task: &StatementTask) -> Answer {
+    /// Refuses a statement for which no server was chosen.
+    fn refuse(&self, choice: &ServerChoice, task: &StatementTask) -> Answer {
+        if !matches!(choice, ServerChoice::NotAtHome) {
+            return Answer::error(ErrorCode::Busy, "the queues of its servers are full");
+        }
         self.local.metrics.home_refusals.inc();
         log(
             Event::HomeRefused,
