--- a/crates/gateway/src/control_handle.rs
+++ b/crates/gateway/src/control_handle.rs
@@ -33,6 +33,7 @@
             ControlReply::NotLeader(leader) => ControlReply::NotLeader(leader),
             ControlReply::Unavailable => ControlReply::Unavailable,
             ControlReply::Busy => ControlReply::Busy,
+            ControlReply::UnknownDomain => ControlReply::UnknownDomain,
         }
     }
 }
