Test crowds of clients that keep to no limit, with real processes

Ten crowds against an entry or a control member with 64 MB and 128 descriptors in the settings: longest messages, messages that stop half-way, messages over the limit, session values sent ahead, answers that are not read, first messages that stop, strangers on links, headers without an end, bodies that stop. Each checks that the process lives, its peak memory, its descriptors and one request beside the crowd.

--- a/crates/bench/src/line_client.rs
+++ b/crates/bench/src/line_client.rs
@@ -66,6 +66,11 @@
         Some(Caller { reader: BufReader::new(stream) })
     }
 
+    /// The connection, without what has been received and not read.
+    pub fn into_stream(self) -> TcpStream {
+        self.reader.into_inner()
+    }
+
     /// Sends a line.
     pub fn send(&mut self, line: &str) {
         let _ = self.reader.get_mut().write_all(format!("{line}\r\n").as_bytes());
--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -31,7 +31,8 @@
     processes::{POLL_INTERVAL, Processes},
 };
 
-const LINK_PORT: u16 = 17_560;
+/// Port of host 0 for links; the port of another host is higher by its number.
+pub const LINK_PORT: u16 = 17_560;
 
 /// Port of the control members for operators and servers.
 pub const OPERATOR_PORT: u16 = 17_462;
@@ -93,6 +94,8 @@
     seeds: Vec<u8>,
     /// Disks of control members that may be lost at once.
     losses: u8,
+    /// Sections of the settings of all instances that follow the usual ones.
+    more_settings: String,
     /// Hosts that were removed for good.
     removed: BTreeSet<u8>,
     runtime: Runtime,
@@ -125,6 +128,22 @@
         folder: &Path,
         net: [u8; 2],
         size: Size,
+    ) -> io::Result<LineProcesses> {
+        LineProcesses::start_with(program, folder, net, size, "")
+    }
+
+    /// Starts control members and entries as [`LineProcesses::start_sized`] does, with more sections
+    /// in their settings.
+    ///
+    /// # Errors
+    ///
+    /// As for [`LineProcesses::start_sized`].
+    pub fn start_with(
+        program: &Path,
+        folder: &Path,
+        net: [u8; 2],
+        size: Size,
+        more_settings: &str,
     ) -> io::Result<LineProcesses> {
         let Size { members: count, losses, entries } = size;
         let seeds: Vec<u8> = control_hosts().take(count.into()).collect();
@@ -162,6 +181,7 @@
             members,
             seeds: seeds.clone(),
             losses,
+            more_settings: more_settings.to_owned(),
             removed: BTreeSet::new(),
             runtime,
         };
@@ -209,13 +229,14 @@
             "[instance]\nname = {}\nip = {ip}\nregion = r1\ndomain = d1\ngrace = 6\n\
              [listen]\n{listen}\nlinks = {}\n\
              [control]\nmembers = {}\ndata = {}\nfirst_start = {first_start}\nlosses = {}\n\
-             promotion = {}\n",
+             promotion = {}\n{}",
             LineProcesses::label(host),
             LINK_PORT + u16::from(host),
             seeds.collect::<Vec<_>>().join(","),
             self.processes.data_folder(host).display(),
             self.losses,
             self.address(9, AUTHORITY_PORT),
+            self.more_settings,
         );
         self.processes.spawn(host, "serve", &text)
     }
@@ -250,6 +271,11 @@
         Some(line.trim().strip_suffix(" kB")?.parse::<u64>().ok()? * 1024)
     }
 
+    /// Descriptors that the process of an instance has open.
+    pub fn descriptors(&self, host: u8) -> Option<usize> {
+        Some(fs::read_dir(format!("/proc/{}/fd", self.pid(host)?)).ok()?.count())
+    }
+
     /// Bytes of all files in the data folder of a control member.
     ///
     /// # Errors
