Decide what clients of a listener may hold, without I/O

Connections and bytes of one listener are bounded in one place: by connection, peer address, client account and in all, from the memory and descriptors of the process. Who finds no room waits; then the largest client is closed, one with an open transaction last. Not used yet; its tests need no network.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod assign;
 pub mod bootstrap;
 pub mod changes;
+pub mod client_budget;
 pub mod connection_owners;
 pub mod dedup;
 pub mod directory;
