Bound what clients make a process hold

Callers, HTTP clients and links before their handshake get a place and bytes in a budget before they take them. A message must be complete in 60 s, an answer be read on within 30 s. Buffers of large messages are not kept, a long message is not scanned again for each part, and log lines about bad messages are bounded in rate.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -30,6 +30,12 @@
 /// Prepared statements per connection; beyond it, a reset drops them all.
 const MAX_PREPARED_STATEMENTS: usize = 64;
 
+/// Texts of prepared statements per connection, in bytes; beyond it, a reset drops them all.
+const MAX_PREPARED_BYTES: usize = 256 << 10;
+
+/// Size of a message above which its buffer is not kept for the next one.
+const MAX_KEPT_BUFFER_BYTES: usize = 64 << 10;
+
 /// Reason why a connection cannot be used any more.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
@@ -135,7 +141,8 @@
     ) -> Result<Option<String>, Fault> {
         let has_extra = self.values.keys().any(|name| !values.contains_key(name));
         let is_full = shape.is_some_and(|shape| {
-            !self.prepared.contains_key(shape) && self.prepared.len() >= MAX_PREPARED_STATEMENTS
+            !self.prepared.contains_key(shape)
+                && (self.prepared.len() >= MAX_PREPARED_STATEMENTS || self.has_many_bytes(shape))
         });
         if !in_transaction && (has_extra || is_full) {
             self.run_setup_call(&ServerCall::Reset).await?;
@@ -182,14 +189,31 @@
         }
     }
 
+    /// Whether the prepared statements and `shape` take too many bytes together; a single statement
+    /// never does.
+    fn has_many_bytes(&self, shape: &PreparedStatement) -> bool {
+        let prepared: usize = self.prepared.keys().map(|prepared| prepared.text.len()).sum();
+        prepared > 0 && prepared + shape.text.len() > MAX_PREPARED_BYTES
+    }
+
     /// Sends the buffered call and reads one reply.
     async fn exchange(&mut self, opening: bool) -> Result<ServerReply, Fault> {
         let outbound = self.outbound.split();
         self.stream.write_all(&outbound).await.map_err(|_| Fault::Broken)?;
+        if outbound.len() > MAX_KEPT_BUFFER_BYTES {
+            self.outbound = BytesMut::new();
+        }
+        drop(outbound);
         loop {
+            let before = self.inbound.len();
             match self.wire.decode(opening, &mut self.inbound) {
                 Err(_) => return Err(Fault::Broken),
-                Ok(Some(reply)) => return Ok(reply),
+                Ok(Some(reply)) => {
+                    if before > MAX_KEPT_BUFFER_BYTES {
+                        self.inbound = BytesMut::from(&self.inbound[..]);
+                    }
+                    return Ok(reply);
+                }
                 Ok(None) => {}
             }
             self.inbound.reserve(SERVER_READ_BYTES);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,6 +20,7 @@
 };
 use auburnlug_transport::{
     byte_channel::{Receiver, Sender, channel},
+    client_room::ClientRoom,
     clock::Clock,
     control_member::{GroupOptions, Member},
     disk::Disk,
@@ -78,6 +79,8 @@
     pub ports: Ports,
     /// Listener for links.
     pub links: TcpListener,
+    /// Places of links before their handshake.
+    pub opening_room: ClientRoom,
     /// Control members from the settings.
     pub seeds: BTreeSet<Name>,
     /// Whether the deployment starts for the first time, so that this member may bootstrap the
@@ -146,7 +149,8 @@
     asks: mpsc::Receiver<ControlRequest>,
 ) -> auburnlug_transport::Result<()> {
     let (input, inputs) = channel(MAX_QUEUED_INPUTS, limits::INPUT_QUEUE_BYTES);
-    control_links::accept_links(options.links, options.identity.clone(), input.clone())?;
+    let openings = options.opening_room;
+    control_links::accept_links(options.links, options.identity.clone(), input.clone(), openings)?;
     let now = options.clock.now();
     let mut configured = options.seeds.clone();
     configured.retain(|name| *name != options.me.name || options.may_bootstrap);
--- a/crates/gateway/src/control_links.rs
+++ b/crates/gateway/src/control_links.rs
@@ -6,6 +6,7 @@
 use auburnlug_state::Name;
 use auburnlug_transport::{
     byte_channel::Sender,
+    client_room::ClientRoom,
     link::Link,
     socket::{self, Identity},
 };
@@ -24,11 +25,12 @@
     listener: TcpListener,
     identity: Arc<Identity>,
     input: Sender<Input>,
+    openings: ClientRoom,
 ) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let (control, mut accepted) = mpsc::channel::<socket::Accepted>(MAX_PENDING_LINKS);
     let (traffic, _traffic) = mpsc::channel(1);
-    tokio::spawn(socket::listen(listener, identity, control, traffic));
+    tokio::spawn(socket::listen_within(listener, identity, control, traffic, openings));
     tokio::spawn(async move {
         // Keeps the channel of traffic links open; a control member accepts none.
         let _unused = _traffic;
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,6 +19,7 @@
 use auburnlug_state::{Millis, Name, Term};
 use auburnlug_transport::{
     byte_channel::Sender,
+    client_room::ClientRoom,
     clock::Clock,
     event::{Event, log},
     link::{Dial, Link, dial_once_per},
@@ -69,8 +70,12 @@
     pub ports: Ports,
     /// Listener for callers.
     pub callers: TcpListener,
+    /// Places and bytes of the callers.
+    pub caller_room: ClientRoom,
     /// Listener for links from other entries.
     pub traffic: TcpListener,
+    /// Places of links before their handshake.
+    pub opening_room: ClientRoom,
     /// Control members from the settings.
     pub seeds: BTreeSet<Name>,
     /// Grace period from the request to stop until the process is killed.
@@ -133,8 +138,8 @@
         wire: options.caller_wire,
         shutdown: shutdown.clone(),
     });
-    accept_links(options.traffic, options.identity.clone(), relay.clone())?;
-    spawn_local(accept_callers(options.callers, sessions.clone()));
+    accept_links(options.traffic, options.identity.clone(), relay.clone(), options.opening_room)?;
+    spawn_local(accept_callers(options.callers, sessions.clone(), options.caller_room));
     let seeds = Rc::new(RefCell::new(options.seeds));
     let (events, inbox) = mpsc::channel(ENTRY_QUEUE_CAPACITY);
     let follower = LeaderFollower {
@@ -186,18 +191,28 @@
     listener: TcpListener,
     identity: Arc<Identity>,
     relay: Rc<Relay>,
+    openings: ClientRoom,
 ) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let (control, _control) = mpsc::channel(1);
     let (traffic, mut sockets) = mpsc::channel(ENTRY_QUEUE_CAPACITY);
-    tokio::spawn(socket::listen(listener, identity.clone(), control, traffic));
+    let listening =
+        socket::listen_within(listener, identity.clone(), control, traffic, openings.clone());
+    tokio::spawn(listening);
     spawn_local(async move {
         // Keeps the channel of control links open; an entry accepts none.
         let _unused = _control;
         while let Some(socket) = sockets.recv().await {
+            let Ok(peer) = socket.peer_addr() else { continue };
+            let Some(opening) = openings.admit(peer.ip()) else { continue };
             let (identity, relay) = (identity.clone(), relay.clone());
             spawn_local(async move {
-                if let Ok(accepted) = socket::accept_traffic(socket, &identity).await {
+                let accepted = tokio::select! {
+                    accepted = socket::accept_traffic(socket, &identity) => accepted,
+                    () = opening.closed() => return,
+                };
+                drop(opening);
+                if let Ok(accepted) = accepted {
                     relay.serve_link(accepted.link()).await;
                 }
             });
@@ -206,12 +221,14 @@
     Ok(())
 }
 
-async fn accept_callers(listener: TcpListener, sessions: Rc<SessionContext>) {
+async fn accept_callers(listener: TcpListener, sessions: Rc<SessionContext>, room: ClientRoom) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(session::serve(sessions.clone(), stream));
+            Ok((stream, peer)) => {
+                if let Some(client) = room.admit(peer.ip()) {
+                    spawn_local(session::serve(sessions.clone(), stream, client));
+                }
             }
             Err(e) => {
                 log(Event::ListenFailed, format_args!("accept: {e}"));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Reads answered by a replica.
     pub replica_reads: Counter,
+    /// Clients that were refused or closed to bound what clients hold, by reason.
+    pub client_refusals: Family<ReasonLabel, Counter>,
     /// Connections opened to servers.
     pub connections_opened: Counter,
     /// Open sessions.
@@ -56,6 +58,7 @@
             errors: Family::default(),
             retries: Family::default(),
             replica_reads: Counter::default(),
+            client_refusals: Family::default(),
             connections_opened: Counter::default(),
             sessions: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -74,6 +77,7 @@
             "Connections opened",
             metrics.connections_opened.clone(),
         );
+        registry.register("client_refusals", "Clients by refusal", metrics.client_refusals.clone());
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register("request_seconds", "Latency of requests", metrics.latency.clone());
         registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
@@ -90,6 +94,11 @@
         self.errors.get_or_create(&ReasonLabel { reason: code.label() }).inc();
     }
 
+    /// Counts a client that was refused or closed.
+    pub fn count_client_refusal(&self, reason: &'static str) {
+        self.client_refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a retry.
     pub fn count_retry(&self, reason: &'static str) {
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
-use auburnlug_coordination::Position;
+use auburnlug_coordination::{
+    Position,
+    client_budget::{MESSAGE_COPIES, Standing},
+};
 use auburnlug_protocol::job::{
     Answer, DataRequirement, ErrorCode, Job, Opening, PreparedStatement, Reply, Request,
     SessionState, SessionVariables, Statement, StatementText, TransactionStep,
@@ -11,12 +14,15 @@
     Millis,
     fleet::{Database, Freshness, KeyHash},
 };
-use auburnlug_transport::event::{Event, log};
-use bytes::BytesMut;
+use auburnlug_transport::{
+    client_room::Client,
+    event::{Event, log},
+};
+use bytes::{BufMut, BytesMut};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::timeout,
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::{
@@ -40,6 +46,22 @@
 
 const CALLER_READ_BYTES: usize = 4 << 10;
 
+/// Longest opening message; the names and keys of the configuration are far shorter.
+const MAX_OPENING_BYTES: usize = 8 << 10;
+
+/// Size of a message above which its buffer is not kept for the next one.
+const MAX_KEPT_BUFFER_BYTES: usize = 16 << 10;
+
+/// Time within which a message that has begun must be complete: several times what the largest one
+/// takes on a link of 2 Mbit/s.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Longest time for which a caller may read nothing of an answer.
+const ANSWER_READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Copies of an answer while it is sent: its rows and the encoded message.
+const ANSWER_COPIES: usize = 2;
+
 /// Limit on prepared statements, and on session values, of one session.
 const MAX_SESSION_NAMES: usize = 256;
 
@@ -74,6 +96,8 @@
 pub(crate) struct Session {
     pub(crate) context: Rc<SessionContext>,
     stream: TcpStream,
+    /// Place of the connection in the budget of all callers.
+    pub(crate) client: Client,
     inbound: BytesMut,
     outbound: BytesMut,
     database: Arc<str>,
@@ -82,9 +106,15 @@
     key: Option<KeyHash>,
     values: SessionVariables,
     prepared: BTreeMap<Arc<str>, PreparedStatement>,
+    /// Bytes of the session values and prepared statements.
+    stored: usize,
     /// Position of the last commit of this session.
     commit_position: Option<Position>,
     pub(crate) transaction: Option<Transaction>,
+    /// Whether the opening was accepted.
+    is_open: bool,
+    /// Arrival of the first bytes of a message that is not complete.
+    begun_at: Option<Instant>,
     /// Times at which the opening arrived and was answered, until the first request.
     opened: Option<(Millis, Millis)>,
     /// Time from which the latency of the present operation counts.
@@ -104,13 +134,14 @@
 }
 
 /// Serves the connection of a caller until it ends.
-pub async fn serve(context: Rc<SessionContext>, stream: TcpStream) {
+pub async fn serve(context: Rc<SessionContext>, stream: TcpStream, client: Client) {
     let _ = stream.set_nodelay(true);
     let metrics = context.local.metrics.clone();
     metrics.sessions.inc();
     let mut session = Session {
         context,
         stream,
+        client,
         inbound: BytesMut::with_capacity(CALLER_READ_BYTES),
         outbound: BytesMut::new(),
         database: "".into(),
@@ -118,15 +149,18 @@
         key: None,
         values: SessionVariables::new(),
         prepared: BTreeMap::new(),
+        stored: 0,
         commit_position: None,
         transaction: None,
+        is_open: false,
+        begun_at: None,
         opened: None,
         asked_at: 0,
     };
     let ending = session.run().await;
     session.drop_transaction();
     metrics.sessions.dec();
-    if ending != Ending::Caller {
+    if ending != Ending::Caller && session.client.may_log() {
         log(
             Event::SessionEnded,
             format_args!(
@@ -159,6 +193,8 @@
             self.send_final_answer(answer).await;
             return Ending::Refused;
         }
+        self.is_open = true;
+        self.client.open(&self.account);
         if self.send(None, Some(SessionState::Idle)).await.is_err() {
             return Ending::Caller;
         }
@@ -229,14 +265,47 @@
 
     /// Reads the next request; cancel safe.
     async fn read_request(&mut self) -> Result<Option<Request>, DecodeError> {
+        let mut received = self.inbound.len();
         loop {
-            if let Some(request) = self.context.wire.decode(&mut self.inbound)? {
+            let before = self.inbound.len();
+            if self.context.wire.ends_message(&self.inbound, received)
+                && let Some(request) = self.context.wire.decode(&mut self.inbound)?
+            {
+                self.begun_at = None;
+                if before - self.inbound.len() > MAX_KEPT_BUFFER_BYTES {
+                    self.inbound = BytesMut::from(&self.inbound[..]);
+                }
                 return Ok(Some(request));
             }
-            self.inbound.reserve(CALLER_READ_BYTES);
-            match self.stream.read_buf(&mut self.inbound).await {
-                Ok(0) | Err(_) => return Ok(None),
-                Ok(_) => {}
+            if !self.is_open && before > MAX_OPENING_BYTES {
+                return Err(DecodeError::TooLarge);
+            }
+            received = self.receive().await;
+            if received == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Reads bytes once there is room for them; zero if the connection ends. Cancel safe.
+    async fn receive(&mut self) -> usize {
+        let held = self.stored + self.inbound.len() * MESSAGE_COPIES + CALLER_READ_BYTES;
+        if !self.client.hold(held).await {
+            return 0;
+        }
+        if !self.inbound.is_empty() {
+            self.begun_at.get_or_insert_with(Instant::now);
+        }
+        let deadline = self.begun_at.map(|begun| begun + MESSAGE_TIMEOUT);
+        self.inbound.reserve(CALLER_READ_BYTES);
+        let mut buffer = (&mut self.inbound).limit(CALLER_READ_BYTES);
+        tokio::select! {
+            biased;
+            count = self.stream.read_buf(&mut buffer) => count.unwrap_or(0),
+            () = self.client.closed() => 0,
+            () = wait_until(deadline) => {
+                self.client.record_stalled();
+                0
             }
         }
     }
@@ -266,14 +335,16 @@
         };
         let Some((code, reason)) = refusal else { return Ok(()) };
         self.context.local.metrics.count_error(code);
-        log(
-            Event::SessionRefused,
-            format_args!(
-                "database={} code={code} reason={reason:?} config_version={}",
-                opening.database.escape_debug(),
-                view.config.version
-            ),
-        );
+        if self.client.may_log() {
+            log(
+                Event::SessionRefused,
+                format_args!(
+                    "database={} code={code} reason={reason:?} config_version={}",
+                    opening.database.escape_debug(),
+                    view.config.version
+                ),
+            );
+        }
         Err(Answer::error(code, reason))
     }
 
@@ -299,6 +370,7 @@
 
     /// Runs a statement and sends its answer.
     async fn serve_statement(&mut self, id: Arc<str>, statement: Statement) -> Result<(), Ending> {
+        self.client.set_standing(Standing::Running);
         let arrival = self.context.local.now();
         let opened = self.opened.take();
         if self.transaction.is_none() {
@@ -333,7 +405,10 @@
             Statement::Set { name, value } => (self.set_value(name, value), state),
             Statement::Prepare { name, shape } => (self.prepare(name, shape), state),
             Statement::Deallocate { name } => match self.prepared.remove(&name) {
-                Some(_) => (Answer::without_server(), state),
+                Some(shape) => {
+                    self.stored -= name.len() + shape.text.len();
+                    (Answer::without_server(), state)
+                }
                 None => (Answer::error(ErrorCode::UnknownStatement, name), state),
             },
             Statement::Read(text) => self.run_text(&id, arrival, database, text, false).await,
@@ -367,7 +442,11 @@
         if self.values.len() >= MAX_SESSION_NAMES && !self.values.contains_key(&name) {
             return Answer::error(ErrorCode::Failed, "too many session values");
         }
-        self.values.insert(name, value);
+        self.stored += name.len() + value.len();
+        let name_bytes = name.len();
+        if let Some(former) = self.values.insert(name, value) {
+            self.stored -= name_bytes + former.len();
+        }
         Answer::without_server()
     }
 
@@ -375,7 +454,11 @@
         if self.prepared.len() >= MAX_SESSION_NAMES && !self.prepared.contains_key(&name) {
             return Answer::error(ErrorCode::Failed, "too many prepared statements");
         }
-        self.prepared.insert(name, shape);
+        self.stored += name.len() + shape.text.len();
+        let name_bytes = name.len();
+        if let Some(former) = self.prepared.insert(name, shape) {
+            self.stored -= name_bytes + former.text.len();
+        }
         Answer::without_server()
     }
 
@@ -530,7 +613,42 @@
     ) -> Result<(), ()> {
         self.context.wire.encode(&Reply { answer, state }, &mut self.outbound);
         let outbound = self.outbound.split();
-        self.stream.write_all(&outbound).await.map_err(|_| ())
+        if outbound.len() > MAX_KEPT_BUFFER_BYTES {
+            self.outbound = BytesMut::new();
+        }
+        if self.is_open {
+            let is_idle = self.transaction.is_none();
+            let standing = if is_idle { Standing::Open } else { Standing::Transaction };
+            self.client.set_standing(standing);
+        }
+        if !self.client.hold(self.stored + outbound.len() * ANSWER_COPIES).await {
+            return Err(());
+        }
+        let mut rest = &outbound[..];
+        while !rest.is_empty() {
+            let written = tokio::select! {
+                biased;
+                written = timeout(ANSWER_READ_TIMEOUT, self.stream.write(rest)) => written,
+                () = self.client.closed() => return Err(()),
+            };
+            match written {
+                Ok(Ok(count)) if count > 0 => rest = &rest[count..],
+                Ok(_) => return Err(()),
+                Err(_) => {
+                    self.client.record_stalled();
+                    return Err(());
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Waits until a time; for ever without one.
+async fn wait_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/gateway/src/session_refusal.rs
+++ b/crates/gateway/src/session_refusal.rs
@@ -37,10 +37,12 @@
         reason: &'static str,
     ) -> Result<(), Ending> {
         self.context.local.metrics.count_error(ErrorCode::Malformed);
-        log(
-            Event::MessageMalformed,
-            format_args!("id={} account={} reason={reason:?}", id.escape_debug(), self.account),
-        );
+        if self.client.may_log() {
+            log(
+                Event::MessageMalformed,
+                format_args!("id={} account={} reason={reason:?}", id.escape_debug(), self.account),
+            );
+        }
         let state = match &mut self.transaction {
             None => SessionState::Idle,
             Some(transaction) => {
@@ -71,10 +73,12 @@
     /// Ends a session with an error because of an unreadable message.
     pub(crate) async fn end_unreadable(&mut self, code: ErrorCode, reason: &'static str) -> Ending {
         self.context.local.metrics.count_error(code);
-        log(
-            Event::MessageMalformed,
-            format_args!("account={} code={code} reason={reason:?}", self.account),
-        );
+        if self.client.may_log() {
+            log(
+                Event::MessageMalformed,
+                format_args!("account={} code={code} reason={reason:?}", self.account),
+            );
+        }
         self.send_final_answer(Answer::error(code, reason)).await;
         Ending::Unreadable
     }
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -30,6 +30,10 @@
     /// The connection cannot be read any further.
     fn decode(&self, buffer: &mut BytesMut) -> Result<Option<Request>, DecodeError>;
 
+    /// Whether [`CallerWire::decode`] has a result other than `None`, if it had none before the last
+    /// `received` bytes of the buffer.
+    fn ends_message(&self, buffer: &[u8], received: usize) -> bool;
+
     /// Appends an encoded reply to the buffer.
     fn encode(&self, reply: &Reply, buffer: &mut BytesMut);
 }
--- a/crates/gateway/tests/member_search.rs
+++ b/crates/gateway/tests/member_search.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, thread, time::Duration};
 
+use auburnlug_coordination::client_budget::ProcessLimits;
 use auburnlug_coordination::{external_failover::Status, raft::Members};
 use auburnlug_gateway::{
     control::{self, ControlOptions},
@@ -105,6 +106,7 @@
             },
             ports: Ports { control: PORT, traffic: PORT, operator: PORT },
             links,
+            opening_room: socket::opening_room(ProcessLimits::default().link_openings()),
             seeds: BTreeSet::from([name(other)]),
             may_bootstrap: false,
             disk_losses: 0,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -93,6 +93,7 @@
     CallerMalformed = 401, Warn, "caller sent a malformed message";
     KeyWithdrawn = 402, Info, "connection closed: its key was withdrawn";
     CallerOversized = 403, Warn, "caller sent a message above the size limit";
+    ClientRefused = 404, Warn, "client refused or closed to bound what clients hold";
     ServerConnectFailed = 500, Warn, "connection to a database server failed";
     AnswerMismatched = 501, Error, "database server broke the order of answers; connection closed";
     RequestServed = 600, Info, "request answered by a server";
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 mod batch;
 pub mod byte_channel;
 mod caller;
+pub mod client_room;
 pub mod clock;
 mod compaction;
 mod connection_in_use;
@@ -28,6 +29,7 @@
 pub mod http;
 mod id_replication;
 pub mod instance;
+mod limited_stream;
 pub mod link;
 mod log_writer;
 mod loss_proof;
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use auburnlug_coordination::client_budget::{BudgetLimits, ProcessLimits};
 use auburnlug_protocol::{
     auth::{Challenge, Hello, Nonce, Proof, Purpose, Secret},
     decode, encode,
@@ -33,6 +34,8 @@
 use crate::{
     Error, Result,
     byte_channel::{Receiver, Sender},
+    client_room::ClientRoom,
+    limited_stream::LimitedStream,
     link::{Dial, Dialing, Link},
     metrics::{LinkMetrics, Meter},
 };
@@ -65,7 +68,10 @@
 
 const MAX_MESSAGES_PER_FLUSH: usize = 256;
 
-type Socket = WebSocketStream<TcpStream>;
+/// Bytes that an end reads before the other one has proven itself; a handshake takes less than 1 KiB.
+const MAX_HANDSHAKE_BYTES: usize = 16 << 10;
+
+type Socket = WebSocketStream<LimitedStream>;
 
 /// Identity and credentials of this end of a link.
 #[derive(Debug, Clone)]
@@ -166,18 +172,37 @@
     identity: Arc<Identity>,
     control: mpsc::Sender<Accepted>,
     traffic: mpsc::Sender<std::net::TcpStream>,
+) {
+    let openings = opening_room(ProcessLimits::default().link_openings());
+    listen_within(listener, identity, control, traffic, openings).await;
+}
+
+/// Room for connections before their handshake is complete.
+pub fn opening_room(limits: BudgetLimits) -> ClientRoom {
+    ClientRoom::new("links", limits, |_| {})
+}
+
+/// Accepts links like [`listen`]; `openings` bounds the connections before their handshake.
+pub async fn listen_within(
+    listener: TcpListener,
+    identity: Arc<Identity>,
+    control: mpsc::Sender<Accepted>,
+    traffic: mpsc::Sender<std::net::TcpStream>,
+    openings: ClientRoom,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        let Some(opening) = openings.admit(peer.ip()) else { continue };
         let (identity, control, traffic) = (identity.clone(), control.clone(), traffic.clone());
         tokio::spawn(async move {
-            let routed =
-                timeout(HANDSHAKE_TIMEOUT, route_socket(stream, &identity, &control, &traffic))
-                    .await;
-            drop(routed);
+            let routing = route_socket(stream, &identity, &control, &traffic);
+            tokio::select! {
+                routed = timeout(HANDSHAKE_TIMEOUT, routing) => drop(routed),
+                () = opening.closed() => {}
+            }
         });
     }
 }
@@ -297,17 +322,20 @@
         Purpose::Traffic => "traffic",
     };
     let url = format!("ws://{address}/{path}");
+    let stream = LimitedStream::new(stream, MAX_HANDSHAKE_BYTES);
     let (mut socket, _) = client_async_with_config(url, stream, Some(socket_config())).await?;
     let hello = Hello { from: identity.name.clone(), to, purpose, nonce: random_nonce() };
     send(&mut socket, &hello).await?;
     let challenge: Challenge = receive(&mut socket).await?;
     let proof = identity.secret.prove(&hello, &challenge).ok_or_else(Error::authentication)?;
     send(&mut socket, &proof).await?;
+    socket.get_mut().lift_limit();
     Ok(socket)
 }
 
 async fn accept(stream: TcpStream, identity: &Identity) -> Result<Accepted> {
     stream.set_nodelay(true)?;
+    let stream = LimitedStream::new(stream, MAX_HANDSHAKE_BYTES);
     let mut socket = accept_async_with_config(stream, Some(socket_config())).await?;
     let hello: Hello = receive(&mut socket).await?;
     if hello.to != identity.name {
@@ -319,6 +347,7 @@
     if !identity.secret.verify(&hello, &nonce, &proof) {
         return Err(Error::authentication());
     }
+    socket.get_mut().lift_limit();
     let meters = Meters::new(&identity.links, hello.purpose);
     let (peer, purpose) = (hello.from, hello.purpose);
     let ping_interval = identity.ping_interval(purpose);
