--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,8 @@
     pub pace_rate: Family<ServerLabel, Gauge<f64, AtomicU64>>,
     /// Statements refused because this entry had no share of the rate of a cold server, or no lease.
     pub pace_refusals: Counter,
+    /// Clients that were refused or closed to bound what clients hold, by reason.
+    pub client_refusals: Family<ReasonLabel, Counter>,
     /// Connections opened to servers.
     pub connections_opened: Counter,
     /// Open sessions.
@@ -76,6 +78,7 @@
             home_refusals: Counter::default(),
             pace_rate: Family::default(),
             pace_refusals: Counter::default(),
+            client_refusals: Family::default(),
             connections_opened: Counter::default(),
             sessions: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
@@ -107,6 +110,7 @@
             "Connections opened",
             metrics.connections_opened.clone(),
         );
+        registry.register("client_refusals", "Clients by refusal", metrics.client_refusals.clone());
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register("request_seconds", "Latency of requests", metrics.latency.clone());
         registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
@@ -133,6 +137,11 @@
         self.errors.get_or_create(&ReasonLabel { reason: code.label() }).inc();
     }
 
+    /// Counts a client that was refused or closed.
+    pub fn count_client_refusal(&self, reason: &'static str) {
+        self.client_refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a retry.
     pub fn count_retry(&self, reason: &'static str) {
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
