Let client accounts take turns for the slots of a server

Cause: within a priority, jobs went by arrival, so an account that sends many times its usual made all others wait for its backlog, and had them refused by its length. Change: each account has one turn in each round; the jobs ahead of a new one are counted by the same order. The existing tests pass an account, their checks stay.

--- a/crates/coordination/tests/slot_queue.rs
+++ b/crates/coordination/tests/slot_queue.rs
@@ -1,7 +1,7 @@
 //! A backlog of two seconds that returns after a restart of everything, at the slots of one group
 //! of servers: by the rates, durations and objectives of a deployment with 292 sessions.
 
-use std::{cell::RefCell, collections::VecDeque};
+use std::{cell::RefCell, collections::VecDeque, sync::Arc};
 
 use auburnlug_coordination::slot_queue::{SlotPlace, SlotQueue};
 use auburnlug_state::Millis;
@@ -72,7 +72,7 @@
 fn a_backlog_does_not_make_later_operations_late() {
     let queue = RefCell::new(SlotQueue::new());
     let outcome = play(
-        |job| queue.borrow_mut().push(place(job), job),
+        |job| queue.borrow_mut().push(place(job), "a".into(), job),
         |now| {
             let mut queue = queue.borrow_mut();
             queue.remove(|place, _| now + DURATION_MS > place.deadline);
@@ -98,11 +98,11 @@
 #[test]
 fn a_late_job_has_a_turn_under_lasting_load() {
     let mut queue = SlotQueue::new();
-    queue.push(place(Job { asked: 0 }), "late");
+    queue.push(place(Job { asked: 0 }), "a".into(), "late");
     let mut turns = 0;
     loop {
         let now = 1_000 + turns;
-        queue.push(place(Job { asked: now }), "punctual");
+        queue.push(place(Job { asked: now }), "a".into(), "punctual");
         turns += 1;
         if queue.pop(DURATION_MS, now) == Some("late") {
             break;
@@ -114,11 +114,67 @@
 #[test]
 fn only_jobs_that_go_first_count_as_ahead() {
     let mut queue = SlotQueue::new();
-    queue.push(place(Job { asked: 0 }), ());
-    queue.push(place(Job { asked: 1_000 }), ());
+    queue.push(place(Job { asked: 0 }), "a".into(), ());
+    queue.push(place(Job { asked: 1_000 }), "a".into(), ());
     let (punctual, late) = (place(Job { asked: 1_010 }), place(Job { asked: 10 }));
-    assert_eq!(queue.jobs_ahead(punctual, DURATION_MS, 1_010), 1);
-    assert_eq!(queue.jobs_ahead(late, DURATION_MS, 1_010), 2);
+    assert_eq!(queue.jobs_ahead(punctual, "a", DURATION_MS, 1_010), 1);
+    assert_eq!(queue.jobs_ahead(late, "a", DURATION_MS, 1_010), 2);
     let urgent = SlotPlace { priority: 1, ..punctual };
-    assert_eq!(queue.jobs_ahead(urgent, DURATION_MS, 1_010), 0);
+    assert_eq!(queue.jobs_ahead(urgent, "a", DURATION_MS, 1_010), 0);
+}
+
+/// Longest wait of an account that asks once in 20 ms, at a server that runs one job in 5 ms, while
+/// another account asks `hot` times in 5 ms for half a second.
+fn longest_wait(hot: u32, account: impl Fn(&'static str) -> Arc<str>) -> Millis {
+    let mut queue = SlotQueue::new();
+    let mut longest = 0;
+    for now in (0..500).step_by(5) {
+        let asked = place(Job { asked: now });
+        for _ in 0..hot {
+            queue.push(asked, account("hot"), ("hot", now));
+        }
+        if now % 20 == 0 {
+            queue.push(asked, account("usual"), ("usual", now));
+        }
+        if let Some(("usual", asked)) = queue.pop(5, now) {
+            longest = longest.max(now - asked);
+        }
+    }
+    let left = queue.remove(|_, (name, _)| *name == "usual");
+    left.iter().map(|(_, asked)| 500 - asked).fold(longest, Millis::max)
+}
+
+/// Guards against an account that sends many times its usual and makes another one wait, or that
+/// has this one refused because of the length of its own backlog.
+#[test]
+fn an_account_does_not_wait_for_the_backlog_of_another() {
+    assert!(longest_wait(4, |name| name.into()) <= 10);
+    // In order of arrival.
+    assert!(longest_wait(4, |_| "same".into()) > 200);
+
+    let mut queue = SlotQueue::new();
+    let job = place(Job { asked: 0 });
+    for _ in 0..50 {
+        queue.push(job, "hot".into(), ());
+    }
+    assert_eq!(queue.jobs_ahead(job, "usual", DURATION_MS, 0), 1);
+    assert_eq!(queue.jobs_ahead(job, "hot", DURATION_MS, 0), 50);
+}
+
+/// Guards against an account with a backlog that has no turn while others keep the slots busy.
+#[test]
+fn an_account_with_a_backlog_keeps_its_turns() {
+    let mut queue = SlotQueue::new();
+    let job = place(Job { asked: 0 });
+    for _ in 0..20 {
+        queue.push(job, "hot".into(), "hot");
+    }
+    let mut turns = 0;
+    for _ in 0..30 {
+        for other in ["b", "c"] {
+            queue.push(job, other.into(), other);
+        }
+        turns += u32::from(queue.pop(DURATION_MS, 0) == Some("hot"));
+    }
+    assert!((9..=11).contains(&turns), "{turns} of 30 turns");
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -177,13 +177,15 @@
                 objective: request.objective,
                 deadline: request.deadline,
             };
-            let ahead = server.waiters.jobs_ahead(place, server.average_duration as Millis, now);
+            let duration = server.average_duration as Millis;
+            let ahead = server.waiters.jobs_ahead(place, &request.account, duration, now);
             let expected =
                 (ahead as f64 * server.average_duration / f64::from(server.slots)) as Millis;
             if expected > request.max_wait.min(request.deadline.saturating_sub(now)) {
                 return Err(NoSlot::QueueFull(expected, server.describe(now)));
             }
-            server.waiters.push(place, Waiter { request, reply: sender });
+            let account = request.account.clone();
+            server.waiters.push(place, account, Waiter { request, reply: sender });
         }
         self.dispatch(&id);
         match receiver.await {
