Avoid a connection owner until it gives a sign, and test it with single jobs

Cause: an owner that fell silent was avoided for one second; then all statements of the next 300 ms waited for it again, and writes until their time-out. An owner that answers but cannot use a server (a partition between the two, no lease) kept all of the server's jobs, although the second owner might run them. Change: owners, and their paths to servers, stay avoided until a message, a link or an answer; a job that was not run goes to the next owner at once.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod membership_step;
 pub mod observation;
+pub mod owner_health;
 pub mod pending_entries;
 pub mod position_samples;
 pub mod queue;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,14 @@
     pub sessions: Gauge,
     /// Seconds from the arrival of a request to its answer.
     pub latency: Histogram,
+    /// Connection owners that were lost or silent, so that others are preferred.
+    pub owners_avoided: Counter,
+    /// Connection owners that could not use a server, so that others are preferred for it.
+    pub paths_avoided: Counter,
+    /// Tests of avoided connection owners.
+    pub owner_tests: Counter,
+    /// Jobs that stopped to wait for a slot, by reason.
+    pub waits_ended: Family<ReasonLabel, Counter>,
     /// Seconds that jobs waited for a slot.
     pub slot_wait: Histogram,
     /// Promotions ordered from the authority.
@@ -59,6 +67,10 @@
             connections_opened: Counter::default(),
             sessions: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
+            owners_avoided: Counter::default(),
+            paths_avoided: Counter::default(),
+            owner_tests: Counter::default(),
+            waits_ended: Family::default(),
             slot_wait: Histogram::new(LATENCY_BUCKETS_SECONDS),
             promotion_orders: Counter::default(),
             config_version: Gauge::default(),
@@ -77,6 +89,13 @@
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register("request_seconds", "Latency of requests", metrics.latency.clone());
         registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
+        let owners = metrics.owners_avoided.clone();
+        registry.register("owners_avoided", "Connection owners lost or silent", owners);
+        let paths = metrics.paths_avoided.clone();
+        registry.register("paths_avoided", "Owners that could not use a server", paths);
+        registry.register("owner_tests", "Tests of avoided owners", metrics.owner_tests.clone());
+        let ended = metrics.waits_ended.clone();
+        registry.register("slot_waits_ended", "Waits that ended without a slot", ended);
         registry.register("promotions", "Orders of promotion", metrics.promotion_orders.clone());
         registry.register("config_version", "Configuration", metrics.config_version.clone());
         metrics.control.register(&mut registry);
@@ -95,6 +114,11 @@
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a wait for a slot that ended without one.
+    pub fn count_ended_wait(&self, reason: &'static str) {
+        self.waits_ended.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// All metrics in the text format of Prometheus.
     pub fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use auburnlug_coordination::owner_health::{OWNER_SILENCE_LIMIT_MS, OwnerRecords};
 use auburnlug_protocol::{
     fleet::{ClaimOutcome, Forward},
     job::{Answer, ErrorCode, Job, TransactionStep},
@@ -43,14 +44,12 @@
 /// entry uses only some of them.
 const MAX_PREOPENED_LINKS: usize = 12;
 
-/// Time for which other entries are preferred to one that did not answer. A link without answers is
-/// closed after two seconds.
+/// Time for which no claims are sent to a regional limiter that did not answer one.
 const UNRESPONSIVE_BACKOFF_MS: Millis = 1_000;
 
 /// Time without any message from a connection owner after which an idempotent job is sent to the
-/// next one. Most statements are answered sooner, also between regions; the control leader replaces
-/// an unresponsive owner only after 1.5 s.
-const OWNER_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// next one. The control leader replaces an unresponsive owner only after 1.5 s.
+const OWNER_RESPONSE_TIMEOUT: Duration = Duration::from_millis(OWNER_SILENCE_LIMIT_MS);
 
 /// Longest wait for the first answer of a regional limiter to a claim: several times the latency
 /// within a region on loaded links.
@@ -88,6 +87,7 @@
     port: u16,
     peers: RefCell<BTreeMap<Name, Rc<PeerEntry>>>,
     next_number: Cell<u64>,
+    owners: RefCell<OwnerRecords>,
 }
 
 /// Link to another entry and the requests in flight on it.
@@ -98,7 +98,7 @@
     pending_claims: RefCell<BTreeMap<u64, mpsc::Sender<ClaimOutcome>>>,
     link_opened: Notify,
     dialing: Cell<bool>,
-    /// Time until which other entries are preferred.
+    /// Time until which no claims are sent to it.
     avoided_until: Cell<Millis>,
     /// Time of the last message from the entry.
     last_received: Cell<Millis>,
@@ -113,7 +113,8 @@
         port: u16,
     ) -> Rc<Relay> {
         let (peers, next_number) = (RefCell::default(), Cell::new(1));
-        Rc::new(Relay { local, executor, dial, port, peers, next_number })
+        let owners = RefCell::default();
+        Rc::new(Relay { local, executor, dial, port, peers, next_number, owners })
     }
 
     /// Runs a single statement, or the first one of a transaction, at its server.
@@ -121,7 +122,7 @@
         let started = self.local.now();
         let mut last =
             Answer::error(ErrorCode::Unreachable, "no entry holds connections to the server");
-        let owners = self.connection_owners(&job.server);
+        let owners = self.connection_owners(&job);
         let last_owner = owners.last().cloned();
         for owner in owners {
             let elapsed = self.local.now().saturating_sub(started);
@@ -132,20 +133,29 @@
             job.remaining -= elapsed;
             job.objective = job.objective.saturating_sub(elapsed);
             let server = job.server.clone();
+            let is_last = last_owner.as_ref() == Some(&owner);
             if owner == self.local.me.name {
                 let (answer, pinned) = self.executor.run_first(&job).await;
-                return (
-                    answer,
-                    pinned.map(|pinned| TransactionRoute::Direct(server, Box::new(pinned))),
-                );
+                self.record_path(&owner, &server, &answer);
+                if is_last || answer.code() != Some(ErrorCode::Unreachable) {
+                    let route = |pinned| TransactionRoute::Direct(server, Box::new(pinned));
+                    return (answer, pinned.map(route));
+                }
+                last = answer;
+                continue;
             }
             let number = self.next_number.get();
             self.next_number.set(number + 1);
             let (in_transaction, once) =
                 (job.step != TransactionStep::Single && !job.commits, job.run_once);
-            let has_alternative = !once && last_owner.as_ref() != Some(&owner);
+            let has_alternative = !once && !is_last;
             match self.forward(&owner, number, job, has_alternative).await {
                 Ok(answer) => {
+                    self.record_path(&owner, &server, &answer);
+                    if !is_last && answer.code() == Some(ErrorCode::Unreachable) {
+                        last = answer;
+                        continue;
+                    }
                     let route = in_transaction
                         .then_some(TransactionRoute::Forwarded(server, owner, number));
                     return (answer, route);
@@ -278,18 +288,57 @@
         let _ = out.send(claim_answer(answer)).await;
     }
 
-    /// Connection owners of a server; unresponsive ones are last.
-    fn connection_owners(&self, server: &str) -> Vec<Name> {
+    /// Connection owners of a job's server, in the order in which they are tried.
+    fn connection_owners(self: &Rc<Self>, job: &Job) -> Vec<Name> {
         let view = self.local.view();
+        let owners = view.connection_owners.get(&job.server).into_iter().flatten();
+        let owners = owners.map(|owner| owner.entry.clone()).collect();
+        let is_linked = |name: &Name| {
+            *name == self.local.me.name
+                || self.peers.borrow().get(name).is_some_and(|peer| peer.outbox.borrow().is_some())
+        };
         let now = self.local.now();
-        let names =
-            view.connection_owners.get(server).into_iter().flatten().map(|h| h.entry.clone());
-        let mut names: Vec<Name> = names.collect();
-        let peers = self.peers.borrow();
-        names.sort_by_key(|name| {
-            peers.get(name.as_str()).is_some_and(|peer| now < peer.avoided_until.get())
-        });
-        names
+        let order =
+            self.owners.borrow_mut().order(&job.server, owners, is_linked, job.run_once, now);
+        if order.tests || order.dial.is_some() {
+            self.local.metrics.owner_tests.inc();
+        }
+        if let Some(name) = order.dial {
+            self.peer_link(&name);
+        }
+        order.names
+    }
+
+    /// Records that a connection owner did not answer, or that no link to it is open.
+    fn record_owner_loss(&self, name: &Name) {
+        if self.owners.borrow_mut().owner(name).record_loss(self.local.now()) {
+            self.local.metrics.owners_avoided.inc();
+        }
+    }
+
+    /// Records whether a connection owner could use the server of a job; an unknown outcome tells
+    /// neither.
+    fn record_path(&self, name: &Name, server: &Arc<str>, answer: &Answer) {
+        let usable = match answer.code() {
+            Some(ErrorCode::Unreachable | ErrorCode::Timeout) => false,
+            // It got a slot, and no connection.
+            Some(ErrorCode::Busy) => answer.expected_wait > 0,
+            Some(ErrorCode::Unknown) => return,
+            _ => true,
+        };
+        let now = self.local.now();
+        if self.owners.borrow_mut().record_path(name, server, usable, now) {
+            self.local.metrics.paths_avoided.inc();
+        }
+    }
+
+    /// Forgets a forwarded job that is not awaited any more.
+    fn end_job(&self, name: &Name, peer: &PeerEntry, number: u64) {
+        let mut jobs = peer.pending_jobs.borrow_mut();
+        jobs.remove(&number);
+        if jobs.is_empty() {
+            self.owners.borrow_mut().owner(name).record_idle();
+        }
     }
 
     /// Forwards a job to a connection owner; the error tells whether the job may have run. With
@@ -308,21 +357,22 @@
         let sent = self.local.now();
         let link = timeout(left.min(LINK_OPEN_TIMEOUT), peer.wait_for_link()).await.ok().flatten();
         let Some(out) = link else {
-            peer.avoided_until.set(sent + UNRESPONSIVE_BACKOFF_MS);
+            self.record_owner_loss(to);
             return Err(false);
         };
         let (sender, mut receiver) = oneshot::channel();
         peer.pending_jobs.borrow_mut().insert(number, sender);
         if out.try_send(Forward::Job { number, job: Box::new(job) }).is_err() {
-            peer.pending_jobs.borrow_mut().remove(&number);
+            self.end_job(to, &peer, number);
             return Err(false);
         }
+        self.owners.borrow_mut().owner(to).record_sent(sent);
         let first = if has_alternative { left.min(OWNER_RESPONSE_TIMEOUT) } else { left };
         let mut answered = timeout(first, &mut receiver).await;
         if answered.is_err() && has_alternative {
             if peer.last_received.get() < sent {
-                peer.avoided_until.set(self.local.now() + UNRESPONSIVE_BACKOFF_MS);
-                peer.pending_jobs.borrow_mut().remove(&number);
+                self.record_owner_loss(to);
+                self.end_job(to, &peer, number);
                 let _ = out.try_send(Forward::Drop { number });
                 return Err(false);
             }
@@ -333,9 +383,9 @@
             Ok(Err(_)) => Err(true),
             Err(_) => {
                 if peer.last_received.get() < sent {
-                    peer.avoided_until.set(self.local.now() + UNRESPONSIVE_BACKOFF_MS);
+                    self.record_owner_loss(to);
                 }
-                peer.pending_jobs.borrow_mut().remove(&number);
+                self.end_job(to, &peer, number);
                 let _ = out.try_send(Forward::Drop { number });
                 Ok(Answer::error(ErrorCode::Timeout, "the holder did not answer in time"))
             }
@@ -360,13 +410,16 @@
             Some(Link { out, mut inbox, .. }) => {
                 log(Event::ConnectionOwnerRegained, format_args!("entry={}", name.as_str()));
                 *peer.outbox.borrow_mut() = Some(out);
+                self.owners.borrow_mut().owner(&name).record_sign();
                 peer.link_opened.notify_waiters();
                 while let Some(message) = inbox.recv().await {
                     peer.last_received.set(self.local.now());
+                    self.owners.borrow_mut().owner(&name).record_sign();
                     peer.deliver_answer(message);
                 }
                 log(Event::ConnectionOwnerLost, format_args!("entry={}", name.as_str()));
                 *peer.outbox.borrow_mut() = None;
+                self.record_owner_loss(&name);
                 peer.pending_jobs.borrow_mut().clear();
                 peer.pending_claims.borrow_mut().clear();
             }
