End hopeless waits for a slot

Cause: a job that waited for the slots of a former primary was refused only when it got one or at its deadline, and a read waited until its deadline for a server that hangs, as the queue of such a server looks short. Change: a job for the primary leaves when the entry may not use the server as such, and its sender tries the next owner; a read that a replica may run leaves after the wait with which it would have joined the queue.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod session;
 mod sized_entries;
 pub mod slot_queue;
+pub mod slot_wait;
 pub mod standby_level;
 pub mod token_bucket;
 
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -1,7 +1,8 @@
 //! Runs jobs on this entry's connections.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
+use auburnlug_coordination::slot_wait::{SlotWait, WaitingJob};
 use auburnlug_protocol::job::{
     Answer, ErrorCode, Job, SessionState, StatementText, TransactionStep,
 };
@@ -120,10 +121,7 @@
                 permit.close_connection();
                 (with_server_name(Answer::error(ErrorCode::Busy, "the server was slow"), job), None)
             }
-            Attempt::NotPrimary => {
-                let reason = "this entry has no lease on the primary";
-                (with_server_name(Answer::error(ErrorCode::ReadOnly, reason), job), None)
-            }
+            Attempt::NotPrimary => (refusal(job, NoSlot::NotPrimary), None),
             Attempt::ConnectPending(opening) => {
                 finish_connect(permit, opening);
                 (
@@ -278,9 +276,43 @@
             max_wait: job.max_wait,
             objective: arrival + job.objective,
         };
-        let permit = timeout_at(until, self.pool.acquire(request)).await;
+        let permit = self.wait_for_permit(request, job, until).await;
         self.local.metrics.slot_wait.observe(started.elapsed().as_secs_f64());
-        permit.unwrap_or_else(|_| Err(NoSlot::TimedOut(self.pool.describe(&job.server))))
+        permit
+    }
+
+    /// Waits for the permit of a request until the job has no prospect of one.
+    async fn wait_for_permit(
+        &self,
+        request: SlotRequest,
+        job: &Job,
+        until: Instant,
+    ) -> Result<SlotPermit, NoSlot> {
+        let waiting = WaitingJob {
+            arrival: self.local.now(),
+            max_wait: job.max_wait,
+            needs_primary: job.after.is_none(),
+        };
+        let mut acquire = pin!(self.pool.acquire(request));
+        loop {
+            let is_leased = self.local.is_leased_primary(&job.group, &job.server);
+            let (reason, ending) = match waiting.decide(is_leased, self.local.now()) {
+                SlotWait::Continue(pause) => {
+                    let check = until.min(Instant::now() + Duration::from_millis(pause));
+                    match timeout_at(check, &mut acquire).await {
+                        Ok(permit) => return permit,
+                        Err(_) if Instant::now() < until => continue,
+                        Err(_) => ("deadline", NoSlot::TimedOut(self.pool.describe(&job.server))),
+                    }
+                }
+                SlotWait::PrimaryLost => ("primary_lost", NoSlot::NotPrimary),
+                SlotWait::TooSlow => {
+                    ("too_slow", NoSlot::TimedOut(self.pool.describe(&job.server)))
+                }
+            };
+            self.local.metrics.count_ended_wait(reason);
+            return Err(ending);
+        }
     }
 
     /// Opens a connection if needed, prepares its session and sends the statement, if this entry
@@ -362,7 +394,7 @@
 /// Answer to a job that got no slot.
 fn refusal(job: &Job, reason: NoSlot) -> Answer {
     let wait = match &reason {
-        NoSlot::Unreachable => 0,
+        NoSlot::Unreachable | NoSlot::NotPrimary => 0,
         NoSlot::QueueFull(wait, _) => *wait,
         NoSlot::TimedOut(_) => job.remaining.max(1),
     };
@@ -370,6 +402,10 @@
         NoSlot::Unreachable => {
             Answer::error(ErrorCode::Unreachable, format!("{} cannot be reached", job.server))
         }
+        // Another owner of the server may have the lease.
+        NoSlot::NotPrimary => {
+            Answer::error(ErrorCode::Unreachable, "this entry has no lease on the primary")
+        }
         NoSlot::QueueFull(_, queue) => {
             Answer::error(ErrorCode::Busy, format!("too many wait: {queue}"))
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -56,6 +56,8 @@
 pub enum NoSlot {
     /// This entry owns no connections to the server, or the server cannot be reached.
     Unreachable,
+    /// The server may not be used as the primary.
+    NotPrimary,
     /// The queue is too long: the expected wait in milliseconds, and a description of the queue.
     QueueFull(Millis, String),
     /// No slot became free in time; the text describes the queue.
