--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -68,6 +68,8 @@
     /// This entry owns no connections to the server, or the server cannot be reached or is
     /// evacuated.
     Unreachable,
+    /// The server may not be used as the primary.
+    NotPrimary,
     /// The queue is too long: the expected wait in milliseconds, and a description of the queue.
     QueueFull(Millis, String),
     /// No slot became free in time; the text describes the queue.
@@ -208,14 +210,16 @@
                 objective: request.objective,
                 deadline: request.deadline,
             };
-            let ahead = server.waiters.jobs_ahead(place, server.average_duration as Millis, now);
+            let duration = server.average_duration as Millis;
+            let ahead = server.waiters.jobs_ahead(place, &request.account, duration, now);
             let slot_wait = ahead as f64 * server.average_duration / f64::from(server.slots);
             let pace_wait = server.pacer.ready_at().saturating_sub(now) as f64;
             let expected = slot_wait.max(pace_wait + server.pacer.duration(ahead)) as Millis;
             if expected > request.max_wait.min(request.deadline.saturating_sub(now)) {
                 return Err(NoSlot::QueueFull(expected, server.describe(now)));
             }
-            server.waiters.push(place, Waiter { request, reply: sender });
+            let account = request.account.clone();
+            server.waiters.push(place, account, Waiter { request, reply: sender });
         }
         self.dispatch(&id);
         match receiver.await {
