Restart and cut off entries in the random schedules of rate shares

The property that no window exceeds rate and burst was tested with entries that freeze or lose the leader, but not with restarts or with entries cut off from each other.

--- a/crates/coordination/tests/admission_load.rs
+++ b/crates/coordination/tests/admission_load.rs
@@ -374,6 +374,21 @@
         }
     }
 
+    /// Starts the process of an entry again. Its new incarnation is recorded before it renews, which
+    /// ends the grants of the earlier one; messages to and from that one are lost.
+    fn restart(&mut self, at: usize) {
+        let entry = &mut self.entries[at];
+        entry.buckets.clear();
+        entry.waiting.clear();
+        (entry.stopping, entry.running, entry.answered) = (false, true, 0);
+        if let Some(leader) = &mut self.leader {
+            leader.remove_entry(&entry.name);
+        }
+        self.asks.retain(|ask| ask.1 != at);
+        self.grants.retain(|grant| grant.1 != at);
+        self.retries.retain(|retry| retry.1 != at);
+    }
+
     /// Fraction of the operations since the last call that were refused although the rate covers
     /// them.
     fn refused_fraction(&mut self) -> f64 {
@@ -594,20 +609,31 @@
     Resume,
     Disconnect(usize),
     Reconnect,
+    Partition(u8),
+    Restart(usize),
     ChooseLimiters,
 }
 
+/// Number of entries in the random schedules; `SCHEDULE_ENTRIES` overrides it, up to 700.
+fn schedule_entries() -> usize {
+    let count = std::env::var("SCHEDULE_ENTRIES").ok().map(|count| count.parse().unwrap());
+    count.unwrap_or(12)
+}
+
 /// Guards against a rate that is exceeded while entries hold rate shares of several leaders.
 #[test]
 fn a_window_never_exceeds_burst_and_rate() {
+    let count = schedule_entries();
     let fault = prop_oneof![
         6 => (100..3_000u64, any::<bool>()).prop_map(|(time, flood)| Fault::Run(time, flood)),
         1 => Just(Fault::LoseLeader),
         2 => Just(Fault::ElectLeader),
-        2 => (0..12usize).prop_map(Fault::Freeze),
+        2 => (0..count).prop_map(Fault::Freeze),
         2 => Just(Fault::Resume),
-        2 => (0..12usize).prop_map(Fault::Disconnect),
+        2 => (0..count).prop_map(Fault::Disconnect),
         2 => Just(Fault::Reconnect),
+        2 => (1..10u8).prop_map(Fault::Partition),
+        2 => (0..count).prop_map(Fault::Restart),
         1 => Just(Fault::ChooseLimiters),
     ];
     let config = ProptestConfig {
@@ -619,7 +645,7 @@
     };
     let inputs = (any::<u64>(), prop::collection::vec(fault, 5..25));
     let result = TestRunner::new(config).run(&inputs, |(seed, faults)| {
-        let mut fleet = Fleet::new(seed, 12, 6, 120.0, true);
+        let mut fleet = Fleet::new(seed, count, 6, 10.0 * count as f64, true);
         let mut frozen = BTreeSet::new();
         for fault in faults {
             match fault {
@@ -639,8 +665,18 @@
                     }
                 }
                 Fault::Disconnect(at) => fleet.entries[at].reaches_leader = false,
-                Fault::Reconnect => {
-                    fleet.entries.iter_mut().for_each(|entry| entry.reaches_leader = true)
+                Fault::Reconnect => fleet.entries.iter_mut().for_each(|entry| {
+                    (entry.partition, entry.reaches_leader) = (0, true);
+                }),
+                Fault::Partition(tenths) => {
+                    for (at, entry) in fleet.entries.iter_mut().enumerate() {
+                        let far = (at * 7 + 3) % 10 < usize::from(tenths);
+                        (entry.partition, entry.reaches_leader) = (u8::from(far), !far);
+                    }
+                }
+                Fault::Restart(at) => {
+                    frozen.remove(&at);
+                    fleet.restart(at);
                 }
                 Fault::ChooseLimiters => fleet.choose_limiters(),
             }
