--- a/crates/coordination/src/rate_share.rs
+++ b/crates/coordination/src/rate_share.rs
@@ -48,6 +48,10 @@
 /// refilling from the rate share would take more than a second.
 const POOL_REFILL_MAX_SHARE: f64 = 1.0;
 
+/// Longest wait of an operation for a token of the entry's own rate share while no control leader
+/// answers, in milliseconds: a typical latency objective, less some time for the statement.
+pub const LOCAL_TOKEN_WAIT_LIMIT_MS: Millis = 700;
+
 /// Limits of a client account.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RateLimit {
@@ -282,6 +286,7 @@
     demand: f64,
     /// Demand that is forwarded to a regional limiter.
     forwarded_demand: f64,
+    created_at: Millis,
     measured_at: Millis,
     /// Last report to the current leader.
     last_report: Option<Report>,
@@ -317,6 +322,10 @@
 /// operations in ten seconds.
 const DEMAND_AVERAGING_MS: f64 = 4_000.0;
 
+/// Time added to the age of a bucket whose demand is averaged since its creation, so that a single
+/// operation does not pass for a dense demand.
+const DEMAND_WARMUP_MS: f64 = 500.0;
+
 /// Minimum time between two measurements of the demand.
 const MIN_MEASURE_INTERVAL_MS: Millis = 250;
 
@@ -334,6 +343,7 @@
             shortages: 0,
             demand: 0.0,
             forwarded_demand: 0.0,
+            created_at: now,
             measured_at: now,
             last_report: None,
             dense: false,
@@ -405,6 +415,19 @@
         (wait.is_finite() && now as f64 + wait < self.expires as f64).then_some(wait as Millis)
     }
 
+    /// Whether the rate share alone admits an operation with `ahead` others queued before it within
+    /// [`LOCAL_TOKEN_WAIT_LIMIT_MS`].
+    pub fn admits_soon(&self, ahead: u32, now: Millis) -> bool {
+        self.ready_in(ahead, now).is_some_and(|wait| wait <= LOCAL_TOKEN_WAIT_LIMIT_MS)
+    }
+
+    /// Whether this entry asks a regional limiter to admit an operation with `ahead` others queued
+    /// before it: it admits none itself, or its rate share is used up while no leader answers, and
+    /// a limiter may have more.
+    pub fn asks_limiter(&self, ahead: u32, leader_answers: bool, now: Millis) -> bool {
+        !self.admits_locally(now) || (!leader_answers && !self.admits_soon(ahead, now))
+    }
+
     /// Whether the prefetch is used up, so that more tokens should be requested before they are
     /// needed.
     pub fn needs_refill(&self) -> bool {
@@ -445,7 +468,11 @@
             return;
         }
         let rate = |count: u32| f64::from(count) * 1e3 / elapsed as f64;
+        // A new bucket takes the mean since its creation: the moving average alone would report
+        // less than half of the demand for the first two seconds.
+        let age = now.saturating_sub(self.created_at) as f64 + DEMAND_WARMUP_MS;
         let weight = 1.0 - (-(elapsed as f64) / DEMAND_AVERAGING_MS).exp();
+        let weight = weight.max(elapsed as f64 / age);
         self.demand += (rate(self.received) - self.demand) * weight;
         self.forwarded_demand += (rate(self.forwarded) - self.forwarded_demand) * weight;
         (self.received, self.forwarded, self.measured_at) = (0, 0, now);
