--- a/crates/coordination/tests/heartbeats.rs
+++ b/crates/coordination/tests/heartbeats.rs
@@ -19,6 +19,7 @@
         address: "127.0.0.1:5432".parse().expect("an address"),
         domain: "a".into(),
         slots: 3,
+        cold: false,
         draining: false,
         run: Incarnation(1),
     }
