--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -5,7 +5,7 @@
 use auburnlug_protocol::job::{
     Answer, ErrorCode, Job, SessionState, StatementText, TransactionStep,
 };
-use auburnlug_state::Millis;
+use auburnlug_state::{Millis, Position};
 use auburnlug_transport::event::{Event, log};
 use tokio::{
     task::{JoinHandle, spawn_local},
@@ -130,26 +130,18 @@
                 if job.step != TransactionStep::Single {
                     permit.close_connection();
                 }
-                let reason = "the server may be evacuated";
-                (with_server_name(Answer::error(ErrorCode::Unreachable, reason), job), None)
+                (evacuated_answer(ErrorCode::Unreachable, job), None)
             }
             Attempt::ConnectPending(opening) => {
                 finish_connect(permit, opening);
-                (
-                    with_server_name(Answer::error(ErrorCode::Busy, "no connection in time"), job),
-                    None,
-                )
+                let answer = Answer::error(ErrorCode::Busy, "no connection in time");
+                (with_server_name(answer, job), None)
             }
             Attempt::ConnectionLost => {
                 permit.close_connection();
                 permit.record_failure(&Fault::Broken);
-                (
-                    with_server_name(
-                        Answer::error(ErrorCode::Unknown, "the server broke off"),
-                        job,
-                    ),
-                    None,
-                )
+                let answer = Answer::error(ErrorCode::Unknown, "the server broke off");
+                (with_server_name(answer, job), None)
             }
             Attempt::AnswerTimedOut => {
                 permit.close_connection();
@@ -201,8 +193,7 @@
             }
             Attempt::Evacuated => {
                 permit.close_connection();
-                let reason = "the server may be evacuated";
-                (with_server_name(Answer::error(ErrorCode::Aborted, reason), job), None)
+                (evacuated_answer(ErrorCode::Aborted, job), None)
             }
             Attempt::TimedOutUnsent | Attempt::ConnectPending(_) => {
                 permit.close_connection();
@@ -369,14 +360,7 @@
                 return Attempt::Evacuated;
             }
         }
-        let call = match (&job.text, &name) {
-            (StatementText::Prepared { arguments, .. }, Some(name)) => {
-                ServerCall::Execute { id: &job.id, after, name, arguments }
-            }
-            (StatementText::Plain(text) | StatementText::Prepared { arguments: text, .. }, _) => {
-                ServerCall::Plain { id: &job.id, after, text }
-            }
-        };
+        let call = statement_call(job, name.as_deref(), after);
         match timeout_at(until, connection.call(&call)).await {
             Ok(Ok(reply)) => Attempt::Answered(reply),
             Ok(Err(_)) => Attempt::ConnectionLost,
@@ -385,6 +369,27 @@
     }
 }
 
+/// Call that runs the statement of a job; `name` is that of its prepared statement at the server.
+fn statement_call<'a>(
+    job: &'a Job,
+    name: Option<&'a str>,
+    after: Option<Position>,
+) -> ServerCall<'a> {
+    match (&job.text, name) {
+        (StatementText::Prepared { arguments, .. }, Some(name)) => {
+            ServerCall::Execute { id: &job.id, after, name, arguments }
+        }
+        (StatementText::Plain(text) | StatementText::Prepared { arguments: text, .. }, _) => {
+            ServerCall::Plain { id: &job.id, after, text }
+        }
+    }
+}
+
+/// Answer to a job whose server is evacuated, or may be.
+fn evacuated_answer(code: ErrorCode, job: &Job) -> Answer {
+    with_server_name(Answer::error(code, "the server may be evacuated"), job)
+}
+
 /// Records an answer that took `duration` milliseconds in the server's pool.
 fn record_reply(permit: &SlotPermit, reply: &ServerReply, duration: Millis) {
     match reply.answer.code() {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -140,14 +140,8 @@
                     }
                     return (last, None);
                 }
-                ServerChoice::None if self.local.view().is_group_evacuated(&task.job.group) => {
-                    self.local.metrics.evacuation_refusals.inc();
-                    last = Answer::error(ErrorCode::Busy, "its servers are evacuated");
-                    return (last, None);
-                }
                 ServerChoice::None => {
-                    if self.has_no_prospect() || !self.wait_for_change(until).await {
-                        self.add_refusal_details(&mut last, &task);
+                    if !self.wait_for_server(&mut last, &task, until).await {
                         return (last, None);
                     }
                     excluded = None;
@@ -351,6 +345,26 @@
         Some(after.map_or(required, |after| after.max(required)))
     }
 
+    /// Waits for a change after which a server may run a statement; false, with the reason in
+    /// `last`, if none is to be expected in time.
+    async fn wait_for_server(
+        &self,
+        last: &mut Answer,
+        task: &StatementTask,
+        until: Instant,
+    ) -> bool {
+        if self.local.view().is_group_evacuated(&task.job.group) {
+            self.local.metrics.evacuation_refusals.inc();
+            *last = Answer::error(ErrorCode::Busy, "its servers are evacuated");
+            return false;
+        }
+        let waited = !self.has_no_prospect() && self.wait_for_change(until).await;
+        if !waited {
+            self.add_refusal_details(last, task);
+        }
+        waited
+    }
+
     /// Waits for a new view, at most [`VIEW_UPDATE_DELAY`]; false if `until` has passed.
     async fn wait_for_change(&self, until: Instant) -> bool {
         let pause = until.min(Instant::now() + VIEW_UPDATE_DELAY);
