--- a/crates/coordination/tests/admission_load.rs
+++ b/crates/coordination/tests/admission_load.rs
@@ -42,10 +42,8 @@
 /// Backoff of a regional limiter that did not answer.
 const LIMITER_BACKOFF_MS: u64 = 1_000;
 
-/// Time since the leader's last answer after which operations do not wait for it, and the maximum
-/// time that they then wait for the rate share.
+/// Time since the leader's last answer after which operations do not wait for it.
 const LEADER_TIMEOUT_MS: u64 = 1_200;
-const MAX_SHARE_WAIT_MS: u64 = 700;
 
 #[derive(Default)]
 struct Account {
@@ -213,12 +211,13 @@
     /// at the entry itself.
     fn route(&mut self, at: usize, account: usize, attempt: usize) {
         let now = self.now;
-        let entry = &mut self.entries[at];
-        let admits_locally =
-            entry.buckets.get(&account).is_some_and(|bucket| bucket.admits_locally(now));
+        let (ahead, answers) = (self.waiting(at, account), self.leader_answers(at));
+        let entry = &self.entries[at];
+        let bucket = entry.buckets.get(&account);
+        let asks = bucket.is_none_or(|bucket| bucket.asks_limiter(ahead, answers, now));
         let (name, region) = (entry.name.clone(), entry.region.clone());
         let mut order = Vec::new();
-        if !admits_locally {
+        if asks {
             let burst = self.accounts[account].limit;
             let location = (&*region, &name);
             order = regional_limiters::preference_order(
@@ -231,7 +230,7 @@
         let order = order.into_iter().take_while(|other| **other != name).cloned();
         let order: Vec<Name> = order.collect();
         if !order.is_empty() && attempt == 0 {
-            entry
+            self.entries[at]
                 .buckets
                 .entry(account)
                 .or_insert_with(|| ShareBucket::new(now))
@@ -262,11 +261,20 @@
 
     /// Whether an entry has no leader and will have no token soon.
     fn cannot_admit(&self, at: usize, account: usize) -> bool {
-        let (now, entry) = (self.now, &self.entries[at]);
-        let ahead = entry.waiting.iter().filter(|(other, _)| *other == account).count() as u32;
-        let ready = entry.buckets.get(&account).and_then(|bucket| bucket.ready_in(ahead, now));
-        now >= entry.answered + LEADER_TIMEOUT_MS
-            && ready.is_none_or(|wait| wait > MAX_SHARE_WAIT_MS)
+        let bucket = self.entries[at].buckets.get(&account);
+        let ahead = self.waiting(at, account);
+        let soon = bucket.is_some_and(|bucket| bucket.admits_soon(ahead, self.now));
+        !soon && !self.leader_answers(at)
+    }
+
+    fn leader_answers(&self, at: usize) -> bool {
+        self.now < self.entries[at].answered + LEADER_TIMEOUT_MS
+    }
+
+    /// Number of waiting operations of an account.
+    fn waiting(&self, at: usize, account: usize) -> u32 {
+        let waiting = &self.entries[at].waiting;
+        waiting.iter().filter(|(other, _)| *other == account).count() as u32
     }
 
     fn admit(&mut self, at: usize, account: usize) {
@@ -366,6 +374,21 @@
         }
     }
 
+    /// Starts the process of an entry again. Its new incarnation is recorded before it renews, which
+    /// ends the grants of the earlier one; messages to and from that one are lost.
+    fn restart(&mut self, at: usize) {
+        let entry = &mut self.entries[at];
+        entry.buckets.clear();
+        entry.waiting.clear();
+        (entry.stopping, entry.running, entry.answered) = (false, true, 0);
+        if let Some(leader) = &mut self.leader {
+            leader.remove_entry(&entry.name);
+        }
+        self.asks.retain(|ask| ask.1 != at);
+        self.grants.retain(|grant| grant.1 != at);
+        self.retries.retain(|retry| retry.1 != at);
+    }
+
     /// Fraction of the operations since the last call that were refused although the rate covers
     /// them.
     fn refused_fraction(&mut self) -> f64 {
@@ -540,6 +563,43 @@
     });
 }
 
+/// Guards against entries that hold little of the rate because their load has only just begun: most
+/// entries are cut off from the leader and the rest two seconds after their first operation.
+#[test]
+fn entries_cut_off_soon_after_their_start_admit_operations() {
+    for (entries, accounts, total) in [(65, 70, 860.0), (191, 140, 1_174.0)] {
+        let mut fleet = Fleet::new(3, entries, accounts, total, true);
+        fleet.run(2_000, 1.0);
+        fleet.refused_fraction();
+        for (at, entry) in fleet.entries.iter_mut().enumerate() {
+            let far = (at * 7 + 3) % 20 < 13;
+            (entry.partition, entry.reaches_leader) = (u8::from(far), !far);
+        }
+        fleet.run(5_000, 1.0);
+        let refused = fleet.refused_fraction();
+        println!("cut off after 2 s, {entries} entries: refused {refused:.4}");
+        assert!(fleet.max_excess() <= 0.0, "{} over the rate", fleet.max_excess());
+        assert!(refused < 0.15, "{entries} entries: refused {refused}");
+    }
+}
+
+/// Guards against refusals by an entry whose own rate share is used up while regional limiters have
+/// tokens left: the leader is lost, and the operations of an account are spread unevenly over time.
+#[test]
+fn regional_limiters_complete_the_used_up_shares_of_entries() {
+    for (entries, accounts, total) in [(57, 73, 1_198.0), (78, 83, 1_200.0)] {
+        let mut fleet = Fleet::new(3, entries, accounts, total, true);
+        fleet.run(8_000, 1.0);
+        fleet.refused_fraction();
+        fleet.lose_leader();
+        fleet.run(6_000, 1.0);
+        let refused = fleet.refused_fraction();
+        println!("used-up shares, {entries} entries: refused {refused:.4}");
+        assert!(fleet.max_excess() <= 0.0, "{} over the rate", fleet.max_excess());
+        assert!(refused < 0.01, "{entries} entries: refused {refused}");
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Fault {
     Run(u64, bool),
@@ -549,20 +609,31 @@
     Resume,
     Disconnect(usize),
     Reconnect,
+    Partition(u8),
+    Restart(usize),
     ChooseLimiters,
 }
 
+/// Number of entries in the random schedules; `SCHEDULE_ENTRIES` overrides it, up to 700.
+fn schedule_entries() -> usize {
+    let count = std::env::var("SCHEDULE_ENTRIES").ok().map(|count| count.parse().unwrap());
+    count.unwrap_or(12)
+}
+
 /// Guards against a rate that is exceeded while entries hold rate shares of several leaders.
 #[test]
 fn a_window_never_exceeds_burst_and_rate() {
+    let count = schedule_entries();
     let fault = prop_oneof![
         6 => (100..3_000u64, any::<bool>()).prop_map(|(time, flood)| Fault::Run(time, flood)),
         1 => Just(Fault::LoseLeader),
         2 => Just(Fault::ElectLeader),
-        2 => (0..12usize).prop_map(Fault::Freeze),
+        2 => (0..count).prop_map(Fault::Freeze),
         2 => Just(Fault::Resume),
-        2 => (0..12usize).prop_map(Fault::Disconnect),
+        2 => (0..count).prop_map(Fault::Disconnect),
         2 => Just(Fault::Reconnect),
+        2 => (1..10u8).prop_map(Fault::Partition),
+        2 => (0..count).prop_map(Fault::Restart),
         1 => Just(Fault::ChooseLimiters),
     ];
     let config = ProptestConfig {
@@ -574,7 +645,7 @@
     };
     let inputs = (any::<u64>(), prop::collection::vec(fault, 5..25));
     let result = TestRunner::new(config).run(&inputs, |(seed, faults)| {
-        let mut fleet = Fleet::new(seed, 12, 6, 120.0, true);
+        let mut fleet = Fleet::new(seed, count, 6, 10.0 * count as f64, true);
         let mut frozen = BTreeSet::new();
         for fault in faults {
             match fault {
@@ -594,8 +665,18 @@
                     }
                 }
                 Fault::Disconnect(at) => fleet.entries[at].reaches_leader = false,
-                Fault::Reconnect => {
-                    fleet.entries.iter_mut().for_each(|entry| entry.reaches_leader = true)
+                Fault::Reconnect => fleet.entries.iter_mut().for_each(|entry| {
+                    (entry.partition, entry.reaches_leader) = (0, true);
+                }),
+                Fault::Partition(tenths) => {
+                    for (at, entry) in fleet.entries.iter_mut().enumerate() {
+                        let far = (at * 7 + 3) % 10 < usize::from(tenths);
+                        (entry.partition, entry.reaches_leader) = (u8::from(far), !far);
+                    }
+                }
+                Fault::Restart(at) => {
+                    frozen.remove(&at);
+                    fleet.restart(at);
                 }
                 Fault::ChooseLimiters => fleet.choose_limiters(),
             }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,6 +20,7 @@
 };
 use auburnlug_transport::{
     byte_channel::{Receiver, Sender, channel},
+    client_room::ClientRoom,
     clock::Clock,
     control_member::{GroupOptions, Member},
     disk::Disk,
@@ -62,7 +63,7 @@
 
 /// Time after which a proposal that is not committed is answered with
 /// [`ControlReply::Unavailable`]. Callers wait for one second.
-const PROPOSAL_TIMEOUT_MS: Millis = 1_500;
+pub(crate) const PROPOSAL_TIMEOUT_MS: Millis = 1_500;
 
 /// Inputs that wait for the control thread; large ones are bounded by [`limits::INPUT_QUEUE_BYTES`].
 const MAX_QUEUED_INPUTS: usize = 1024;
@@ -78,6 +79,8 @@
     pub ports: Ports,
     /// Listener for links.
     pub links: TcpListener,
+    /// Places of links before their handshake.
+    pub opening_room: ClientRoom,
     /// Control members from the settings.
     pub seeds: BTreeSet<Name>,
     /// Whether the deployment starts for the first time, so that this member may bootstrap the
@@ -146,7 +149,8 @@
     asks: mpsc::Receiver<ControlRequest>,
 ) -> auburnlug_transport::Result<()> {
     let (input, inputs) = channel(MAX_QUEUED_INPUTS, limits::INPUT_QUEUE_BYTES);
-    control_links::accept_links(options.links, options.identity.clone(), input.clone())?;
+    let openings = options.opening_room;
+    control_links::accept_links(options.links, options.identity.clone(), input.clone(), openings)?;
     let now = options.clock.now();
     let mut configured = options.seeds.clone();
     configured.retain(|name| *name != options.me.name || options.may_bootstrap);
@@ -351,6 +355,14 @@
                     _ => drop(reply.send(ControlReply::Done(()))),
                 }
             }
+            ControlRequest::Evacuate { domain, begin, reply } => {
+                let Some(reply) = self.require_leadership(reply) else { return };
+                self.handle_evacuation(domain, begin, reply);
+            }
+            ControlRequest::ListEvacuations { reply } => {
+                let Some(reply) = self.require_leadership(reply) else { return };
+                let _ = reply.send(ControlReply::Done(self.fleet().evacuated_domains()));
+            }
             ControlRequest::Seeds(names) => self.seeds = names,
             ControlRequest::Stop => self.stopping = true,
         }
--- a/crates/gateway/src/control_heartbeat.rs
+++ b/crates/gateway/src/control_heartbeat.rs
@@ -16,9 +16,11 @@
     /// Answers a heartbeat that changes nothing; the leader handles the others.
     pub(crate) fn receive_heartbeat(
         &mut self,
-        beat: Heartbeat,
+        mut beat: Heartbeat,
         reply: oneshot::Sender<ControlReply<Name>>,
     ) {
+        // Servers whose rate is not limited while they are cold need no record of it.
+        beat.backend.cold &= self.fleet().limits_cold_servers(&beat.backend.group);
         let follows = self.leader.is_none() && self.member.leader().is_some();
         if follows && changes_nothing(self.fleet(), &beat.backend, beat.claims_primary) {
             let _ = reply.send(ControlReply::Done(self.me.name.clone()));
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -16,6 +16,7 @@
         RateLimit, RateShares, SHARE_RECLAIM_DELAY_MS, ShareGrant, ShareRequest as ShareAsk,
     },
     regional_limiters::{self, RegionalLimiters},
+    server_pace::{ColdShares, ShareAssignment},
     server_reports::ServerReports,
     update_pace::{self, UpdatePace},
 };
@@ -35,12 +36,13 @@
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
-    control::Control, control_departures::DepartureWatch, control_failover::ExternalFailover,
-    control_handle::Heartbeat, control_probe::ServerMonitor, leader_lease::LeaderLease,
+    control::Control, control_departures::DepartureWatch, control_evacuation::EvacuationWait,
+    control_failover::ExternalFailover, control_handle::Heartbeat, control_probe::ServerMonitor,
+    leader_lease::LeaderLease,
 };
 
 /// Time without a renewal after which an entry is removed.
-const ENTRY_EXPIRY_MS: Millis = 3_500;
+pub(crate) const ENTRY_EXPIRY_MS: Millis = 3_500;
 
 /// Time without a renewal after which an entry is assigned no connections: three missed renewals.
 const RENEWAL_TIMEOUT_MS: Millis = 1_500;
@@ -86,9 +88,13 @@
     pub(crate) deferrals: BTreeMap<Arc<str>, Millis>,
     /// Time of the last look at all groups.
     pub(crate) looked_at: Millis,
+    /// Requests for evacuations that are not acknowledged.
+    pub(crate) evacuation_waits: Vec<EvacuationWait>,
     /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
     connection_owners: BTreeMap<Arc<str>, ServerOwners>,
+    /// Shares of the rates of servers in groups that limit cold ones.
+    cold_shares: ColdShares,
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
     members: BTreeSet<Name>,
@@ -129,6 +135,10 @@
     regional_limiters: ChangeTracker<BTreeSet<Name>>,
     /// Index of the update in which the control members changed.
     members: u64,
+    /// Evacuated failure domains.
+    evacuated: BTreeSet<Arc<str>>,
+    /// Index of the update in which they changed; 0 if they never did.
+    evacuated_index: u64,
 }
 
 /// An entry that renews its lease with this leader.
@@ -211,6 +221,35 @@
         }
     }
 
+    /// Divides the rates of servers among their chosen connection owners, with the next update.
+    fn assign_cold_shares(
+        &mut self,
+        fleet: &Fleet,
+        chosen: &BTreeMap<Arc<str>, ServerOwners>,
+        now: Millis,
+    ) {
+        let update = self.index + 1;
+        let is_limited = |server: &str| {
+            let backend = fleet.backends.get(server);
+            backend.is_some_and(|backend| fleet.limits_cold_servers(&backend.group))
+        };
+        self.cold_shares.retain(is_limited, update, &self.leases, now);
+        for backend in fleet.backends.values() {
+            let group = fleet.plan.groups.get(&backend.group);
+            let Some(cold_rate) = group.and_then(|group| group.cold_rate) else { continue };
+            let Some(owners) = chosen.get(&backend.id) else { continue };
+            let announced = self.view.connection_owners.is_set();
+            let assignment = ShareAssignment {
+                server: &backend.id,
+                owners,
+                rate: backend.cold.then_some(cold_rate),
+                update,
+                is_new: announced && !self.connection_owners.contains_key(&backend.id),
+            };
+            self.cold_shares.assign(assignment, &self.leases, now);
+        }
+    }
+
     /// Regional limiters chosen by this leader or, before the first choice, by an earlier one.
     fn current_regional_limiters(&self) -> RegionalLimiters {
         if self.view.regional_limiters.is_set() {
@@ -223,6 +262,17 @@
         limiters
     }
 
+    /// Index of the update in which the evacuated failure domains last changed.
+    pub(crate) fn evacuated_index(&self) -> u64 {
+        self.view.evacuated_index
+    }
+
+    /// Whether an entry in a failure domain has renewed its lease with this leader.
+    pub(crate) fn has_seen_domain(&self, domain: &str) -> bool {
+        self.regions.contains_key(domain)
+            || self.entries.values().any(|entry| *entry.location.domain == *domain)
+    }
+
     /// Records a heartbeat; returns false if a later one has arrived already. `elsewhere` tells that
     /// another member is to receive the next ones.
     pub(crate) fn record_heartbeat(
@@ -264,6 +314,9 @@
         let mut view = PublishedView { members: 1, ..PublishedView::default() };
         view.backends.replace(self.fleet().backends.clone().into(), 1);
         view.leads.replace(lead_views(self.fleet()), 1);
+        view.evacuated = self.fleet().evacuated_domains();
+        view.evacuated_index = u64::from(!view.evacuated.is_empty());
+        self.metrics.evacuated_domains.set(view.evacuated.len() as i64);
         let assign_at =
             Some(now + if first { ASSIGNMENT_DEBOUNCE_MS } else { INITIAL_ASSIGNMENT_DELAY_MS });
         let lead_index = self.fleet().leads.keys().map(|group| (group.clone(), 1)).collect();
@@ -282,8 +335,10 @@
             departures: BTreeMap::new(),
             deferrals: BTreeMap::new(),
             looked_at: 0,
+            evacuation_waits: Vec::new(),
             unreplicated_since: BTreeMap::new(),
             connection_owners: BTreeMap::new(),
+            cold_shares: ColdShares::default(),
             regions: BTreeMap::new(),
             members: self.member.instances(),
             assign_at,
@@ -503,12 +558,20 @@
         let next = leader.index + 1;
         let backends = leader.view.backends.replace(fleet.backends.clone().into(), next);
         let leads = leader.view.leads.replace(lead_views(fleet), next);
+        let evacuated = fleet.evacuated_domains();
+        let evacuations_changed = leader.view.evacuated != evacuated;
+        if evacuations_changed {
+            self.metrics.evacuated_domains.set(evacuated.len() as i64);
+            (leader.view.evacuated, leader.view.evacuated_index) = (evacuated, next);
+        }
         if !backends.is_empty() {
             leader.reports.retain(|server| fleet.backends.contains_key(server));
         }
-        if before != fleet.plan.version || !backends.is_empty() || !leads.is_empty() {
+        let changed = !backends.is_empty() || !leads.is_empty() || evacuations_changed;
+        if before != fleet.plan.version || changed {
             // Callers wait for another primary; the first one of a group comes with its servers.
-            let urgent = leads.iter().any(|group| leader.lead_index.contains_key(group));
+            let new_primary = leads.iter().any(|group| leader.lead_index.contains_key(group));
+            let urgent = new_primary || evacuations_changed;
             leader.lead_index.extend(leads.into_iter().map(|group| (group, next)));
             leader.index = next;
             self.schedule_assignment();
@@ -579,6 +642,7 @@
         let names = |owners: &ServerOwners| owners.iter().map(|(name, _)| name.clone()).collect();
         let placed = chosen.iter().map(|(server, owners)| (server.clone(), names(owners)));
         leader.leases.assign_servers(placed.collect(), next);
+        leader.assign_cold_shares(fleet, &chosen, now);
         leader.connection_owners = chosen;
         let views = connection_owner_views(leader);
         let changed = leader.view.connection_owners.replace(views, next);
@@ -645,6 +709,7 @@
             holders: view.connection_owners.since(sent),
             delegates: view.regional_limiters.since(sent),
             members: (view.members > sent).then(|| leader.members.iter().cloned().collect()),
+            evacuated: (view.evacuated_index > sent).then(|| view.evacuated.clone()),
         };
         match Packed::new(&update) {
             Ok(packed) => {
@@ -699,10 +764,14 @@
             );
             self.schedule_assignment();
         }
+        if self.leader.as_ref().is_some_and(|l| l.cold_shares.has_released(&l.leases, now)) {
+            self.schedule_assignment();
+        }
         if self.leader.as_ref().is_some_and(|l| l.assign_at.is_some_and(|at| now >= at)) {
             self.assign_connections();
         }
         self.send_due_updates(now);
+        self.answer_evacuations(now);
         self.monitor_groups(now);
     }
 }
@@ -725,6 +794,7 @@
                 domain: location.domain.clone(),
                 region: location.region.clone(),
                 connections: *connections,
+                cold_rate: leader.cold_shares.share(server, entry.as_str()),
             })
         });
         views.insert(server.clone(), known.collect());
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,6 +19,7 @@
 use auburnlug_state::{Millis, Name, Term};
 use auburnlug_transport::{
     byte_channel::Sender,
+    client_room::ClientRoom,
     clock::Clock,
     event::{Event, log},
     link::{Dial, Link, dial_once_per},
@@ -69,10 +70,16 @@
     pub ports: Ports,
     /// Listener for callers.
     pub callers: TcpListener,
+    /// Places and bytes of the callers.
+    pub caller_room: ClientRoom,
     /// Listener for links from other entries.
     pub traffic: TcpListener,
+    /// Places of links before their handshake.
+    pub opening_room: ClientRoom,
     /// Control members from the settings.
     pub seeds: BTreeSet<Name>,
+    /// Regions of failure domains from the settings; may be empty.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Grace period from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Credentials of links.
@@ -119,7 +126,8 @@
     status: Arc<EntryStatus>,
     mut orders: mpsc::Receiver<EntryCommand>,
 ) -> std::io::Result<()> {
-    let local = Rc::new(LocalState::new(options.me, options.clock, options.metrics));
+    let local = LocalState::new(options.me, options.clock, options.metrics);
+    let local = Rc::new(local.with_regions(options.regions));
     let pool = Pool::new(local.clone());
     let executor = Rc::new(Executor::new(local.clone(), pool.clone(), options.server_wire));
     let dial: Arc<dyn Dial<Forward>> =
@@ -133,8 +141,8 @@
         wire: options.caller_wire,
         shutdown: shutdown.clone(),
     });
-    accept_links(options.traffic, options.identity.clone(), relay.clone())?;
-    spawn_local(accept_callers(options.callers, sessions.clone()));
+    accept_links(options.traffic, options.identity.clone(), relay.clone(), options.opening_room)?;
+    spawn_local(accept_callers(options.callers, sessions.clone(), options.caller_room));
     let seeds = Rc::new(RefCell::new(options.seeds));
     let (events, inbox) = mpsc::channel(ENTRY_QUEUE_CAPACITY);
     let follower = LeaderFollower {
@@ -186,18 +194,28 @@
     listener: TcpListener,
     identity: Arc<Identity>,
     relay: Rc<Relay>,
+    openings: ClientRoom,
 ) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let (control, _control) = mpsc::channel(1);
     let (traffic, mut sockets) = mpsc::channel(ENTRY_QUEUE_CAPACITY);
-    tokio::spawn(socket::listen(listener, identity.clone(), control, traffic));
+    let listening =
+        socket::listen_within(listener, identity.clone(), control, traffic, openings.clone());
+    tokio::spawn(listening);
     spawn_local(async move {
         // Keeps the channel of control links open; an entry accepts none.
         let _unused = _control;
         while let Some(socket) = sockets.recv().await {
+            let Ok(peer) = socket.peer_addr() else { continue };
+            let Some(opening) = openings.admit(peer.ip()) else { continue };
             let (identity, relay) = (identity.clone(), relay.clone());
             spawn_local(async move {
-                if let Ok(accepted) = socket::accept_traffic(socket, &identity).await {
+                let accepted = tokio::select! {
+                    accepted = socket::accept_traffic(socket, &identity) => accepted,
+                    () = opening.closed() => return,
+                };
+                drop(opening);
+                if let Ok(accepted) = accepted {
                     relay.serve_link(accepted.link()).await;
                 }
             });
@@ -206,12 +224,14 @@
     Ok(())
 }
 
-async fn accept_callers(listener: TcpListener, sessions: Rc<SessionContext>) {
+async fn accept_callers(listener: TcpListener, sessions: Rc<SessionContext>, room: ClientRoom) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(session::serve(sessions.clone(), stream));
+            Ok((stream, peer)) => {
+                if let Some(client) = room.admit(peer.ip()) {
+                    spawn_local(session::serve(sessions.clone(), stream, client));
+                }
             }
             Err(e) => {
                 log(Event::ListenFailed, format_args!("accept: {e}"));
@@ -345,7 +365,8 @@
                         return true;
                     }
                 };
-                let leads = update.leads.is_some();
+                // The control leader waits for the entries that apply these changes.
+                let awaited = update.leads.is_some() || update.evacuated.is_some();
                 if self.local.apply_update(update) {
                     let view = self.local.view();
                     self.local.metrics.config_version.set(view.config.version);
@@ -353,7 +374,7 @@
                     self.relay.open_links();
                     self.router.apply_view(&view);
                     self.update_readiness();
-                    return leads;
+                    return awaited;
                 }
                 return self.local.needs_full_update();
             }
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -1,11 +1,12 @@
 //! Runs jobs on this entry's connections.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 
+use auburnlug_coordination::slot_wait::{SlotWait, WaitingJob};
 use auburnlug_protocol::job::{
     Answer, ErrorCode, Job, SessionState, StatementText, TransactionStep,
 };
-use auburnlug_state::Millis;
+use auburnlug_state::{Millis, Position};
 use auburnlug_transport::event::{Event, log};
 use tokio::{
     task::{JoinHandle, spawn_local},
@@ -79,6 +80,8 @@
     TimedOutUnsent,
     /// The server may not be used as the primary any more; nothing was sent.
     NotPrimary,
+    /// The failure domain of the server is evacuated, or may be; the statement was not sent.
+    Evacuated,
     /// The deadline passed while the connection was being opened.
     ConnectPending(JoinHandle<Result<Connection, Fault>>),
     /// The connection broke after the statement was sent.
@@ -120,27 +123,23 @@
                 permit.close_connection();
                 (with_server_name(Answer::error(ErrorCode::Busy, "the server was slow"), job), None)
             }
-            Attempt::NotPrimary => {
-                let reason = "this entry has no lease on the primary";
-                (with_server_name(Answer::error(ErrorCode::ReadOnly, reason), job), None)
+            Attempt::NotPrimary => (refusal(job, NoSlot::NotPrimary), None),
+            Attempt::Evacuated => {
+                if job.step != TransactionStep::Single {
+                    permit.close_connection();
+                }
+                (evacuated_answer(ErrorCode::Unreachable, job), None)
             }
             Attempt::ConnectPending(opening) => {
                 finish_connect(permit, opening);
-                (
-                    with_server_name(Answer::error(ErrorCode::Busy, "no connection in time"), job),
-                    None,
-                )
+                let answer = Answer::error(ErrorCode::Busy, "no connection in time");
+                (with_server_name(answer, job), None)
             }
             Attempt::ConnectionLost => {
                 permit.close_connection();
                 permit.record_failure(&Fault::Broken);
-                (
-                    with_server_name(
-                        Answer::error(ErrorCode::Unknown, "the server broke off"),
-                        job,
-                    ),
-                    None,
-                )
+                let answer = Answer::error(ErrorCode::Unknown, "the server broke off");
+                (with_server_name(answer, job), None)
             }
             Attempt::AnswerTimedOut => {
                 permit.close_connection();
@@ -163,6 +162,12 @@
         let kind = pin.kind;
         let Some(mut permit) = pin.permit.take() else { return (lost(), None) };
         let until = Instant::now() + Duration::from_millis(job.remaining);
+        if !permit.wait_for_pace(until).await {
+            // The server rolls the transaction back.
+            permit.close_connection();
+            let late = Answer::error(ErrorCode::Aborted, "the server is cold and gets no more yet");
+            return (with_server_name(late, job), None);
+        }
         permit.reclaim_slot();
         let sent = self.local.now();
         let leased = self.local.is_leased_primary(&job.group, &job.server);
@@ -190,6 +195,10 @@
                 let reason = "this entry has no lease on the primary";
                 (with_server_name(Answer::error(ErrorCode::Aborted, reason), job), None)
             }
+            Attempt::Evacuated => {
+                permit.close_connection();
+                (evacuated_answer(ErrorCode::Aborted, job), None)
+            }
             Attempt::TimedOutUnsent | Attempt::ConnectPending(_) => {
                 permit.close_connection();
                 (lost(), None)
@@ -226,6 +235,11 @@
     /// Rolls back a transaction and returns its connection to the pool.
     pub fn roll_back(&self, mut pin: PinnedTransaction) {
         let Some(mut permit) = pin.permit.take() else { return };
+        if !self.local.may_send(&permit.target.server, true) {
+            // The server rolls the transaction back when its connection is closed.
+            permit.close_connection();
+            return;
+        }
         spawn_local(async move {
             let Some(mut connection) = permit.connection.take() else { return };
             let reply = timeout(ROLLBACK_TIMEOUT, connection.call(&ServerCall::Rollback)).await;
@@ -278,9 +292,52 @@
             max_wait: job.max_wait,
             objective: arrival + job.objective,
         };
-        let permit = timeout_at(until, self.pool.acquire(request)).await;
+        let permit = self.wait_for_permit(request, job, until).await;
         self.local.metrics.slot_wait.observe(started.elapsed().as_secs_f64());
-        permit.unwrap_or_else(|_| Err(NoSlot::TimedOut(self.pool.describe(&job.server))))
+        permit
+    }
+
+    /// Waits for the permit of a request until the job has no prospect of one.
+    async fn wait_for_permit(
+        &self,
+        request: SlotRequest,
+        job: &Job,
+        until: Instant,
+    ) -> Result<SlotPermit, NoSlot> {
+        let waiting = WaitingJob {
+            arrival: self.local.now(),
+            max_wait: job.max_wait,
+            needs_primary: job.after.is_none(),
+        };
+        let mut acquire = pin!(self.pool.acquire(request));
+        loop {
+            let is_leased = self.local.is_leased_primary(&job.group, &job.server);
+            let (reason, ending) = match waiting.decide(is_leased, self.local.now()) {
+                SlotWait::Continue(pause) => {
+                    let check = until.min(Instant::now() + Duration::from_millis(pause));
+                    match timeout_at(check, &mut acquire).await {
+                        Ok(permit) => return permit,
+                        Err(_) if Instant::now() < until => continue,
+                        Err(_) => ("deadline", NoSlot::TimedOut(self.pool.describe(&job.server))),
+                    }
+                }
+                SlotWait::PrimaryLost => ("primary_lost", NoSlot::NotPrimary),
+                SlotWait::TooSlow => {
+                    ("too_slow", NoSlot::TimedOut(self.pool.describe(&job.server)))
+                }
+            };
+            self.local.metrics.count_ended_wait(reason);
+            return Err(ending);
+        }
+    }
+
+    /// Whether a job may be sent as far as evacuations are concerned; counts a refusal.
+    fn may_send(&self, job: &Job, open: bool) -> bool {
+        let may_send = self.local.may_send(&job.server, open);
+        if !may_send {
+            self.local.metrics.evacuation_refusals.inc();
+        }
+        may_send
     }
 
     /// Opens a connection if needed, prepares its session and sends the statement, if this entry
@@ -292,6 +349,10 @@
         needs_lease: bool,
         until: Instant,
     ) -> Attempt {
+        let open = job.step == TransactionStep::Next;
+        if !self.may_send(job, open) {
+            return Attempt::Evacuated;
+        }
         let connection = match permit.connection.take() {
             Some(connection) => connection,
             None => {
@@ -311,13 +372,15 @@
             StatementText::Plain(_) => None,
             StatementText::Prepared { shape, .. } => Some(shape),
         };
-        let open = job.step == TransactionStep::Next;
         let name = match timeout_at(until, connection.apply_session(&job.values, shape, open)).await
         {
             Ok(Ok(name)) => name,
             Ok(Err(fault)) => return Attempt::NotSent(fault),
             Err(_) => return Attempt::TimedOutUnsent,
         };
+        if !self.may_send(job, open) {
+            return Attempt::Evacuated;
+        }
         // The job may have waited since the server was chosen, and another primary may lead by now.
         if needs_lease && !self.local.is_leased_primary(&job.group, &job.server) {
             return Attempt::NotPrimary;
@@ -331,15 +394,11 @@
                 Ok(Err(fault)) => return Attempt::NotSent(fault),
                 Err(_) => return Attempt::TimedOutUnsent,
             }
-        }
-        let call = match (&job.text, &name) {
-            (StatementText::Prepared { arguments, .. }, Some(name)) => {
-                ServerCall::Execute { id: &job.id, after, name, arguments }
+            if !self.may_send(job, true) {
+                return Attempt::Evacuated;
             }
-            (StatementText::Plain(text) | StatementText::Prepared { arguments: text, .. }, _) => {
-                ServerCall::Plain { id: &job.id, after, text }
-            }
-        };
+        }
+        let call = statement_call(job, name.as_deref(), after);
         match timeout_at(until, connection.call(&call)).await {
             Ok(Ok(reply)) => Attempt::Answered(reply),
             Ok(Err(_)) => Attempt::ConnectionLost,
@@ -348,6 +407,27 @@
     }
 }
 
+/// Call that runs the statement of a job; `name` is that of its prepared statement at the server.
+fn statement_call<'a>(
+    job: &'a Job,
+    name: Option<&'a str>,
+    after: Option<Position>,
+) -> ServerCall<'a> {
+    match (&job.text, name) {
+        (StatementText::Prepared { arguments, .. }, Some(name)) => {
+            ServerCall::Execute { id: &job.id, after, name, arguments }
+        }
+        (StatementText::Plain(text) | StatementText::Prepared { arguments: text, .. }, _) => {
+            ServerCall::Plain { id: &job.id, after, text }
+        }
+    }
+}
+
+/// Answer to a job whose server is evacuated, or may be.
+fn evacuated_answer(code: ErrorCode, job: &Job) -> Answer {
+    with_server_name(Answer::error(code, "the server may be evacuated"), job)
+}
+
 /// Records an answer that took `duration` milliseconds in the server's pool.
 fn record_reply(permit: &SlotPermit, reply: &ServerReply, duration: Millis) {
     match reply.answer.code() {
@@ -362,7 +442,7 @@
 /// Answer to a job that got no slot.
 fn refusal(job: &Job, reason: NoSlot) -> Answer {
     let wait = match &reason {
-        NoSlot::Unreachable => 0,
+        NoSlot::Unreachable | NoSlot::NotPrimary => 0,
         NoSlot::QueueFull(wait, _) => *wait,
         NoSlot::TimedOut(_) => job.remaining.max(1),
     };
@@ -370,6 +450,10 @@
         NoSlot::Unreachable => {
             Answer::error(ErrorCode::Unreachable, format!("{} cannot be reached", job.server))
         }
+        // Another owner of the server may have the lease.
+        NoSlot::NotPrimary => {
+            Answer::error(ErrorCode::Unreachable, "this entry has no lease on the primary")
+        }
         NoSlot::QueueFull(_, queue) => {
             Answer::error(ErrorCode::Busy, format!("too many wait: {queue}"))
         }
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -2,12 +2,14 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration,
 };
 
 use auburnlug_coordination::{
+    evacuation::{Evacuations, Server, is_group_evacuated, is_view_recent},
+    home_regions::{DomainRegions, HomeRegions},
     leader_silence::LeaderSilence,
     rate_share::{ShareBucket, ShareGrant},
     regional_limiters::{self, RegionalLimiters},
@@ -36,10 +38,6 @@
 /// and the first renewals after it.
 const ELECTION_WAIT_LIMIT_MS: Millis = 900;
 
-/// Longest wait of an operation for a token of the entry's own rate share while no control leader
-/// answers: a typical latency objective, less some time for the statement.
-const LOCAL_TOKEN_WAIT_LIMIT_MS: Millis = 700;
-
 /// Interval between two requests for a token.
 const TOKEN_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -68,14 +66,35 @@
     pub regional_limiters: RegionalLimiters,
     /// Control members.
     pub members: Vec<Name>,
+    /// Evacuated failure domains.
+    pub evacuated: BTreeSet<Arc<str>>,
 }
 
 impl View {
+    /// Whether the failure domain of a server is evacuated.
+    pub fn is_evacuated(&self, server: &Backend) -> bool {
+        self.evacuated.contains(&server.domain)
+    }
+
+    /// Whether no server of a group may run statements because of evacuations.
+    pub fn is_group_evacuated(&self, group: &str) -> bool {
+        let servers = self.backends.values().filter(|backend| &*backend.group == group);
+        let servers = servers.map(|b| Server { domain: &b.domain, draining: b.draining });
+        !self.evacuated.is_empty() && is_group_evacuated(servers, &self.evacuated)
+    }
+
     /// Whether an entry owns connections to a server.
     pub fn has_connection_owner(&self, server: &str) -> bool {
         self.connection_owners.get(server).is_some_and(|owners| !owners.is_empty())
     }
 
+    /// Whether an entry that may receive a request of the entry `me` owns connections to a server.
+    pub fn has_owner_at(&self, server: &str, homes: &HomeRegions, me: &Name) -> bool {
+        self.connection_owners.get(server).is_some_and(|owners| {
+            owners.iter().any(|owner| homes.allows_owner(&owner.entry, &owner.region, me))
+        })
+    }
+
     /// Whether an entry in a region owns connections to a server.
     pub fn has_owner_in(&self, server: &str, region: &str) -> bool {
         let owners = self.connection_owners.get(server);
@@ -111,10 +130,14 @@
     /// Wakes operations that wait for a token.
     grant_received: Notify,
     view: RefCell<Arc<View>>,
+    regions: RefCell<DomainRegions>,
     /// End of the lease, and the index of the update that must be applied for it to be valid.
     lease: Cell<(Millis, u64)>,
     /// Sending time of the last renewal that was granted.
     last_granted: Cell<Millis>,
+    /// Sending time of the last renewal whose grant the view covers.
+    confirmed: Cell<Millis>,
+    evacuations: RefCell<Evacuations>,
     silence: RefCell<LeaderSilence>,
     /// Whether the last update could not be decoded or applied to the view.
     update_rejected: Cell<bool>,
@@ -138,7 +161,8 @@
         clock: Arc<dyn Clock>,
         metrics: Arc<GatewayMetrics>,
     ) -> LocalState {
-        let silence = RefCell::new(LeaderSilence::new(clock.now()));
+        let clock_start = clock.now();
+        let silence = RefCell::new(LeaderSilence::new(clock_start));
         LocalState {
             me,
             clock,
@@ -146,8 +170,11 @@
             renew: Notify::new(),
             grant_received: Notify::new(),
             view: RefCell::default(),
+            regions: RefCell::default(),
             lease: Cell::default(),
             last_granted: Cell::default(),
+            confirmed: Cell::new(clock_start),
+            evacuations: RefCell::default(),
             silence,
             update_rejected: Cell::default(),
             buckets: RefCell::default(),
@@ -156,6 +183,18 @@
         }
     }
 
+    /// Sets the regions of failure domains from the settings.
+    pub fn with_regions(self, regions: BTreeMap<Arc<str>, Arc<str>>) -> LocalState {
+        let mut regions = DomainRegions::new(regions);
+        regions.learn(&self.me.domain, &self.me.region);
+        LocalState { regions: RefCell::new(regions), ..self }
+    }
+
+    /// Whether a server in a failure domain may run a request.
+    pub fn is_home(&self, homes: &HomeRegions, domain: &str) -> bool {
+        homes.is_everywhere() || homes.contains(self.regions.borrow().region_of(domain))
+    }
+
     /// Current time.
     pub fn now(&self) -> Millis {
         self.clock.now()
@@ -187,6 +226,18 @@
         self.now() < until && self.view.borrow().index >= index
     }
 
+    /// Whether a statement may be sent to a server as far as evacuations are concerned; `open` tells
+    /// whether it belongs to an open transaction.
+    pub fn may_send(&self, server: &str, open: bool) -> bool {
+        let now = self.now();
+        if !is_view_recent(self.confirmed.get(), now) {
+            return false;
+        }
+        let view = self.view.borrow();
+        let domain = view.backends.get(server).map(|backend| &*backend.domain);
+        self.evacuations.borrow().may_send(domain, open, now)
+    }
+
     /// Whether a server is the primary of its group and may be used under the lease.
     pub fn is_leased_primary(&self, group: &str, server: &str) -> bool {
         let primary = |view: &View| {
@@ -213,6 +264,7 @@
         };
         self.update_rejected.set(false);
         self.record_leader_sign();
+        let leased = self.holds_lease();
         let mut view = View::clone(&before);
         if update.term > view.term {
             // The lease of the former leader does not cover decisions of the new one.
@@ -233,6 +285,10 @@
         }
         if let Some(holders) = update.holders {
             holders.apply(&mut view.connection_owners);
+            let mut regions = self.regions.borrow_mut();
+            for owner in view.connection_owners.values().flatten() {
+                regions.learn(&owner.domain, &owner.region);
+            }
         }
         if let Some(delegates) = update.delegates {
             delegates.apply(&mut view.regional_limiters);
@@ -240,6 +296,12 @@
         if let Some(members) = update.members {
             view.members = members;
         }
+        // Complete parts name the evacuated domains, if there are any.
+        let cleared = (update.since == 0).then(BTreeSet::new);
+        if let Some(evacuated) = update.evacuated.or(cleared) {
+            self.evacuations.borrow_mut().replace(&evacuated, leased, self.now());
+            view.evacuated = evacuated;
+        }
         log_changes(&before, &view);
         *self.view.borrow_mut() = Arc::new(view);
         true
@@ -287,6 +349,9 @@
     pub fn apply_grant(&self, grant: &FleetGrant) {
         self.lease.set((grant.sent + grant.duration, grant.index));
         self.last_granted.set(self.last_granted.get().max(grant.sent));
+        if self.view.borrow().index >= grant.index {
+            self.confirmed.set(self.confirmed.get().max(grant.sent));
+        }
         self.record_leader_sign();
         let now = self.now();
         let mut buckets = self.buckets.borrow_mut();
@@ -390,10 +455,13 @@
     }
 
     /// Regional limiters that admit operations of a client account for this entry, preferred ones
-    /// first; empty if this entry admits them itself.
+    /// first; empty if this entry admits them itself. An entry whose own rate share is used up while
+    /// no control leader answers asks limiters that may have more.
     pub fn regional_limiters(&self, account: &str) -> Vec<Name> {
         let now = self.now();
-        if self.buckets.borrow().get(account).is_some_and(|bucket| bucket.admits_locally(now)) {
+        let (ahead, answers) = (self.waiting_for_token(account), self.leader_answers());
+        if self.buckets.borrow().get(account).is_some_and(|b| !b.asks_limiter(ahead, answers, now))
+        {
             return Vec::new();
         }
         let view = self.view.borrow();
@@ -462,17 +530,20 @@
 
     /// Whether no control leader answers and the entry's own rate share admits no operation soon.
     pub fn cannot_admit(&self, account: &str) -> bool {
-        self.now() >= self.last_granted.get() + LEADER_ANSWER_TIMEOUT_MS
-            && !self.admits_soon(account)
+        let (ahead, now) = (self.waiting_for_token(account), self.now());
+        let buckets = self.buckets.borrow();
+        let soon = buckets.get(account).is_some_and(|bucket| bucket.admits_soon(ahead, now));
+        !soon && !self.leader_answers()
     }
 
-    /// Whether the entry's own rate share admits another operation within
-    /// [`LOCAL_TOKEN_WAIT_LIMIT_MS`].
-    fn admits_soon(&self, account: &str) -> bool {
-        let ahead = self.token_waiters.borrow().get(account).copied().unwrap_or(0);
-        let buckets = self.buckets.borrow();
-        let ready = buckets.get(account).and_then(|bucket| bucket.ready_in(ahead, self.now()));
-        ready.is_some_and(|wait| wait <= LOCAL_TOKEN_WAIT_LIMIT_MS)
+    /// Whether the control leader has answered a recent renewal.
+    fn leader_answers(&self) -> bool {
+        self.now() < self.last_granted.get() + LEADER_ANSWER_TIMEOUT_MS
+    }
+
+    /// Number of operations of a client account that wait for a token.
+    fn waiting_for_token(&self, account: &str) -> u32 {
+        self.token_waiters.borrow().get(account).copied().unwrap_or(0)
     }
 
     /// Requests a token until one is granted; false if the leader has none or does not answer in
@@ -561,6 +632,15 @@
             ),
         );
     }
+    if before.evacuated != after.evacuated {
+        log(
+            Event::ViewChanged,
+            format_args!(
+                "what=evacuations domains={:?} index={} term={}",
+                after.evacuated, after.index, after.term
+            ),
+        );
+    }
     for (group, lead) in &after.leads {
         if before.leads.get(group) != Some(lead) {
             log(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,13 @@
     pub reason: &'static str,
 }
 
+/// Label set of a gauge that is kept per server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServerLabel {
+    /// Server.
+    pub server: String,
+}
+
 /// Metrics of an instance.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -32,18 +39,38 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Reads answered by a replica.
     pub replica_reads: Counter,
+    /// Statements refused because no server in their home regions could run them.
+    pub home_refusals: Counter,
+    /// Statements/s that this entry may send to a cold server, by server.
+    pub pace_rate: Family<ServerLabel, Gauge<f64, AtomicU64>>,
+    /// Statements refused because this entry had no share of the rate of a cold server, or no lease.
+    pub pace_refusals: Counter,
+    /// Clients that were refused or closed to bound what clients hold, by reason.
+    pub client_refusals: Family<ReasonLabel, Counter>,
     /// Connections opened to servers.
     pub connections_opened: Counter,
     /// Open sessions.
     pub sessions: Gauge,
     /// Seconds from the arrival of a request to its answer.
     pub latency: Histogram,
+    /// Connection owners that were lost or silent, so that others are preferred.
+    pub owners_avoided: Counter,
+    /// Connection owners that could not use a server, so that others are preferred for it.
+    pub paths_avoided: Counter,
+    /// Tests of avoided connection owners.
+    pub owner_tests: Counter,
+    /// Jobs that stopped to wait for a slot, by reason.
+    pub waits_ended: Family<ReasonLabel, Counter>,
     /// Seconds that jobs waited for a slot.
     pub slot_wait: Histogram,
     /// Promotions ordered from the authority.
     pub promotion_orders: Counter,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64, AtomicU64>,
+    /// Evacuated failure domains, at the control leader.
+    pub evacuated_domains: Gauge,
+    /// Statements refused because of evacuations.
+    pub evacuation_refusals: Counter,
     /// Membership of the control group.
     pub control: ControlMetrics,
 }
@@ -56,12 +83,22 @@
             errors: Family::default(),
             retries: Family::default(),
             replica_reads: Counter::default(),
+            home_refusals: Counter::default(),
+            pace_rate: Family::default(),
+            pace_refusals: Counter::default(),
+            client_refusals: Family::default(),
             connections_opened: Counter::default(),
             sessions: Gauge::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
+            owners_avoided: Counter::default(),
+            paths_avoided: Counter::default(),
+            owner_tests: Counter::default(),
+            waits_ended: Family::default(),
             slot_wait: Histogram::new(LATENCY_BUCKETS_SECONDS),
             promotion_orders: Counter::default(),
             config_version: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuation_refusals: Counter::default(),
             control: ControlMetrics::default(),
             registry: Registry::default(),
         };
@@ -69,16 +106,45 @@
         registry.register("request_errors", "Requests by error", metrics.errors.clone());
         registry.register("job_retries", "Jobs sent again", metrics.retries.clone());
         registry.register("replica_reads", "Reads at replicas", metrics.replica_reads.clone());
+        registry.register(
+            "home_refusals",
+            "Statements without a server at home",
+            metrics.home_refusals.clone(),
+        );
+        registry.register("pace_rate", "Rate of cold servers", metrics.pace_rate.clone());
+        registry.register(
+            "pace_refusals",
+            "Statements without a share of a cold server",
+            metrics.pace_refusals.clone(),
+        );
         registry.register(
             "server_connects",
             "Connections opened",
             metrics.connections_opened.clone(),
         );
+        registry.register("client_refusals", "Clients by refusal", metrics.client_refusals.clone());
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register("request_seconds", "Latency of requests", metrics.latency.clone());
         registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
+        let owners = metrics.owners_avoided.clone();
+        registry.register("owners_avoided", "Connection owners lost or silent", owners);
+        let paths = metrics.paths_avoided.clone();
+        registry.register("paths_avoided", "Owners that could not use a server", paths);
+        registry.register("owner_tests", "Tests of avoided owners", metrics.owner_tests.clone());
+        let ended = metrics.waits_ended.clone();
+        registry.register("slot_waits_ended", "Waits that ended without a slot", ended);
         registry.register("promotions", "Orders of promotion", metrics.promotion_orders.clone());
         registry.register("config_version", "Configuration", metrics.config_version.clone());
+        registry.register(
+            "evacuated_domains",
+            "Evacuated failure domains",
+            metrics.evacuated_domains.clone(),
+        );
+        registry.register(
+            "evacuation_refusals",
+            "Statements refused because of evacuations",
+            metrics.evacuation_refusals.clone(),
+        );
         metrics.control.register(&mut registry);
         GatewayMetrics { registry, ..metrics }
     }
@@ -90,11 +156,21 @@
         self.errors.get_or_create(&ReasonLabel { reason: code.label() }).inc();
     }
 
+    /// Counts a client that was refused or closed.
+    pub fn count_client_refusal(&self, reason: &'static str) {
+        self.client_refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a retry.
     pub fn count_retry(&self, reason: &'static str) {
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a wait for a slot that ended without one.
+    pub fn count_ended_wait(&self, reason: &'static str) {
+        self.waits_ended.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// All metrics in the text format of Prometheus.
     pub fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -229,6 +229,9 @@
     pub delegates: Option<Changes<BTreeSet<Name>>>,
     /// Control members.
     pub members: Option<Vec<Name>>,
+    /// Evacuated failure domains; if absent from complete parts, there are none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<BTreeSet<Arc<str>>>,
 }
 
 /// Primary of a group as known to entries.
@@ -255,6 +258,9 @@
     /// Number of connections that it may open.
     #[serde(rename = "c")]
     pub connections: u32,
+    /// Statements/s that it may send while the server is cold; none without a rate.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<f64>,
 }
 
 /// A message on a link between entries.
--- a/crates/state/src/byte_size.rs
+++ b/crates/state/src/byte_size.rs
@@ -2,7 +2,10 @@
 //!
 //! Logs, queues and messages are bounded by the sum of these sizes; see [`crate::limits`].
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use crate::{
     Change, Command, Config, Edit, Machine, Name,
@@ -16,7 +19,7 @@
 const DATABASE_BYTES: usize = 64;
 
 /// Fields of a group without its name, encoded.
-const GROUP_BYTES: usize = 24;
+const GROUP_BYTES: usize = 36;
 
 /// Fields of a client account without its name and keys, encoded.
 const ACCOUNT_BYTES: usize = 48;
@@ -97,6 +100,7 @@
                 FIELDS_BYTES + backend.id.len() + backend.group.len() + backend.domain.len()
             }
             FleetChange::Forget { id, .. } => FIELDS_BYTES + id.len(),
+            FleetChange::Evacuate { domain, .. } => FIELDS_BYTES + domain.len(),
             FleetChange::Cover { group, id, .. } => FIELDS_BYTES + group.len() + id.len(),
             FleetChange::Lead { group, lead, .. } => {
                 let names = lead.primary.iter().chain(&lead.former);
@@ -116,10 +120,15 @@
 impl ByteSize for FleetConfig {
     fn byte_size(&self) -> usize {
         let databases = self.databases.iter();
-        let databases = databases.map(|(name, db)| name.len() + db.group.len() + DATABASE_BYTES);
+        let databases = databases.map(|(name, db)| {
+            name.len() + db.group.len() + DATABASE_BYTES + regions_size(&db.homes)
+        });
         let groups = self.groups.keys().map(|name| name.len() + GROUP_BYTES);
         let accounts = self.accounts.iter();
-        let accounts = accounts.map(|(n, a)| n.len() + ACCOUNT_BYTES + a.keys.len() * KEY_BYTES);
+        let accounts = accounts.map(|(name, account)| {
+            let keys = account.keys.len() * KEY_BYTES;
+            name.len() + ACCOUNT_BYTES + keys + regions_size(&account.homes)
+        });
         FIELDS_BYTES + databases.chain(groups).chain(accounts).sum::<usize>()
     }
 }
@@ -129,7 +138,9 @@
         let departed = self.departures.values().map(|left| 1 + left.pending.len()).sum::<usize>();
         let records = self.backends.len() + self.leads.len() + departed;
         let entries = incarnations_size(&self.entries);
-        self.plan.byte_size() + self.document.len() + records * FIELDS_BYTES + entries
+        let evacuations = self.evacuations.keys().map(|domain| domain.len() + FIELDS_BYTES);
+        let evacuations = evacuations.sum::<usize>();
+        self.plan.byte_size() + self.document.len() + records * FIELDS_BYTES + entries + evacuations
     }
 }
 
@@ -154,3 +165,8 @@
 fn incarnations_size(entries: &BTreeMap<Name, u64>) -> usize {
     entries.keys().map(|name| name.byte_size() + 9).sum()
 }
+
+/// Size of home regions, with the name of their field.
+fn regions_size(regions: &BTreeSet<Arc<str>>) -> usize {
+    regions.iter().map(|region| region.byte_size() + 5).sum()
+}
--- a/crates/state/src/fleet.rs
+++ b/crates/state/src/fleet.rs
@@ -65,6 +65,9 @@
     /// Whether callers need no key.
     #[serde(rename = "n")]
     pub anonymous: bool,
+    /// Home regions: servers elsewhere do not run its statements. Empty for all regions.
+    #[serde(rename = "h", default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<Arc<str>>,
 }
 
 /// Limits of a database group.
@@ -76,6 +79,9 @@
     /// Replicas that must have received a commit before it is acknowledged.
     #[serde(rename = "s")]
     pub synchronous_replicas: u32,
+    /// Statements/s that a server gets while it is cold; `None` for no limit.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub cold_rate: Option<f64>,
 }
 
 /// Keys and limits of a client account.
@@ -93,6 +99,9 @@
     /// Priority; 0 goes first.
     #[serde(rename = "p")]
     pub priority: u32,
+    /// Home regions: servers elsewhere do not run its statements. Empty for all regions.
+    #[serde(rename = "h", default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub homes: BTreeSet<Arc<str>>,
 }
 
 /// SHA-256 of a caller's key.
@@ -133,6 +142,9 @@
     pub draining: bool,
     /// Incarnation of its process.
     pub run: Incarnation,
+    /// Whether its process has just started and its group limits the rate of such servers.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cold: bool,
 }
 
 /// Primary of a database group.
@@ -216,6 +228,14 @@
         /// Incarnations of entries that left.
         left: BTreeMap<Name, u64>,
     },
+    /// Starts or ends the evacuation of a failure domain. Members of versions without evacuations
+    /// cannot read it.
+    Evacuate {
+        /// Failure domain.
+        domain: Arc<str>,
+        /// Whether the evacuation starts.
+        begin: bool,
+    },
 }
 
 /// State of the fleet.
@@ -235,6 +255,9 @@
     /// Replicas that have left, by group.
     #[serde(default)]
     pub departures: BTreeMap<Arc<str>, Departures>,
+    /// Failure domains that were ever evacuated, and whether each one is now.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub evacuations: BTreeMap<Arc<str>, bool>,
 }
 
 impl Fleet {
@@ -281,6 +304,9 @@
                 self.entries.retain(|name, run| left.get(name) != Some(run));
                 self.entries.extend(joined.iter().map(|(name, run)| (name.clone(), *run)));
             }
+            FleetChange::Evacuate { domain, begin } => {
+                self.evacuations.insert(domain.clone(), *begin);
+            }
         }
         Applied::Done
     }
@@ -322,6 +348,22 @@
         }
     }
 
+    /// Returns whether a failure domain is evacuated.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuations.get(domain).copied().unwrap_or(false)
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuated_domains(&self) -> BTreeSet<Arc<str>> {
+        let evacuated = self.evacuations.iter().filter(|(_, evacuated)| **evacuated);
+        evacuated.map(|(domain, _)| domain.clone()).collect()
+    }
+
+    /// Whether the servers of a group get fewer statements while they are cold.
+    pub fn limits_cold_servers(&self, group: &str) -> bool {
+        self.plan.groups.get(group).is_some_and(|group| group.cold_rate.is_some())
+    }
+
     /// Returns the servers of a group.
     pub fn backends_of(&self, group: &str) -> impl Iterator<Item = &Backend> {
         self.backends.of_group(group)
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -93,6 +93,7 @@
     CallerMalformed = 401, Warn, "caller sent a malformed message";
     KeyWithdrawn = 402, Info, "connection closed: its key was withdrawn";
     CallerOversized = 403, Warn, "caller sent a message above the size limit";
+    ClientRefused = 404, Warn, "client refused or closed to bound what clients hold";
     ServerConnectFailed = 500, Warn, "connection to a database server failed";
     AnswerMismatched = 501, Error, "database server broke the order of answers; connection closed";
     RequestServed = 600, Info, "request answered by a server";
@@ -103,6 +104,7 @@
     SessionEnded = 605, Info, "session ended by this instance";
     TransactionAborted = 606, Info, "transaction rolled back by this instance";
     MessageMalformed = 607, Warn, "message that cannot be decoded refused";
+    HomeRefused = 608, Info, "request refused: no server in its home regions can run it";
     ServerLost = 610, Warn, "connections to a server fail";
     ServerRegained = 611, Info, "server answers again";
     ConnectionOwnerLost = 612, Warn, "link to an entry that holds connections is lost";
@@ -133,6 +135,9 @@
     MemberLinkLost = 720, Warn, "link to a control member is lost";
     MemberLinkOpen = 721, Info, "link to a control member is open";
     ConfigRead = 722, Info, "configuration read by an operator";
+    EvacuationChanged = 723, Info, "evacuation of a failure domain recorded";
+    EvacuationAcknowledged = 724, Info, "evacuation of a failure domain acknowledged";
+    EvacuationRefused = 725, Warn, "evacuation of a failure domain refused";
 }
 
 impl Event {
