--- a/crates/coordination/tests/admission_load.rs
+++ b/crates/coordination/tests/admission_load.rs
@@ -374,6 +374,14 @@
         }
     }
 
+    /// Cuts some tenths of the entries off from the leader and the other entries.
+    fn cut_off(&mut self, tenths: u8) {
+        for (at, entry) in self.entries.iter_mut().enumerate() {
+            let far = (at * 7 + 3) % 10 < usize::from(tenths);
+            (entry.partition, entry.reaches_leader) = (u8::from(far), !far);
+        }
+    }
+
     /// Starts the process of an entry again. Its new incarnation is recorded before it renews, which
     /// ends the grants of the earlier one; messages to and from that one are lost.
     fn restart(&mut self, at: usize) {
@@ -668,12 +676,7 @@
                 Fault::Reconnect => fleet.entries.iter_mut().for_each(|entry| {
                     (entry.partition, entry.reaches_leader) = (0, true);
                 }),
-                Fault::Partition(tenths) => {
-                    for (at, entry) in fleet.entries.iter_mut().enumerate() {
-                        let far = (at * 7 + 3) % 10 < usize::from(tenths);
-                        (entry.partition, entry.reaches_leader) = (u8::from(far), !far);
-                    }
-                }
+                Fault::Partition(tenths) => fleet.cut_off(tenths),
                 Fault::Restart(at) => {
                     frozen.remove(&at);
                     fleet.restart(at);
