Close clients for lack of room only within the share that lacks it

A review by reading found: an account that had used up its share closed the largest client of all accounts, several waiters could each close one for the same room, and connections without an opening pushed out sessions once all places were taken. The two new tests fail on the code before by its signature and rule; 7 of 7 pass.

--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -163,25 +163,26 @@
     /// Makes `bytes` the number of bytes that a client holds.
     pub fn hold(&mut self, id: ClientId, bytes: usize) -> Grant {
         let Some(client) = self.clients.get(&id) else { return Grant::Closed };
-        let wanted = bytes.saturating_sub(FREE_BYTES);
-        let more = wanted.saturating_sub(client.held);
-        let by_peer = self.held_by_peer.get(&client.peer).copied().unwrap_or(0);
-        let by_account = self.held_by_account.get(&client.account).copied().unwrap_or(0);
-        let share = |parts: usize| (self.limits.bytes / parts).max(MESSAGE_COPIES * MESSAGE_BYTES);
-        let account_share = share(if client.account.is_empty() { 4 } else { 2 });
-        let fits = self.held + more <= self.limits.bytes
-            && by_peer + more <= share(2)
-            && by_account + more <= account_share;
-        if more > 0 && !fits {
+        if self.lacking(client, bytes).is_some() {
             return Grant::Wait;
         }
-        self.set_held(id, wanted);
+        self.set_held(id, bytes.saturating_sub(FREE_BYTES));
         Grant::Granted
     }
 
-    /// Removes the client that is to be closed for lack of room, and returns it.
-    pub fn evict(&mut self) -> Option<ClientId> {
-        let closable = |client: &Client| client.held > 0 && client.standing < Standing::Running;
+    /// Removes the client that is to be closed so that `id` may hold `bytes`, and returns it. If
+    /// there is room, or no client can be closed, returns `None`.
+    pub fn evict(&mut self, id: ClientId, bytes: usize) -> Option<ClientId> {
+        let asking = self.clients.get(&id)?;
+        let lacking = self.lacking(asking, bytes)?;
+        let closable = |client: &Client| {
+            let shares = match lacking {
+                Share::Room => true,
+                Share::Peer => client.peer == asking.peer,
+                Share::Account => client.account == asking.account,
+            };
+            shares && client.held > 0 && client.standing < Standing::Running
+        };
         let rank = |client: &Client| (client.standing < Standing::Transaction, client.held);
         let clients = self.clients.iter().filter(|(_, client)| closable(client));
         let (id, _) = clients.max_by_key(|(_, client)| rank(client))?;
@@ -190,17 +191,36 @@
         Some(id)
     }
 
+    /// The share in which a client lacks room for `bytes`.
+    fn lacking(&self, client: &Client, bytes: usize) -> Option<Share> {
+        let more = bytes.saturating_sub(FREE_BYTES).saturating_sub(client.held);
+        let by_peer = self.held_by_peer.get(&client.peer).copied().unwrap_or(0);
+        let by_account = self.held_by_account.get(&client.account).copied().unwrap_or(0);
+        let share = |parts: usize| (self.limits.bytes / parts).max(MESSAGE_COPIES * MESSAGE_BYTES);
+        let account_share = share(if client.account.is_empty() { 4 } else { 2 });
+        if more == 0 {
+            None
+        } else if by_account + more > account_share {
+            Some(Share::Account)
+        } else if by_peer + more > share(2) {
+            Some(Share::Peer)
+        } else {
+            (self.held + more > self.limits.bytes).then_some(Share::Room)
+        }
+    }
+
     /// Removes a client that has left.
     pub fn remove(&mut self, id: ClientId) {
         self.set_held(id, 0);
         self.clients.remove(&id);
     }
 
-    /// The connection that a new one replaces.
+    /// The connection that a new one replaces. Open sessions make way only if all are open.
     fn replaceable(&self, now: Millis) -> Option<ClientId> {
+        let unopened = self.clients.values().any(|client| client.standing == Standing::Unopened);
+        let highest = if unopened { Standing::Unopened } else { Standing::Open };
         let is_idle = |client: &Client| {
-            client.standing < Standing::Transaction
-                && now >= client.used_at.saturating_add(REPLACEABLE_AFTER_MS)
+            client.standing <= highest && now >= client.used_at.saturating_add(REPLACEABLE_AFTER_MS)
         };
         let clients = self.clients.iter().filter(|(_, client)| is_idle(client));
         clients.min_by_key(|(_, client)| (client.standing, client.used_at)).map(|(id, _)| *id)
@@ -219,6 +239,14 @@
     }
 }
 
+/// Share of the room that can be used up.
+#[derive(Debug, Clone, Copy)]
+enum Share {
+    Room,
+    Peer,
+    Account,
+}
+
 /// Replaces a part of a sum; a sum of zero is not kept.
 fn update_sum<K: Ord + Clone>(sums: &mut BTreeMap<K, usize>, key: &K, before: usize, after: usize) {
     let sum = sums.get(key).copied().unwrap_or(0) - before + after;
--- a/crates/coordination/tests/client_budget.rs
+++ b/crates/coordination/tests/client_budget.rs
@@ -51,7 +51,7 @@
     let ordinary = admit(&mut budget, 3, "b");
     assert_eq!(budget.hold(ordinary, FREE_BYTES), Grant::Granted);
     assert_eq!(budget.hold(ordinary, ROOM_BYTES), Grant::Wait);
-    assert_eq!(budget.evict(), Some(large));
+    assert_eq!(budget.evict(ordinary, ROOM_BYTES), Some(large));
     assert_eq!(budget.hold(large, 1), Grant::Closed);
 }
 
@@ -67,9 +67,36 @@
     }
     budget.set_standing(running, Standing::Running, 0);
     budget.set_standing(transaction, Standing::Transaction, 0);
-    assert_eq!(budget.evict(), Some(open));
-    assert_eq!(budget.evict(), Some(transaction));
-    assert_eq!(budget.evict(), None);
+    assert_eq!(budget.evict(open, ROOM_BYTES), Some(open));
+    assert_eq!(budget.evict(transaction, ROOM_BYTES), Some(transaction));
+    assert_eq!(budget.evict(running, ROOM_BYTES), None);
+}
+
+/// An account that has used up its share closes none of the others, nor does one that has room.
+#[test]
+fn an_account_makes_room_among_its_own_clients() {
+    let mut budget = budget(100);
+    let other = admit(&mut budget, 1, "other");
+    assert_eq!(budget.hold(other, LARGE_BYTES), Grant::Granted);
+    let first = admit(&mut budget, 2, "a");
+    let second = admit(&mut budget, 3, "a");
+    assert_eq!(budget.hold(first, 2 << 20), Grant::Granted);
+    assert_eq!(budget.hold(second, ROOM_BYTES), Grant::Wait);
+    assert_eq!(budget.evict(second, ROOM_BYTES), Some(first));
+    assert_eq!(budget.evict(second, FREE_BYTES), None);
+    assert_ne!(budget.hold(other, LARGE_BYTES), Grant::Closed);
+}
+
+/// Connections without an opening arrive faster than they may be replaced: no session is closed.
+#[test]
+fn sessions_do_not_make_way_for_unopened_connections() {
+    let mut budget = budget(3);
+    let session = admit(&mut budget, 1, "a");
+    for now in [1_000, 1_100, 1_200, 1_300] {
+        budget.connect(peer(2), now);
+    }
+    assert_eq!(budget.hold(session, 1), Grant::Granted);
+    assert_eq!(budget.connect(peer(2), 1_310), Admission::Refused);
 }
 
 /// Callers that connect and stop: a new one takes the place of the oldest that sent no opening.
@@ -102,7 +129,7 @@
             let id = clients[usize::from(client)];
             match step {
                 0 => budget.remove(id),
-                1 => drop(budget.evict()),
+                1 => drop(budget.evict(id, bytes)),
                 2 => budget.set_standing(id, Standing::Running, 0),
                 3 => budget.open(id, &Arc::from("c")),
                 _ => drop(budget.hold(id, bytes)),
--- a/crates/transport/src/client_room.rs
+++ b/crates/transport/src/client_room.rs
@@ -199,7 +199,7 @@
                 () = released => {}
                 () = self.closing.notified() => return false,
                 () = sleep_until(deadline) => {
-                    if !self.make_room() {
+                    if !self.make_room(bytes) {
                         return false;
                     }
                     deadline = Instant::now() + ROOM_WAIT;
@@ -241,10 +241,14 @@
         grant
     }
 
-    /// Closes the largest client; `false` if that is this one, or none can be closed.
-    fn make_room(&self) -> bool {
+    /// Closes the largest client of the share that is used up, if there is no room by now; `false` if
+    /// that is this one, or none can be closed.
+    fn make_room(&self, bytes: usize) -> bool {
         let mut state = self.room.state();
-        let Some(closed) = state.budget.evict() else {
+        if state.budget.hold(self.id, bytes) != Grant::Wait {
+            return true;
+        }
+        let Some(closed) = state.budget.evict(self.id, bytes) else {
             self.room.record(&mut state, Refusal::Memory, None);
             return false;
         };
