--- a/crates/coordination/src/slot_queue.rs
+++ b/crates/coordination/src/slot_queue.rs
@@ -3,8 +3,8 @@
 //! Jobs that can still meet their latency objective go first, by priority and then by arrival.
 //! After an outage, a queue in order of arrival would serve the backlog first, and each later job
 //! would miss its objective as well. Among jobs of one priority, the client accounts take turns: an
-//! account that sends many times its usual waits for itself. Jobs that are late take free slots and one turn of several, so
-//! that lasting load does not keep them waiting until their deadline.
+//! account that sends many times its usual waits for itself. Jobs that are late take free slots and
+//! one turn of several, so that lasting load does not keep them waiting until their deadline.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -45,6 +45,7 @@
 #[derive(Debug)]
 struct Waiting<T> {
     place: SlotPlace,
+    account: Arc<str>,
     /// Round in which the account of the job has this turn.
     round: u64,
     job: T,
@@ -88,10 +89,10 @@
         }
         let rounds = self.rounds.entry(place.priority).or_default();
         let round = rounds.of_account(&account);
-        rounds.next.insert(account, round + 1);
+        rounds.next.insert(account.clone(), round + 1);
         let key = (place.priority, round);
         let at = self.waiting.partition_point(|other| (other.place.priority, other.round) <= key);
-        self.waiting.insert(at, Waiting { place, round, job });
+        self.waiting.insert(at, Waiting { place, account, round, job });
     }
 
     /// Number of waiting jobs that a new one of an account follows, if a job takes `duration`
@@ -124,8 +125,11 @@
         let served_late = Some(at) == late;
         self.since_late = if served_late || late.is_none() { 0 } else { self.since_late + 1 };
         let taken = self.waiting.remove(at);
+        // A late job may have been taken before others of earlier rounds.
+        let waiting = self.waiting.iter().filter(|o| o.place.priority == taken.place.priority);
+        let earliest = waiting.map(|other| other.round).min().unwrap_or(taken.round);
         if let Some(rounds) = self.rounds.get_mut(&taken.place.priority) {
-            rounds.current = rounds.current.max(taken.round);
+            rounds.current = rounds.current.max(taken.round.min(earliest));
         }
         Some(taken.job)
     }
@@ -133,7 +137,24 @@
     /// Removes the jobs for which `ended` holds.
     pub fn remove(&mut self, mut ended: impl FnMut(&SlotPlace, &T) -> bool) -> Vec<T> {
         let removed = self.waiting.extract_if(.., |other| ended(&other.place, &other.job));
-        removed.map(|other| other.job).collect()
+        let removed: Vec<Waiting<T>> = removed.collect();
+        for other in &removed {
+            self.return_turns(other.place.priority, &other.account);
+        }
+        removed.into_iter().map(|other| other.job).collect()
+    }
+
+    /// Returns the turns of jobs that have left without one.
+    fn return_turns(&mut self, priority: u32, account: &Arc<str>) {
+        let Some(rounds) = self.rounds.get_mut(&priority) else { return };
+        let own = self
+            .waiting
+            .iter()
+            .filter(|other| other.place.priority == priority && other.account == *account);
+        match own.map(|other| other.round).max() {
+            Some(last) => drop(rounds.next.insert(account.clone(), last + 1)),
+            None => drop(rounds.next.remove(account)),
+        }
     }
 }
 
--- a/crates/coordination/tests/slot_queue.rs
+++ b/crates/coordination/tests/slot_queue.rs
@@ -178,3 +178,35 @@
     }
     assert!((9..=11).contains(&turns), "{turns} of 30 turns");
 }
+
+/// A server hangs: jobs of one account expire in the queue of others, and the account is served
+/// again like the others.
+#[test]
+fn jobs_that_leave_without_a_turn_return_it() {
+    let mut queue = SlotQueue::new();
+    let place = SlotPlace { priority: 1, objective: 10_000, deadline: 10_000 };
+    for number in 0..50 {
+        queue.push(place, "expired".into(), ("expired", number));
+    }
+    for number in 0..5 {
+        queue.push(place, "other".into(), ("other", number));
+    }
+    assert_eq!(queue.remove(|_, job| job.0 == "expired").len(), 50);
+    assert_eq!(queue.jobs_ahead(place, "expired", 10, 0), 1);
+}
+
+/// A late job of a long backlog has a turn: others still go before the rest of the backlog.
+#[test]
+fn a_late_turn_does_not_end_the_rounds_before_it() {
+    let mut queue = SlotQueue::new();
+    let punctual = SlotPlace { priority: 1, objective: 10_000, deadline: 10_000 };
+    let late = SlotPlace { objective: 0, ..punctual };
+    for number in 0..50 {
+        queue.push(punctual, "backlog".into(), number);
+    }
+    queue.push(late, "backlog".into(), 50);
+    // The late job has the eighth turn.
+    let taken: Vec<_> = (0..8).filter_map(|_| queue.pop(10, 100)).collect();
+    assert_eq!(taken.last(), Some(&50));
+    assert!(queue.jobs_ahead(punctual, "light", 10, 100) <= 1);
+}
