--- a/crates/coordination/src/probe_pace.rs
+++ b/crates/coordination/src/probe_pace.rs
@@ -16,8 +16,9 @@
 /// Interval for each group: 400 questions a second.
 const INTERVAL_PER_GROUP_US: Millis = 2_500;
 
-/// Age up to which an answer of a primary to entries counts, in milliseconds.
-const MAX_REPORT_AGE_MS: Millis = 1_000;
+/// Age up to which an answer of a primary to entries counts, in milliseconds. Two lost packets delay
+/// the answer to the next question by 600 ms, and a primary that is silent for 900 ms is replaced.
+const MAX_REPORT_AGE_MS: Millis = 250;
 
 /// Interval between two looks at a group for each group.
 const LOOK_PER_GROUP_US: Millis = 200;
