--- a/crates/coordination/src/external_failover.rs
+++ b/crates/coordination/src/external_failover.rs
@@ -223,7 +223,7 @@
 
 /// Whether a server can take over from one in an evacuated domain.
 fn is_elsewhere(member: &Member) -> bool {
-    member.reachable && !member.evacuated
+    member.reachable && !member.evacuated && !member.draining
 }
 
 /// Position that a reachable replica has reached and that covers every acknowledged commit. `end`
