Start a transaction with the configuration of its first statement

A session whose transaction was ended for its idleness counts as idle among the clients of an entry. No test of its own yet.

--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -240,6 +240,7 @@
             && transaction.state != SessionState::Failed
         {
             transaction.state = SessionState::Failed;
+            self.client.set_standing(Standing::Open);
             log(
                 Event::TransactionAborted,
                 format_args!(
@@ -517,6 +518,12 @@
             None => TransactionStep::First { read_only: transaction.read_only },
         };
         let arrived = if route.is_some() { arrival } else { transaction.arrival };
+        // The configuration may have changed since the transaction was opened.
+        if route.is_none()
+            && let Ok(database) = self.check_access()
+        {
+            transaction.database = database;
+        }
         let mut task =
             self.build_task(id, &transaction.database, step, text, writes || commits, arrived);
         task.job.commits = commits;
