--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -162,8 +162,10 @@
                 server.draining = backend.draining;
                 server.evacuated = view.is_evacuated(backend);
                 let me = &self.local.me.name;
+                let group = view.config.groups.get(&backend.group);
+                let is_limited = backend.cold && group.is_some_and(|g| g.cold_rate.is_some());
                 let rate =
-                    backend.cold.then(|| owned_cold_rate(view, &backend.id, me).unwrap_or(0.0));
+                    is_limited.then(|| owned_cold_rate(view, &backend.id, me).unwrap_or(0.0));
                 self.publish_rate(&backend.id, server.pacer.is_limited(), rate);
                 server.pacer.set_rate(rate);
                 if !server.accepts_jobs() {
