Let the view expire only where failure domains are evacuated

Entries without a leader for 8.5 s sent nothing more to servers, also in deployments that never evacuate a domain. The platform's settings tell whether they do.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -80,6 +80,8 @@
     pub seeds: BTreeSet<Name>,
     /// Regions of failure domains from the settings; may be empty.
     pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// Whether operators evacuate failure domains.
+    pub evacuates: bool,
     /// Grace period from the request to stop until the process is killed.
     pub grace_period: Duration,
     /// Credentials of links.
@@ -127,7 +129,8 @@
     mut orders: mpsc::Receiver<EntryCommand>,
 ) -> std::io::Result<()> {
     let local = LocalState::new(options.me, options.clock, options.metrics);
-    let local = Rc::new(local.with_regions(options.regions));
+    let local = local.with_regions(options.regions).with_view_expiry(options.evacuates);
+    let local = Rc::new(local);
     let pool = Pool::new(local.clone());
     let executor = Rc::new(Executor::new(local.clone(), pool.clone(), options.server_wire));
     let dial: Arc<dyn Dial<Forward>> =
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -137,6 +137,7 @@
     last_granted: Cell<Millis>,
     /// Sending time of the last renewal whose grant the view covers.
     confirmed: Cell<Millis>,
+    view_expires: bool,
     evacuations: RefCell<Evacuations>,
     silence: RefCell<LeaderSilence>,
     /// Whether the last update could not be decoded or applied to the view.
@@ -174,6 +175,7 @@
             lease: Cell::default(),
             last_granted: Cell::default(),
             confirmed: Cell::new(clock_start),
+            view_expires: true,
             evacuations: RefCell::default(),
             silence,
             update_rejected: Cell::default(),
@@ -190,6 +192,12 @@
         LocalState { regions: RefCell::new(regions), ..self }
     }
 
+    /// Sets whether nothing is sent to servers once the view is old, as a failure domain may have been
+    /// evacuated since.
+    pub fn with_view_expiry(self, view_expires: bool) -> LocalState {
+        LocalState { view_expires, ..self }
+    }
+
     /// Whether a server in a failure domain may run a request.
     pub fn is_home(&self, homes: &HomeRegions, domain: &str) -> bool {
         homes.is_everywhere() || homes.contains(self.regions.borrow().region_of(domain))
@@ -230,7 +238,7 @@
     /// whether it belongs to an open transaction.
     pub fn may_send(&self, server: &str, open: bool) -> bool {
         let now = self.now();
-        if !is_view_recent(self.confirmed.get(), now) {
+        if self.view_expires && !is_view_recent(self.confirmed.get(), now) {
             return false;
         }
         let view = self.view.borrow();
