--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -3,9 +3,14 @@
 use std::{rc::Rc, sync::Arc};
 
 use auburnlug_protocol::job::{Answer, ErrorCode};
+use auburnlug_state::Millis;
 
 use crate::{local_state::LocalState, relay::Relay};
 
+/// Time after which no further regional limiter is asked: a typical latency objective, less some time
+/// for the statement.
+const LIMITERS_TIMEOUT_MS: Millis = 700;
+
 /// Admits operations locally or through a regional limiter.
 pub struct Admission {
     local: Rc<LocalState>,
@@ -37,7 +42,11 @@
         if !limiters.is_empty() {
             self.local.record_forwarded(account);
         }
+        let started = self.local.now();
         for delegate in limiters {
+            if self.local.now() >= started + LIMITERS_TIMEOUT_MS {
+                break;
+            }
             if let Some(admitted) = self.relay.claim_token(&delegate, account).await {
                 return admitted;
             }
