--- a/crates/coordination/tests/admission_load.rs
+++ b/crates/coordination/tests/admission_load.rs
@@ -632,7 +632,21 @@
 #[test]
 fn a_window_never_exceeds_burst_and_rate() {
     let count = schedule_entries();
-    let fault = prop_oneof![
+    let config = ProptestConfig {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        max_shrink_iters: 60,
+        ..ProptestConfig::default()
+    };
+    let inputs = (any::<u64>(), prop::collection::vec(any_fault(count), 5..25));
+    let result =
+        TestRunner::new(config).run(&inputs, |(seed, faults)| play_schedule(seed, count, faults));
+    result.unwrap();
+}
+
+fn any_fault(count: usize) -> impl Strategy<Value = Fault> {
+    prop_oneof![
         6 => (100..3_000u64, any::<bool>()).prop_map(|(time, flood)| Fault::Run(time, flood)),
         1 => Just(Fault::LoseLeader),
         2 => Just(Fault::ElectLeader),
@@ -643,49 +657,42 @@
         2 => (1..10u8).prop_map(Fault::Partition),
         2 => (0..count).prop_map(Fault::Restart),
         1 => Just(Fault::ChooseLimiters),
-    ];
-    let config = ProptestConfig {
-        cases: 60,
-        rng_seed: RngSeed::Fixed(5),
-        failure_persistence: None,
-        max_shrink_iters: 60,
-        ..ProptestConfig::default()
-    };
-    let inputs = (any::<u64>(), prop::collection::vec(fault, 5..25));
-    let result = TestRunner::new(config).run(&inputs, |(seed, faults)| {
-        let mut fleet = Fleet::new(seed, count, 6, 10.0 * count as f64, true);
-        let mut frozen = BTreeSet::new();
-        for fault in faults {
-            match fault {
-                Fault::Run(time, flood) => fleet.run(time, if flood { 7.5 } else { 1.0 }),
-                Fault::LoseLeader => fleet.lose_leader(),
-                Fault::ElectLeader => {
-                    fleet.lose_leader();
-                    fleet.elect_leader();
-                }
-                Fault::Freeze(at) => {
-                    frozen.insert(at);
-                    fleet.entries[at].running = false;
-                }
-                Fault::Resume => {
-                    for at in std::mem::take(&mut frozen) {
-                        fleet.entries[at].running = true;
-                    }
-                }
-                Fault::Disconnect(at) => fleet.entries[at].reaches_leader = false,
-                Fault::Reconnect => fleet.entries.iter_mut().for_each(|entry| {
-                    (entry.partition, entry.reaches_leader) = (0, true);
-                }),
-                Fault::Partition(tenths) => fleet.cut_off(tenths),
-                Fault::Restart(at) => {
-                    frozen.remove(&at);
-                    fleet.restart(at);
+    ]
+}
+
+/// Plays faults one after the other and checks the rate in each window.
+fn play_schedule(seed: u64, count: usize, faults: Vec<Fault>) -> Result<(), TestCaseError> {
+    let mut fleet = Fleet::new(seed, count, 6, 10.0 * count as f64, true);
+    let mut frozen = BTreeSet::new();
+    for fault in faults {
+        match fault {
+            Fault::Run(time, flood) => fleet.run(time, if flood { 7.5 } else { 1.0 }),
+            Fault::LoseLeader => fleet.lose_leader(),
+            Fault::ElectLeader => {
+                fleet.lose_leader();
+                fleet.elect_leader();
+            }
+            Fault::Freeze(at) => {
+                frozen.insert(at);
+                fleet.entries[at].running = false;
+            }
+            Fault::Resume => {
+                for at in std::mem::take(&mut frozen) {
+                    fleet.entries[at].running = true;
                 }
-                Fault::ChooseLimiters => fleet.choose_limiters(),
             }
+            Fault::Disconnect(at) => fleet.entries[at].reaches_leader = false,
+            Fault::Reconnect => fleet.entries.iter_mut().for_each(|entry| {
+                (entry.partition, entry.reaches_leader) = (0, true);
+            }),
+            Fault::Partition(tenths) => fleet.cut_off(tenths),
+            Fault::Restart(at) => {
+                frozen.remove(&at);
+                fleet.restart(at);
+            }
+            Fault::ChooseLimiters => fleet.choose_limiters(),
         }
-        prop_assert!(fleet.max_excess() <= 0.0, "{} over the rate", fleet.max_excess());
-        Ok(())
-    });
-    result.unwrap();
+    }
+    prop_assert!(fleet.max_excess() <= 0.0, "{} over the rate", fleet.max_excess());
+    Ok(())
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -102,55 +102,60 @@
             control: ControlMetrics::default(),
             registry: Registry::default(),
         };
-        registry.register("requests_served", "Requests answered", metrics.served.clone());
-        registry.register("request_errors", "Requests by error", metrics.errors.clone());
-        registry.register("job_retries", "Jobs sent again", metrics.retries.clone());
-        registry.register("replica_reads", "Reads at replicas", metrics.replica_reads.clone());
+        metrics.register_requests(&mut registry);
+        metrics.register_decisions(&mut registry);
+        metrics.control.register(&mut registry);
+        GatewayMetrics { registry, ..metrics }
+    }
+}
+
+impl GatewayMetrics {
+    fn register_requests(&self, registry: &mut Registry) {
+        registry.register("requests_served", "Requests answered", self.served.clone());
+        registry.register("request_errors", "Requests by error", self.errors.clone());
+        registry.register("job_retries", "Jobs sent again", self.retries.clone());
+        registry.register("replica_reads", "Reads at replicas", self.replica_reads.clone());
+        registry.register("server_connects", "Connections opened", self.connections_opened.clone());
+        registry.register("sessions", "Open sessions", self.sessions.clone());
+        registry.register("request_seconds", "Latency of requests", self.latency.clone());
+        registry.register("wait_seconds", "Wait for a connection", self.slot_wait.clone());
+        registry.register("promotions", "Orders of promotion", self.promotion_orders.clone());
+        registry.register("config_version", "Configuration", self.config_version.clone());
+    }
+
+    /// Registers the metrics of refusals, of connection owners and of evacuations.
+    fn register_decisions(&self, registry: &mut Registry) {
         registry.register(
             "home_refusals",
             "Statements without a server at home",
-            metrics.home_refusals.clone(),
+            self.home_refusals.clone(),
         );
-        registry.register("pace_rate", "Rate of cold servers", metrics.pace_rate.clone());
+        registry.register("pace_rate", "Rate of cold servers", self.pace_rate.clone());
         registry.register(
             "pace_refusals",
             "Statements without a share of a cold server",
-            metrics.pace_refusals.clone(),
-        );
-        registry.register(
-            "server_connects",
-            "Connections opened",
-            metrics.connections_opened.clone(),
+            self.pace_refusals.clone(),
         );
-        registry.register("client_refusals", "Clients by refusal", metrics.client_refusals.clone());
-        registry.register("sessions", "Open sessions", metrics.sessions.clone());
-        registry.register("request_seconds", "Latency of requests", metrics.latency.clone());
-        registry.register("wait_seconds", "Wait for a connection", metrics.slot_wait.clone());
-        let owners = metrics.owners_avoided.clone();
+        registry.register("client_refusals", "Clients by refusal", self.client_refusals.clone());
+        let owners = self.owners_avoided.clone();
         registry.register("owners_avoided", "Connection owners lost or silent", owners);
-        let paths = metrics.paths_avoided.clone();
+        let paths = self.paths_avoided.clone();
         registry.register("paths_avoided", "Owners that could not use a server", paths);
-        registry.register("owner_tests", "Tests of avoided owners", metrics.owner_tests.clone());
-        let ended = metrics.waits_ended.clone();
+        registry.register("owner_tests", "Tests of avoided owners", self.owner_tests.clone());
+        let ended = self.waits_ended.clone();
         registry.register("slot_waits_ended", "Waits that ended without a slot", ended);
-        registry.register("promotions", "Orders of promotion", metrics.promotion_orders.clone());
-        registry.register("config_version", "Configuration", metrics.config_version.clone());
         registry.register(
             "evacuated_domains",
             "Evacuated failure domains",
-            metrics.evacuated_domains.clone(),
+            self.evacuated_domains.clone(),
         );
         registry.register(
             "evacuation_refusals",
             "Statements refused because of evacuations",
-            metrics.evacuation_refusals.clone(),
+            self.evacuation_refusals.clone(),
         );
-        metrics.control.register(&mut registry);
-        GatewayMetrics { registry, ..metrics }
     }
-}
 
-impl GatewayMetrics {
     /// Counts an error.
     pub fn count_error(&self, code: ErrorCode) {
         self.errors.get_or_create(&ReasonLabel { reason: code.label() }).inc();
