--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -1,5 +1,5 @@
-//! Control leader: grants leases and rate shares to entries, assigns connections to them, and sends
-//! them updates of the fleet.
+//! Control leader: its state, the leases and rate shares that it grants to entries, and its periodic
+//! work.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -7,37 +7,39 @@
 };
 
 use auburnlug_coordination::{
-    changes::ChangeTracker,
-    connection_owners::{self, Location, ServerLimit, ServerOwners},
+    connection_owners::{Location, ServerOwners},
     entry_leases::{self, ENTRY_LEASE_MS, EntryLeases},
     observation::ObservationClock,
     pending_entries::PendingEntries,
     rate_share::{
         RateLimit, RateShares, SHARE_RECLAIM_DELAY_MS, ShareGrant, ShareRequest as ShareAsk,
     },
-    regional_limiters::{self, RegionalLimiters},
-    server_pace::{ColdShares, ShareAssignment},
+    server_pace::ColdShares,
     server_reports::ServerReports,
-    update_pace::{self, UpdatePace},
+    update_pace::UpdatePace,
 };
 use auburnlug_protocol::{
     fleet::{
-        AccountDemand, ConnectionOwner, FleetGrant, FleetMessage, FleetRenewal, FleetUpdate,
-        OwnedConnections, PositionSample, PrimaryObservation, PrimaryView, RateShare,
+        AccountDemand, FleetGrant, FleetMessage, FleetRenewal, PositionSample, PrimaryObservation,
+        RateShare,
     },
     packed::Packed,
 };
 use auburnlug_state::{
     Millis, Name, Term,
-    byte_size::ByteSize,
-    fleet::{Backend, Fleet, FleetChange, Incarnation},
-    limits,
+    fleet::{FleetChange, Incarnation},
 };
 use auburnlug_transport::event::{Event, log};
 
 use crate::{
-    control::Control, control_departures::DepartureWatch, control_evacuation::EvacuationWait,
-    control_failover::ExternalFailover, control_handle::Heartbeat, control_probe::ServerMonitor,
+    control::Control,
+    control_assignment::ASSIGNMENT_DEBOUNCE_MS,
+    control_departures::DepartureWatch,
+    control_evacuation::EvacuationWait,
+    control_failover::ExternalFailover,
+    control_handle::Heartbeat,
+    control_probe::ServerMonitor,
+    control_updates::{PublishedView, lead_views},
     leader_lease::LeaderLease,
 };
 
@@ -58,9 +60,6 @@
 /// and an entry may receive a grant for every token that it waits for.
 const MIN_POSITIONS_INTERVAL_MS: Millis = 250;
 
-/// Delay that combines changes of entries and servers into one assignment of connections.
-const ASSIGNMENT_DEBOUNCE_MS: Millis = 50;
-
 /// Delay of the first assignment by a new leader. Entries report the connections that they own as
 /// soon as they learn of the leader; one way between regions takes some ten milliseconds.
 const INITIAL_ASSIGNMENT_DELAY_MS: Millis = 250;
@@ -92,79 +91,64 @@
     pub(crate) evacuation_waits: Vec<EvacuationWait>,
     /// Observation time since which no replica of a group has received the primary's whole log.
     pub(crate) unreplicated_since: BTreeMap<Arc<str>, Millis>,
-    connection_owners: BTreeMap<Arc<str>, ServerOwners>,
+    pub(crate) connection_owners: BTreeMap<Arc<str>, ServerOwners>,
     /// Shares of the rates of servers in groups that limit cold ones.
-    cold_shares: ColdShares,
+    pub(crate) cold_shares: ColdShares,
     /// Region of each failure domain.
-    regions: BTreeMap<Arc<str>, Arc<str>>,
-    members: BTreeSet<Name>,
+    pub(crate) regions: BTreeMap<Arc<str>, Arc<str>>,
+    pub(crate) members: BTreeSet<Name>,
     /// Time of the next assignment of connections.
-    assign_at: Option<Millis>,
+    pub(crate) assign_at: Option<Millis>,
     /// Number of entries that may own connections.
-    healthy_entries: usize,
-    shares: RateShares,
+    pub(crate) healthy_entries: usize,
+    pub(crate) shares: RateShares,
     /// Entries of an earlier leader that have not reported their rate shares.
-    unreported: BTreeSet<Name>,
+    pub(crate) unreported: BTreeSet<Name>,
     /// Latest restart among those entries, after which none of them can hold a share; `None` once
     /// one of them reports without a restart.
-    latest_restart: Option<Millis>,
+    pub(crate) latest_restart: Option<Millis>,
     /// Renewals of entries whose registration is not committed yet, with their links.
-    pending_entries: PendingEntries<(u64, FleetRenewal)>,
+    pub(crate) pending_entries: PendingEntries<(u64, FleetRenewal)>,
     /// Observation time since which registered entries have not renewed their lease.
-    absent_since: BTreeMap<Name, Millis>,
+    pub(crate) absent_since: BTreeMap<Name, Millis>,
     /// Index of the newest update.
     pub(crate) index: u64,
     /// When the newest update is sent to all entries.
-    pace: UpdatePace,
-    view: PublishedView,
+    pub(crate) pace: UpdatePace,
+    pub(crate) view: PublishedView,
     /// Encoded updates to the newest state, by the update index and the configuration version that
     /// an entry has.
-    encoded_updates: BTreeMap<(u64, u64), Arc<Packed>>,
+    pub(crate) encoded_updates: BTreeMap<(u64, u64), Arc<Packed>>,
     /// Update index that the encoded updates lead to.
-    encoded_index: u64,
+    pub(crate) encoded_index: u64,
     /// Index of the update that announced the present leader of each group.
     pub(crate) lead_index: BTreeMap<Arc<str>, u64>,
 }
 
-/// View of the fleet that is sent to entries.
-#[derive(Debug, Default)]
-struct PublishedView {
-    backends: ChangeTracker<Backend>,
-    leads: ChangeTracker<PrimaryView>,
-    connection_owners: ChangeTracker<Vec<ConnectionOwner>>,
-    regional_limiters: ChangeTracker<BTreeSet<Name>>,
-    /// Index of the update in which the control members changed.
-    members: u64,
-    /// Evacuated failure domains.
-    evacuated: BTreeSet<Arc<str>>,
-    /// Index of the update in which they changed; 0 if they never did.
-    evacuated_index: u64,
-}
-
 /// An entry that renews its lease with this leader.
 pub(crate) struct EntryState {
-    link: u64,
-    incarnation: u64,
-    location: Location,
+    pub(crate) link: u64,
+    pub(crate) incarnation: u64,
+    pub(crate) location: Location,
     /// Index of the last update sent on this link; 0 before the first.
-    sent_index: u64,
+    pub(crate) sent_index: u64,
     /// Configuration version that the entry has after all updates sent on this link.
-    config_version: u64,
+    pub(crate) config_version: u64,
     /// Observation time of the last renewal.
-    renewed_at: Millis,
+    pub(crate) renewed_at: Millis,
     /// Time of the last grant with position samples.
-    sampled_at: Millis,
+    pub(crate) sampled_at: Millis,
     /// Observation time since which the entry has no link to this member.
-    disconnected_at: Option<Millis>,
+    pub(crate) disconnected_at: Option<Millis>,
     /// Whether the entry is shutting down and should own no connections.
-    leaving: bool,
+    pub(crate) leaving: bool,
     /// Whether the entry is a regional limiter.
-    regional_limiter: bool,
+    pub(crate) regional_limiter: bool,
 }
 
 impl EntryState {
     /// Whether the entry may own connections at an observation time.
-    fn is_healthy(&self, observed: Millis) -> bool {
+    pub(crate) fn is_healthy(&self, observed: Millis) -> bool {
         !self.leaving
             && observed < self.renewed_at + RENEWAL_TIMEOUT_MS
             && self.disconnected_at.is_none_or(|since| observed < since + RECONNECT_TIMEOUT_MS)
@@ -198,70 +182,6 @@
         self.pending_entries.wait(from.clone(), renewal.run, (link, renewal));
     }
 
-    /// Keeps an encoded update for other entries with the same `key`, as long as there is room.
-    fn keep_update(&mut self, key: (u64, u64), packed: Arc<Packed>) {
-        let kept = self.encoded_updates.values().map(ByteSize::byte_size).sum::<usize>();
-        if kept + packed.byte_size() <= limits::KEPT_BYTES {
-            self.encoded_updates.insert(key, packed);
-        }
-    }
-
-    /// Keeps the connections that an earlier leader assigned to an entry until this leader assigns
-    /// them itself.
-    fn inherit_connections(&mut self, from: &Name, holds: Vec<OwnedConnections>) {
-        if self.view.connection_owners.is_set() {
-            return;
-        }
-        for held in holds {
-            let owners = self.connection_owners.entry(held.server).or_default();
-            if owners.iter().all(|(name, _)| name != from) {
-                let at = held.rank.min(owners.len());
-                owners.insert(at, (from.clone(), held.connections));
-            }
-        }
-    }
-
-    /// Divides the rates of servers among their chosen connection owners, with the next update.
-    fn assign_cold_shares(
-        &mut self,
-        fleet: &Fleet,
-        chosen: &BTreeMap<Arc<str>, ServerOwners>,
-        now: Millis,
-    ) {
-        let update = self.index + 1;
-        let is_limited = |server: &str| {
-            let backend = fleet.backends.get(server);
-            backend.is_some_and(|backend| fleet.limits_cold_servers(&backend.group))
-        };
-        self.cold_shares.retain(is_limited, update, &self.leases, now);
-        for backend in fleet.backends.values() {
-            let group = fleet.plan.groups.get(&backend.group);
-            let Some(cold_rate) = group.and_then(|group| group.cold_rate) else { continue };
-            let Some(owners) = chosen.get(&backend.id) else { continue };
-            let announced = self.view.connection_owners.is_set();
-            let assignment = ShareAssignment {
-                server: &backend.id,
-                owners,
-                rate: backend.cold.then_some(cold_rate),
-                update,
-                is_new: announced && !self.connection_owners.contains_key(&backend.id),
-            };
-            self.cold_shares.assign(assignment, &self.leases, now);
-        }
-    }
-
-    /// Regional limiters chosen by this leader or, before the first choice, by an earlier one.
-    fn current_regional_limiters(&self) -> RegionalLimiters {
-        if self.view.regional_limiters.is_set() {
-            return self.view.regional_limiters.values().clone();
-        }
-        let mut limiters = RegionalLimiters::new();
-        for (name, entry) in self.entries.iter().filter(|(_, entry)| entry.regional_limiter) {
-            limiters.entry(entry.location.region.clone()).or_default().insert(name.clone());
-        }
-        limiters
-    }
-
     /// Index of the update in which the evacuated failure domains last changed.
     pub(crate) fn evacuated_index(&self) -> u64 {
         self.view.evacuated_index
@@ -470,18 +390,6 @@
         self.advance_first_assignment(now);
     }
 
-    /// Assigns connections early once every entry of an earlier leader has reported what it owns, or
-    /// has started again, which ends it, and is recorded.
-    fn advance_first_assignment(&mut self, now: Millis) {
-        let Some(leader) = &mut self.leader else { return };
-        let first = !leader.view.connection_owners.is_set();
-        let complete = leader.unreported.is_empty() && leader.pending_entries.is_empty();
-        if first && complete {
-            let at = now + ASSIGNMENT_DEBOUNCE_MS;
-            leader.assign_at = Some(leader.assign_at.map_or(at, |due| due.min(at)));
-        }
-    }
-
     /// Updates the times since which registered entries have not renewed.
     fn update_absent_entries(&mut self, now: Millis) {
         let recorded = &self.machine.fleet.entries;
@@ -550,178 +458,6 @@
         }
     }
 
-    /// Updates the published view after committed changes and sends it to entries. `before` is the
-    /// configuration version before the changes.
-    pub(crate) fn publish_fleet_changes(&mut self, before: u64) {
-        let fleet = &self.machine.fleet;
-        let Some(leader) = &mut self.leader else { return };
-        let next = leader.index + 1;
-        let backends = leader.view.backends.replace(fleet.backends.clone().into(), next);
-        let leads = leader.view.leads.replace(lead_views(fleet), next);
-        let evacuated = fleet.evacuated_domains();
-        let evacuations_changed = leader.view.evacuated != evacuated;
-        if evacuations_changed {
-            self.metrics.evacuated_domains.set(evacuated.len() as i64);
-            (leader.view.evacuated, leader.view.evacuated_index) = (evacuated, next);
-        }
-        if !backends.is_empty() {
-            leader.reports.retain(|server| fleet.backends.contains_key(server));
-        }
-        let changed = !backends.is_empty() || !leads.is_empty() || evacuations_changed;
-        if before != fleet.plan.version || changed {
-            // Callers wait for another primary; the first one of a group comes with its servers.
-            let new_primary = leads.iter().any(|group| leader.lead_index.contains_key(group));
-            let urgent = new_primary || evacuations_changed;
-            leader.lead_index.extend(leads.into_iter().map(|group| (group, next)));
-            leader.index = next;
-            self.schedule_assignment();
-            self.request_updates(urgent);
-        }
-    }
-
-    /// Schedules an assignment of connections; changes within [`ASSIGNMENT_DEBOUNCE_MS`] are
-    /// combined.
-    pub(crate) fn schedule_assignment(&mut self) {
-        let now = self.clock.now();
-        if let Some(leader) = &mut self.leader {
-            let delay = ASSIGNMENT_DEBOUNCE_MS.max(update_pace::interval(leader.entries.len()));
-            leader.assign_at.get_or_insert(now + delay);
-        }
-    }
-
-    /// Chooses the regional limiters and the connection owners of each server.
-    fn assign_connections(&mut self) {
-        let fleet = &self.machine.fleet;
-        let limit = |group: &str| fleet.plan.groups.get(group).map(|plan| plan.max_connections);
-        let servers: BTreeMap<Arc<str>, ServerLimit> = fleet
-            .backends
-            .values()
-            .filter_map(|b| {
-                let server = ServerLimit { domain: b.domain.clone(), limit: limit(&b.group)? };
-                Some((b.id.clone(), server))
-            })
-            .collect();
-        let now = self.clock.now();
-        let Some(leader) = &mut self.leader else { return };
-        leader.assign_at = None;
-        for entry in leader.entries.values() {
-            leader.regions.insert(entry.location.domain.clone(), entry.location.region.clone());
-        }
-        let observed = leader.observation.at(now);
-        let places: BTreeMap<Name, Location> = leader
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.is_healthy(observed))
-            .map(|(name, entry)| (name.clone(), entry.location.clone()))
-            .collect();
-        if places.is_empty() {
-            // Entries that are shutting down still serve on the connections that they own.
-            return;
-        }
-        let next = leader.index + 1;
-        let limiters = regional_limiters::choose(&places, &leader.current_regional_limiters());
-        let limiters_changed = !leader.view.regional_limiters.replace(limiters, next).is_empty();
-        if limiters_changed {
-            let delegates = leader.view.regional_limiters.values();
-            log(Event::RegionalLimitersChanged, format_args!("delegates={delegates:?}"));
-        }
-        let chosen = connection_owners::choose(
-            &places,
-            &servers,
-            &leader.regions,
-            &leader.connection_owners,
-        );
-        for (server, owners) in &chosen {
-            if leader.connection_owners.get(server) != Some(owners) {
-                log(
-                    Event::ConnectionOwnersChanged,
-                    format_args!("server={server} holders={owners:?}"),
-                );
-            }
-        }
-        let names = |owners: &ServerOwners| owners.iter().map(|(name, _)| name.clone()).collect();
-        let placed = chosen.iter().map(|(server, owners)| (server.clone(), names(owners)));
-        leader.leases.assign_servers(placed.collect(), next);
-        leader.assign_cold_shares(fleet, &chosen, now);
-        leader.connection_owners = chosen;
-        let views = connection_owner_views(leader);
-        let changed = leader.view.connection_owners.replace(views, next);
-        if limiters_changed || !changed.is_empty() {
-            leader.index = next;
-            self.request_updates(false);
-        }
-    }
-
-    /// Sends the newest update to all entries, at once if it is urgent or none was sent lately.
-    fn request_updates(&mut self, urgent: bool) {
-        let now = self.clock.now();
-        let Some(leader) = &mut self.leader else { return };
-        if leader.pace.request(leader.entries.len(), urgent, now) {
-            self.send_updates();
-        }
-    }
-
-    /// Sends updates that have waited for others.
-    fn send_due_updates(&mut self, now: Millis) {
-        let Some(leader) = &mut self.leader else { return };
-        if leader.pace.take_due(leader.entries.len(), now) {
-            self.send_updates();
-        }
-    }
-
-    fn send_updates(&mut self) {
-        let Some(leader) = &self.leader else { return };
-        let names: Vec<Name> = leader.entries.keys().cloned().collect();
-        for name in names {
-            self.send_update(&name);
-        }
-    }
-
-    /// Sends an entry the changes since its last update.
-    fn send_update(&mut self, name: &Name) {
-        let Some(leader) = &mut self.leader else { return };
-        let Some(entry) = leader.entries.get_mut(name.as_str()) else { return };
-        let (sent, view) = (entry.sent_index, &leader.view);
-        if sent >= leader.index {
-            return;
-        }
-        entry.sent_index = leader.index;
-        let (link, key) = (entry.link, (sent, entry.config_version));
-        let plan = self.configs.delta_from(entry.config_version);
-        if let Some(part) = &plan {
-            entry.config_version = part.version;
-        }
-        if leader.encoded_index != leader.index {
-            leader.encoded_updates.clear();
-            leader.encoded_index = leader.index;
-        }
-        if let Some(packed) = leader.encoded_updates.get(&key) {
-            let packed = packed.clone();
-            return self.send(link, FleetMessage::Update(packed));
-        }
-        let update = FleetUpdate {
-            index: leader.index,
-            since: sent,
-            term: leader.term,
-            plan,
-            backends: view.backends.since(sent),
-            leads: view.leads.since(sent),
-            holders: view.connection_owners.since(sent),
-            delegates: view.regional_limiters.since(sent),
-            members: (view.members > sent).then(|| leader.members.iter().cloned().collect()),
-            evacuated: (view.evacuated_index > sent).then(|| view.evacuated.clone()),
-        };
-        match Packed::new(&update) {
-            Ok(packed) => {
-                let packed = Arc::new(packed);
-                leader.keep_update(key, packed.clone());
-                self.send(link, FleetMessage::Update(packed));
-            }
-            // The entry gets the complete view on its next link.
-            Err(e) => log(Event::UpdateMismatched, format_args!("index={}: {e}", update.index)),
-        }
-    }
-
     /// Runs the periodic work of the leader: expiry, assignment and the monitoring of groups.
     pub(crate) fn run_leader_tasks(&mut self, now: Millis) {
         // Without its lease, this member may be unable to hear others, and another one may lead.
@@ -775,29 +511,3 @@
         self.monitor_groups(now);
     }
 }
-
-fn lead_views(fleet: &Fleet) -> BTreeMap<Arc<str>, PrimaryView> {
-    let view = |lead: &auburnlug_state::fleet::GroupPrimary| PrimaryView {
-        term: lead.term,
-        primary: lead.primary.clone(),
-    };
-    fleet.leads.iter().map(|(group, lead)| (group.clone(), view(lead))).collect()
-}
-
-fn connection_owner_views(leader: &Leader) -> BTreeMap<Arc<str>, Vec<ConnectionOwner>> {
-    let mut views = BTreeMap::new();
-    for (server, owners) in &leader.connection_owners {
-        let known = owners.iter().filter_map(|(entry, connections)| {
-            let location = &leader.entries.get(entry.as_str())?.location;
-            Some(ConnectionOwner {
-                entry: entry.clone(),
-                domain: location.domain.clone(),
-                region: location.region.clone(),
-                connections: *connections,
-                cold_rate: leader.cold_shares.share(server, entry.as_str()),
-            })
-        });
-        views.insert(server.clone(), known.collect());
-    }
-    views
-}
