--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod session;
 mod session_log;
 mod session_refusal;
+mod session_transaction;
 pub mod shutdown;
 pub mod wire;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -28,9 +28,9 @@
 
 use crate::{
     local_state::LocalState,
-    relay::TransactionRoute,
     router::{Router, StatementTask},
     session_log::{AnsweredRequest, log_answer},
+    session_transaction::Transaction,
     shutdown::Shutdown,
     wire::{CallerWire, DecodeError},
 };
@@ -110,7 +110,7 @@
     /// Bytes of the session values and prepared statements.
     stored: usize,
     /// Position of the last commit of this session.
-    commit_position: Option<Position>,
+    pub(crate) commit_position: Option<Position>,
     pub(crate) transaction: Option<Transaction>,
     /// Whether the opening was accepted.
     is_open: bool,
@@ -122,18 +122,6 @@
     asked_at: Millis,
 }
 
-/// Transaction of a session.
-pub(crate) struct Transaction {
-    pub(crate) state: SessionState,
-    read_only: bool,
-    database: Database,
-    /// Arrival time of the first request.
-    arrival: Millis,
-    /// Route of the statements; `None` before the first one.
-    pub(crate) route: Option<TransactionRoute>,
-    has_written: bool,
-}
-
 /// Serves the connection of a caller until it ends.
 pub async fn serve(context: Rc<SessionContext>, stream: TcpStream, client: Client) {
     let _ = stream.set_nodelay(true);
@@ -355,7 +343,7 @@
     /// # Errors
     ///
     /// The database or the key was withdrawn.
-    fn check_access(&self) -> Result<Database, (ErrorCode, &'static str)> {
+    pub(crate) fn check_access(&self) -> Result<Database, (ErrorCode, &'static str)> {
         let view = self.context.local.view();
         let Some(database) = view.config.databases.get(&self.database) else {
             return Err((ErrorCode::UnknownDatabase, "no database of this name"));
@@ -429,17 +417,6 @@
         self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
     }
 
-    fn begin_transaction(&mut self, database: Database, read_only: bool, arrival: Millis) {
-        self.transaction = Some(Transaction {
-            state: SessionState::Open,
-            read_only,
-            database,
-            arrival,
-            route: None,
-            has_written: false,
-        });
-    }
-
     fn set_value(&mut self, name: Arc<str>, value: Arc<str>) -> Answer {
         if self.values.len() >= MAX_SESSION_NAMES && !self.values.contains_key(&name) {
             return Answer::error(ErrorCode::Failed, "too many session values");
@@ -497,74 +474,7 @@
         (answer, SessionState::Idle)
     }
 
-    /// Runs a statement or the commit of the open transaction.
-    async fn run_in_transaction(
-        &mut self,
-        id: &Arc<str>,
-        arrival: Millis,
-        text: StatementText,
-        writes: bool,
-        commits: bool,
-    ) -> (Answer, SessionState) {
-        let Some(mut transaction) = self.transaction.take() else {
-            return (
-                Answer::error(ErrorCode::Malformed, "no transaction is open"),
-                SessionState::Idle,
-            );
-        };
-        let route = transaction.route.take();
-        let step = match route {
-            Some(_) => TransactionStep::Next,
-            None => TransactionStep::First { read_only: transaction.read_only },
-        };
-        let arrived = if route.is_some() { arrival } else { transaction.arrival };
-        // The configuration may have changed since the transaction was opened.
-        if route.is_none()
-            && let Ok(database) = self.check_access()
-        {
-            transaction.database = database;
-        }
-        let mut task =
-            self.build_task(id, &transaction.database, step, text, writes || commits, arrived);
-        task.job.commits = commits;
-        transaction.has_written |= writes;
-        let (answer, route) = match route {
-            Some(route) => self.context.router.run_next(route, task).await,
-            None => self.context.router.run_first(task).await,
-        };
-        if commits {
-            if let Some(route) = route {
-                self.context.router.release(route);
-            }
-            if answer.code().is_none() && transaction.has_written {
-                self.commit_position = self.commit_position.max(answer.position);
-            }
-            return (answer, SessionState::Idle);
-        }
-        let failed = answer.code().is_some() || route.is_none();
-        if failed {
-            if let Some(route) = route {
-                self.context.router.release(route);
-            }
-            transaction.state = SessionState::Failed;
-        } else {
-            transaction.route = route;
-        }
-        let state = transaction.state;
-        self.transaction = Some(transaction);
-        (answer, state)
-    }
-
-    async fn commit(
-        &mut self,
-        id: &Arc<str>,
-        arrival: Millis,
-        text: Arc<str>,
-    ) -> (Answer, SessionState) {
-        self.run_in_transaction(id, arrival, StatementText::Plain(text), false, true).await
-    }
-
-    fn build_task(
+    pub(crate) fn build_task(
         &self,
         id: &Arc<str>,
         database: &Database,
@@ -601,13 +511,6 @@
         StatementTask { job, need, arrival, homes }
     }
 
-    /// Rolls back the open transaction, if any.
-    pub(crate) fn drop_transaction(&mut self) {
-        if let Some(route) = self.transaction.take().and_then(|mut t| t.route.take()) {
-            self.context.router.release(route);
-        }
-    }
-
     pub(crate) fn answered_request<'a>(
         &'a self,
         id: &'a str,
