Test that a withdrawn limit frees a cold server at once

The view names the limit, all former checks hold as they were, and a new one takes the limit away while the server is cold; it fails on the code before. Gateway tests: 27 passed.

--- a/crates/gateway/tests/pool.rs
+++ b/crates/gateway/tests/pool.rs
@@ -17,7 +17,7 @@
 };
 use auburnlug_state::{
     Name,
-    fleet::{Backend, Incarnation},
+    fleet::{Backend, FleetConfig, GroupConfig, Incarnation},
 };
 use auburnlug_transport::clock::{Clock, SystemClock};
 use tokio::{
@@ -255,6 +255,10 @@
             backends.for_each(|backend| (backend.cold, backend.slots) = (true, 4));
             let owners = view.connection_owners.values_mut().flatten();
             owners.for_each(|owner| owner.cold_rate = rate);
+            let group =
+                GroupConfig { max_connections: 4, synchronous_replicas: 1, cold_rate: Some(20.0) };
+            let groups = BTreeMap::from([("g".into(), group)]);
+            view.config = Arc::new(FleetConfig { groups, ..FleetConfig::default() });
             view
         };
         let ask = || pool.acquire(slot_request(&local, "a", 1, 60_000));
@@ -278,5 +282,10 @@
         assert!(permits[0].wait_for_pace(Instant::now() + Duration::from_secs(10)).await);
         assert!(local.now() - started >= 200);
         assert!(!permits[0].wait_for_pace(Instant::now()).await);
+        drop(permits);
+        let mut unlimited = cold_view(None);
+        unlimited.config = Arc::default();
+        pool.apply_view(&unlimited);
+        assert!(ask().await.is_ok(), "the limit was withdrawn while the server is cold");
     });
 }
