Answer a job without a lease on its primary with READONLY again

The test is right, as callers are promised READONLY; the code is changed back and the test untouched. An owner without a lease is therefore no longer avoided for its server.

--- a/crates/coordination/src/owner_health.rs
+++ b/crates/coordination/src/owner_health.rs
@@ -7,8 +7,7 @@
 //! owner can run as well. While there is no link, opening one is the test.
 //!
 //! An owner may also answer while it cannot use one of its servers: a partition lies between the
-//! two, or it has no lease on the primary. Another owner of the server gets its jobs meanwhile, by
-//! the same rules.
+//! two. Another owner of the server gets its jobs meanwhile, by the same rules.
 
 use std::{collections::BTreeMap, sync::Arc};
 
--- a/crates/gateway/src/executor.rs
+++ b/crates/gateway/src/executor.rs
@@ -450,9 +450,8 @@
         NoSlot::Unreachable => {
             Answer::error(ErrorCode::Unreachable, format!("{} cannot be reached", job.server))
         }
-        // Another owner of the server may have the lease.
         NoSlot::NotPrimary => {
-            Answer::error(ErrorCode::Unreachable, "this entry has no lease on the primary")
+            Answer::error(ErrorCode::ReadOnly, "this entry has no lease on the primary")
         }
         NoSlot::QueueFull(_, queue) => {
             Answer::error(ErrorCode::Busy, format!("too many wait: {queue}"))
