--- /dev/null
+++ b/review/standin-3/main.rs
@@ -0,0 +1,55 @@
+//! Cases of the third review. `review-3 CASE RECORD` plays a case and writes its record. It exits
+//! with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod client;
+mod cluster;
+mod http;
+mod other_writer;
+mod record;
+mod system;
+
+use std::{path::Path, process::exit};
+
+/// What a case has shown.
+pub enum Verdict {
+    Held,
+    Broken,
+    NotRun(String),
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, file] = &arguments[..] else {
+        eprintln!("usage: review-3 CASE RECORD");
+        exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
+    let record = match record::Record::create(Path::new(file)) {
+        Ok(record) => record,
+        Err(e) => {
+            eprintln!("{file}: {e}");
+            exit(2);
+        }
+    };
+    record.note(format!("case {case} TROUBLE={trouble}"));
+    let verdict = match case.as_str() {
+        "other-writer" => other_writer::play(&record, &trouble),
+        _ => Verdict::NotRun("unknown case".into()),
+    };
+    let code = match verdict {
+        Verdict::Held => {
+            record.note("the rule held");
+            0
+        }
+        Verdict::Broken => {
+            record.note("the rule was broken");
+            1
+        }
+        Verdict::NotRun(reason) => {
+            record.note(format!("the case could not run: {reason}"));
+            2
+        }
+    };
+    record.flush();
+    exit(code);
+}
