--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,8 +4,10 @@
 mod client;
 mod cluster;
 mod http;
+mod memory;
 mod other_writer;
 mod record;
+mod session_values;
 mod system;
 
 use std::{path::Path, process::exit};
@@ -33,6 +35,7 @@
     };
     record.note(format!("case {case} TROUBLE={trouble}"));
     let verdict = match case.as_str() {
+        "session-values" => session_values::play(&record, &trouble),
         "other-writer" => other_writer::play(&record, &trouble),
         _ => Verdict::NotRun("unknown case".into()),
     };
