--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,6 +8,7 @@
 mod other_writer;
 mod record;
 mod session_values;
+mod small_values;
 mod system;
 
 use std::{path::Path, process::exit};
@@ -35,6 +36,7 @@
     };
     record.note(format!("case {case} TROUBLE={trouble}"));
     let verdict = match case.as_str() {
+        "small-values" => small_values::play(&record, &trouble),
         "session-values" => session_values::play(&record, &trouble),
         "other-writer" => other_writer::play(&record, &trouble),
         _ => Verdict::NotRun("unknown case".into()),
