--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,7 +11,10 @@
 mod small_values;
 mod system;
 
-use std::{path::Path, process::exit};
+use std::{path::Path, process::exit, thread, time::Duration};
+
+/// Longest time of a case; one that takes longer could not run.
+const CASE_TIMEOUT: Duration = Duration::from_secs(115);
 
 /// What a case has shown.
 pub enum Verdict {
@@ -35,6 +38,13 @@
         }
     };
     record.note(format!("case {case} TROUBLE={trouble}"));
+    let watched = record.clone();
+    thread::spawn(move || {
+        thread::sleep(CASE_TIMEOUT);
+        watched.note("the case could not run: it takes too long");
+        watched.flush();
+        exit(2);
+    });
     let verdict = match case.as_str() {
         "small-values" => small_values::play(&record, &trouble),
         "session-values" => session_values::play(&record, &trouble),
--- a/review/standin-3/small_values.rs
+++ b/review/standin-3/small_values.rs
@@ -16,14 +16,14 @@
 
 const ENTRIES: u8 = 2;
 
-/// Memory of the entry machines of the Régie at Liège, in MB.
-const MEMORY_MB: u64 = 160;
+/// Memory of the entry machines of Sahil, in MB.
+const MEMORY_MB: u64 = 260;
 
 /// Sessions at one entry. It accepts 2,867 connections with its 4,300 descriptors.
-const SESSIONS: usize = 2_700;
+const SESSIONS: usize = 2_850;
 
 /// Session values, and prepared statements, of one session.
-const NAMES: usize = 250;
+const NAMES: usize = 256;
 
 /// Names without the disturbance.
 const CALM_NAMES: usize = 2;
@@ -50,8 +50,8 @@
 fn crowd(index: usize, front: SocketAddr, names: usize, stop: &AtomicBool, record: &Record) {
     let mut statements = Vec::new();
     for number in 0..names {
-        statements.push(format!("SET v{number} x"));
-        statements.push(format!("PREPARE s{number} READ q"));
+        statements.push(format!("SET value{number:04} {number:09}"));
+        statements.push(format!("PREPARE shape{number:04} READ {number:025}"));
     }
     let mut sessions: Vec<Caller> = Vec::new();
     let mut opened = 0;
@@ -68,7 +68,9 @@
             continue;
         }
         // Once the process has ended, the next crowd begins.
-        let lives = sessions.first_mut().is_none_or(|caller| caller.ask("a", "SET v0 x").is_some());
+        let lives = sessions
+            .first_mut()
+            .is_none_or(|caller| caller.ask("a", "SET value0000 000000000").is_some());
         if !lives {
             record.note(format!(
                 "crowd at {front} ({index}): cut off with {} sessions of {} statements each",
--- a/review/standin-3/system.rs
+++ b/review/standin-3/system.rs
@@ -5,6 +5,7 @@
     fs::{self, File},
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::Instant,
@@ -23,6 +24,15 @@
 pub const ZONES: [&str; 3] = ["muscat-a", "sohar-a", "salalah-a"];
 const REGIONS: [&str; 3] = ["muscat", "sohar", "salalah"];
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    /// With [`PR_SET_PDEATHSIG`]: ends the process once the thread that started it has ended, also
+    /// if the case itself is killed.
+    fn prctl(option: i32, signal: u64) -> i32;
+}
+
 pub struct System {
     program: PathBuf,
     folder: PathBuf,
@@ -86,13 +96,16 @@
             .create(true)
             .append(true)
             .open(self.folder.join(format!("{host}.log")))?;
-        let child = Command::new(&self.program)
-            .arg("serve")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let mut command = Command::new(&self.program);
+        command.arg("serve").arg(&file).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        // SAFETY: prctl is safe to call between fork and exec, and the closure allocates nothing.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
+        let child = command.spawn()?;
         self.record.line(format!("machine {host} ({}) starts, pid {}", self.ip(host), child.id()));
         self.children.push((host, child));
         Ok(())
