Give a server's name and address to another one only once that one confirms it

One heartbeat of an unknown service at the address of a replica took the replica out of the directory and marked its process as ended; the replica's own heartbeats, with an earlier start time, counted as outdated and were answered with 200. The replica went on counting toward the synchronous replicas, and a failover that did not compare it promoted a replica without the commits.

Cause: the text of a heartbeat was taken as proof of who sent it. It is not the unknown service: a heartbeat of the known service in the same place hid the replica as well, and had writes wait for nine seconds or for good.

Now coordination::registration decides what a heartbeat may change. One that takes the name, the group or the address of a recorded server is used only once the server at its address has accepted a connection under that name, which any other server refuses. Neither start times nor the configured groups matter, so what is known when the heartbeat arrives makes no difference, and a confirmed server gets its place back from a record of an earlier version, too. The leader proposes the same changes as before, so that members of both versions apply them alike. A heartbeat that is not used is answered with 409, logged (AL0726) and counted when the reason changes; the record of a server that had no effect is no longer acknowledged.

--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -372,6 +372,16 @@
         caller.is_some_and(|mut caller| caller.ask(&format!("w WRITE {key} x")).contains("DONE s."))
     }
 
+    /// Starts a stand-in server behind the link of server `number`, where none runs.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be used.
+    pub fn start_server(&self, id: &str, number: u8) -> io::Result<()> {
+        let inner = self.address(20 + number, SERVER_INNER_PORT);
+        self.runtime.block_on(self.group.add(id, inner))
+    }
+
     /// Waits for a condition.
     ///
     /// # Errors
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod rate_share;
 pub mod redundancy;
 pub mod regional_limiters;
+pub mod registration;
 pub mod retry;
 pub mod route;
 pub mod server_choice;
--- /dev/null
+++ b/crates/coordination/src/registration.rs
@@ -0,0 +1,110 @@
+//! What a heartbeat may change in the directory of servers.
+//!
+//! Whoever reaches a control member can send a heartbeat, so its fields prove nothing about its
+//! sender. A server in the directory may receive commits for as long as its process runs, and a
+//! failover that does not compare it loses them. So a recorded server keeps its name, its group and
+//! its address until another server is shown to have them.
+//!
+//! The proof is the handshake of a connection: a server refuses one that names another group or
+//! another server. A heartbeat that would take the place of a recorded server is used only once the
+//! server at its address has accepted the name that it gives. Start times prove nothing, as anyone
+//! can name one; nor do the configured groups, which are unknown before the first configuration and
+//! change later. A heartbeat that takes nobody's place needs no proof.
+
+use std::sync::Arc;
+
+use auburnlug_state::fleet::{Backend, Fleet, Incarnation};
+
+/// What to do with a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// The record of the server says the same.
+    Unchanged,
+    /// Record the server, after the removal of these servers.
+    Record(Vec<Displaced>),
+    /// Ask the server at the address whether the heartbeat is its own.
+    Confirm(Conflict),
+    /// A later heartbeat of the server was used, or a later process is recorded.
+    Outdated,
+}
+
+/// A record whose place a heartbeat takes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Conflict {
+    /// Identity of the recorded server.
+    pub holder: Arc<str>,
+    /// What the heartbeat takes from it.
+    pub place: Place,
+}
+
+/// What two servers cannot have at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// The name, which is recorded in another group or at another address.
+    Name,
+    /// The address, which is recorded under another name.
+    Address,
+}
+
+impl Place {
+    /// Label for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Place::Name => "name",
+            Place::Address => "address",
+        }
+    }
+}
+
+/// A recorded server to remove before another one is recorded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Displaced {
+    /// Identity.
+    pub id: Arc<str>,
+    /// Recorded incarnation.
+    pub run: Incarnation,
+}
+
+/// Decides on a heartbeat with the record `reported` and the sequence number `sequence`.
+///
+/// `latest` is the incarnation and sequence number of the last heartbeat of the name that was used.
+/// `confirmed` tells that the server at the address has accepted the name since the heartbeat
+/// arrived.
+pub fn decide(
+    fleet: &Fleet,
+    reported: &Backend,
+    sequence: u64,
+    latest: Option<(Incarnation, u64)>,
+    confirmed: bool,
+) -> Decision {
+    let recorded = fleet.backends.get(&reported.id);
+    if recorded == Some(reported) {
+        return Decision::Unchanged;
+    }
+    let moved = recorded.filter(|known| !is_same_place(known, reported));
+    let has_same_address =
+        |known: &&Backend| known.address == reported.address && known.id != reported.id;
+    let occupant = fleet.backends.values().find(has_same_address);
+    let conflict = |known: &Backend, place| Conflict { holder: known.id.clone(), place };
+    let name = moved.map(|known| conflict(known, Place::Name));
+    let address = occupant.map(|known| conflict(known, Place::Address));
+    if let Some(conflict) = address.or(name) {
+        if !confirmed {
+            return Decision::Confirm(conflict);
+        }
+        // A record replaces earlier ones by itself.
+        let moved = moved.filter(|known| known.run >= reported.run);
+        let occupant = occupant.filter(|known| known.run > reported.run);
+        let displaced = |known: &Backend| Displaced { id: known.id.clone(), run: known.run };
+        return Decision::Record(moved.into_iter().chain(occupant).map(displaced).collect());
+    }
+    let restarted = recorded.is_some_and(|known| known.run > reported.run);
+    if restarted || latest.is_some_and(|latest| latest > (reported.run, sequence)) {
+        return Decision::Outdated;
+    }
+    Decision::Record(Vec::new())
+}
+
+fn is_same_place(known: &Backend, reported: &Backend) -> bool {
+    known.group == reported.group && known.address == reported.address
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -255,6 +255,7 @@
             }
             Input::Message(link, from, message) => self.handle_message(link, from, message)?,
             Input::ProbeFinished(term, probed) => self.handle_probe(term, probed),
+            Input::HeartbeatConfirmed(confirmation) => self.handle_confirmation(*confirmation),
             Input::PromotionAnswered { group, server, sent, outcome } => {
                 self.handle_promotion_answer(&group, &server, sent, outcome)
             }
--- a/crates/gateway/src/control_apply.rs
+++ b/crates/gateway/src/control_apply.rs
@@ -2,7 +2,7 @@
 //! the leadership.
 
 use auburnlug_coordination::raft::{Entry, Payload};
-use auburnlug_state::{Command, fleet::FleetChange};
+use auburnlug_state::{Applied, Command, fleet::FleetChange};
 use auburnlug_transport::{
     control_member::Work,
     event::{Event, log},
@@ -12,7 +12,7 @@
     control::{Control, PendingProposal},
     control_handle::ControlReply,
     control_lead::Leader,
-    control_log::{log_applied, records_entries, records_promotion},
+    control_log::{log_applied, records_backend, records_entries, records_promotion},
 };
 
 /// Kinds of entries that a step has applied.
@@ -109,6 +109,7 @@
             // An entry of another term at this index is not this proposal, whose outcome stays
             // unknown, as does that of an entry on a single disk.
             let is_safe = term == entry.term && !self.member.leads_alone();
+            let is_unused = records_backend(&entry) && applied == Some(Applied::Stale);
             let begun = match &entry.payload {
                 Payload::Command(Command::Fleet(FleetChange::Evacuate { domain, begin: true })) => {
                     Some(domain)
@@ -119,7 +120,7 @@
                 (Some(domain), Some(leader)) if is_safe => {
                     leader.wait_for_evacuation(domain, reply, self.clock.now());
                 }
-                (None, _) if is_safe => drop(reply.send(ControlReply::Done(()))),
+                (None, _) if is_safe && !is_unused => drop(reply.send(ControlReply::Done(()))),
                 _ => drop(reply.send(ControlReply::Unavailable)),
             }
         }
--- a/crates/gateway/src/control_handle.rs
+++ b/crates/gateway/src/control_handle.rs
@@ -23,6 +23,8 @@
     Busy,
     /// The request was not carried out: it names a failure domain that is not known.
     UnknownDomain,
+    /// The heartbeat was not used.
+    Unused,
 }
 
 impl<T> ControlReply<T> {
@@ -34,6 +36,7 @@
             ControlReply::Unavailable => ControlReply::Unavailable,
             ControlReply::Busy => ControlReply::Busy,
             ControlReply::UnknownDomain => ControlReply::UnknownDomain,
+            ControlReply::Unused => ControlReply::Unused,
         }
     }
 }
--- a/crates/gateway/src/control_input.rs
+++ b/crates/gateway/src/control_input.rs
@@ -6,7 +6,10 @@
 use auburnlug_state::{Millis, Name, Term, byte_size::ByteSize};
 use auburnlug_transport::byte_channel::Sender;
 
-use crate::{control_handle::ControlRequest, control_probe::ProbeOutcome, wire::PromotionOutcome};
+use crate::{
+    control_confirm::Confirmation, control_handle::ControlRequest, control_probe::ProbeOutcome,
+    wire::PromotionOutcome,
+};
 
 /// Size of an input without a message.
 const SMALL_INPUT_BYTES: usize = 256;
@@ -27,6 +30,8 @@
     Message(Option<u64>, Name, FleetMessage),
     /// A probe of a server that was sent in this Raft term has finished.
     ProbeFinished(Term, ProbeOutcome),
+    /// The server at the address of a heartbeat was asked for its name.
+    HeartbeatConfirmed(Box<Confirmation>),
     /// The promoting authority answered the order that was sent at this time.
     PromotionAnswered { group: Arc<str>, server: Arc<str>, sent: Millis, outcome: PromotionOutcome },
 }
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -38,6 +38,7 @@
     control_evacuation::EvacuationWait,
     control_failover::ExternalFailover,
     control_handle::Heartbeat,
+    control_heartbeat::UnusedHeartbeats,
     control_probe::ServerMonitor,
     control_updates::{PublishedView, lead_views},
     leader_lease::LeaderLease,
@@ -77,6 +78,10 @@
     pub(crate) leases: EntryLeases,
     pub(crate) entries: BTreeMap<Name, EntryState>,
     pub(crate) heartbeats: BTreeMap<Arc<str>, LastHeartbeat>,
+    /// Names whose last heartbeat was not used.
+    pub(crate) unused: UnusedHeartbeats,
+    /// Names that the server at the address of a heartbeat is being asked for.
+    pub(crate) confirming: BTreeSet<Arc<str>>,
     pub(crate) reports: ServerReports,
     pub(crate) monitors: BTreeMap<Arc<str>, ServerMonitor>,
     pub(crate) failovers: BTreeMap<Arc<str>, ExternalFailover>,
@@ -193,30 +198,23 @@
             || self.entries.values().any(|entry| *entry.location.domain == *domain)
     }
 
-    /// Records a heartbeat; returns false if a later one has arrived already. `elsewhere` tells that
-    /// another member is to receive the next ones.
-    pub(crate) fn record_heartbeat(
-        &mut self,
-        beat: &Heartbeat,
-        elsewhere: bool,
-        now: Millis,
-    ) -> bool {
-        let (incarnation, sequence) = (beat.backend.run, beat.sequence);
-        let known = self.heartbeats.get(&beat.backend.id);
-        if known.is_some_and(|known| (known.incarnation, known.sequence) >= (incarnation, sequence))
-        {
-            return false;
-        }
+    /// Records that a heartbeat was used. `elsewhere` tells that another member is to receive the
+    /// next ones.
+    pub(crate) fn record_heartbeat(&mut self, beat: &Heartbeat, elsewhere: bool, now: Millis) {
         let heartbeat = LastHeartbeat {
-            incarnation,
-            sequence,
+            incarnation: beat.backend.run,
+            sequence: beat.sequence,
             received_at: self.observation.at(now),
             claims_primary: beat.claims_primary,
             timed_out: false,
             elsewhere,
         };
         self.heartbeats.insert(beat.backend.id.clone(), heartbeat);
-        true
+    }
+
+    /// Incarnation and sequence number of the last heartbeat of a server that was used.
+    pub(crate) fn latest_heartbeat(&self, server: &str) -> Option<(Incarnation, u64)> {
+        self.heartbeats.get(server).map(|last| (last.incarnation, last.sequence))
     }
 }
 
@@ -249,6 +247,8 @@
             leases: EntryLeases::new(now, recorded.clone()),
             entries: BTreeMap::new(),
             heartbeats: BTreeMap::new(),
+            unused: UnusedHeartbeats::default(),
+            confirming: BTreeSet::new(),
             reports: ServerReports::default(),
             monitors: BTreeMap::new(),
             failovers: BTreeMap::new(),
--- a/crates/gateway/src/control_log.rs
+++ b/crates/gateway/src/control_log.rs
@@ -9,6 +9,11 @@
     matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Entries { .. })))
 }
 
+/// Whether a log entry adds or replaces a server.
+pub(crate) fn records_backend(entry: &Entry) -> bool {
+    matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Record(_))))
+}
+
 /// Whether a log entry records a promotion to order.
 pub(crate) fn records_promotion(entry: &Entry) -> bool {
     matches!(&entry.payload, Payload::Command(Command::Fleet(FleetChange::Order { .. })))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod control_apply;
 mod control_assignment;
 pub mod control_configs;
+mod control_confirm;
 mod control_departures;
 mod control_evacuation;
 mod control_failover;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,10 @@
     pub promotion_orders: Counter,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64, AtomicU64>,
+    /// Heartbeats that were not used, by reason, counted when the reason for a name changes.
+    pub unused_heartbeats: Family<ReasonLabel, Counter>,
+    /// Names whose last heartbeat was not used, at the control leader.
+    pub unused_senders: Gauge,
     /// Evacuated failure domains, at the control leader.
     pub evacuated_domains: Gauge,
     /// Statements refused because of evacuations.
@@ -97,6 +101,8 @@
             slot_wait: Histogram::new(LATENCY_BUCKETS_SECONDS),
             promotion_orders: Counter::default(),
             config_version: Gauge::default(),
+            unused_heartbeats: Family::default(),
+            unused_senders: Gauge::default(),
             evacuated_domains: Gauge::default(),
             evacuation_refusals: Counter::default(),
             control: ControlMetrics::default(),
@@ -144,6 +150,10 @@
         registry.register("owner_tests", "Tests of avoided owners", self.owner_tests.clone());
         let ended = self.waits_ended.clone();
         registry.register("slot_waits_ended", "Waits that ended without a slot", ended);
+        let unused = self.unused_heartbeats.clone();
+        registry.register("unused_heartbeats", "Heartbeats not used", unused);
+        let senders = self.unused_senders.clone();
+        registry.register("unused_senders", "Names whose last heartbeat was not used", senders);
         registry.register(
             "evacuated_domains",
             "Evacuated failure domains",
@@ -166,6 +176,11 @@
         self.client_refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a heartbeat that was not used.
+    pub fn count_unused_heartbeat(&self, reason: &'static str) {
+        self.unused_heartbeats.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a retry.
     pub fn count_retry(&self, reason: &'static str) {
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -138,6 +138,7 @@
     EvacuationChanged = 723, Info, "evacuation of a failure domain recorded";
     EvacuationAcknowledged = 724, Info, "evacuation of a failure domain acknowledged";
     EvacuationRefused = 725, Warn, "evacuation of a failure domain refused";
+    HeartbeatUnused = 726, Warn, "heartbeat not used";
 }
 
 impl Event {
