Record the earlier process of a server again if only that one reports

A handshake cannot tell a restart in the same place from the process before, so a restart is still believed at once, as before. It is taken back once the earlier process has reported for 3 s with increasing sequence numbers and the later one has not. Until then the server's heartbeats get 409 instead of 200.

--- a/crates/auburnlug/tests/foreign_heartbeats.rs
+++ b/crates/auburnlug/tests/foreign_heartbeats.rs
@@ -139,3 +139,44 @@
         })
         .unwrap();
 }
+
+/// After one heartbeat with a later start time under a server's name and address, the server's own
+/// heartbeats were acknowledged and ignored, and requests went on to a server that was leaving.
+#[test]
+fn a_server_is_heard_again_after_a_heartbeat_with_a_later_start_time() {
+    for (test, server, host) in [(6, 2, 22), (7, 1, 21)] {
+        let deployment = start(test);
+        let (id, own) = (format!("s{server}"), deployment.address(host, SERVER_PORT));
+        assert_eq!(report(&deployment, &id, "g1", own, BORN + 1), 200);
+        let leader = deployment.address(deployment.leader().unwrap(), OPERATOR_PORT);
+        let draining = |sequence: u64| {
+            let role = if server == 1 { "primary" } else { "replica" };
+            let body = json!({"service": "g1", "address": own, "zone": "d1", "version": "v1",
+                "slots": 3, "state": "draining", "cold-remaining-ms": 0, "db-role": role,
+                "seq": sequence, "born": BORN});
+            call_http(leader, "PUT", &format!("/-/instances/{id}"), &body.to_string()).0
+        };
+        let statuses: Vec<u16> = (2..)
+            .map(|sequence| {
+                thread::sleep(Duration::from_millis(400));
+                draining(sequence)
+            })
+            .take_while(|status| *status != 200)
+            .take(25)
+            .collect();
+        // The server must not take a heartbeat for acknowledged that is not used.
+        assert!(statuses.iter().all(|status| *status == 409), "{id}: {statuses:?}");
+        assert!(statuses.len() < 25, "{id} is never heard again");
+        thread::sleep(SETTLING_TIME);
+        if server == 1 {
+            assert_ne!(deployment.group.primary(), "s1");
+        }
+        let before = deployment.group.executed_statements().len();
+        for n in 0..20 {
+            let mut caller = deployment.open(0, "own", "k1").unwrap();
+            assert!(caller.ask(&format!("r{n} READ probe")).contains("DONE s."));
+        }
+        let after = &deployment.group.executed_statements()[before..];
+        assert!(after.iter().all(|ran| ran.server != id), "{after:?}");
+    }
+}
--- a/crates/coordination/src/registration.rs
+++ b/crates/coordination/src/registration.rs
@@ -10,10 +10,21 @@
 //! server at its address has accepted the name that it gives. Start times prove nothing, as anyone
 //! can name one; nor do the configured groups, which are unknown before the first configuration and
 //! change later. A heartbeat that takes nobody's place needs no proof.
+//!
+//! A handshake cannot tell a server that has started again in its place from the process before. So
+//! such a start is believed, and taken back if the earlier process goes on reporting while the later
+//! one does not ([`EarlierRuns`]).
+
+use std::{collections::BTreeMap, sync::Arc};
 
-use std::sync::Arc;
+use auburnlug_state::{
+    Millis,
+    fleet::{Backend, Fleet, Incarnation},
+};
 
-use auburnlug_state::fleet::{Backend, Fleet, Incarnation};
+/// Time for which only the earlier process of a server must report until it is recorded again: two
+/// heartbeats of the later one are missed.
+pub const EARLIER_RUN_TIMEOUT_MS: Millis = 3_000;
 
 /// What to do with a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,7 +35,9 @@
     Record(Vec<Displaced>),
     /// Ask the server at the address whether the heartbeat is its own.
     Confirm(Conflict),
-    /// A later heartbeat of the server was used, or a later process is recorded.
+    /// A later process of the server is recorded in its place.
+    EarlierRun(Displaced),
+    /// A later heartbeat of the server was used.
     Outdated,
 }
 
@@ -95,16 +108,52 @@
         // A record replaces earlier ones by itself.
         let moved = moved.filter(|known| known.run >= reported.run);
         let occupant = occupant.filter(|known| known.run > reported.run);
-        let displaced = |known: &Backend| Displaced { id: known.id.clone(), run: known.run };
         return Decision::Record(moved.into_iter().chain(occupant).map(displaced).collect());
     }
-    let restarted = recorded.is_some_and(|known| known.run > reported.run);
-    if restarted || latest.is_some_and(|latest| latest > (reported.run, sequence)) {
+    if let Some(later) = recorded.filter(|known| known.run > reported.run) {
+        return Decision::EarlierRun(displaced(later));
+    }
+    if latest.is_some_and(|latest| latest > (reported.run, sequence)) {
         return Decision::Outdated;
     }
     Decision::Record(Vec::new())
 }
 
+fn displaced(known: &Backend) -> Displaced {
+    Displaced { id: known.id.clone(), run: known.run }
+}
+
 fn is_same_place(known: &Backend, reported: &Backend) -> bool {
     known.group == reported.group && known.address == reported.address
 }
+
+/// Earlier processes of recorded servers that still report.
+#[derive(Debug, Default)]
+pub struct EarlierRuns {
+    runs: BTreeMap<Arc<str>, EarlierRun>,
+}
+
+/// First heartbeat of an earlier process since the recorded one was last heard.
+#[derive(Debug)]
+struct EarlierRun {
+    run: Incarnation,
+    sequence: u64,
+    since: Millis,
+}
+
+impl EarlierRuns {
+    /// Records a heartbeat of an earlier process than the recorded one; returns whether the earlier
+    /// one is to be recorded again. A single late heartbeat is not enough for that.
+    pub fn report(&mut self, id: &Arc<str>, run: Incarnation, sequence: u64, now: Millis) -> bool {
+        let first = self.runs.entry(id.clone()).or_insert(EarlierRun { run, sequence, since: now });
+        if first.run != run {
+            *first = EarlierRun { run, sequence, since: now };
+        }
+        sequence > first.sequence && now >= first.since + EARLIER_RUN_TIMEOUT_MS
+    }
+
+    /// Records that the recorded process of a server has reported.
+    pub fn clear(&mut self, id: &str) {
+        self.runs.remove(id);
+    }
+}
--- a/crates/gateway/src/control_heartbeat.rs
+++ b/crates/gateway/src/control_heartbeat.rs
@@ -9,7 +9,10 @@
     heartbeats::{changes_nothing, receiver},
     registration::{Conflict, Decision, Displaced, decide},
 };
-use auburnlug_state::{Name, fleet::FleetChange};
+use auburnlug_state::{
+    Name,
+    fleet::{FleetChange, Incarnation},
+};
 use auburnlug_transport::event::{Event, log};
 use tokio::sync::oneshot;
 
@@ -25,8 +28,10 @@
 /// Why a heartbeat was not used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Unused {
-    /// A later heartbeat of the server was used, or a later process is recorded.
+    /// A later heartbeat of the server was used.
     Outdated,
+    /// A later process of the server is recorded.
+    EarlierRun(Incarnation),
     /// It takes the place of a recorded server, and the server at its address did not confirm it.
     Unconfirmed(Conflict, HandshakeOutcome),
 }
@@ -36,6 +41,7 @@
     fn label(&self) -> &'static str {
         match self {
             Unused::Outdated => "outdated",
+            Unused::EarlierRun(_) => "earlier_run",
             Unused::Unconfirmed(conflict, _) => conflict.place.label(),
         }
     }
@@ -103,10 +109,28 @@
             }
             Decision::Record(displaced) => self.record_server(&beat, displaced, reply),
             Decision::Confirm(conflict) => self.confirm_heartbeat(beat, conflict, reply),
+            Decision::EarlierRun(later) => self.handle_earlier_run(&beat, later, reply),
             Decision::Outdated => self.refuse_heartbeat(&beat, Unused::Outdated, reply),
         }
     }
 
+    /// Records an earlier process of a server again if the later one has stayed silent.
+    fn handle_earlier_run(
+        &mut self,
+        beat: &Heartbeat,
+        later: Displaced,
+        reply: oneshot::Sender<ControlReply<Name>>,
+    ) {
+        let now = self.now();
+        let Some(leader) = &mut self.leader else { return };
+        let (observed, run) = (leader.observation.at(now), beat.backend.run);
+        if leader.earlier_runs.report(&beat.backend.id, run, beat.sequence, observed) {
+            self.record_server(beat, vec![later], reply);
+        } else {
+            self.refuse_heartbeat(beat, Unused::EarlierRun(later.run), reply);
+        }
+    }
+
     /// Proposes the record of a server, and before it the removal of those whose place it takes.
     fn record_server(
         &mut self,
@@ -145,6 +169,7 @@
         let Some(leader) = &mut self.leader else { return };
         leader.record_heartbeat(beat, elsewhere, now);
         leader.unused.reasons.remove(&beat.backend.id);
+        leader.earlier_runs.clear(&beat.backend.id);
         self.metrics.unused_senders.set(leader.unused.reasons.len() as i64);
         if beat.claims_primary {
             self.check_primary_claim(&beat.backend);
--- a/crates/gateway/src/control_lead.rs
+++ b/crates/gateway/src/control_lead.rs
@@ -14,6 +14,7 @@
     rate_share::{
         RateLimit, RateShares, SHARE_RECLAIM_DELAY_MS, ShareGrant, ShareRequest as ShareAsk,
     },
+    registration::EarlierRuns,
     server_pace::ColdShares,
     server_reports::ServerReports,
     update_pace::UpdatePace,
@@ -80,6 +81,8 @@
     pub(crate) heartbeats: BTreeMap<Arc<str>, LastHeartbeat>,
     /// Names whose last heartbeat was not used.
     pub(crate) unused: UnusedHeartbeats,
+    /// Servers of which an earlier process than the recorded one reports.
+    pub(crate) earlier_runs: EarlierRuns,
     /// Names that the server at the address of a heartbeat is being asked for.
     pub(crate) confirming: BTreeSet<Arc<str>>,
     pub(crate) reports: ServerReports,
@@ -248,6 +251,7 @@
             entries: BTreeMap::new(),
             heartbeats: BTreeMap::new(),
             unused: UnusedHeartbeats::default(),
+            earlier_runs: EarlierRuns::default(),
             confirming: BTreeSet::new(),
             reports: ServerReports::default(),
             monitors: BTreeMap::new(),
