--- a/crates/auburnlug/tests/soak/clients.rs
+++ b/crates/auburnlug/tests/soak/clients.rs
@@ -199,7 +199,7 @@
         sequence += 1;
         let state = if record.seen().draining.contains(&server) { "draining" } else { "ready" };
         let role = if group.primary() == id { "primary" } else { "replica" };
-        let body = json!({"service": "g1", "address": address, "zone": "d1", "slots": 3, "state": state, "db-role": role, "seq": sequence, "born": born}).to_string();
+        let body = json!({"service": "g1", "address": address, "zone": "d1", "version": "v1", "slots": 3, "cold-remaining-ms": 0, "state": state, "db-role": role, "seq": sequence, "born": born}).to_string();
         let path = format!("/-/instances/{id}");
         members.iter().any(|member| call_http(*member, "PUT", &path, &body).0 == 200);
     }
--- a/crates/bench/src/line_processes.rs
+++ b/crates/bench/src/line_processes.rs
@@ -346,7 +346,7 @@
     pub fn send_heartbeat(&self, server: u8, sequence: u64, state: &str) -> io::Result<()> {
         let id = format!("s{server}");
         let role = if self.group.primary() == id { "primary" } else { "replica" };
-        let body = json!({"service": "g1", "address": self.address(20 + server, SERVER_PORT), "zone": "d1", "slots": 3, "state": state, "db-role": role, "seq": sequence, "born": 1});
+        let body = json!({"service": "g1", "address": self.address(20 + server, SERVER_PORT), "zone": "d1", "version": "v1", "slots": 3, "cold-remaining-ms": 0, "state": state, "db-role": role, "seq": sequence, "born": 1});
         self.put(&format!("/-/instances/{id}"), &body.to_string()).map(drop)
     }
 
