Let a new control leader wait for servers that it has not heard of

For the first 2.5 s of a leadership, a primary whose known end is beyond all known replicas is not replaced by one of them; a heartbeat without an answer is sent again after a second. The primary goes on serving meanwhile. A failover of a crashed primary, or under a leader that has led for longer, does not wait.

--- a/crates/coordination/src/external_failover.rs
+++ b/crates/coordination/src/external_failover.rs
@@ -79,6 +79,8 @@
     pub released: bool,
     /// Time since the former primary was demoted, in milliseconds; 0 if it was not.
     pub demoted_for: Millis,
+    /// Time for which this control leader has received heartbeats, in milliseconds.
+    pub led_for: Millis,
     /// Promotion that was ordered, while its outcome is unknown.
     pub ordered: Option<Ordered>,
 }
@@ -233,6 +235,10 @@
     if let Some(end) = end.filter(reached) {
         return Some(end);
     }
+    // What the former primary has beyond all known replicas may be on one that is not known yet.
+    if end.is_some() && facts.led_for < REGISTRATION_TIMEOUT_MS {
+        return None;
+    }
     let received = |member: &Member| {
         let status = member.status.filter(|_| member.reachable && member.settled)?;
         Some(status.received)
@@ -285,6 +291,11 @@
 /// commits. Replicas that can be reached report their positions sooner.
 const FORMER_REINSTATE_DELAY_MS: Millis = 1_000;
 
+/// Time after the election of a control leader within which a server may receive commits that the
+/// leader has not heard of: a heartbeat that the former leader has not answered within a second is
+/// sent again, and the first one after that may be lost as well.
+const REGISTRATION_TIMEOUT_MS: Millis = 2_500;
+
 /// Time without an answer after which a primary counts as unreachable. Two lost packets in a row on
 /// a link between regions delay an answer by 600 ms.
 const UNREACHABLE_TIMEOUT_MS: Millis = 900;
--- a/crates/coordination/tests/evacuation.rs
+++ b/crates/coordination/tests/evacuation.rs
@@ -104,6 +104,7 @@
         departed: Some(Position::default()),
         released: true,
         demoted_for: 0,
+        led_for: 60_000,
         ordered: None,
     }
 }
--- a/crates/coordination/tests/external_failover.rs
+++ b/crates/coordination/tests/external_failover.rs
@@ -34,6 +34,7 @@
         departed: Some(Position::default()),
         released: true,
         demoted_for: 0,
+        led_for: 60_000,
         ordered: None,
     }
 }
@@ -255,3 +256,28 @@
         assert_eq!(replacement_cause(&watch), expected, "{watch:?}");
     }
 }
+
+/// A server that has just started receives commits before its first heartbeat reaches the control
+/// leader, and a new leader may lead before that. It compared the replicas that it knew and had one
+/// without the commits promoted.
+#[test]
+fn a_new_control_leader_waits_for_servers_that_it_has_not_heard_of() {
+    let mut facts = facts(Cause::Stalled, member(0, 12), member(0, 10), member(0, 11));
+    facts.led_for = 500;
+    assert!(!can_replace(&facts));
+    facts.led_for = 2_500;
+    assert!(can_replace(&facts));
+    facts.members.insert("p".into(), member(4, 12));
+    facts.led_for = 500;
+    assert!(matches!(next_step(&facts), Step::Wait(_)));
+    // The new server has registered meanwhile, with everything.
+    facts.members.insert("new".into(), member(0, 12));
+    assert_eq!(next_step(&facts), Step::Promote("new".into()));
+    // Nothing is known of the end of a primary that has crashed, so nothing is waited for.
+    facts.members.remove("new");
+    facts.members.insert("p".into(), unreachable());
+    for replica in ["r1", "r2"] {
+        facts.members.insert(replica.into(), member(4, 11));
+    }
+    assert!(matches!(next_step(&facts), Step::Promote(_)));
+}
--- a/crates/coordination/tests/external_failover_model.rs
+++ b/crates/coordination/tests/external_failover_model.rs
@@ -460,6 +460,7 @@
             ),
             released: self.used.is_none_or(|(_, until)| self.now >= until),
             demoted_for: demoted_at.map_or(0, |at| self.now.saturating_sub(at)),
+            led_for: 60_000,
             ordered: lead.ordered.as_ref().map(|ordered| Ordered {
                 server: ordered.server.clone(),
                 running: true,
--- a/crates/gateway/src/control_failover.rs
+++ b/crates/gateway/src/control_failover.rs
@@ -463,6 +463,7 @@
                 None => leader.leases.is_applied(published, now),
             },
             demoted_for: demoted_at.map_or(0, |at| now.saturating_sub(at)),
+            led_for: observed.saturating_sub(leader.leading_since),
             ordered: lead.ordered.as_ref().map(|ordered| {
                 let failover = leader.failovers.get(group);
                 let running = self.fleet().backends.get(&ordered.server);
