Soak: foreign heartbeats, and sessions that last until their connection is gone

A writer sends heartbeats in the place of the servers: of an unknown service and of the known one, under new names, under the servers' own and each other's, with later start times. Half of the callers' sessions go on until their connection is gone; so far every session ended after 30 statements at most, so that none was open for long when a process was told to stop.

--- a/crates/auburnlug/tests/soak/clients.rs
+++ b/crates/auburnlug/tests/soak/clients.rs
@@ -26,7 +26,14 @@
 /// Errors that promise that nothing of the statement is kept.
 const PROMISES: [&str; 6] = ["BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT"];
 
-/// Writes unique keys and reads them again, in sessions of some statements.
+/// Start time of the processes that foreign heartbeats name, later than those of the servers.
+const FOREIGN_START_TIME: u64 = 1_000_000;
+
+/// Share of the sessions that a caller uses until their connection is gone.
+const LONG_SESSION_RATIO: f64 = 0.5;
+
+/// Writes unique keys and reads them again, in sessions of some statements or for as long as the
+/// connection lasts.
 pub fn run_caller(record: &Record, entry: SocketAddr, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut newest: Option<String> = None;
@@ -37,7 +44,9 @@
             continue;
         };
         let mut session_key: Option<String> = None;
-        for _ in 0..rng.random_range(1..30) {
+        let long = rng.random_bool(LONG_SESSION_RATIO);
+        let statements = if long { usize::MAX } else { rng.random_range(1..30) };
+        for _ in 0..statements {
             if !record.runs() {
                 return;
             }
@@ -204,3 +213,33 @@
         members.iter().any(|member| call_http(*member, "PUT", &path, &body).0 == 200);
     }
 }
+
+/// Sends heartbeats that no server has sent, in the place of the servers.
+pub fn run_foreign_writer(
+    record: &Record,
+    servers: &[(u8, SocketAddr)],
+    members: &[SocketAddr],
+    seed: u64,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    while record.runs() {
+        thread::sleep(Duration::from_millis(rng.random_range(300..2_500)));
+        let (server, address) = *servers.choose(&mut rng).unwrap();
+        let (other, _) = *servers.choose(&mut rng).unwrap();
+        let (service, id) = match rng.random_range(0..5) {
+            0 => ("unknown", "x9".into()),
+            1 => ("unknown", format!("s{server}")),
+            2 => ("g1", "x8".into()),
+            // A restart in its place is believed until the server itself is heard again.
+            3 => ("g1", format!("s{server}")),
+            _ => ("g1", format!("s{other}")),
+        };
+        let role = *["primary", "replica"].choose(&mut rng).unwrap();
+        let born = FOREIGN_START_TIME + rng.random_range(0..1_000);
+        let body = json!({"service": service, "address": address, "zone": "d1", "version": "v1", "slots": 3, "cold-remaining-ms": 0, "state": "ready", "db-role": role, "seq": 1, "born": born}).to_string();
+        let path = format!("/-/instances/{id}");
+        for member in members {
+            call_http(*member, "PUT", &path, &body);
+        }
+    }
+}
--- a/crates/auburnlug/tests/soak/main.rs
+++ b/crates/auburnlug/tests/soak/main.rs
@@ -1,8 +1,9 @@
 //! A randomized soak of real processes: links are held up, processes are killed, suspended and
 //! restarted, control members lose their disks or are replaced, and servers fail, in series and
-//! overlapping, while callers and an operator check what they are promised. At the end all processes
-//! are killed, and a control member loses its disk, sometimes shortly after another one has lost its
-//! own.
+//! overlapping, and heartbeats arrive that no server has sent, while callers and an operator check
+//! what they are promised. Half of the callers' sessions are used until their connection is gone. At
+//! the end all processes are killed, and a control member loses its disk, sometimes shortly after
+//! another one has lost its own.
 //!
 //! `SOAK_SEEDS=FIRST-LAST` and `SOAK_SECONDS` choose a longer run, and `SOAK_PROGRAM` another build;
 //! see `scripts/soak`.
@@ -33,7 +34,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    clients::{check_entry, check_member, run_caller, run_heartbeats, run_operator},
+    clients::{
+        check_entry, check_member, run_caller, run_foreign_writer, run_heartbeats, run_operator,
+    },
     record::Record,
     trouble::Disturber,
 };
@@ -75,6 +78,10 @@
         let members = members.clone();
         start(Box::new(move |record| run_heartbeats(record, &group, server, address, &members)));
     }
+    let servers: Vec<_> =
+        SERVERS.iter().map(|n| (*n, deployment.address(20 + n, SERVER_PORT))).collect();
+    let control = members.clone();
+    start(Box::new(move |record| run_foreign_writer(record, &servers, &control, seed)));
     let template = deployment.config(1);
     start(Box::new(move |record| run_operator(record, &template, &members, seed)));
     tasks
