Close a connection instead of keeping many values of an ended session

A connection with more than 64 KiB of values and prepared statements is closed now when its session or transaction gives it back; ordinary sessions have far less, and their connections are kept.

What an entry holds for jobs that another one sends it is still not counted.

--- a/crates/auburnlug/tests/uncontrolled_clients/main.rs
+++ b/crates/auburnlug/tests/uncontrolled_clients/main.rs
@@ -19,6 +19,8 @@
     CALLER_PORT, ENTRY_HOST, LINK_PORT, LineProcesses, OPERATOR_PORT, Size,
 };
 
+use serde_json::json;
+
 use crate::crowd::Crowd;
 
 /// Memory of every process, and its bound in each test.
@@ -151,6 +153,30 @@
     fixture.check_entry("session values", &mut crowd);
 }
 
+/// Guards against pooled connections that keep the values of ended sessions, one at a time here: one
+/// connection for each client account and server.
+#[test]
+fn large_values_of_ended_sessions() {
+    let fixture = start(11);
+    let accounts = 20;
+    let mut config = fixture.deployment.config(2);
+    config["tenants"] = (1..=accounts)
+        .map(|n| json!({"name": format!("t{n}"), "api-keys": [format!("k{n}")], "rate-per-s": 500, "burst": 500}))
+        .collect();
+    fixture.deployment.publish(&config).unwrap();
+    let value = "x".repeat(1_000_000);
+    for key in (1..=accounts).map(|n| format!("k{n}")) {
+        let opened = |d: &LineProcesses| d.open(0, "newest", &key).is_some();
+        fixture.deployment.eventually("a session is opened", opened).unwrap();
+        let mut caller = fixture.deployment.open(0, "newest", &key).unwrap();
+        for n in 0..3 {
+            assert!(caller.ask(&format!("s SET v{n} {value}")).contains("DONE"));
+        }
+        assert!(caller.ask("r READ probe").contains("DONE s."), "{key}");
+    }
+    fixture.check_entry("values of ended sessions", &mut Crowd::connect(fixture.callers(), 0));
+}
+
 /// Guards against an entry that holds a large answer for each caller that does not read it.
 #[test]
 fn large_answers_that_nobody_reads() {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -33,6 +33,10 @@
 /// Texts of prepared statements per connection, in bytes; beyond it, a reset drops them all.
 const MAX_PREPARED_BYTES: usize = 256 << 10;
 
+/// Bytes of session values and prepared statements up to which a connection is kept for the next
+/// session. No client's budget counts what an idle connection holds, and there may be hundreds.
+const MAX_KEPT_STATE_BYTES: usize = 64 << 10;
+
 /// Size of a message above which its buffer is not kept for the next one.
 const MAX_KEPT_BUFFER_BYTES: usize = 64 << 10;
 
@@ -174,6 +178,13 @@
         OrderSocket::new(&self.stream)
     }
 
+    /// Whether the connection holds little enough of its last session to be kept for the next one.
+    pub fn is_keepable(&self) -> bool {
+        let values: usize = self.values.iter().map(|(name, value)| name.len() + value.len()).sum();
+        let prepared: usize = self.prepared.keys().map(|prepared| prepared.text.len()).sum();
+        values + prepared <= MAX_KEPT_STATE_BYTES
+    }
+
     /// Whether the server has closed the connection, or sent data without a request.
     pub fn is_closed(&mut self) -> bool {
         let mut byte = [0; 1];
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -530,11 +530,10 @@
         let running = self.holds_slot;
         self.pool.with_server(self, |server| {
             server.running_count -= u32::from(running);
-            match connection {
-                Some(connection) if server.open_count <= server.connection_limit => {
-                    server.idle_connections.push(connection)
-                }
-                _ => server.open_count -= 1,
+            let has_place = server.open_count <= server.connection_limit;
+            match connection.filter(|connection| has_place && connection.is_keepable()) {
+                Some(connection) => server.idle_connections.push(connection),
+                None => server.open_count -= 1,
             }
         });
         let pool = self.pool.clone();
