Count what the names of a session take besides their texts

The accounting moves to a type of its own.

No test of the project plays the crowd itself: it needs thousands of sessions.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod router;
 pub mod session;
 mod session_log;
+pub mod session_names;
 mod session_refusal;
 mod session_transaction;
 pub mod shutdown;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -1,6 +1,6 @@
 //! Sessions of callers: a connection with its session values, prepared statements and transaction.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use auburnlug_coordination::{
     Position,
@@ -8,8 +8,8 @@
     home_regions::HomeRegions,
 };
 use auburnlug_protocol::job::{
-    Answer, DataRequirement, ErrorCode, Job, Opening, PreparedStatement, Reply, Request,
-    SessionState, SessionVariables, Statement, StatementText, TransactionStep,
+    Answer, DataRequirement, ErrorCode, Job, Opening, Reply, Request, SessionState, Statement,
+    StatementText, TransactionStep,
 };
 use auburnlug_state::{
     Millis,
@@ -30,6 +30,7 @@
     local_state::LocalState,
     router::{Router, StatementTask},
     session_log::{AnsweredRequest, log_answer},
+    session_names::SessionNames,
     session_transaction::Transaction,
     shutdown::Shutdown,
     wire::{CallerWire, DecodeError},
@@ -63,9 +64,6 @@
 /// Copies of an answer while it is sent: its rows and the encoded message.
 const ANSWER_COPIES: usize = 2;
 
-/// Limit on prepared statements, and on session values, of one session.
-const MAX_SESSION_NAMES: usize = 256;
-
 /// Context shared by all sessions of an entry.
 pub struct SessionContext {
     /// State of the entry.
@@ -105,10 +103,7 @@
     /// Client account; empty for callers without a key.
     pub(crate) account: Arc<str>,
     key: Option<KeyHash>,
-    values: SessionVariables,
-    prepared: BTreeMap<Arc<str>, PreparedStatement>,
-    /// Bytes of the session values and prepared statements.
-    stored: usize,
+    names: SessionNames,
     /// Position of the last commit of this session.
     pub(crate) commit_position: Option<Position>,
     pub(crate) transaction: Option<Transaction>,
@@ -136,9 +131,7 @@
         database: "".into(),
         account: "".into(),
         key: None,
-        values: SessionVariables::new(),
-        prepared: BTreeMap::new(),
-        stored: 0,
+        names: SessionNames::default(),
         commit_position: None,
         transaction: None,
         is_open: false,
@@ -279,7 +272,7 @@
 
     /// Reads bytes once there is room for them; zero if the connection ends. Cancel safe.
     async fn receive(&mut self) -> usize {
-        let held = self.stored + self.inbound.len() * MESSAGE_COPIES + CALLER_READ_BYTES;
+        let held = self.names.bytes() + self.inbound.len() * MESSAGE_COPIES + CALLER_READ_BYTES;
         if !self.client.hold(held).await {
             return 0;
         }
@@ -392,19 +385,22 @@
                 self.drop_transaction();
                 (Answer::without_server(), SessionState::Idle)
             }
-            Statement::Set { name, value } => (self.set_value(name, value), state),
-            Statement::Prepare { name, shape } => (self.prepare(name, shape), state),
-            Statement::Deallocate { name } => match self.prepared.remove(&name) {
-                Some(shape) => {
-                    self.stored -= name.len() + shape.text.len();
-                    (Answer::without_server(), state)
-                }
-                None => (Answer::error(ErrorCode::UnknownStatement, name), state),
+            Statement::Set { name, value } => match self.names.set_value(name, value) {
+                true => (Answer::without_server(), state),
+                false => (Answer::error(ErrorCode::Failed, "too many session values"), state),
+            },
+            Statement::Prepare { name, shape } => match self.names.prepare(name, shape) {
+                true => (Answer::without_server(), state),
+                false => (Answer::error(ErrorCode::Failed, "too many prepared statements"), state),
+            },
+            Statement::Deallocate { name } => match self.names.deallocate(&name) {
+                true => (Answer::without_server(), state),
+                false => (Answer::error(ErrorCode::UnknownStatement, name), state),
             },
             Statement::Read(text) => self.run_text(&id, arrival, database, text, false).await,
             Statement::Write(text) => self.run_text(&id, arrival, database, text, true).await,
             Statement::Commit(text) => self.commit(&id, arrival, text).await,
-            Statement::Execute { name, arguments } => match self.prepared.get(&name).cloned() {
+            Statement::Execute { name, arguments } => match self.names.prepared(&name).cloned() {
                 Some(shape) => {
                     let writes = shape.writes;
                     let text = StatementText::Prepared { shape, arguments };
@@ -417,30 +413,6 @@
         self.send(Some(answer), Some(state)).await.map_err(|()| Ending::Caller)
     }
 
-    fn set_value(&mut self, name: Arc<str>, value: Arc<str>) -> Answer {
-        if self.values.len() >= MAX_SESSION_NAMES && !self.values.contains_key(&name) {
-            return Answer::error(ErrorCode::Failed, "too many session values");
-        }
-        self.stored += name.len() + value.len();
-        let name_bytes = name.len();
-        if let Some(former) = self.values.insert(name, value) {
-            self.stored -= name_bytes + former.len();
-        }
-        Answer::without_server()
-    }
-
-    fn prepare(&mut self, name: Arc<str>, shape: PreparedStatement) -> Answer {
-        if self.prepared.len() >= MAX_SESSION_NAMES && !self.prepared.contains_key(&name) {
-            return Answer::error(ErrorCode::Failed, "too many prepared statements");
-        }
-        self.stored += name.len() + shape.text.len();
-        let name_bytes = name.len();
-        if let Some(former) = self.prepared.insert(name, shape) {
-            self.stored -= name_bytes + former.text.len();
-        }
-        Answer::without_server()
-    }
-
     async fn run_text(
         &mut self,
         id: &Arc<str>,
@@ -498,7 +470,7 @@
             run_once,
             commits: false,
             text,
-            values: self.values.clone(),
+            values: self.names.values().clone(),
             remaining: database.timeout,
             max_wait: max_queue_wait(database),
             priority: database.priority,
@@ -535,7 +507,7 @@
             let standing = if is_idle { Standing::Open } else { Standing::Transaction };
             self.client.set_standing(standing);
         }
-        if !self.client.hold(self.stored + outbound.len() * ANSWER_COPIES).await {
+        if !self.client.hold(self.names.bytes() + outbound.len() * ANSWER_COPIES).await {
             return Err(());
         }
         let mut rest = &outbound[..];
